Serve the whole path, thin: router, command line, platform, engine and service stand-ins

Cause: nothing existed. Ruled out: pooled connections to endpoints. At the target a node sends 15 requests a second, and one more round trip of about a millisecond is small against 650 ms.

--- /dev/null
+++ b/include/almondmill/config/inventory.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "almondmill/config/datacentre.h"
+#include "almondmill/config/endpoint.h"
+#include "almondmill/config/model.h"
+#include "almondmill/config/service.h"
+
+#include <vector>
+
+namespace almondmill {
+
+/// What there is: drawn by operators from their asset register.
+struct Inventory
+{
+    std::vector<DataCentre> dataCentres;
+    std::vector<Model> models;
+    std::vector<Service> services;
+    std::vector<Endpoint> endpoints;
+
+    bool operator==(const Inventory &) const = default;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/config/model.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace almondmill {
+
+/// A language model that endpoints serve.
+struct Model
+{
+    std::string name;
+    std::string weights;                  ///< Version of the weights that endpoints must serve.
+    std::uint32_t blockTokens = 2000;     ///< Tokens in one block of an engine's prefix cache.
+    std::uint32_t maxConcurrentLoads = 3; ///< Endpoints that may load weights at the same time.
+
+    bool operator==(const Model &) const = default;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/config/rules.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "almondmill/config/clientaccount.h"
+
+#include <string>
+#include <vector>
+
+namespace almondmill {
+
+/// The few rules that operators lay on top of the inventory.
+struct Rules
+{
+    std::vector<ClientAccount> clientAccounts;
+    std::string placementPolicy = "owner"; ///< Name of a registered placement policy.
+
+    bool operator==(const Rules &) const = default;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/config/service.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace almondmill {
+
+/// A plain HTTP service, routed to by path.
+struct Service
+{
+    std::string name;
+    std::string pathPrefix; ///< Such as "/booking/"; starts and ends with a slash.
+    std::vector<std::string>
+            notRepeatable; ///< "METHOD /path/prefix" of calls that run at most once.
+
+    bool operator==(const Service &) const = default;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/endpoint/endpointstate.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "almondmill/config/endpoint.h"
+#include "almondmill/kernel/time.h"
+
+#include <atomic>
+#include <cstdint>
+
+namespace almondmill {
+
+/// What this router knows of one endpoint at the moment. Written by answers and probes, read by
+/// placement; every member is safe to use from several threads.
+class EndpointState
+{
+public:
+    explicit EndpointState(Endpoint endpoint);
+
+    const Endpoint &endpoint() const { return m_endpoint; }
+    std::uint64_t nameHash() const { return m_nameHash; }
+
+    /// Incarnation the endpoint last told; zero when it is not known.
+    std::uint64_t incarnation() const { return m_incarnation.load(std::memory_order_acquire); }
+
+    /// Hash of the weights version the endpoint last told; zero when it is not known.
+    std::uint64_t weightsHash() const { return m_weightsHash.load(std::memory_order_acquire); }
+
+    /// Requests of this router open at the endpoint.
+    std::uint32_t inFlight() const { return m_inFlight.load(std::memory_order_relaxed); }
+
+    /// Requests open at the endpoint, as it last told.
+    std::uint32_t reportedLoad() const { return m_reportedLoad.load(std::memory_order_relaxed); }
+
+    /// Whether the endpoint itself or the VM list says that it is leaving.
+    bool leaving() const { return m_leaving.load(std::memory_order_acquire); }
+
+    /// Whether the endpoint may get new work at `now`.
+    bool takesWork(SteadyTime now) const;
+
+    void setIncarnation(std::uint64_t incarnation);
+    void setWeightsHash(std::uint64_t hash);
+    void setReportedLoad(std::uint32_t load);
+    void setLeaving(bool leaving);
+    void requestStarted();
+    void requestEnded();
+
+    /// Counts a success: the next failure starts with the shortest ejection again.
+    void succeeded();
+
+    /// Counts a failure: after several in a row the endpoint gets no work for a time that doubles.
+    void failed(SteadyTime now);
+
+private:
+    Endpoint m_endpoint;
+    std::uint64_t m_nameHash;
+    std::atomic<std::uint64_t> m_incarnation{0};
+    std::atomic<std::uint64_t> m_weightsHash{0};
+    std::atomic<std::uint32_t> m_inFlight{0};
+    std::atomic<std::uint32_t> m_reportedLoad{0};
+    std::atomic<bool> m_leaving{false};
+    std::atomic<std::uint32_t> m_failures{0};
+    std::atomic<SteadyTime::rep> m_ejectedUntil{0};
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/fleet/member.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace almondmill {
+
+/// A router of the fleet as this one sees it.
+struct Member
+{
+    std::string address; ///< "IP:port" of its listener for other routers.
+    std::string dataCentre;
+    std::uint64_t incarnation = 0;
+    std::uint64_t configVersion = 0; ///< Configuration in force there, as last heard.
+    bool leaving = false;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/fleet/placementowner.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "almondmill/fleet/placementquery.h"
+#include "almondmill/kernel/time.h"
+
+namespace almondmill {
+
+/// Answers other routers' placement queries for the prefixes that this router owns.
+class PlacementOwner
+{
+public:
+    virtual ~PlacementOwner() = default;
+
+    virtual PlacementAdvice advise(const PlacementQuery &query, SteadyTime now) = 0;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/metrics/histogram.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+
+namespace almondmill {
+
+/// Distribution of durations in fixed buckets that double from 0.5 ms to 262 s. Cost: two relaxed
+/// atomic additions a value.
+class Histogram
+{
+public:
+    static constexpr std::size_t BucketCount = 20;
+
+    /// Upper bound of a bucket; the last bucket has none and takes all longer durations.
+    static std::chrono::microseconds upperBound(std::size_t bucket);
+
+    std::uint64_t count(std::size_t bucket) const;
+    std::uint64_t totalCount() const;
+    std::chrono::microseconds sum() const;
+
+    void add(std::chrono::microseconds duration);
+
+private:
+    std::array<std::atomic<std::uint64_t>, BucketCount + 1> m_counts{};
+    std::atomic<std::uint64_t> m_sumMicroseconds{0};
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/platform/httpplatform.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "almondmill/platform/platform.h"
+
+#include <string>
+
+namespace almondmill {
+
+class Metrics;
+
+/// Object API and VM list over HTTP. The only place that knows the wire format. Every call goes out
+/// on a connection of its own, so that a silent connection costs one call at most.
+class HttpPlatform : public Platform
+{
+public:
+    /// `baseUrl` is such as "http://127.0.0.1:9500". Calls are counted in `metrics` by kind.
+    HttpPlatform(std::string baseUrl, Metrics &metrics);
+
+    ReadResult read(const std::string &name, std::chrono::milliseconds timeout) override;
+    ListResult list(const std::string &prefix, std::chrono::milliseconds timeout) override;
+    WatchResult watch(const std::string &prefix, std::uint64_t revision,
+                      std::chrono::milliseconds wait) override;
+    UpdateResult createIfAbsent(const std::string &name, const std::string &value,
+                                std::chrono::milliseconds timeout) override;
+    UpdateResult update(const std::string &name, const std::string &value,
+                        std::uint64_t expectedVersion, std::chrono::milliseconds timeout) override;
+    UpdateResult remove(const std::string &name, std::uint64_t expectedVersion,
+                        std::chrono::milliseconds timeout) override;
+    VmListResult vms(std::chrono::milliseconds timeout) override;
+
+private:
+    void count(const char *kind);
+
+    std::string m_baseUrl;
+    Metrics &m_metrics;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/platform/platform.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "almondmill/kernel/registry.h"
+#include "almondmill/platform/objectstore.h"
+#include "almondmill/platform/vmlist.h"
+
+namespace almondmill {
+
+struct Node;
+
+/// Object API and VM list together. Implementations register by the name that the settings use.
+class Platform : public ObjectStore, public VmList
+{};
+
+using PlatformRegistry = Registry<Platform, Node &>;
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/platform/vmlist.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "almondmill/platform/readresult.h"
+#include "almondmill/platform/vm.h"
+
+#include <chrono>
+#include <variant>
+#include <vector>
+
+namespace almondmill {
+
+using VmListResult = std::variant<std::vector<Vm>, Unavailable>;
+
+/// The platform's list of live and leaving VMs. It lags behind the truth.
+class VmList
+{
+public:
+    virtual ~VmList() = default;
+
+    virtual VmListResult vms(std::chrono::milliseconds timeout) = 0;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/request/operatorfront.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "almondmill/kernel/part.h"
+
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace httplib {
+class Server;
+}
+
+namespace almondmill {
+
+struct Node;
+
+/// The operators' HTTP listener: health, readiness, metrics and the dump of this process's state.
+/// It has threads of its own, so it answers when all callers' threads are taken.
+class OperatorFront : public Part
+{
+public:
+    explicit OperatorFront(Node &node);
+    ~OperatorFront() override;
+
+    Stage stage() const override { return Stage::Platform; }
+    void dump(nlohmann::json &object) const override;
+
+    int port() const { return m_port; }
+    void start() override;
+    void stop() override;
+
+private:
+    std::string dumpAll() const;
+
+    Node &m_node;
+    std::unique_ptr<httplib::Server> m_server;
+    int m_port = 0;
+    std::thread m_thread;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/request/refusederror.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "almondmill/kernel/error.h"
+#include "almondmill/request/refusal.h"
+
+namespace almondmill {
+
+/// Ends the handling of a request with a refusal.
+class RefusedError : public Error
+{
+public:
+    explicit RefusedError(Refusal refusal);
+
+    const Refusal &refusal() const { return m_refusal; }
+
+private:
+    Refusal m_refusal;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/request/requestcontext.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "almondmill/config/priority.h"
+#include "almondmill/kernel/time.h"
+
+#include <memory>
+#include <string>
+
+namespace almondmill {
+
+class EndpointSet;
+struct ClientAccount;
+
+/// A caller's request once its client account is known. Holds the configuration that it is served
+/// by.
+struct RequestContext
+{
+    std::shared_ptr<const EndpointSet> endpoints;
+    const ClientAccount *account = nullptr; ///< Points into `endpoints`' configuration.
+    std::string requestId;
+    std::string method;
+    std::string path;
+    std::string contentType;
+    std::string body;
+    std::string idempotencyKey; ///< Empty when the caller gave none.
+    Priority priority = Priority::High;
+    SteadyTime arrived;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/src/almondmilld/main.cpp
@@ -0,0 +1,80 @@
+// The router daemon.
+
+#include "almondmill/config/settings.h"
+#include "almondmill/kernel/error.h"
+#include "almondmill/kernel/log.h"
+#include "almondmill/kernel/node.h"
+#include "almondmill/kernel/parts.h"
+#include "almondmill/placement/placer.h"
+#include "almondmill/platform/platform.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace almondmill;
+
+constexpr int ExitInvalidInput = 2;
+constexpr std::chrono::milliseconds IdleCheckInterval{20};
+
+sigset_t blockTerminationSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+/// Unready first, serving on while the balancer notices, then until no request is open.
+void drain(Node &node)
+{
+    log(LogLevel::Info, "daemon", "Shutting down: not ready from now on.");
+    node.draining = true;
+    std::this_thread::sleep_for(node.settings.drainNotice);
+    while (node.inFlight != 0)
+        std::this_thread::sleep_for(IdleCheckInterval);
+}
+
+int run(const std::string &settingsFile)
+{
+    const sigset_t signals = blockTerminationSignals();
+    Node node(loadSettings(settingsFile));
+    setUpLog(node.settings.logLevel);
+    const auto platform = PlatformRegistry::create(node.settings.platformClient, node);
+    node.store = platform.get();
+    node.vmList = platform.get();
+    node.placer = std::make_unique<Placer>(PlacementRegistry::create("rendezvous"));
+    Parts parts(node);
+    node.parts = &parts;
+    parts.start();
+    log(LogLevel::Info, "daemon", "Serving callers at " + node.settings.listen + ".");
+
+    int received = 0;
+    sigwait(&signals, &received);
+    drain(node);
+    parts.stop();
+    log(LogLevel::Info, "daemon", "Stopped.");
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("almondmilld: routes language-model traffic with long shared prompts");
+    std::string settingsFile;
+    app.add_option("--config", settingsFile, "settings file in TOML")->required();
+    CLI11_PARSE(app, argc, argv);
+    try {
+        return run(settingsFile);
+    } catch (const Error &error) {
+        std::cerr << "almondmilld: " << error.what() << "\n";
+        return ExitInvalidInput;
+    }
+}
--- /dev/null
+++ b/src/endpoint/attempt.cpp
@@ -0,0 +1,124 @@
+#include "almondmill/endpoint/attempt.h"
+
+#include "almondmill/endpoint/attempthead.h"
+#include "almondmill/endpoint/attemptobserver.h"
+#include "almondmill/endpoint/attemptrequest.h"
+#include "almondmill/endpoint/headernames.h"
+#include "almondmill/kernel/hash.h"
+
+#include <httplib.h>
+
+#include <netinet/tcp.h>
+
+namespace almondmill {
+
+namespace {
+
+AttemptHead toHead(const httplib::Response &response)
+{
+    AttemptHead head;
+    head.status = response.status;
+    head.contentType = response.get_header_value("Content-Type");
+    head.attemptId = response.get_header_value(AttemptIdHeader);
+    head.incarnation =
+            std::strtoull(response.get_header_value(IncarnationHeader).c_str(), nullptr, 10);
+    const std::string weights = response.get_header_value(WeightsHeader);
+    head.weightsHash = weights.empty() ? 0 : hash64(weights);
+    head.hasLoad = response.has_header(LoadHeader);
+    head.load = static_cast<std::uint32_t>(
+            std::strtoul(response.get_header_value(LoadHeader).c_str(), nullptr, 10));
+    head.cachedTokens = static_cast<std::uint32_t>(
+            std::strtoul(response.get_header_value(CachedTokensHeader).c_str(), nullptr, 10));
+    return head;
+}
+
+void setUserTimeout(int socket, std::chrono::milliseconds timeout)
+{
+    const auto milliseconds = static_cast<unsigned>(timeout.count());
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+}
+
+std::unique_ptr<httplib::Client> makeClient(const AttemptRequest &request)
+{
+    auto client = std::make_unique<httplib::Client>("http://" + request.address);
+    client->set_keep_alive(false);
+    client->set_tcp_nodelay(true);
+    client->set_decompress(false);
+    client->set_connection_timeout(request.connectTimeout);
+    client->set_read_timeout(request.readTimeout);
+    client->set_write_timeout(request.readTimeout);
+    client->set_socket_options(
+            [timeout = request.readTimeout](int socket) { setUserTimeout(socket, timeout); });
+    return client;
+}
+
+httplib::Request toLibraryRequest(const AttemptRequest &request)
+{
+    httplib::Request result;
+    result.method = request.method;
+    result.path = request.path;
+    result.body = request.body;
+    for (const HttpHeader &header : request.headers)
+        result.headers.emplace(header.name, header.value);
+    result.set_header(AttemptIdHeader, request.attemptId);
+    if (!request.contentType.empty())
+        result.set_header("Content-Type", request.contentType);
+    return result;
+}
+
+bool neverConnected(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
+           || error == httplib::Error::BindIPAddress;
+}
+
+} // namespace
+
+Attempt::Attempt() = default;
+
+Attempt::~Attempt() = default;
+
+AttemptResult Attempt::run(const AttemptRequest &request, AttemptObserver &observer)
+{
+    auto made = makeClient(request);
+    httplib::Client *client = made.get();
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_client = std::move(made);
+    }
+    if (m_cancelled)
+        return AttemptCancelled{};
+
+    auto libraryRequest = toLibraryRequest(request);
+    bool stopped = false;
+    libraryRequest.response_handler = [&](const httplib::Response &response) {
+        stopped = !observer.onHead(toHead(response));
+        return !stopped;
+    };
+    libraryRequest.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
+                                          std::uint64_t) {
+        stopped = !observer.onBytes({data, size});
+        return !stopped;
+    };
+    const auto result = client->send(libraryRequest);
+    if (result)
+        return AttemptCompleted{};
+    if (stopped)
+        return AttemptCancelled{};
+    const std::string reason = httplib::to_string(result.error());
+    if (neverConnected(result.error()))
+        return AttemptNotSent{reason};
+    if (m_cancelled)
+        return AttemptCancelled{};
+    return AttemptBroken{reason};
+}
+
+void Attempt::cancel()
+{
+    m_cancelled = true;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_client)
+        m_client->stop();
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/endpoint/endpointstate.cpp
@@ -0,0 +1,72 @@
+#include "almondmill/endpoint/endpointstate.h"
+
+#include "almondmill/kernel/hash.h"
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+constexpr std::uint32_t FailuresBeforeEjection = 3;
+constexpr std::uint32_t MostDoublings = 5;
+constexpr std::chrono::milliseconds FirstEjection{1000};
+} // namespace
+
+EndpointState::EndpointState(Endpoint endpoint)
+    : m_endpoint(std::move(endpoint))
+    , m_nameHash(hash64(m_endpoint.name))
+{}
+
+bool EndpointState::takesWork(SteadyTime now) const
+{
+    if (m_endpoint.leaving || leaving())
+        return false;
+    return now.time_since_epoch().count() >= m_ejectedUntil.load(std::memory_order_relaxed);
+}
+
+void EndpointState::setIncarnation(std::uint64_t incarnation)
+{
+    m_incarnation.store(incarnation, std::memory_order_release);
+}
+
+void EndpointState::setWeightsHash(std::uint64_t hash)
+{
+    m_weightsHash.store(hash, std::memory_order_release);
+}
+
+void EndpointState::setReportedLoad(std::uint32_t load)
+{
+    m_reportedLoad.store(load, std::memory_order_relaxed);
+}
+
+void EndpointState::setLeaving(bool leaving)
+{
+    m_leaving.store(leaving, std::memory_order_release);
+}
+
+void EndpointState::requestStarted()
+{
+    m_inFlight.fetch_add(1, std::memory_order_relaxed);
+}
+
+void EndpointState::requestEnded()
+{
+    m_inFlight.fetch_sub(1, std::memory_order_relaxed);
+}
+
+void EndpointState::succeeded()
+{
+    m_failures.store(0, std::memory_order_relaxed);
+}
+
+void EndpointState::failed(SteadyTime now)
+{
+    const std::uint32_t failures = m_failures.fetch_add(1, std::memory_order_relaxed) + 1;
+    if (failures < FailuresBeforeEjection)
+        return;
+    const std::uint32_t doublings = std::min(failures - FailuresBeforeEjection, MostDoublings);
+    const SteadyTime until = now + FirstEjection * (1U << doublings);
+    m_ejectedUntil.store(until.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/kernel/log.cpp
@@ -0,0 +1,62 @@
+#include "almondmill/kernel/log.h"
+
+#include <log4cplus/configurator.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <memory>
+
+namespace almondmill {
+
+namespace {
+
+log4cplus::LogLevel toLibraryLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::ERROR_LOG_LEVEL;
+}
+
+log4cplus::Logger &logger()
+{
+    // Never destroyed: threads may log until the process ends.
+    static auto *initializer = new log4cplus::Initializer;
+    static auto *instance = [] {
+        auto *made = new log4cplus::Logger(log4cplus::Logger::getRoot());
+        const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+        appender->setLayout(
+                std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
+        made->addAppender(appender);
+        made->setLogLevel(log4cplus::WARN_LOG_LEVEL);
+        return made;
+    }();
+    (void)initializer;
+    return *instance;
+}
+
+} // namespace
+
+void setUpLog(LogLevel level)
+{
+    logger().setLogLevel(toLibraryLevel(level));
+}
+
+void log(LogLevel level, const char *part, const std::string &sentence)
+{
+    const auto libraryLevel = toLibraryLevel(level);
+    if (logger().isEnabledFor(libraryLevel))
+        logger().forcedLog(libraryLevel, std::string(part) + ": " + sentence);
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/platform/httpplatform.cpp
@@ -0,0 +1,193 @@
+#include "almondmill/platform/httpplatform.h"
+
+#include "almondmill/kernel/node.h"
+#include "almondmill/metrics/metrics.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace almondmill {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char *VersionHeader = "Object-Version";
+constexpr const char *JsonType = "application/json";
+constexpr const char *BytesType = "application/octet-stream";
+constexpr std::chrono::milliseconds WatchGrace{2000};
+
+std::string objectPath(const std::string &name)
+{
+    return "/objects/" + name;
+}
+
+httplib::Client makeClient(const std::string &baseUrl, std::chrono::milliseconds timeout)
+{
+    httplib::Client client(baseUrl);
+    client.set_keep_alive(false);
+    client.set_tcp_nodelay(true);
+    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(timeout);
+    client.set_connection_timeout(microseconds);
+    client.set_read_timeout(microseconds);
+    client.set_write_timeout(microseconds);
+    return client;
+}
+
+std::uint64_t versionOf(const httplib::Response &response)
+{
+    if (!response.has_header(VersionHeader))
+        return 0;
+    return std::strtoull(response.get_header_value(VersionHeader).c_str(), nullptr, 10);
+}
+
+std::string describe(const httplib::Result &result)
+{
+    if (!result)
+        return "no answer: " + httplib::to_string(result.error());
+    return "status " + std::to_string(result->status);
+}
+
+UpdateResult toUpdateResult(const std::string &name, const httplib::Result &result)
+{
+    if (!result && result.error() == httplib::Error::Connection)
+        return NotApplied{describe(result)};
+    if (!result)
+        return OutcomeUnknown{describe(result)};
+    switch (result->status) {
+    case 200:
+        return Applied{versionOf(*result)};
+    case 412: {
+        const std::uint64_t version = versionOf(*result);
+        if (version == 0)
+            return Conflict{};
+        return Conflict{StoredObject{name, result->body, version}};
+    }
+    case 400:
+    case 413:
+    case 503:
+        return NotApplied{describe(result)};
+    default:
+        return OutcomeUnknown{describe(result)};
+    }
+}
+
+/// Parses `body` with `parse`; a body that is not of the expected shape counts as an outage.
+template<typename Result, typename Parse>
+Result parseBody(const std::string &body, Parse &&parse)
+{
+    try {
+        return parse(Json::parse(body));
+    } catch (const Json::exception &error) {
+        return Unavailable{error.what()};
+    }
+}
+
+} // namespace
+
+HttpPlatform::HttpPlatform(std::string baseUrl, Metrics &metrics)
+    : m_baseUrl(std::move(baseUrl))
+    , m_metrics(metrics)
+{}
+
+ReadResult HttpPlatform::read(const std::string &name, std::chrono::milliseconds timeout)
+{
+    count("read");
+    auto client = makeClient(m_baseUrl, timeout);
+    const auto result = client.Get(objectPath(name));
+    if (!result)
+        return Unavailable{describe(result)};
+    if (result->status == 404)
+        return Absent{};
+    if (result->status != 200)
+        return Unavailable{describe(result)};
+    return StoredObject{name, result->body, versionOf(*result)};
+}
+
+ListResult HttpPlatform::list(const std::string &prefix, std::chrono::milliseconds timeout)
+{
+    count("list");
+    auto client = makeClient(m_baseUrl, timeout);
+    const auto result = client.Get("/objects?prefix=" + prefix);
+    if (!result || result->status != 200)
+        return Unavailable{describe(result)};
+    return parseBody<ListResult>(result->body, [](const Json &json) {
+        ObjectList list;
+        list.revision = json.at("revision");
+        for (const Json &entry : json.at("objects"))
+            list.objects.push_back({entry.at("name"), entry.at("value"), entry.at("version")});
+        return list;
+    });
+}
+
+WatchResult HttpPlatform::watch(const std::string &prefix, std::uint64_t revision,
+                                std::chrono::milliseconds wait)
+{
+    count("watch");
+    auto client = makeClient(m_baseUrl, wait + WatchGrace);
+    const auto result = client.Get("/watch?prefix=" + prefix + "&after=" + std::to_string(revision)
+                                   + "&wait_ms=" + std::to_string(wait.count()));
+    if (!result || result->status != 200)
+        return Unavailable{describe(result)};
+    return parseBody<WatchResult>(result->body, [](const Json &json) {
+        return ObjectChanges{json.at("names"), json.at("revision")};
+    });
+}
+
+UpdateResult HttpPlatform::createIfAbsent(const std::string &name, const std::string &value,
+                                          std::chrono::milliseconds timeout)
+{
+    count("create");
+    auto client = makeClient(m_baseUrl, timeout);
+    return toUpdateResult(name,
+                          client.Put(objectPath(name), {{"If-None-Match", "*"}}, value, BytesType));
+}
+
+UpdateResult HttpPlatform::update(const std::string &name, const std::string &value,
+                                  std::uint64_t expectedVersion, std::chrono::milliseconds timeout)
+{
+    count("update");
+    auto client = makeClient(m_baseUrl, timeout);
+    const httplib::Headers headers{{"If-Match", std::to_string(expectedVersion)}};
+    return toUpdateResult(name, client.Put(objectPath(name), headers, value, BytesType));
+}
+
+UpdateResult HttpPlatform::remove(const std::string &name, std::uint64_t expectedVersion,
+                                  std::chrono::milliseconds timeout)
+{
+    count("remove");
+    auto client = makeClient(m_baseUrl, timeout);
+    const httplib::Headers headers{{"If-Match", std::to_string(expectedVersion)}};
+    return toUpdateResult(name, client.Delete(objectPath(name), headers, "", JsonType));
+}
+
+VmListResult HttpPlatform::vms(std::chrono::milliseconds timeout)
+{
+    count("vms");
+    auto client = makeClient(m_baseUrl, timeout);
+    const auto result = client.Get("/vms");
+    if (!result || result->status != 200)
+        return Unavailable{describe(result)};
+    return parseBody<VmListResult>(result->body, [](const Json &json) {
+        std::vector<Vm> vms;
+        for (const Json &entry : json)
+            vms.push_back({entry.at("address"), entry.at("leaving")});
+        return vms;
+    });
+}
+
+void HttpPlatform::count(const char *kind)
+{
+    m_metrics.counter("almondmill_platform_calls_total", "kind=\"" + std::string(kind) + "\"")
+            .add();
+}
+
+namespace {
+
+const PlatformRegistry::Registrar HttpRegistrar("http", [](Node &node) {
+    return std::make_unique<HttpPlatform>(node.settings.platform, node.metrics);
+});
+
+} // namespace
+
+} // namespace almondmill
--- /dev/null
+++ b/src/request/refusederror.cpp
@@ -0,0 +1,10 @@
+#include "almondmill/request/refusederror.h"
+
+namespace almondmill {
+
+RefusedError::RefusedError(Refusal refusal)
+    : Error("request." + std::to_string(refusal.status), refusal.sentence)
+    , m_refusal(std::move(refusal))
+{}
+
+} // namespace almondmill
--- /dev/null
+++ b/standins/engineserver.cpp
@@ -0,0 +1,215 @@
+#include "engineserver.h"
+
+#include "almondmill/endpoint/headernames.h"
+#include "almondmill/kernel/hash.h"
+#include "almondmill/kernel/httplisten.h"
+#include "almondmill/kernel/randomid.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace almondmill::standin {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t WorkerThreads = 1200;
+constexpr std::size_t KeptGenerations = 4000;
+constexpr std::uint32_t BytesPerToken = 4;
+constexpr std::chrono::milliseconds WaitStep{20};
+
+std::string promptOf(const Json &json)
+{
+    if (json.contains("prompt"))
+        return json["prompt"];
+    std::string prompt;
+    for (const Json &message : json.at("messages"))
+        prompt += message.dump();
+    return prompt;
+}
+
+} // namespace
+
+EngineServer::EngineServer(EngineOptions options)
+    : m_options(std::move(options))
+    , m_incarnation(randomIncarnation())
+    , m_cache(m_options.cacheBlocks, m_options.blockBytes, m_options.cacheIdle)
+    , m_server(std::make_unique<httplib::Server>())
+{
+    m_server->new_task_queue = [] { return new httplib::ThreadPool(WorkerThreads); };
+    m_server->set_keep_alive_max_count(1);
+    m_server->set_tcp_nodelay(true);
+    addRoutes();
+    m_port = bindWithBacklog(*m_server, m_options.listen);
+    m_thread = std::thread([this] { m_server->listen_after_bind(); });
+    waitUntilRunning(*m_server);
+}
+
+EngineServer::~EngineServer()
+{
+    m_stopping = true;
+    m_server->stop();
+    m_thread.join();
+}
+
+void EngineServer::addRoutes()
+{
+    const auto completion = [this](const httplib::Request &request, httplib::Response &response) {
+        complete(request, response);
+    };
+    m_server->Post("/v1/completions", completion);
+    m_server->Post("/v1/chat/completions", completion);
+    m_server->Get(R"(/v1/streams/(\w+))",
+                  [this](const httplib::Request &request, httplib::Response &response) {
+                      resume(request, response);
+                  });
+    m_server->Delete(R"(/v1/streams/(\w+))",
+                     [this](const httplib::Request &request, httplib::Response &response) {
+                         cancelStream(request, response);
+                     });
+    m_server->Get("/v1/status", [this](const httplib::Request &, httplib::Response &response) {
+        status(response);
+    });
+    m_server->Post("/switch", [this](const httplib::Request &request, httplib::Response &) {
+        const Json json = Json::parse(request.body);
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_fault.mode = json.value("mode", "none");
+        m_fault.afterEvents = json.value("after_events", 0U);
+        m_fault.times = json.value("times", 1U);
+        m_leaving = json.value("leaving", m_leaving.load());
+    });
+}
+
+void EngineServer::complete(const httplib::Request &request, httplib::Response &response)
+{
+    const Json json = Json::parse(request.body, nullptr, false);
+    if (json.is_discarded()) {
+        response.status = 400;
+        return;
+    }
+    const auto generation = startGeneration(request, promptOf(json),
+                                            json.value("max_tokens", m_options.defaultTokens));
+    setHeaders(*generation, response);
+    if (json.value("stream", false)) {
+        sendStream(generation, 0, response);
+        return;
+    }
+    while (std::chrono::steady_clock::now() < generation->readyAt(generation->tokens)
+           && !m_stopping)
+        std::this_thread::sleep_for(std::min<std::chrono::nanoseconds>(
+                WaitStep,
+                generation->readyAt(generation->tokens) - std::chrono::steady_clock::now()));
+    const Json choice{{"index", 0}, {"text", generation->text()}};
+    response.set_content(Json{{"choices", Json::array({choice})}}.dump(), "application/json");
+    --m_open;
+}
+
+EngineServer::GenerationPointer EngineServer::startGeneration(const httplib::Request &request,
+                                                              const std::string &prompt,
+                                                              std::uint32_t tokens)
+{
+    const auto now = std::chrono::steady_clock::now();
+    auto generation = std::make_shared<Generation>();
+    generation->attemptId = request.get_header_value(AttemptIdHeader);
+    generation->seed = hash64(prompt);
+    generation->tokens = tokens;
+    generation->tokenGap = m_options.tokenGap;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const std::uint32_t cached = m_cache.touch(prompt, now);
+    const auto blocks = static_cast<std::uint32_t>(prompt.size() / m_options.blockBytes);
+    generation->cachedTokens = cached * m_options.blockBytes / BytesPerToken;
+    generation->firstTokenAt = now + m_options.prefillPerBlock * (blocks - cached + 1);
+    if (m_generations.size() >= KeptGenerations)
+        m_generations.erase(m_generations.begin());
+    m_generations[generation->attemptId] = generation;
+    ++m_started;
+    ++m_open;
+    return generation;
+}
+
+void EngineServer::setHeaders(const Generation &generation, httplib::Response &response)
+{
+    response.set_header(AttemptIdHeader, generation.attemptId);
+    response.set_header(IncarnationHeader, std::to_string(m_incarnation));
+    response.set_header(WeightsHeader, m_options.weights);
+    response.set_header(LoadHeader, std::to_string(m_open.load()));
+    response.set_header(CachedTokensHeader, std::to_string(generation.cachedTokens));
+}
+
+void EngineServer::sendStream(const GenerationPointer &generation, std::uint32_t firstEvent,
+                              httplib::Response &response)
+{
+    const StreamFault fault = takeFault();
+    auto next = std::make_shared<std::uint32_t>(firstEvent);
+    response.set_chunked_content_provider(
+            "text/event-stream",
+            [this, generation, next, fault](std::size_t, httplib::DataSink &sink) {
+                if (fault.mode == "cut" && *next >= fault.afterEvents)
+                    return false;
+                while (fault.mode == "stall" && *next >= fault.afterEvents && !m_stopping
+                       && sink.is_writable())
+                    std::this_thread::sleep_for(WaitStep);
+                std::this_thread::sleep_until(generation->readyAt(*next));
+                if (generation->cancelled || m_stopping)
+                    return false;
+                const std::string event = generation->event(*next);
+                if (!sink.write(event.data(), event.size()))
+                    return false;
+                if (*next == generation->tokens)
+                    sink.done();
+                ++*next;
+                return true;
+            },
+            [this](bool) { --m_open; });
+}
+
+void EngineServer::resume(const httplib::Request &request, httplib::Response &response)
+{
+    GenerationPointer generation;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const auto found = m_generations.find(request.matches[1]);
+        if (found == m_generations.end() || found->second->cancelled) {
+            response.status = 404;
+            return;
+        }
+        generation = found->second;
+    }
+    const auto last = std::strtoul(request.get_header_value("Last-Event-ID").c_str(), nullptr, 10);
+    setHeaders(*generation, response);
+    ++m_open;
+    sendStream(generation, static_cast<std::uint32_t>(last), response);
+}
+
+void EngineServer::cancelStream(const httplib::Request &request, httplib::Response &response)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_generations.find(request.matches[1]);
+    if (found == m_generations.end()) {
+        response.status = 404;
+        return;
+    }
+    if (!found->second->cancelled.exchange(true))
+        ++m_cancelled;
+}
+
+void EngineServer::status(httplib::Response &response)
+{
+    const Json json{{"incarnation", m_incarnation},   {"model", m_options.model},
+                    {"weights", m_options.weights},   {"in_flight", m_open.load()},
+                    {"leaving", m_leaving.load()},    {"started", m_started.load()},
+                    {"cancelled", m_cancelled.load()}};
+    response.set_content(json.dump(), "application/json");
+}
+
+EngineServer::StreamFault EngineServer::takeFault()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_fault.times == 0)
+        return {};
+    --m_fault.times;
+    return m_fault;
+}
+
+} // namespace almondmill::standin
--- /dev/null
+++ b/standins/memorystore.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "almondmill/platform/objectstore.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
+namespace almondmill::standin {
+
+/// Object store in memory: the heart of the platform stand-in, and a fake for tests in one process.
+class MemoryStore : public ObjectStore
+{
+public:
+    ReadResult read(const std::string &name, std::chrono::milliseconds timeout) override;
+    ListResult list(const std::string &prefix, std::chrono::milliseconds timeout) override;
+    WatchResult watch(const std::string &prefix, std::uint64_t revision,
+                      std::chrono::milliseconds wait) override;
+    UpdateResult createIfAbsent(const std::string &name, const std::string &value,
+                                std::chrono::milliseconds timeout) override;
+    UpdateResult update(const std::string &name, const std::string &value,
+                        std::uint64_t expectedVersion, std::chrono::milliseconds timeout) override;
+    UpdateResult remove(const std::string &name, std::uint64_t expectedVersion,
+                        std::chrono::milliseconds timeout) override;
+
+private:
+    UpdateResult store(const std::string &name, const std::string &value);
+    ObjectChanges changesAfter(const std::string &prefix, std::uint64_t revision) const;
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, StoredObject> m_objects;
+    std::map<std::string, std::uint64_t> m_changeRevisions;
+    std::uint64_t m_revision = 0;
+};
+
+} // namespace almondmill::standin
--- /dev/null
+++ b/tests/support/waituntil.cpp
@@ -0,0 +1,19 @@
+#include "support/waituntil.h"
+
+#include <thread>
+
+namespace almondmill::test {
+
+bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
+{
+    constexpr std::chrono::milliseconds Step{5};
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(Step);
+    }
+    return true;
+}
+
+} // namespace almondmill::test
