Order engines by one leaseholder, towards the inventory, again and again

Cause: nobody told engines which weights to serve; two routers doing so would load more at once than the weight store allows and overtake each other. Change: a lease as one object with conditional updates and a fencing number in each order; the holder counts from before its renewal was sent, a successor waits out lease and order timeout from when it first saw the record. The controller compares status with inventory each round, so a late order of a former holder at an engine that ignores fencing is made good. Plans keep to the load bound and never empty a model's last serving endpoint. Only three routers, chosen by rendezvous, ask for the lease. Ruled out, shown red: counting from after a slow renewal (2 tests fail), a successor that does not wait out the order timeout (1 test), one that takes over at once (3 tests, the property after 2 cases). Roles and adapters are not ordered yet; the inventory has no words for them.

--- /dev/null
+++ b/include/almondmill/orders/lease.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "almondmill/kernel/time.h"
+#include "almondmill/orders/leaserecord.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace almondmill {
+
+class ObjectStore;
+
+/// How a lease is held.
+struct LeaseOptions
+{
+    std::string objectName;
+    std::string holder;
+    std::uint64_t incarnation = 0;
+    std::chrono::milliseconds duration{6000};
+
+    /// Longest time that an order may be under way; a new holder waits it out beyond the lease.
+    std::chrono::milliseconds orderTimeout{2000};
+    std::chrono::milliseconds storeTimeout{1000};
+};
+
+/// A lease held by conditional updates of one object. Time is counted on this process's steady
+/// clock: the holder counts from before each renewal was sent, a would-be holder from after it
+/// first saw the record as it stands, so two processes never believe in the same instant that they
+/// may order, but for a process paused between its check and its act. Orders therefore carry the
+/// fencing number. Not safe for several threads.
+class Lease
+{
+public:
+    using Clock = std::function<SteadyTime()>;
+
+    Lease(ObjectStore &store, LeaseOptions options);
+
+    /// Whether an order sent at `now` ends, at its timeout, while the lease still holds.
+    bool mayOrder(SteadyTime now) const;
+
+    /// Whether this process holds the lease at `now`.
+    bool held(SteadyTime now) const { return m_held && now < m_heldUntil; }
+
+    /// Number that each order carries; zero unless the lease was once held.
+    std::uint64_t fencing() const { return m_held ? m_record.fencing : 0; }
+
+    /// Holder according to the record last seen; empty when there was none.
+    const std::string &lastSeenHolder() const { return m_record.holder; }
+
+    /// Acquires or renews where that is due; at most two calls to the store. `clock` tells the time
+    /// before and after them.
+    void maintain(const Clock &clock);
+
+    /// Gives the lease up, so that another may take it without waiting. Best effort.
+    void release();
+
+private:
+    bool isOwn(const LeaseRecord &record) const;
+    void acquire(const Clock &clock);
+    void renew(const Clock &clock);
+    void create(const Clock &clock);
+    void observe(const std::string &value, std::uint64_t version, SteadyTime seenAt);
+    bool lapsed(SteadyTime now) const;
+    LeaseRecord nextRecord(std::uint64_t fencing) const;
+    void hold(const LeaseRecord &record, std::uint64_t version, SteadyTime countedFrom);
+    void lose() { m_held = false; }
+
+    ObjectStore &m_store;
+    LeaseOptions m_options;
+    LeaseRecord m_record;
+    std::uint64_t m_version = 0;
+    std::optional<SteadyTime> m_seenSince; ///< Since when the record stands as it is.
+    bool m_held = false;
+    SteadyTime m_heldUntil;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/orders/orderspart.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "almondmill/kernel/part.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace almondmill {
+
+class EngineControl;
+class Lease;
+class OrderController;
+
+/// Runs the lease and the orders of one router. Of all routers only a few, chosen by rendezvous
+/// over the live members, ask for the lease, so the calls to the platform do not grow with the
+/// fleet.
+class OrdersPart : public Part
+{
+public:
+    explicit OrdersPart(Node &node);
+    ~OrdersPart() override;
+
+    Stage stage() const override { return Stage::Configuration; }
+    void dump(nlohmann::json &object) const override;
+    void start() override;
+    void stop() override;
+
+private:
+    void run();
+    void runOnce();
+    bool isCandidate() const;
+    bool waitForNextRound();
+
+    Node &m_node;
+    std::unique_ptr<Lease> m_lease;
+    std::unique_ptr<EngineControl> m_engines;
+    std::unique_ptr<OrderController> m_controller;
+    std::atomic<bool> m_holds{false};
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/src/orders/lease.cpp
@@ -0,0 +1,135 @@
+#include "almondmill/orders/lease.h"
+
+#include "almondmill/kernel/error.h"
+#include "almondmill/platform/objectstore.h"
+
+namespace almondmill {
+
+Lease::Lease(ObjectStore &store, LeaseOptions options)
+    : m_store(store)
+    , m_options(std::move(options))
+{}
+
+bool Lease::mayOrder(SteadyTime now) const
+{
+    return m_held && now + m_options.orderTimeout < m_heldUntil;
+}
+
+void Lease::maintain(const Clock &clock)
+{
+    if (m_held && clock() >= m_heldUntil)
+        lose();
+    if (m_held)
+        renew(clock);
+    else
+        acquire(clock);
+}
+
+void Lease::release()
+{
+    if (!m_held)
+        return;
+    lose();
+    LeaseRecord record = nextRecord(m_record.fencing);
+    record.holder.clear();
+    record.duration = std::chrono::milliseconds(0);
+    m_store.update(m_options.objectName, encodeLease(record), m_version, m_options.storeTimeout);
+}
+
+bool Lease::isOwn(const LeaseRecord &record) const
+{
+    return record.holder == m_options.holder && record.incarnation == m_options.incarnation;
+}
+
+void Lease::acquire(const Clock &clock)
+{
+    const auto result = m_store.read(m_options.objectName, m_options.storeTimeout);
+    if (std::holds_alternative<Absent>(result)) {
+        create(clock);
+        return;
+    }
+    const auto *object = std::get_if<StoredObject>(&result);
+    if (!object)
+        return;
+    observe(object->value, object->version, clock());
+    const SteadyTime before = clock();
+    // The record may be this process's own: the answer to an earlier write was lost.
+    const bool own = isOwn(m_record);
+    if (!own && !lapsed(before))
+        return;
+    const LeaseRecord record = nextRecord(own ? m_record.fencing : m_record.fencing + 1);
+    const auto written = m_store.update(m_options.objectName, encodeLease(record), m_version,
+                                        m_options.storeTimeout);
+    if (const auto *applied = std::get_if<Applied>(&written))
+        hold(record, applied->version, before);
+}
+
+void Lease::create(const Clock &clock)
+{
+    const SteadyTime before = clock();
+    const LeaseRecord record = nextRecord(1);
+    const auto written = m_store.createIfAbsent(m_options.objectName, encodeLease(record),
+                                                m_options.storeTimeout);
+    if (const auto *applied = std::get_if<Applied>(&written))
+        hold(record, applied->version, before);
+}
+
+void Lease::renew(const Clock &clock)
+{
+    const SteadyTime before = clock();
+    const LeaseRecord record = nextRecord(m_record.fencing);
+    const auto written = m_store.update(m_options.objectName, encodeLease(record), m_version,
+                                        m_options.storeTimeout);
+    if (const auto *applied = std::get_if<Applied>(&written)) {
+        hold(record, applied->version, before);
+        return;
+    }
+    const auto *conflict = std::get_if<Conflict>(&written);
+    if (!conflict)
+        return;
+    // An earlier renewal took effect and its answer was lost: the record is this process's own. The
+    // lease is not counted longer for it, since it is not known when that renewal was written.
+    if (conflict->current) {
+        const LeaseRecord current = decodeLease(conflict->current->value);
+        if (isOwn(current) && current.fencing == m_record.fencing) {
+            m_record = current;
+            m_version = conflict->current->version;
+            return;
+        }
+    }
+    lose();
+    m_seenSince.reset();
+}
+
+void Lease::observe(const std::string &value, std::uint64_t version, SteadyTime seenAt)
+{
+    if (m_seenSince && version == m_version)
+        return;
+    m_record = decodeLease(value);
+    m_version = version;
+    m_seenSince = seenAt;
+}
+
+bool Lease::lapsed(SteadyTime now) const
+{
+    if (m_record.holder.empty())
+        return true;
+    return now >= *m_seenSince + m_record.duration + m_options.orderTimeout;
+}
+
+LeaseRecord Lease::nextRecord(std::uint64_t fencing) const
+{
+    return {m_options.holder, m_options.incarnation, fencing, m_record.renewal + 1,
+            m_options.duration};
+}
+
+void Lease::hold(const LeaseRecord &record, std::uint64_t version, SteadyTime countedFrom)
+{
+    m_record = record;
+    m_version = version;
+    m_held = true;
+    m_heldUntil = countedFrom + record.duration;
+    m_seenSince.reset();
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/orders/leaserecord.cpp
@@ -0,0 +1,32 @@
+#include "almondmill/orders/leaserecord.h"
+
+#include "almondmill/kernel/error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace almondmill {
+
+using Json = nlohmann::json;
+
+std::string encodeLease(const LeaseRecord &record)
+{
+    return Json{{"holder", record.holder},
+                {"incarnation", record.incarnation},
+                {"fencing", record.fencing},
+                {"renewal", record.renewal},
+                {"duration_ms", record.duration.count()}}
+            .dump();
+}
+
+LeaseRecord decodeLease(const std::string &text)
+{
+    try {
+        const Json json = Json::parse(text);
+        return {json.at("holder"), json.at("incarnation"), json.at("fencing"), json.at("renewal"),
+                std::chrono::milliseconds(json.at("duration_ms").get<std::int64_t>())};
+    } catch (const Json::exception &error) {
+        throw Error("orders.101", std::string("stored lease: ") + error.what());
+    }
+}
+
+} // namespace almondmill
--- a/standins/engineserver.cpp
+++ b/standins/engineserver.cpp
@@ -35,6 +35,7 @@
     : m_options(std::move(options))
     , m_incarnation(randomIncarnation())
     , m_cache(m_options.cacheBlocks, m_options.blockBytes, m_options.cacheIdle)
+    , m_weights(m_options.weights, m_options.loadTime, m_options.checksFencing)
     , m_server(std::make_unique<httplib::Server>())
 {
     m_server->new_task_queue = [] { return new httplib::ThreadPool(WorkerThreads); };
@@ -71,6 +72,10 @@
     m_server->Get("/v1/status", [this](const httplib::Request &, httplib::Response &response) {
         status(response);
     });
+    m_server->Post("/v1/orders",
+                   [this](const httplib::Request &request, httplib::Response &response) {
+                       takeOrder(request, response);
+                   });
     m_server->Post("/switch", [this](const httplib::Request &request, httplib::Response &) {
         const Json json = Json::parse(request.body);
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -132,7 +137,7 @@
 {
     response.set_header(AttemptIdHeader, generation.attemptId);
     response.set_header(IncarnationHeader, std::to_string(m_incarnation));
-    response.set_header(WeightsHeader, m_options.weights);
+    response.set_header(WeightsHeader, m_weights.weights(std::chrono::steady_clock::now()));
     response.set_header(LoadHeader, std::to_string(m_open.load()));
     response.set_header(CachedTokensHeader, std::to_string(generation.cachedTokens));
 }
@@ -203,6 +208,14 @@
     response.set_content(json.dump(), "application/json");
 }
 
+void EngineServer::takeOrder(const httplib::Request &request, httplib::Response &response)
+{
+    const Json json = Json::parse(request.body);
+    if (!m_weights.order(json.at("weights"), json.at("fencing"), std::chrono::steady_clock::now()))
+        response.status = 409;
+    response.set_content(Json{{"fencing", m_weights.fencing()}}.dump(), "application/json");
+}
+
 EngineServer::StreamFault EngineServer::takeFault()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/standins/engineserver.h
+++ b/standins/engineserver.h
@@ -3,6 +3,7 @@
 #include "engineoptions.h"
 #include "generation.h"
 #include "prefixcache.h"
+#include "weightsloader.h"
 
 #include <atomic>
 #include <map>
@@ -46,6 +47,7 @@
     void resume(const httplib::Request &request, httplib::Response &response);
     void cancelStream(const httplib::Request &request, httplib::Response &response);
     void status(httplib::Response &response);
+    void takeOrder(const httplib::Request &request, httplib::Response &response);
     GenerationPointer startGeneration(const httplib::Request &request, const std::string &prompt,
                                       std::uint32_t tokens);
     void setHeaders(const Generation &generation, httplib::Response &response);
@@ -57,6 +59,7 @@
     std::uint64_t m_incarnation;
     std::mutex m_mutex;
     PrefixCache m_cache;
+    WeightsLoader m_weights;
     std::map<std::string, GenerationPointer> m_generations;
     StreamFault m_fault;
     std::atomic<bool> m_leaving{false};
--- a/standins/programs/standin-engine.cpp
+++ b/standins/programs/standin-engine.cpp
@@ -20,6 +20,8 @@
     app.add_option("--cache-blocks", options.cacheBlocks, "blocks the cache holds");
     app.add_option("--prefill-ms-per-block", prefillMs, "time to compute a block, ms");
     app.add_option("--token-gap-us", gapUs, "time between tokens, microseconds");
+    app.add_flag("--ignores-fencing{false}", options.checksFencing,
+                 "carry out orders with an old fencing number");
     CLI11_PARSE(app, argc, argv);
     options.prefillPerBlock = std::chrono::milliseconds(prefillMs);
     options.tokenGap = std::chrono::microseconds(gapUs);
--- /dev/null
+++ b/tests/unit-lease.cpp
@@ -0,0 +1,183 @@
+#include "support/faultystore.h"
+
+#include "almondmill/orders/lease.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds Duration{6000};
+constexpr milliseconds OrderTimeout{2000};
+constexpr milliseconds Step{1};
+
+/// Time in common of all holders of a test; a call to the store takes `callTime`.
+struct TestTime
+{
+    SteadyTime now{std::chrono::hours(1)};
+    milliseconds callTime{0};
+
+    Lease::Clock clock()
+    {
+        return [this] {
+            const SteadyTime told = now;
+            now += callTime;
+            return told;
+        };
+    }
+};
+
+LeaseOptions optionsOf(const std::string &holder)
+{
+    LeaseOptions options;
+    options.objectName = "leases/test";
+    options.holder = holder;
+    options.incarnation = 1;
+    options.duration = Duration;
+    options.orderTimeout = OrderTimeout;
+    return options;
+}
+
+} // namespace
+
+TEST(Lease, FirstComerHoldsIt)
+{
+    FaultyStore store;
+    TestTime time;
+    Lease lease(store, optionsOf("a"));
+    lease.maintain(time.clock());
+    EXPECT_TRUE(lease.mayOrder(time.now));
+    EXPECT_EQ(lease.fencing(), 1U);
+}
+
+TEST(Lease, AnotherWaitsOutLeaseAndOrderTimeout)
+{
+    FaultyStore store;
+    TestTime time;
+    Lease first(store, optionsOf("a"));
+    Lease second(store, optionsOf("b"));
+    first.maintain(time.clock());
+    second.maintain(time.clock());
+    time.now += Duration + OrderTimeout - Step;
+    second.maintain(time.clock());
+    EXPECT_FALSE(second.held(time.now));
+    time.now += Step;
+    second.maintain(time.clock());
+    EXPECT_TRUE(second.mayOrder(time.now));
+    EXPECT_EQ(second.fencing(), 2U);
+}
+
+TEST(Lease, HolderFrozenPastItsLeaseOrdersNoMore)
+{
+    FaultyStore store;
+    TestTime time;
+    Lease lease(store, optionsOf("a"));
+    lease.maintain(time.clock());
+    time.now += Duration - OrderTimeout;
+    EXPECT_FALSE(lease.mayOrder(time.now));
+    time.now += OrderTimeout;
+    EXPECT_FALSE(lease.held(time.now));
+}
+
+TEST(Lease, ResumedHolderFindsItsSuccessor)
+{
+    FaultyStore store;
+    TestTime time;
+    Lease first(store, optionsOf("a"));
+    Lease second(store, optionsOf("b"));
+    first.maintain(time.clock());
+    second.maintain(time.clock());
+    time.now += Duration + OrderTimeout;
+    second.maintain(time.clock());
+    first.maintain(time.clock());
+    EXPECT_FALSE(first.held(time.now));
+    EXPECT_TRUE(second.held(time.now));
+}
+
+TEST(Lease, RenewalWhoseAnswerWasLostIsRecognised)
+{
+    FaultyStore store;
+    TestTime time;
+    Lease lease(store, optionsOf("a"));
+    lease.maintain(time.clock());
+    store.setFate(FaultyStore::Fate::LoseAnswer);
+    time.now += milliseconds(1000);
+    lease.maintain(time.clock());
+    store.setFate(FaultyStore::Fate::Normal);
+    lease.maintain(time.clock());
+    EXPECT_TRUE(lease.held(time.now));
+    lease.maintain(time.clock());
+    EXPECT_TRUE(lease.mayOrder(time.now + milliseconds(3000)));
+    EXPECT_EQ(lease.fencing(), 1U);
+}
+
+TEST(Lease, AcquisitionWhoseAnswerWasLostIsRecognised)
+{
+    FaultyStore store;
+    TestTime time;
+    Lease lease(store, optionsOf("a"));
+    store.setFate(FaultyStore::Fate::LoseAnswer);
+    lease.maintain(time.clock());
+    EXPECT_FALSE(lease.held(time.now));
+    store.setFate(FaultyStore::Fate::Normal);
+    lease.maintain(time.clock());
+    EXPECT_TRUE(lease.mayOrder(time.now));
+    EXPECT_EQ(lease.fencing(), 1U);
+}
+
+TEST(Lease, CountsFromBeforeASlowRenewal)
+{
+    FaultyStore store;
+    TestTime time;
+    time.callTime = milliseconds(1500);
+    Lease lease(store, optionsOf("a"));
+    const SteadyTime start = time.now;
+    lease.maintain(time.clock());
+    EXPECT_FALSE(lease.held(start + milliseconds(1500) + Duration));
+}
+
+TEST(Lease, ReleaseLetsAnotherInAtOnce)
+{
+    FaultyStore store;
+    TestTime time;
+    Lease first(store, optionsOf("a"));
+    Lease second(store, optionsOf("b"));
+    first.maintain(time.clock());
+    second.maintain(time.clock());
+    first.release();
+    second.maintain(time.clock());
+    EXPECT_TRUE(second.mayOrder(time.now));
+    EXPECT_EQ(second.fencing(), 2U);
+}
+
+RC_GTEST_PROP(LeaseProperty, NeverTwoThatMayOrder, ())
+{
+    FaultyStore store;
+    TestTime time;
+    std::vector<std::unique_ptr<Lease>> leases;
+    for (const char *holder : {"a", "b", "c"})
+        leases.push_back(std::make_unique<Lease>(store, optionsOf(holder)));
+    const auto steps = *rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 1000));
+    std::uint64_t highestFencing = 0;
+    for (const int step : steps) {
+        time.callTime = milliseconds(step % 7 == 0 ? 900 : step % 3);
+        store.setFate(static_cast<FaultyStore::Fate>(step % 11 < 3 ? step % 11 : 0));
+        leases[static_cast<std::size_t>(step) % leases.size()]->maintain(time.clock());
+        time.now += milliseconds(step % 5 == 0 ? step * 9 : step);
+        std::size_t orderers = 0;
+        for (const auto &lease : leases) {
+            if (!lease->mayOrder(time.now))
+                continue;
+            ++orderers;
+            RC_ASSERT(lease->fencing() >= highestFencing);
+            highestFencing = lease->fencing();
+        }
+        RC_ASSERT(orderers <= 1U);
+    }
+}
+
+} // namespace almondmill::test
