Let routers call each other by gRPC: configuration, placement queries and probes

Cause: the seams ConfigurationPeers, PlacementPeers and ConfigurationExchange had no implementation, so every router was alone. Change: a part 'fleet' with one gRPC channel a peer (closed by itself when idle, dropped when a call got no answer, so that the next call opens a new connection) and a listener with bounded threads and buffers. Subchannels are local to their channel: the library's shared pool would keep the old connection's back-off. Ruled out: the library's retries (they hide a silent peer) and its bandwidth probe (bytes when idle). Not yet: membership, so Node::members is still null.

--- /dev/null
+++ b/tests/unit-fleet.cpp
@@ -0,0 +1,111 @@
+#include "support/loopback.h"
+
+#include "almondmill/fleet/configurationexchange.h"
+#include "almondmill/fleet/configurationpeers.h"
+#include "almondmill/fleet/fleetpart.h"
+#include "almondmill/fleet/placementowner.h"
+#include "almondmill/fleet/placementpeers.h"
+#include "almondmill/kernel/node.h"
+
+#include <gtest/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+constexpr std::chrono::milliseconds Timeout{5000};
+constexpr std::chrono::milliseconds ShortTimeout{200};
+
+class FixedExchange : public ConfigurationExchange
+{
+public:
+    ConfigurationOffer answerPull(std::uint64_t haveVersion,
+                                  const std::vector<std::string> &haveParts) override
+    {
+        EXPECT_EQ(haveVersion, 4U);
+        EXPECT_EQ(haveParts, std::vector<std::string>{"p1"});
+        return {7, 70, std::string("ro\0ot", 5), {{"p2", std::string("\xff\0x", 3)}}};
+    }
+
+    std::uint64_t acceptPush(const ConfigurationOffer &offer) override { return offer.version; }
+    void heardVersion(const std::string & /*peer*/, std::uint64_t /*version*/) override {}
+};
+
+class FixedOwner : public PlacementOwner
+{
+public:
+    PlacementAdvice advise(const PlacementQuery &query, SteadyTime /*now*/) override
+    {
+        return {query.model + query.excluded.at(0), query.prefixKeys.at(1),
+                query.priority == Priority::Low ? 3U : 0U, std::chrono::milliseconds(40)};
+    }
+};
+
+Settings settingsOf(const std::string &address)
+{
+    Settings settings;
+    settings.peersListen = address;
+    return settings;
+}
+
+/// Two nodes of which the second listens.
+class FleetCalls : public testing::Test
+{
+protected:
+    Node m_asker{settingsOf(nextLoopbackAddress() + ":7070")};
+    Node m_answerer{settingsOf(nextLoopbackAddress() + ":7070")};
+    FleetPart m_askerPart{m_asker};
+    FleetPart m_answererPart{m_answerer};
+    const std::string m_peer = m_answerer.settings.peersListen;
+};
+
+} // namespace
+
+TEST_F(FleetCalls, PullsAndPushesAConfigurationByteForByte)
+{
+    FixedExchange exchange;
+    m_answerer.configurationExchange = &exchange;
+    m_answererPart.start();
+    const auto offer = m_asker.configurationPeers->pull(m_peer, 4, {"p1"}, Timeout);
+    ASSERT_TRUE(offer);
+    EXPECT_EQ(offer->version, 7U);
+    EXPECT_EQ(offer->storeVersion, 70U);
+    EXPECT_EQ(offer->root, std::string("ro\0ot", 5));
+    ASSERT_EQ(offer->parts.size(), 1U);
+    EXPECT_EQ(offer->parts[0].content, std::string("\xff\0x", 3));
+    EXPECT_EQ(m_asker.configurationPeers->push(m_peer, *offer, Timeout), 7U);
+}
+
+TEST_F(FleetCalls, AsksTheOwnerOfAPrefix)
+{
+    FixedOwner owner;
+    m_answerer.placementOwner = &owner;
+    m_answererPart.start();
+    const PlacementQuery query{{1, 99}, "reed", Priority::Low, {"-e1"}};
+    const auto advice = m_asker.placementPeers->ask(m_peer, query, Timeout);
+    ASSERT_TRUE(advice);
+    EXPECT_EQ(advice->endpoint, "reed-e1");
+    EXPECT_EQ(advice->incarnation, 99U);
+    EXPECT_EQ(advice->expectedCachedBlocks, 3U);
+    EXPECT_EQ(advice->validFor, std::chrono::milliseconds(40));
+}
+
+TEST_F(FleetCalls, AnswersEmptyWhereNothingIsOffered)
+{
+    m_answererPart.start();
+    const auto advice = m_asker.placementPeers->ask(m_peer, {}, Timeout);
+    ASSERT_TRUE(advice);
+    EXPECT_TRUE(advice->endpoint.empty());
+    const auto offer = m_asker.configurationPeers->pull(m_peer, 0, {}, Timeout);
+    ASSERT_TRUE(offer);
+    EXPECT_EQ(offer->version, 0U);
+}
+
+TEST_F(FleetCalls, ReachesAPeerThatCameAfterAFailedCall)
+{
+    EXPECT_FALSE(m_asker.placementPeers->ask(m_peer, {}, ShortTimeout));
+    m_answererPart.start();
+    EXPECT_TRUE(m_asker.placementPeers->ask(m_peer, {}, Timeout));
+}
+
+} // namespace almondmill::test
