--- a/standins/engineserver.cpp
+++ b/standins/engineserver.cpp
@@ -201,10 +201,12 @@
 
 void EngineServer::status(httplib::Response &response)
 {
-    const Json json{{"incarnation", m_incarnation},   {"model", m_options.model},
-                    {"weights", m_options.weights},   {"in_flight", m_open.load()},
-                    {"leaving", m_leaving.load()},    {"started", m_started.load()},
-                    {"cancelled", m_cancelled.load()}};
+    const auto now = std::chrono::steady_clock::now();
+    const bool loading = m_weights.loading(now);
+    const Json json{{"incarnation", m_incarnation},      {"model", m_options.model},
+                    {"weights", m_weights.weights(now)}, {"in_flight", m_open.load()},
+                    {"leaving", m_leaving || loading},   {"loading", loading},
+                    {"started", m_started.load()},       {"cancelled", m_cancelled.load()}};
     response.set_content(json.dump(), "application/json");
 }
 
