--- a/include/almondmill/config/configurationcodec.h
+++ b/include/almondmill/config/configurationcodec.h
@@ -3,16 +3,24 @@
 #include "almondmill/config/inventory.h"
 #include "almondmill/config/rules.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <string>
 
 namespace almondmill {
 
-/// Inventory and rules as canonical JSON text: equal values give equal bytes.
-std::string encodeInventory(const Inventory &inventory);
-std::string encodeRules(const Rules &rules);
+/// The entries of inventory and rules as canonical JSON text: equal entries in the same order give
+/// equal bytes. Scalar rules are not part of it.
+std::string encodeEntries(const Inventory &inventory, const Rules &rules);
 
 /// The reverse. Throws Error "config.301" when the text is not such JSON.
-Inventory decodeInventory(const std::string &text);
-Rules decodeRules(const std::string &text);
+void decodeEntries(const std::string &text, Inventory &inventory, Rules &rules);
+
+/// One entry as JSON, for diffs and for the command line.
+void to_json(nlohmann::json &json, const DataCentre &dataCentre);
+void to_json(nlohmann::json &json, const Model &model);
+void to_json(nlohmann::json &json, const Service &service);
+void to_json(nlohmann::json &json, const Endpoint &endpoint);
+void to_json(nlohmann::json &json, const ClientAccount &account);
 
 } // namespace almondmill
--- a/include/almondmill/config/inventoryparser.h
+++ b/include/almondmill/config/inventoryparser.h
@@ -3,6 +3,7 @@
 #include "almondmill/config/inventory.h"
 
 #include <string>
+#include <toml++/toml.h>
 
 namespace almondmill {
 
@@ -12,4 +13,7 @@
 /// when nothing was found.
 Inventory parseInventory(const std::string &text, const std::string &file, Findings &findings);
 
+/// The same from a table that was parsed before.
+Inventory readInventory(const toml::table &table, const std::string &file, Findings &findings);
+
 } // namespace almondmill
--- /dev/null
+++ b/include/almondmill/config/ipaddress.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace almondmill {
+
+/// Whether `text` is "IP:port" with an IPv4 address, or "[IP]:port" with an IPv6 one, and a port
+/// from 1 to 65535.
+bool isIpAndPort(const std::string &text);
+
+} // namespace almondmill
--- a/include/almondmill/config/rules.h
+++ b/include/almondmill/config/rules.h
@@ -11,7 +11,7 @@
 struct Rules
 {
     std::vector<ClientAccount> clientAccounts;
-    std::string placementPolicy = "owner"; ///< Name of a registered placement policy.
+    std::string placementPolicy = "rendezvous"; ///< Name of a registered placement policy.
 
     bool operator==(const Rules &) const = default;
 };
--- a/include/almondmill/config/rulesparser.h
+++ b/include/almondmill/config/rulesparser.h
@@ -3,6 +3,7 @@
 #include "almondmill/config/rules.h"
 
 #include <string>
+#include <toml++/toml.h>
 
 namespace almondmill {
 
@@ -12,4 +13,7 @@
 /// nothing was found.
 Rules parseRules(const std::string &text, const std::string &file, Findings &findings);
 
+/// The same from a table that was parsed before.
+Rules readRules(const toml::table &table, const std::string &file, Findings &findings);
+
 } // namespace almondmill
--- /dev/null
+++ b/include/almondmill/config/submission.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "almondmill/config/configurationroot.h"
+#include "almondmill/platform/updateresult.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace almondmill {
+
+class ObjectStore;
+struct Inventory;
+struct Rules;
+struct StoredRoot;
+
+/// One attempt to make inventory and rules the next version after a root that was read. The root is
+/// updated by a single conditional call that is never repeated.
+class Submission
+{
+public:
+    /// `base` is the root in force, or null when there is none yet.
+    Submission(ObjectStore &store, std::chrono::milliseconds timeout, const StoredRoot *base,
+               const std::string &submitter);
+
+    /// Writes the parts, removes parts that expired, and updates the root.
+    UpdateResult run(const Inventory &inventory, const Rules &rules);
+
+private:
+    ConfigurationRoot nextRoot(const Rules &rules, const std::vector<std::string> &contents) const;
+    std::string nameFor(const std::string &content) const;
+    bool isNamedByBase(const std::string &name) const;
+    UpdateResult writePart(const std::string &name, const std::string &content);
+    std::vector<RetiredParts> removeExpired();
+    bool removePart(const std::string &name);
+    UpdateResult writeRoot(const ConfigurationRoot &root);
+    UpdateResult readBack(const std::string &reason);
+
+    ObjectStore &m_store;
+    std::chrono::milliseconds m_timeout;
+    const StoredRoot *m_base;
+    std::string m_submitter;
+    std::string m_id;
+    std::uint64_t m_version;
+};
+
+} // namespace almondmill
--- a/src/config/configurationstore.cpp
+++ b/src/config/configurationstore.cpp
@@ -1,27 +1,33 @@
 #include "almondmill/config/configurationstore.h"
 
-#include "almondmill/config/configurationcodec.h"
-#include "almondmill/config/sha256.h"
+#include "almondmill/config/configurationbuilder.h"
+#include "almondmill/config/parallel.h"
+#include "almondmill/config/submission.h"
 #include "almondmill/kernel/error.h"
+#include "almondmill/kernel/findings.h"
 #include "almondmill/platform/objectstore.h"
 
-#include <nlohmann/json.hpp>
+#include <mutex>
 
 namespace almondmill {
 
 namespace {
 
-using Json = nlohmann::json;
+constexpr std::size_t MostParallelReads = 8;
 
-constexpr const char *RootName = "config/root";
-constexpr const char *PartPrefix = "config/parts/";
-
-std::string readPart(ObjectStore &store, const std::string &hash, std::chrono::milliseconds timeout)
+/// Reads one part into `cache`; the reason when that is not possible.
+std::optional<LoadFailure> readPart(ObjectStore &store, std::chrono::milliseconds timeout,
+                                    const std::string &name, PartCache &cache)
 {
-    const auto result = store.read(PartPrefix + hash, timeout);
-    if (const auto *object = std::get_if<StoredObject>(&result))
-        return object->value;
-    throw Error("config.302", "part " + hash + " can't be read");
+    const auto result = store.read(PartPrefix + name, timeout);
+    if (const auto *unavailable = std::get_if<Unavailable>(&result))
+        return LoadFailure{"part " + name + ": " + unavailable->reason};
+    const auto *object = std::get_if<StoredObject>(&result);
+    if (!object)
+        return LoadFailure{"part " + name + " is missing"};
+    if (!cache.insert(name, object->value))
+        return LoadFailure{"part " + name + " is damaged"};
+    return std::nullopt;
 }
 
 } // namespace
@@ -31,64 +37,76 @@
     , m_timeout(timeout)
 {}
 
-LoadResult ConfigurationStore::load()
+RootResult ConfigurationStore::readRoot()
 {
-    const auto result = m_store.read(RootName, m_timeout);
+    auto result = m_store.read(RootName, m_timeout);
     if (std::holds_alternative<Absent>(result))
         return NoConfiguration{};
     if (const auto *unavailable = std::get_if<Unavailable>(&result))
         return LoadFailure{unavailable->reason};
+    auto &object = std::get<StoredObject>(result);
     try {
-        const Json root = Json::parse(std::get<StoredObject>(result).value);
-        auto inventory = decodeInventory(readPart(m_store, root.at("inventory"), m_timeout));
-        auto rules = decodeRules(readPart(m_store, root.at("rules"), m_timeout));
-        return LoadedConfiguration{std::make_shared<const Configuration>(
-                root.at("version"), std::move(inventory), std::move(rules))};
-    } catch (const std::exception &error) {
-        return LoadFailure{error.what()};
+        ConfigurationRoot root = decodeRoot(object.value);
+        return StoredRoot{std::move(root), std::move(object.value), object.version};
+    } catch (const Error &error) {
+        return DamagedRoot{error.what(), object.version};
     }
 }
 
-UpdateResult ConfigurationStore::submit(const Inventory &inventory, const Rules &rules,
-                                        std::uint64_t baseVersion)
+std::optional<LoadFailure> ConfigurationStore::fetchParts(const ConfigurationRoot &root,
+                                                          PartCache &cache)
 {
-    Json root;
-    root["version"] = baseVersion + 1;
-    std::string hash;
-    for (const auto &[key, content] : {std::pair{"inventory", encodeInventory(inventory)},
-                                       std::pair{"rules", encodeRules(rules)}}) {
-        auto written = writePart(content, hash);
-        if (!std::holds_alternative<Applied>(written))
-            return written;
-        root[key] = hash;
-    }
+    std::mutex mutex;
+    std::optional<LoadFailure> failure;
+    forEachInParallel(cache.missing(root.parts), MostParallelReads, [&](const std::string &name) {
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            if (failure)
+                return;
+        }
+        auto result = readPart(m_store, m_timeout, name, cache);
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (result)
+            failure = std::move(result);
+    });
+    return failure;
+}
 
-    UpdateResult result;
-    if (baseVersion == 0) {
-        result = m_store.createIfAbsent(RootName, root.dump(), m_timeout);
-    } else {
-        const auto current = m_store.read(RootName, m_timeout);
-        const auto *object = std::get_if<StoredObject>(&current);
-        if (!object)
-            return NotApplied{"the root can't be read"};
-        if (Json::parse(object->value).at("version") != baseVersion)
-            return Conflict{*object};
-        result = m_store.update(RootName, root.dump(), object->version, m_timeout);
-    }
-    if (std::holds_alternative<Applied>(result))
-        return Applied{baseVersion + 1};
-    return result;
+LoadResult ConfigurationStore::load()
+{
+    const RootResult result = readRoot();
+    if (const auto *failure = std::get_if<LoadFailure>(&result))
+        return *failure;
+    if (const auto *damaged = std::get_if<DamagedRoot>(&result))
+        return LoadFailure{damaged->reason};
+    const auto *stored = std::get_if<StoredRoot>(&result);
+    if (!stored)
+        return NoConfiguration{};
+    if (const auto failure = fetchParts(stored->root, m_cache))
+        return *failure;
+    m_cache.retain(stored->root.parts);
+    Findings findings;
+    auto configuration = buildConfiguration(stored->root, m_cache, findings);
+    if (!configuration)
+        return LoadFailure{findings.text()};
+    return LoadedConfiguration{std::move(configuration)};
 }
 
-UpdateResult ConfigurationStore::writePart(const std::string &content, std::string &hash)
+UpdateResult ConfigurationStore::submit(const Inventory &inventory, const Rules &rules,
+                                        std::uint64_t baseVersion, const std::string &submitter)
 {
-    hash = sha256Hex(content);
-    auto result = m_store.createIfAbsent(PartPrefix + hash, content, m_timeout);
-    if (std::holds_alternative<Conflict>(result))
-        return Applied{};
-    if (const auto *unknown = std::get_if<OutcomeUnknown>(&result))
-        return NotApplied{unknown->reason};
-    return result;
+    const RootResult current = readRoot();
+    if (const auto *failure = std::get_if<LoadFailure>(&current))
+        return NotApplied{"the root can't be read: " + failure->reason};
+    if (const auto *damaged = std::get_if<DamagedRoot>(&current))
+        return NotApplied{damaged->reason};
+    const auto *stored = std::get_if<StoredRoot>(&current);
+    const std::uint64_t version = stored ? stored->root.version : 0;
+    if (version != baseVersion)
+        return stored ? Conflict{StoredObject{RootName, stored->text, stored->storeVersion}}
+                      : Conflict{};
+    Submission submission(m_store, m_timeout, stored, submitter);
+    return submission.run(inventory, rules);
 }
 
 } // namespace almondmill
--- a/src/config/inventoryparser.cpp
+++ b/src/config/inventoryparser.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/config/inventoryparser.h"
 
+#include "almondmill/config/configurationlimits.h"
 #include "almondmill/config/tablereader.h"
 #include "almondmill/config/tomltext.h"
 #include "almondmill/kernel/findings.h"
@@ -8,9 +9,6 @@
 
 namespace {
 
-constexpr std::uint32_t MostBlockTokens = 1U << 20U;
-constexpr std::uint32_t MostLoads = 1000;
-
 DataCentre readDataCentre(TableReader &reader)
 {
     return {reader.requiredString("name"), reader.optionalString("region", "default")};
@@ -21,9 +19,10 @@
     Model model;
     model.name = reader.requiredString("name");
     model.weights = reader.requiredString("weights");
-    model.blockTokens = reader.number("block_tokens", model.blockTokens, 1, MostBlockTokens);
+    model.blockTokens =
+            reader.number("block_tokens", model.blockTokens, 1, limits::MostBlockTokens);
     model.maxConcurrentLoads =
-            reader.number("max_concurrent_loads", model.maxConcurrentLoads, 1, MostLoads);
+            reader.number("max_concurrent_loads", model.maxConcurrentLoads, 1, limits::MostLoads);
     return model;
 }
 
@@ -46,8 +45,6 @@
     endpoint.service = reader.optionalString("service", {});
     endpoint.checksFencing = reader.boolean("checks_fencing", false);
     endpoint.leaving = reader.boolean("leaving", false);
-    if (endpoint.model.empty() == endpoint.service.empty())
-        reader.report("config.210", "name", "must name either a model or a service");
     return endpoint;
 }
 
@@ -55,7 +52,11 @@
 
 Inventory parseInventory(const std::string &text, const std::string &file, Findings &findings)
 {
-    const toml::table table = parseToml(text, file, findings);
+    return readInventory(parseToml(text, file, findings), file, findings);
+}
+
+Inventory readInventory(const toml::table &table, const std::string &file, Findings &findings)
+{
     TableReader reader(table, file, {}, findings);
     Inventory inventory;
     reader.eachTable("data_centre", [&](TableReader &item) {
--- a/src/config/rulesparser.cpp
+++ b/src/config/rulesparser.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/config/rulesparser.h"
 
+#include "almondmill/config/configurationlimits.h"
 #include "almondmill/config/tablereader.h"
 #include "almondmill/config/tomltext.h"
 #include "almondmill/kernel/findings.h"
@@ -8,10 +9,6 @@
 
 namespace {
 
-constexpr std::uint32_t MostConcurrent = 1000000;
-constexpr std::uint32_t MostTokensPerSecond = 1000000000;
-constexpr std::uint32_t MostShare = 10000;
-
 Priority readPriority(TableReader &reader)
 {
     const std::string text = reader.optionalString("priority", "high");
@@ -29,10 +26,11 @@
     account.name = reader.requiredString("name");
     account.keySha256 = reader.requiredString("key_sha256");
     account.maxConcurrent =
-            reader.number("max_concurrent", account.maxConcurrent, 1, MostConcurrent);
-    account.promptTokensPerSecond = reader.number(
-            "prompt_tokens_per_second", account.promptTokensPerSecond, 0, MostTokensPerSecond);
-    account.share = reader.number("share", account.share, 1, MostShare);
+            reader.number("max_concurrent", account.maxConcurrent, 1, limits::MostConcurrent);
+    account.promptTokensPerSecond =
+            reader.number("prompt_tokens_per_second", account.promptTokensPerSecond, 0,
+                          limits::MostTokensPerSecond);
+    account.share = reader.number("share", account.share, 1, limits::MostShare);
     account.priority = readPriority(reader);
     return account;
 }
@@ -41,7 +39,11 @@
 
 Rules parseRules(const std::string &text, const std::string &file, Findings &findings)
 {
-    const toml::table table = parseToml(text, file, findings);
+    return readRules(parseToml(text, file, findings), file, findings);
+}
+
+Rules readRules(const toml::table &table, const std::string &file, Findings &findings)
+{
     TableReader reader(table, file, {}, findings);
     Rules rules;
     reader.eachTable("client_account", [&](TableReader &item) {
--- /dev/null
+++ b/src/config/submission.cpp
@@ -0,0 +1,190 @@
+#include "almondmill/config/submission.h"
+
+#include "almondmill/config/configurationstore.h"
+#include "almondmill/config/partition.h"
+#include "almondmill/kernel/error.h"
+#include "almondmill/kernel/randomid.h"
+#include "almondmill/platform/objectstore.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+
+constexpr std::size_t HistoryLength = 16;
+constexpr std::uint64_t KeptVersions = 16; ///< Readers of so many older roots find all parts.
+constexpr std::size_t MostRemovalsPerSubmit = 16;
+constexpr int PartAttempts = 3;
+constexpr int ReadBackAttempts = 3;
+
+} // namespace
+
+Submission::Submission(ObjectStore &store, std::chrono::milliseconds timeout,
+                       const StoredRoot *base, const std::string &submitter)
+    : m_store(store)
+    , m_timeout(timeout)
+    , m_base(base)
+    , m_submitter(submitter)
+    , m_id(randomId())
+    , m_version(base ? base->root.version + 1 : 1)
+{}
+
+UpdateResult Submission::run(const Inventory &inventory, const Rules &rules)
+{
+    const std::size_t previousCount = m_base ? m_base->root.parts.size() : 0;
+    const auto contents = partition(inventory, rules, previousCount);
+    ConfigurationRoot root = nextRoot(rules, contents);
+    for (std::size_t i = 0; i < contents.size(); ++i) {
+        if (isNamedByBase(root.parts[i]))
+            continue;
+        auto written = writePart(root.parts[i], contents[i]);
+        if (!std::holds_alternative<Applied>(written))
+            return written;
+    }
+    const auto unexpired = removeExpired();
+    root.retired.insert(root.retired.end(), unexpired.begin(), unexpired.end());
+    return writeRoot(root);
+}
+
+ConfigurationRoot Submission::nextRoot(const Rules &rules,
+                                       const std::vector<std::string> &contents) const
+{
+    ConfigurationRoot root;
+    root.version = m_version;
+    root.placementPolicy = rules.placementPolicy;
+    for (const std::string &content : contents)
+        root.parts.push_back(nameFor(content));
+    root.history.push_back({m_version, m_id, m_submitter});
+    if (!m_base)
+        return root;
+    for (const SubmissionRecord &record : m_base->root.history) {
+        if (root.history.size() < HistoryLength)
+            root.history.push_back(record);
+    }
+    const absl::flat_hash_set<std::string> named(root.parts.begin(), root.parts.end());
+    RetiredParts dropped{m_version, {}};
+    for (const std::string &name : m_base->root.parts) {
+        if (!named.contains(name))
+            dropped.parts.push_back(name);
+    }
+    if (!dropped.parts.empty())
+        root.retired.push_back(std::move(dropped));
+    return root;
+}
+
+/// The base's name for a part with that content, so that it is not written again, or a new name.
+std::string Submission::nameFor(const std::string &content) const
+{
+    std::string name = partName(m_version, content);
+    if (!m_base)
+        return name;
+    const std::string hash = partHash(name);
+    for (const std::string &known : m_base->root.parts) {
+        if (partHash(known) == hash)
+            return known;
+    }
+    return name;
+}
+
+bool Submission::isNamedByBase(const std::string &name) const
+{
+    if (!m_base)
+        return false;
+    const auto &parts = m_base->root.parts;
+    return std::find(parts.begin(), parts.end(), name) != parts.end();
+}
+
+/// Creating a part is idempotent: its name says its content. So a lost answer is simply tried
+/// again.
+UpdateResult Submission::writePart(const std::string &name, const std::string &content)
+{
+    std::string reason;
+    for (int attempt = 0; attempt < PartAttempts; ++attempt) {
+        auto result = m_store.createIfAbsent(PartPrefix + name, content, m_timeout);
+        if (std::holds_alternative<Applied>(result))
+            return result;
+        if (const auto *conflict = std::get_if<Conflict>(&result)) {
+            if (conflict->current && conflict->current->value != content)
+                return NotApplied{"part " + name + " is damaged"};
+            return Applied{};
+        }
+        if (const auto *refused = std::get_if<NotApplied>(&result))
+            return *refused;
+        reason = std::get<OutcomeUnknown>(result).reason;
+    }
+    return NotApplied{"part " + name + ": " + reason};
+}
+
+/// Removes parts that the last `KeptVersions` roots did not name. No later root can name them: a
+/// root names parts of the root before it, and parts that carry its own version. Returns what is
+/// still to be removed.
+std::vector<RetiredParts> Submission::removeExpired()
+{
+    std::vector<RetiredParts> remaining;
+    if (!m_base)
+        return remaining;
+    std::size_t removals = 0;
+    for (const RetiredParts &retired : m_base->root.retired) {
+        RetiredParts kept{retired.version, {}};
+        for (const std::string &name : retired.parts) {
+            const bool expired = retired.version + KeptVersions <= m_version;
+            const bool tried = expired && removals < MostRemovalsPerSubmit;
+            removals += tried ? 1 : 0;
+            if (!tried || !removePart(name))
+                kept.parts.push_back(name);
+        }
+        if (!kept.parts.empty())
+            remaining.push_back(std::move(kept));
+    }
+    return remaining;
+}
+
+/// Whether the part is certainly gone.
+bool Submission::removePart(const std::string &name)
+{
+    const auto current = m_store.read(PartPrefix + name, m_timeout);
+    if (std::holds_alternative<Absent>(current))
+        return true;
+    const auto *object = std::get_if<StoredObject>(&current);
+    if (!object)
+        return false;
+    const auto removed = m_store.remove(object->name, object->version, m_timeout);
+    return std::holds_alternative<Applied>(removed);
+}
+
+UpdateResult Submission::writeRoot(const ConfigurationRoot &root)
+{
+    const std::string text = encodeRoot(root);
+    auto result = m_base ? m_store.update(RootName, text, m_base->storeVersion, m_timeout)
+                         : m_store.createIfAbsent(RootName, text, m_timeout);
+    if (std::holds_alternative<Applied>(result))
+        return Applied{m_version};
+    if (const auto *unknown = std::get_if<OutcomeUnknown>(&result))
+        return readBack(unknown->reason);
+    return result;
+}
+
+/// Finds out whether the update took effect: the root, or the history of a later one, names this
+/// submission. An unchanged root proves nothing, as the update may still be on its way.
+UpdateResult Submission::readBack(const std::string &reason)
+{
+    ConfigurationStore store(m_store, m_timeout);
+    for (int attempt = 0; attempt < ReadBackAttempts; ++attempt) {
+        const RootResult current = store.readRoot();
+        const auto *stored = std::get_if<StoredRoot>(&current);
+        if (!stored || stored->root.version < m_version)
+            continue;
+        const SubmissionRecord *record = stored->root.recordOf(m_version);
+        if (!record)
+            break;
+        if (record->submission == m_id)
+            return Applied{m_version};
+        return Conflict{StoredObject{RootName, stored->text, stored->storeVersion}};
+    }
+    return OutcomeUnknown{reason + "; submission " + m_id};
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/tests/support/configurations.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "almondmill/config/inventory.h"
+#include "almondmill/config/rules.h"
+
+#include <string>
+
+namespace almondmill::test {
+
+/// A valid inventory of `endpoints` endpoints over four data centres, serving four models.
+Inventory makeInventory(std::size_t endpoints);
+
+/// Valid rules with that many client accounts.
+Rules makeRules(std::size_t accounts);
+
+} // namespace almondmill::test
