--- a/tests/support/faultystore.h
+++ b/tests/support/faultystore.h
@@ -2,32 +2,39 @@
 
 #include "memorystore.h"
 
+#include <atomic>
 #include <functional>
 
 namespace almondmill::test {
 
-/// An object store in memory whose calls can fail, and which runs a hook around each change, so
-/// that tests bring about exact interleavings.
+/// A store in memory that counts calls, and whose next change of the root can go wrong.
 class FaultyStore : public ObjectStore
 {
 public:
-    /// What happens to a call.
-    enum class Fate {
-        Normal,
-        Outage,     ///< Refused; no effect.
-        LoseAnswer, ///< Takes effect; the caller is told that the outcome is unknown.
+    /// What happens to the next update or creation of an object under "config/root".
+    enum class RootFault {
+        None,
+        LoseAnswer, ///< It takes effect and its answer is lost.
+        LoseCall,   ///< It never arrives, and no answer comes.
     };
 
-    /// Fate of the next calls.
-    void setFate(Fate fate) { m_fate = fate; }
+    standin::MemoryStore &inner() { return m_inner; }
+    unsigned reads() const { return m_reads; }
+    unsigned writes() const { return m_writes; }
+    unsigned watches() const { return m_watches; }
+    std::size_t bytesRead() const { return m_bytesRead; }
+    std::size_t bytesWritten() const { return m_bytesWritten; }
 
-    /// Called before each changing call, with the object's name.
-    void setBeforeChange(std::function<void(const std::string &)> hook)
-    {
-        m_beforeChange = std::move(hook);
-    }
+    void setRootFault(RootFault fault) { m_rootFault = fault; }
+    void setOutage(bool outage) { m_outage = outage; }
 
-    standin::MemoryStore &inner() { return m_inner; }
+    /// Called once, just before the next change of the root.
+    void beforeNextRootChange(std::function<void()> action) { m_beforeRoot = std::move(action); }
+
+    /// From now on reads of the root give this object, as a stale replica would.
+    void setStaleRoot(std::optional<StoredObject> root) { m_staleRoot = std::move(root); }
+
+    void resetCounts();
 
     ReadResult read(const std::string &name, std::chrono::milliseconds timeout) override;
     ListResult list(const std::string &prefix, std::chrono::milliseconds timeout) override;
@@ -41,11 +48,19 @@
                         std::chrono::milliseconds timeout) override;
 
 private:
-    UpdateResult change(const std::string &name, const std::function<UpdateResult()> &act);
+    UpdateResult change(const std::string &name, std::size_t bytes,
+                        const std::function<UpdateResult()> &call);
 
     standin::MemoryStore m_inner;
-    Fate m_fate = Fate::Normal;
-    std::function<void(const std::string &)> m_beforeChange;
+    std::atomic<unsigned> m_reads{0};
+    std::atomic<unsigned> m_writes{0};
+    std::atomic<unsigned> m_watches{0};
+    std::atomic<std::size_t> m_bytesRead{0};
+    std::atomic<std::size_t> m_bytesWritten{0};
+    RootFault m_rootFault = RootFault::None;
+    std::atomic<bool> m_outage{false};
+    std::function<void()> m_beforeRoot;
+    std::optional<StoredObject> m_staleRoot;
 };
 
 } // namespace almondmill::test
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -1,4 +1,4 @@
-#include "support/faultystore.h"
+#include "support/unreliablestore.h"
 
 #include "almondmill/orders/lease.h"
 
@@ -46,7 +46,7 @@
 
 TEST(Lease, FirstComerHoldsIt)
 {
-    FaultyStore store;
+    UnreliableStore store;
     TestTime time;
     Lease lease(store, optionsOf("a"));
     lease.maintain(time.clock());
@@ -56,7 +56,7 @@
 
 TEST(Lease, AnotherWaitsOutLeaseAndOrderTimeout)
 {
-    FaultyStore store;
+    UnreliableStore store;
     TestTime time;
     Lease first(store, optionsOf("a"));
     Lease second(store, optionsOf("b"));
@@ -73,7 +73,7 @@
 
 TEST(Lease, HolderFrozenPastItsLeaseOrdersNoMore)
 {
-    FaultyStore store;
+    UnreliableStore store;
     TestTime time;
     Lease lease(store, optionsOf("a"));
     lease.maintain(time.clock());
@@ -85,7 +85,7 @@
 
 TEST(Lease, ResumedHolderFindsItsSuccessor)
 {
-    FaultyStore store;
+    UnreliableStore store;
     TestTime time;
     Lease first(store, optionsOf("a"));
     Lease second(store, optionsOf("b"));
@@ -100,14 +100,14 @@
 
 TEST(Lease, RenewalWhoseAnswerWasLostIsRecognised)
 {
-    FaultyStore store;
+    UnreliableStore store;
     TestTime time;
     Lease lease(store, optionsOf("a"));
     lease.maintain(time.clock());
-    store.setFate(FaultyStore::Fate::LoseAnswer);
+    store.setFate(UnreliableStore::Fate::LoseAnswer);
     time.now += milliseconds(1000);
     lease.maintain(time.clock());
-    store.setFate(FaultyStore::Fate::Normal);
+    store.setFate(UnreliableStore::Fate::Normal);
     lease.maintain(time.clock());
     EXPECT_TRUE(lease.held(time.now));
     lease.maintain(time.clock());
@@ -117,13 +117,13 @@
 
 TEST(Lease, AcquisitionWhoseAnswerWasLostIsRecognised)
 {
-    FaultyStore store;
+    UnreliableStore store;
     TestTime time;
     Lease lease(store, optionsOf("a"));
-    store.setFate(FaultyStore::Fate::LoseAnswer);
+    store.setFate(UnreliableStore::Fate::LoseAnswer);
     lease.maintain(time.clock());
     EXPECT_FALSE(lease.held(time.now));
-    store.setFate(FaultyStore::Fate::Normal);
+    store.setFate(UnreliableStore::Fate::Normal);
     lease.maintain(time.clock());
     EXPECT_TRUE(lease.mayOrder(time.now));
     EXPECT_EQ(lease.fencing(), 1U);
@@ -131,7 +131,7 @@
 
 TEST(Lease, CountsFromBeforeASlowRenewal)
 {
-    FaultyStore store;
+    UnreliableStore store;
     TestTime time;
     time.callTime = milliseconds(1500);
     Lease lease(store, optionsOf("a"));
@@ -142,7 +142,7 @@
 
 TEST(Lease, ReleaseLetsAnotherInAtOnce)
 {
-    FaultyStore store;
+    UnreliableStore store;
     TestTime time;
     Lease first(store, optionsOf("a"));
     Lease second(store, optionsOf("b"));
@@ -156,7 +156,7 @@
 
 RC_GTEST_PROP(LeaseProperty, NeverTwoThatMayOrder, ())
 {
-    FaultyStore store;
+    UnreliableStore store;
     TestTime time;
     std::vector<std::unique_ptr<Lease>> leases;
     for (const char *holder : {"a", "b", "c"})
@@ -165,7 +165,7 @@
     std::uint64_t highestFencing = 0;
     for (const int step : steps) {
         time.callTime = milliseconds(step % 7 == 0 ? 900 : step % 3);
-        store.setFate(static_cast<FaultyStore::Fate>(step % 11 < 3 ? step % 11 : 0));
+        store.setFate(static_cast<UnreliableStore::Fate>(step % 11 < 3 ? step % 11 : 0));
         leases[static_cast<std::size_t>(step) % leases.size()]->maintain(time.clock());
         time.now += milliseconds(step % 5 == 0 ? step * 9 : step);
         std::size_t orderers = 0;
--- a/tests/unit-orders.cpp
+++ b/tests/unit-orders.cpp
@@ -1,4 +1,4 @@
-#include "support/faultystore.h"
+#include "support/unreliablestore.h"
 
 #include "almondmill/endpoint/endpointset.h"
 #include "almondmill/kernel/hash.h"
@@ -125,7 +125,7 @@
 
 TEST(Orders, AllEnginesComeToTheInventorysWeights)
 {
-    FaultyStore store;
+    UnreliableStore store;
     FakeEngines engines(10, true);
     Holder holder(store, engines, "a");
     const auto set = makeSet(10, "w2");
@@ -135,7 +135,7 @@
 
 TEST(Orders, TheLastServingEndpointIsNotEmptied)
 {
-    FaultyStore store;
+    UnreliableStore store;
     FakeEngines engines(1, true);
     Holder holder(store, engines, "a");
     const auto set = makeSet(1, "w2");
@@ -145,7 +145,7 @@
 
 TEST(Orders, LateOrderOfAFormerHolderIsRefusedWhereFencingIsChecked)
 {
-    FaultyStore store;
+    UnreliableStore store;
     FakeEngines engines(4, true);
     Holder first(store, engines, "a");
     Holder second(store, engines, "b");
@@ -164,7 +164,7 @@
 
 TEST(Orders, LateOrderOfAFormerHolderIsMadeGoodWhereFencingIsIgnored)
 {
-    FaultyStore store;
+    UnreliableStore store;
     FakeEngines engines(4, false);
     Holder first(store, engines, "a");
     Holder second(store, engines, "b");
@@ -186,16 +186,16 @@
 
 TEST(Orders, NoneAreGivenDuringAnOutageLongerThanTheLease)
 {
-    FaultyStore store;
+    UnreliableStore store;
     FakeEngines engines(4, true);
     Holder holder(store, engines, "a");
     runRounds(holder, engines, *makeSet(4, "w1"), 1);
-    store.setFate(FaultyStore::Fate::Outage);
+    store.setFate(UnreliableStore::Fate::Outage);
     engines.now += LeaseDuration;
     const auto set = makeSet(4, "w2");
     runRounds(holder, engines, *set, 10);
     EXPECT_TRUE(engines.allServe("w1"));
-    store.setFate(FaultyStore::Fate::Normal);
+    store.setFate(UnreliableStore::Fate::Normal);
     runRounds(holder, engines, *set, 40);
     EXPECT_TRUE(engines.allServe("w2"));
 }
