--- a/tests/support/unreliablestore.cpp
+++ b/tests/support/unreliablestore.cpp
@@ -21,7 +21,7 @@
 }
 
 WatchResult UnreliableStore::watch(const std::string &prefix, std::uint64_t revision,
-                               std::chrono::milliseconds wait)
+                                   std::chrono::milliseconds wait)
 {
     if (m_fate == Fate::Outage)
         return Unavailable{OutageReason};
@@ -29,24 +29,26 @@
 }
 
 UpdateResult UnreliableStore::createIfAbsent(const std::string &name, const std::string &value,
-                                         std::chrono::milliseconds timeout)
+                                             std::chrono::milliseconds timeout)
 {
     return change(name, [&] { return m_inner.createIfAbsent(name, value, timeout); });
 }
 
 UpdateResult UnreliableStore::update(const std::string &name, const std::string &value,
-                                 std::uint64_t expectedVersion, std::chrono::milliseconds timeout)
+                                     std::uint64_t expectedVersion,
+                                     std::chrono::milliseconds timeout)
 {
     return change(name, [&] { return m_inner.update(name, value, expectedVersion, timeout); });
 }
 
 UpdateResult UnreliableStore::remove(const std::string &name, std::uint64_t expectedVersion,
-                                 std::chrono::milliseconds timeout)
+                                     std::chrono::milliseconds timeout)
 {
     return change(name, [&] { return m_inner.remove(name, expectedVersion, timeout); });
 }
 
-UpdateResult UnreliableStore::change(const std::string &name, const std::function<UpdateResult()> &act)
+UpdateResult UnreliableStore::change(const std::string &name,
+                                     const std::function<UpdateResult()> &act)
 {
     if (m_beforeChange)
         m_beforeChange(name);
