--- a/include/almondmill/config/configurationlimits.h
+++ b/include/almondmill/config/configurationlimits.h
@@ -9,6 +9,7 @@
 
 constexpr std::uint32_t MostBlockTokens = 1U << 20U;
 constexpr std::uint32_t MostLoads = 1000;
+constexpr std::uint32_t MostInFlight = 100000;
 constexpr std::uint32_t MostConcurrent = 1000000;
 constexpr std::uint32_t MostTokensPerSecond = 1000000000;
 constexpr std::uint32_t MostShare = 10000;
--- a/include/almondmill/config/model.h
+++ b/include/almondmill/config/model.h
@@ -12,6 +12,7 @@
     std::string weights;                  ///< Version of the weights that endpoints must serve.
     std::uint32_t blockTokens = 2000;     ///< Tokens in one block of an engine's prefix cache.
     std::uint32_t maxConcurrentLoads = 3; ///< Endpoints that may load weights at the same time.
+    std::uint32_t maxInFlight = 64;       ///< Requests sent to one endpoint at once; more wait.
 
     bool operator==(const Model &) const = default;
 };
--- a/src/config/configurationchecker.cpp
+++ b/src/config/configurationchecker.cpp
@@ -175,6 +175,7 @@
         checker.checkName("weights", model.weights);
         checker.checkRange("block_tokens", model.blockTokens, 1, limits::MostBlockTokens);
         checker.checkRange("max_concurrent_loads", model.maxConcurrentLoads, 1, limits::MostLoads);
+        checker.checkRange("max_in_flight", model.maxInFlight, 1, limits::MostInFlight);
     }
     return checker.names();
 }
--- a/src/config/configurationcodec.cpp
+++ b/src/config/configurationcodec.cpp
@@ -45,7 +45,8 @@
     json = {{"name", model.name},
             {"weights", model.weights},
             {"blockTokens", model.blockTokens},
-            {"maxConcurrentLoads", model.maxConcurrentLoads}};
+            {"maxConcurrentLoads", model.maxConcurrentLoads},
+            {"maxInFlight", model.maxInFlight}};
 }
 
 void to_json(Json &json, const Service &service)
@@ -84,7 +85,7 @@
 static void from_json(const Json &json, Model &model)
 {
     model = {json.at("name"), json.at("weights"), number(json, "blockTokens"),
-             number(json, "maxConcurrentLoads")};
+             number(json, "maxConcurrentLoads"), number(json, "maxInFlight")};
 }
 
 static void from_json(const Json &json, Service &service)
--- a/src/config/inventoryparser.cpp
+++ b/src/config/inventoryparser.cpp
@@ -23,6 +23,7 @@
             reader.number("block_tokens", model.blockTokens, 1, limits::MostBlockTokens);
     model.maxConcurrentLoads =
             reader.number("max_concurrent_loads", model.maxConcurrentLoads, 1, limits::MostLoads);
+    model.maxInFlight = reader.number("max_in_flight", model.maxInFlight, 1, limits::MostInFlight);
     return model;
 }
 
