Claim calls that may not be repeated, guard the platform client by a circuit

Cause: calls that may not be repeated were sent without any claim, and a lost answer of the store was not settled. The service handler is split into repeatability, caller and once-only path; query string and end-to-end headers go through. The HTTP platform client URL-encodes names and stands behind a circuit.

--- a/include/almondmill/kernel/node.h
+++ b/include/almondmill/kernel/node.h
@@ -14,6 +14,7 @@
 class ConfigurationPeers;
 class MemberView;
 class ObjectStore;
+class OnceOnly;
 class Parts;
 class Placer;
 class PlacementOwner;
@@ -42,6 +43,7 @@
     ConfigurationPeers *configurationPeers = nullptr; ///< Null without a fleet part.
     PlacementOwner *placementOwner = nullptr;         ///< Null unless the policy has owners.
     PlacementPeers *placementPeers = nullptr;         ///< Null without a fleet part.
+    OnceOnly *onceOnly = nullptr;                     ///< Calls with a key that run at most once.
     const Parts *parts = nullptr;
 
     std::atomic<bool> draining{false};      ///< SIGTERM came or an operator asked to drain.
--- a/include/almondmill/request/refusal.h
+++ b/include/almondmill/request/refusal.h
@@ -5,8 +5,8 @@
 namespace almondmill {
 
 /// Whether a request that is refused may have run. `No` is said only when no byte of it was written
-/// to an endpoint.
-enum class Ran { No, Unknown };
+/// to an endpoint, `Yes` only when its whole answer had arrived once.
+enum class Ran { No, Unknown, Yes };
 
 /// Why a request gets no answer of its own.
 struct Refusal
--- a/include/almondmill/request/requestcontext.h
+++ b/include/almondmill/request/requestcontext.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "almondmill/config/priority.h"
+#include "almondmill/endpoint/attemptrequest.h"
 #include "almondmill/kernel/time.h"
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace almondmill {
 
@@ -20,6 +22,8 @@
     std::string requestId;
     std::string method;
     std::string path;
+    std::string target; ///< Path and query as the caller sent them, still percent-encoded.
+    std::vector<HttpHeader> headers; ///< Those that go through to a plain service.
     std::string contentType;
     std::string body;
     std::string idempotencyKey; ///< Empty when the caller gave none.
--- /dev/null
+++ b/src/claims/claimspart.cpp
@@ -0,0 +1,137 @@
+#include "almondmill/claims/claimspart.h"
+
+#include "almondmill/fleet/memberview.h"
+#include "almondmill/kernel/error.h"
+#include "almondmill/kernel/log.h"
+#include "almondmill/kernel/node.h"
+#include "almondmill/kernel/randomid.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+
+constexpr const char *SweepLeaseName = "leases/claims-sweep";
+
+/// Calls to the store that one claim may cost before its call is sent, with lost answers settled.
+constexpr int MostClaimCalls = 10;
+
+/// After this time the holder of a claim has told the end of the call, unless it died.
+std::chrono::milliseconds longestCall(const Settings &settings)
+{
+    return settings.requestTimeout + settings.platformTimeout * MostClaimCalls;
+}
+
+LeaseOptions sweepLease(const Node &node)
+{
+    LeaseOptions options;
+    options.objectName = SweepLeaseName;
+    options.holder = node.settings.name;
+    options.incarnation = node.incarnation;
+    options.duration = ClaimsPart::LeaseDuration;
+    options.storeTimeout = node.settings.platformTimeout;
+    return options;
+}
+
+} // namespace
+
+ClaimsPart::ClaimsPart(Node &node)
+    : m_node(node)
+    , m_claims(*node.store, node.settings.platformTimeout, longestCall(node.settings))
+    , m_settler(m_claims, node.metrics)
+    , m_sweeper(*node.store, node.settings.platformTimeout)
+    , m_onceOnly(m_claims, m_settler, node.metrics, node.settings.name, node.incarnation)
+    , m_lease(*node.store, sweepLease(node))
+    , m_nextPart(static_cast<unsigned>(node.incarnation % ClaimSweeper::PartCount))
+    , m_swept(node.metrics.counter("almondmill_claims_swept_total"))
+{
+    node.onceOnly = &m_onceOnly;
+    node.metrics.setGauge("almondmill_claims_unsettled",
+                          [this] { return static_cast<double>(m_settler.pending()); });
+}
+
+ClaimsPart::~ClaimsPart()
+{
+    stop();
+}
+
+void ClaimsPart::dump(nlohmann::json &object) const
+{
+    object["unsettled"] = m_settler.pending();
+    object["swept"] = m_swept.value();
+}
+
+void ClaimsPart::start()
+{
+    m_settler.start();
+    m_thread = std::thread([this] { run(); });
+}
+
+void ClaimsPart::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+    m_settler.stop();
+}
+
+void ClaimsPart::run()
+{
+    std::chrono::milliseconds wait = idleCheck();
+    while (waitFor(wait)) {
+        try {
+            wait = sweepOnce();
+        } catch (const Error &error) {
+            log(LogLevel::Error, "claims", std::string("The sweep failed: ") + error.what());
+            wait = idleCheck();
+        }
+    }
+    m_lease.release();
+}
+
+std::chrono::milliseconds ClaimsPart::sweepOnce()
+{
+    m_lease.maintain(std::chrono::steady_clock::now);
+    if (!m_lease.held(std::chrono::steady_clock::now()))
+        return idleCheck();
+    const SweepStep step = m_sweeper.sweep(m_nextPart, std::chrono::system_clock::now());
+    m_swept.add(step.removed);
+    m_nextPart = (m_nextPart + 1) % ClaimSweeper::PartCount;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(SweepRound)
+           / ClaimSweeper::PartCount;
+}
+
+std::chrono::milliseconds ClaimsPart::idleCheck() const
+{
+    const std::size_t routers = m_node.members ? m_node.members->members()->size() : 1;
+    const std::chrono::milliseconds shared = IdleCheckPerRouter * std::max<std::size_t>(routers, 1);
+    const std::chrono::milliseconds mean =
+            std::max<std::chrono::milliseconds>(shared, ShortestIdleCheck);
+    // Between half and one and a half of the mean, so that routers started together spread out.
+    const auto spread = static_cast<std::int64_t>(randomIncarnation()
+                                                  % static_cast<std::uint64_t>(mean.count()));
+    return mean / 2 + std::chrono::milliseconds(spread);
+}
+
+bool ClaimsPart::waitFor(std::chrono::milliseconds time)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    return !m_changed.wait_for(lock, time, [&] { return m_stopping; });
+}
+
+namespace {
+
+const PartRegistry::Registrar ClaimsRegistrar("claims", [](Node &node) {
+    return std::make_unique<ClaimsPart>(node);
+});
+
+} // namespace
+
+} // namespace almondmill
--- /dev/null
+++ b/src/claims/claimsweeper.cpp
@@ -0,0 +1,62 @@
+#include "almondmill/claims/claimsweeper.h"
+
+#include "almondmill/claims/claimcodec.h"
+#include "almondmill/kernel/error.h"
+#include "almondmill/kernel/log.h"
+#include "almondmill/platform/objectstore.h"
+
+namespace almondmill {
+
+namespace {
+
+std::string partPrefix(unsigned part)
+{
+    constexpr char Digits[] = "0123456789abcdef";
+    std::string prefix = ClaimPrefix;
+    for (const unsigned shift : {8U, 4U, 0U})
+        prefix += Digits[(part >> shift) & 0x0fU];
+    return prefix;
+}
+
+bool isExpired(const StoredObject &object, WallTime now)
+{
+    try {
+        const WallTime created = decodeClaim(object.value).created;
+        return now - created > ClaimSweeper::Window + ClaimSweeper::Margin;
+    } catch (const Error &error) {
+        log(LogLevel::Error, "claims", object.name + " stays: " + error.what());
+        return false;
+    }
+}
+
+} // namespace
+
+ClaimSweeper::ClaimSweeper(ObjectStore &store, std::chrono::milliseconds timeout)
+    : m_store(store)
+    , m_timeout(timeout)
+{}
+
+SweepStep ClaimSweeper::sweep(unsigned part, WallTime now)
+{
+    SweepStep step;
+    const ListResult listed = m_store.list(partPrefix(part), m_timeout);
+    ++step.calls;
+    const auto *list = std::get_if<ObjectList>(&listed);
+    if (!list)
+        return step;
+    for (const StoredObject &object : list->objects) {
+        if (!isExpired(object, now))
+            continue;
+        if (step.removed == MostRemovals)
+            return step;
+        const UpdateResult result = m_store.remove(object.name, object.version, m_timeout);
+        ++step.calls;
+        if (!std::holds_alternative<Applied>(result))
+            return step;
+        ++step.removed;
+    }
+    step.complete = true;
+    return step;
+}
+
+} // namespace almondmill
--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -3,6 +3,7 @@
 #include "almondmill/endpoint/attempthead.h"
 #include "almondmill/endpoint/attemptobserver.h"
 #include "almondmill/endpoint/attemptrequest.h"
+#include "almondmill/endpoint/forwardedheaders.h"
 #include "almondmill/endpoint/headernames.h"
 #include "almondmill/kernel/hash.h"
 
@@ -19,6 +20,7 @@
     AttemptHead head;
     head.status = response.status;
     head.contentType = response.get_header_value("Content-Type");
+    head.headers = forwardedHeaders(response.headers);
     head.attemptId = response.get_header_value(AttemptIdHeader);
     head.incarnation =
             std::strtoull(response.get_header_value(IncarnationHeader).c_str(), nullptr, 10);
@@ -44,6 +46,7 @@
     client->set_keep_alive(false);
     client->set_tcp_nodelay(true);
     client->set_decompress(false);
+    client->set_url_encode(false);
     client->set_connection_timeout(request.connectTimeout);
     client->set_read_timeout(request.readTimeout);
     client->set_write_timeout(request.readTimeout);
--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -2,10 +2,14 @@
 
 #include "almondmill/kernel/node.h"
 #include "almondmill/metrics/metrics.h"
+#include "almondmill/platform/guardedplatform.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <cctype>
+#include <string_view>
+
 namespace almondmill {
 
 namespace {
@@ -17,9 +21,33 @@
 constexpr const char *BytesType = "application/octet-stream";
 constexpr std::chrono::milliseconds WatchGrace{2000};
 
+bool isUnreserved(char character)
+{
+    return std::isalnum(static_cast<unsigned char>(character)) != 0
+           || std::string_view("-._~/").find(character) != std::string_view::npos;
+}
+
+/// Percent-encodes all but unreserved characters and slashes (RFC 3986).
+std::string urlEncoded(const std::string &text)
+{
+    constexpr char Digits[] = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char character : text) {
+        if (isUnreserved(character)) {
+            encoded += character;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(character);
+        encoded += '%';
+        encoded += Digits[byte >> 4U];
+        encoded += Digits[byte & 0x0fU];
+    }
+    return encoded;
+}
+
 std::string objectPath(const std::string &name)
 {
-    return "/objects/" + name;
+    return "/objects/" + urlEncoded(name);
 }
 
 httplib::Client makeClient(const std::string &baseUrl, std::chrono::milliseconds timeout)
@@ -27,6 +55,7 @@
     httplib::Client client(baseUrl);
     client.set_keep_alive(false);
     client.set_tcp_nodelay(true);
+    client.set_url_encode(false);
     const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(timeout);
     client.set_connection_timeout(microseconds);
     client.set_read_timeout(microseconds);
@@ -48,9 +77,14 @@
     return "status " + std::to_string(result->status);
 }
 
+bool neverConnected(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+}
+
 UpdateResult toUpdateResult(const std::string &name, const httplib::Result &result)
 {
-    if (!result && result.error() == httplib::Error::Connection)
+    if (!result && neverConnected(result.error()))
         return NotApplied{describe(result)};
     if (!result)
         return OutcomeUnknown{describe(result)};
@@ -108,7 +142,7 @@
 {
     count("list");
     auto client = makeClient(m_baseUrl, timeout);
-    const auto result = client.Get("/objects?prefix=" + prefix);
+    const auto result = client.Get("/objects?prefix=" + urlEncoded(prefix));
     if (!result || result->status != 200)
         return Unavailable{describe(result)};
     return parseBody<ListResult>(result->body, [](const Json &json) {
@@ -125,8 +159,9 @@
 {
     count("watch");
     auto client = makeClient(m_baseUrl, wait + WatchGrace);
-    const auto result = client.Get("/watch?prefix=" + prefix + "&after=" + std::to_string(revision)
-                                   + "&wait_ms=" + std::to_string(wait.count()));
+    const auto result =
+            client.Get("/watch?prefix=" + urlEncoded(prefix) + "&after=" + std::to_string(revision)
+                       + "&wait_ms=" + std::to_string(wait.count()));
     if (!result || result->status != 200)
         return Unavailable{describe(result)};
     return parseBody<WatchResult>(result->body, [](const Json &json) {
@@ -185,7 +220,8 @@
 namespace {
 
 const PlatformRegistry::Registrar HttpRegistrar("http", [](Node &node) {
-    return std::make_unique<HttpPlatform>(node.settings.platform, node.metrics);
+    auto http = std::make_unique<HttpPlatform>(node.settings.platform, node.metrics);
+    return std::make_unique<GuardedPlatform>(std::move(http), node.metrics);
 });
 
 } // namespace
--- a/src/request/callerfront.cpp
+++ b/src/request/callerfront.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/request/callerfront.h"
 
 #include "almondmill/config/sha256.h"
+#include "almondmill/endpoint/forwardedheaders.h"
 #include "almondmill/endpoint/headernames.h"
 #include "almondmill/kernel/httplisten.h"
 #include "almondmill/kernel/log.h"
@@ -176,6 +177,8 @@
     context->requestId = randomId();
     context->method = request.method;
     context->path = request.path;
+    context->target = request.target;
+    context->headers = forwardedHeaders(request.headers);
     context->contentType = request.get_header_value("Content-Type");
     context->body = request.body;
     context->idempotencyKey = request.get_header_value(IdempotencyKeyHeader);
--- a/src/request/refusal.cpp
+++ b/src/request/refusal.cpp
@@ -4,10 +4,27 @@
 
 namespace almondmill {
 
+namespace {
+
+const char *ranName(Ran ran)
+{
+    switch (ran) {
+    case Ran::No:
+        return "no";
+    case Ran::Yes:
+        return "yes";
+    case Ran::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
 std::string Refusal::json() const
 {
     const nlohmann::json error{{"code", code}, {"message", sentence}};
-    const nlohmann::json body{{"error", error}, {"ran", ran == Ran::No ? "no" : "unknown"}};
+    const nlohmann::json body{{"error", error}, {"ran", ranName(ran)}};
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- /dev/null
+++ b/src/request/repeatability.cpp
@@ -0,0 +1,58 @@
+#include "almondmill/request/repeatability.h"
+
+#include "almondmill/config/service.h"
+
+#include <sstream>
+#include <vector>
+
+namespace almondmill {
+
+namespace {
+
+bool isIdempotent(const std::string &method)
+{
+    return method != "POST" && method != "PATCH";
+}
+
+/// Whether `entry`, such as "POST /booking/slots", covers the call.
+bool covers(const std::string &entry, const std::string &method, const std::string &path)
+{
+    const auto space = entry.find(' ');
+    if (space == std::string::npos || entry.substr(0, space) != method)
+        return false;
+    return path.starts_with(normalPath(entry.substr(space + 1)));
+}
+
+} // namespace
+
+Repeatability repeatability(const Service &service, const std::string &method,
+                            const std::string &path)
+{
+    const std::string normal = normalPath(path);
+    for (const std::string &entry : service.notRepeatable) {
+        if (covers(entry, method, normal))
+            return Repeatability::AtMostOnce;
+    }
+    return isIdempotent(method) ? Repeatability::Repeatable : Repeatability::SentOnce;
+}
+
+std::string normalPath(const std::string &path)
+{
+    std::vector<std::string> segments;
+    std::istringstream stream(path);
+    std::string segment;
+    while (std::getline(stream, segment, '/')) {
+        if (segment.empty() || segment == ".")
+            continue;
+        if (segment != "..")
+            segments.push_back(segment);
+        else if (!segments.empty())
+            segments.pop_back();
+    }
+    std::string normal;
+    for (const std::string &part : segments)
+        normal += "/" + part;
+    return normal.empty() ? "/" : normal;
+}
+
+} // namespace almondmill
--- a/src/request/servicehandler.cpp
+++ b/src/request/servicehandler.cpp
@@ -1,14 +1,12 @@
-#include "almondmill/endpoint/attempt.h"
-#include "almondmill/endpoint/attempthead.h"
-#include "almondmill/endpoint/attemptobserver.h"
-#include "almondmill/endpoint/attemptrequest.h"
+#include "almondmill/claims/claimcodec.h"
+#include "almondmill/claims/onceonly.h"
 #include "almondmill/endpoint/headernames.h"
 #include "almondmill/kernel/node.h"
-#include "almondmill/kernel/randomid.h"
-#include "almondmill/placement/placer.h"
 #include "almondmill/request/refusederror.h"
+#include "almondmill/request/repeatability.h"
 #include "almondmill/request/requestcontext.h"
 #include "almondmill/request/requesthandler.h"
+#include "almondmill/request/servicecaller.h"
 
 #include <httplib.h>
 
@@ -16,34 +14,28 @@
 
 namespace {
 
-/// Collects a whole answer in memory.
-class WholeAnswer : public AttemptObserver
-{
-public:
-    explicit WholeAnswer(std::string attemptId)
-        : m_attemptId(std::move(attemptId))
-    {}
-
-    const AttemptHead &head() const { return m_head; }
-    const std::string &body() const { return m_body; }
-
-    bool onHead(const AttemptHead &head) override
-    {
-        m_head = head;
-        return head.attemptId == m_attemptId;
-    }
+constexpr const char *ReplayedHeader = "Idempotent-Replayed";
 
-    bool onBytes(std::string_view bytes) override
-    {
-        m_body.append(bytes);
-        return true;
-    }
+/// The answer, or the refusal that tells what came of the call.
+StoredAnswer answerOrRefuse(SendOutcome outcome)
+{
+    if (const auto *never = std::get_if<NeverSent>(&outcome))
+        throw RefusedError({503, "not_sent", never->reason, Ran::No});
+    if (const auto *mayHaveRun = std::get_if<MayHaveRun>(&outcome))
+        throw RefusedError({502, "no_answer", mayHaveRun->reason, Ran::Unknown});
+    return std::get<StoredAnswer>(std::move(outcome));
+}
 
-private:
-    std::string m_attemptId;
-    AttemptHead m_head;
-    std::string m_body;
-};
+void fill(const OnceOnlyAnswer &result, httplib::Response &response)
+{
+    response.status = result.answer.status;
+    for (const HttpHeader &header : result.answer.headers)
+        response.headers.emplace(header.name, header.value);
+    response.set_header(ServedByHeader, result.answer.endpoint);
+    if (result.replayed)
+        response.set_header(ReplayedHeader, "true");
+    response.set_content(result.answer.body, result.answer.contentType);
+}
 
 /// Serves plain services by path.
 class ServiceHandler : public RequestHandler
@@ -51,13 +43,18 @@
 public:
     explicit ServiceHandler(Node &node)
         : m_node(node)
+        , m_caller(node)
     {}
 
     void handle(std::shared_ptr<const RequestContext> context,
                 httplib::Response &response) override;
 
 private:
+    OnceOnlyAnswer run(const RequestContext &context, const Service &service);
+    OnceOnlyAnswer runClaimed(const RequestContext &context, const Service &service);
+
     Node &m_node;
+    ServiceCaller m_caller;
 };
 
 void ServiceHandler::handle(std::shared_ptr<const RequestContext> context,
@@ -66,29 +63,33 @@
     const Service *service = context->endpoints->configuration().serviceForPath(context->path);
     if (!service)
         throw RefusedError({404, "unknown_path", "Nothing is served at that path.", Ran::No});
-    const auto endpoint = m_node.placer->choose({}, context->endpoints->forService(service->name),
-                                                {}, std::chrono::steady_clock::now());
-    if (!endpoint)
-        throw RefusedError({503, "no_endpoint", "No endpoint can take the request now.", Ran::No});
-    AttemptRequest attemptRequest;
-    attemptRequest.address = endpoint->endpoint().address;
-    attemptRequest.method = context->method;
-    attemptRequest.path = context->path;
-    attemptRequest.body = context->body;
-    attemptRequest.contentType = context->contentType;
-    attemptRequest.attemptId = randomId();
-    attemptRequest.connectTimeout = m_node.settings.connectTimeout;
-    attemptRequest.readTimeout = m_node.settings.firstByteTimeout;
-    WholeAnswer answer(attemptRequest.attemptId);
-    Attempt attempt;
-    const AttemptResult result = attempt.run(attemptRequest, answer);
-    if (std::holds_alternative<AttemptNotSent>(result))
-        throw RefusedError({503, "not_sent", "The endpoint could not be reached.", Ran::No});
-    if (!std::holds_alternative<AttemptCompleted>(result))
-        throw RefusedError({502, "no_answer", "The endpoint gave no whole answer.", Ran::Unknown});
-    response.status = answer.head().status;
-    response.set_header(ServedByHeader, endpoint->endpoint().name);
-    response.set_content(answer.body(), answer.head().contentType);
+    fill(run(*context, *service), response);
+}
+
+OnceOnlyAnswer ServiceHandler::run(const RequestContext &context, const Service &service)
+{
+    switch (repeatability(service, context.method, context.path)) {
+    case Repeatability::AtMostOnce:
+        if (!context.idempotencyKey.empty())
+            return runClaimed(context, service);
+        return {answerOrRefuse(m_caller.sendOnce(context, service.name)), false};
+    case Repeatability::SentOnce:
+        return {answerOrRefuse(m_caller.sendOnce(context, service.name)), false};
+    case Repeatability::Repeatable:
+        break;
+    }
+    return {answerOrRefuse(m_caller.sendRepeatable(context, service.name)), false};
+}
+
+OnceOnlyAnswer ServiceHandler::runClaimed(const RequestContext &context, const Service &service)
+{
+    OnceOnlyCall call;
+    call.clientAccount = context.account->name;
+    call.key = context.idempotencyKey;
+    call.fingerprint = callFingerprint(context.method, context.target, context.body);
+    call.sendBy = context.arrived + m_node.settings.requestTimeout;
+    return m_node.onceOnly->run(call, std::chrono::system_clock::now(),
+                                [&] { return m_caller.sendOnce(context, service.name); });
 }
 
 const RequestHandlerRegistry::Registrar ServiceRegistrar("service", [](Node &node) {
--- /dev/null
+++ b/src/request/wholeanswer.cpp
@@ -0,0 +1,27 @@
+#include "almondmill/request/wholeanswer.h"
+
+namespace almondmill {
+
+WholeAnswer::WholeAnswer(std::string attemptId, Limits limits)
+    : m_attemptId(std::move(attemptId))
+    , m_limits(limits)
+{}
+
+bool WholeAnswer::onHead(const AttemptHead &head)
+{
+    m_head = head;
+    m_answersAnother = !head.attemptId.empty() && head.attemptId != m_attemptId;
+    return !m_answersAnother;
+}
+
+bool WholeAnswer::onBytes(std::string_view bytes)
+{
+    if (m_body.size() + bytes.size() > m_limits.bodyBytes)
+        return false;
+    if (std::chrono::steady_clock::now() > m_limits.end)
+        return false;
+    m_body.append(bytes);
+    return true;
+}
+
+} // namespace almondmill
