--- a/include/almondmill/request/streamrelay.h
+++ b/include/almondmill/request/streamrelay.h
@@ -57,6 +57,9 @@
     /// The next bytes for the caller; blocks until there are some, the end, or `until`.
     ChannelItem nextBytes(SteadyTime until) { return m_channel.pop(until); }
 
+    /// Bytes that wait for the caller now.
+    std::size_t waitingBytes() const { return m_channel.waitingBytes(); }
+
     /// The caller went away: the endpoint's work is cancelled.
     void cancel();
 
--- a/src/request/callerfront.cpp
+++ b/src/request/callerfront.cpp
@@ -236,11 +236,13 @@
 /// Answers a request that the library could not read or has no handler for.
 void CallerFront::explainFailure(const httplib::Request & /*request*/, httplib::Response &response)
 {
-    if (!response.body.empty() || response.content_provider_)
-        return;
-    const CallerStream &stream = *CallerStream::current();
-    if (response.has_header(ServedByHeader))
+    const bool answered = response.has_header(ServedByHeader) || response.content_provider_;
+    if (answered || !response.body.empty())
         return;
+    CallerStream &stream = *CallerStream::current();
+    // Where the next request begins is not known for certain.
+    stream.closeAfterThis();
+    response.set_header("Connection", "close");
     refuse(refusalOf(stream.failure(), response.status), response);
 }
 
--- a/src/request/modelrequest.cpp
+++ b/src/request/modelrequest.cpp
@@ -10,11 +10,24 @@
 
 using Json = nlohmann::json;
 
+/// Deeper nesting could exhaust the stack of the thread that writes a message out.
+constexpr int MostNesting = 32;
+
 [[noreturn]] void refuse(const std::string &sentence)
 {
     throw RefusedError({400, "invalid_request", sentence, Ran::No});
 }
 
+Json parseBounded(const std::string &body)
+{
+    const auto checkNesting = [](int depth, Json::parse_event_t /*event*/, Json & /*value*/) {
+        if (depth > MostNesting)
+            refuse("the body is nested too deep");
+        return true;
+    };
+    return Json::parse(body, checkNesting, false);
+}
+
 std::string promptOf(const Json &json)
 {
     if (json.contains("prompt")) {
@@ -52,7 +65,7 @@
 
 ModelRequest parseModelRequest(const std::string &body)
 {
-    const Json json = Json::parse(body, nullptr, false);
+    const Json json = parseBounded(body);
     if (json.is_discarded())
         refuse("the body is not valid JSON");
     if (!json.is_object())
--- /dev/null
+++ b/tests/support/relaybench.cpp
@@ -0,0 +1,85 @@
+#include "support/relaybench.h"
+
+#include "almondmill/placement/placer.h"
+#include "almondmill/request/requestcontext.h"
+
+namespace almondmill::test {
+
+namespace {
+
+constexpr std::chrono::milliseconds CancelTimeout{100};
+constexpr std::chrono::hours Forever{24};
+
+Settings patientSettings()
+{
+    Settings settings;
+    settings.firstByteTimeout = Forever;
+    settings.streamIdleTimeout = Forever;
+    settings.requestTimeout = Forever;
+    return settings;
+}
+
+/// Addresses at which nothing listens: only cancels are ever sent there.
+std::shared_ptr<const Configuration> configurationOf(std::size_t endpoints)
+{
+    Inventory inventory;
+    Model model;
+    model.name = "reed";
+    inventory.models = {model};
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        Endpoint endpoint;
+        endpoint.name = "engine-" + std::to_string(i);
+        endpoint.address = "127.0.0.1:1";
+        endpoint.model = model.name;
+        inventory.endpoints.push_back(endpoint);
+    }
+    Rules rules;
+    rules.clientAccounts.resize(1);
+    return std::make_shared<const Configuration>(1, inventory, rules);
+}
+
+} // namespace
+
+RelayBench::RelayBench(std::size_t endpoints,
+                       std::function<std::unique_ptr<AttemptRunner>()> makeAttempt)
+    : m_node(patientSettings())
+    , m_metrics(m_node.metrics)
+    , m_cancels(m_node.metrics, CancelTimeout)
+    , m_environment{m_node, m_watch, m_cancels, m_metrics, std::move(makeAttempt)}
+{
+    m_node.placer = std::make_unique<Placer>(PlacementRegistry::create("rendezvous"));
+    m_node.endpoints.apply(configurationOf(endpoints));
+}
+
+std::unique_ptr<StreamRelay> RelayBench::makeRelay(bool deterministic) const
+{
+    auto context = std::make_shared<RequestContext>();
+    context->endpoints = m_node.endpoints.snapshot();
+    context->account = &context->endpoints->configuration().rules().clientAccounts.front();
+    context->method = "POST";
+    context->path = "/v1/completions";
+    context->arrived = std::chrono::steady_clock::now();
+    ModelRequest request;
+    request.model = "reed";
+    request.stream = true;
+    request.deterministic = deterministic;
+    return std::make_unique<StreamRelay>(m_environment, context, request);
+}
+
+std::string RelayBench::readWhole(bool deterministic) const
+{
+    const auto relay = makeRelay(deterministic);
+    relay->start();
+    const auto start = relay->waitForStart([] { return false; });
+    if (const auto *refusal = std::get_if<Refusal>(&start))
+        return refusal->json();
+    std::string text;
+    while (true) {
+        const ChannelItem item = relay->nextBytes(SteadyTime::max());
+        if (!std::holds_alternative<ChannelBytes>(item))
+            return text;
+        text += std::get<ChannelBytes>(item).bytes;
+    }
+}
+
+} // namespace almondmill::test
--- /dev/null
+++ b/tests/support/relaybench.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "almondmill/endpoint/attemptrunner.h"
+#include "almondmill/endpoint/cancelqueue.h"
+#include "almondmill/endpoint/deadlinewatch.h"
+#include "almondmill/kernel/node.h"
+#include "almondmill/request/relayenvironment.h"
+#include "almondmill/request/relaymetrics.h"
+#include "almondmill/request/streamrelay.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace almondmill::test {
+
+/// Relays in this process, with fakes in the place of all attempts at `endpoints` endpoints.
+class RelayBench
+{
+public:
+    RelayBench(std::size_t endpoints, std::function<std::unique_ptr<AttemptRunner>()> makeAttempt);
+
+    Node &node() { return m_node; }
+    std::unique_ptr<StreamRelay> makeRelay(bool deterministic) const;
+
+    /// All bytes that the caller gets; the refusal's JSON when the request is refused.
+    std::string readWhole(bool deterministic) const;
+
+private:
+    Node m_node;
+    RelayMetrics m_metrics;
+    DeadlineWatch m_watch;
+    CancelQueue m_cancels;
+    RelayEnvironment m_environment;
+};
+
+} // namespace almondmill::test
--- /dev/null
+++ b/tests/unit-relay.cpp
@@ -0,0 +1,189 @@
+#include "almondmill/endpoint/deadline.h"
+#include "almondmill/endpoint/deadlineheap.h"
+#include "almondmill/request/eventchannel.h"
+#include "almondmill/request/eventsplitter.h"
+#include "almondmill/request/relayplan.h"
+#include "almondmill/request/streamprogress.h"
+
+#include "support/waituntil.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace almondmill {
+
+namespace {
+
+const SteadyTime Start{};
+constexpr std::chrono::seconds Long{100};
+
+std::shared_ptr<Deadline> deadlineAt(std::chrono::milliseconds at)
+{
+    return std::make_shared<Deadline>(Start + at, [] {});
+}
+
+std::size_t passedAt(DeadlineHeap &heap, std::chrono::milliseconds at)
+{
+    return heap.takePassed(Start + at).size();
+}
+
+StreamEvent numbered(unsigned id)
+{
+    return parseStreamEvent("id: " + std::to_string(id) + "\ndata: x\n\n");
+}
+
+StreamProgress progressAfter(unsigned events)
+{
+    StreamProgress progress;
+    for (unsigned id = 1; id <= events; ++id)
+        progress.take(numbered(id));
+    return progress;
+}
+
+AttemptReport endedBy(AttemptEnd end, bool progressed)
+{
+    return {end, true, true, progressed};
+}
+
+} // namespace
+
+TEST(DeadlineHeap, PassesDeadlinesWhenTheirTimeComes)
+{
+    using namespace std::chrono_literals;
+    DeadlineHeap heap;
+    heap.add(deadlineAt(20ms));
+    heap.add(deadlineAt(10ms));
+    EXPECT_EQ(heap.next(), Start + 10ms);
+    EXPECT_EQ(passedAt(heap, 9ms), 0U);
+    EXPECT_EQ(passedAt(heap, 10ms), 1U);
+    EXPECT_EQ(passedAt(heap, 25ms), 1U);
+}
+
+TEST(DeadlineHeap, FollowsADeadlineThatIsMovedOn)
+{
+    using namespace std::chrono_literals;
+    DeadlineHeap heap;
+    const auto deadline = deadlineAt(10ms);
+    heap.add(deadline);
+    deadline->moveTo(Start + 100ms);
+    EXPECT_EQ(passedAt(heap, 99ms), 0U);
+    EXPECT_EQ(passedAt(heap, 100ms), 1U);
+}
+
+TEST(DeadlineHeap, RepeatsUntilTheDeadlineIsEnded)
+{
+    using namespace std::chrono_literals;
+    DeadlineHeap heap;
+    const auto deadline = deadlineAt(10ms);
+    heap.add(deadline);
+    EXPECT_EQ(passedAt(heap, 10ms), 1U);
+    EXPECT_EQ(passedAt(heap, 10ms + DeadlineHeap::RepeatInterval), 1U);
+    deadline->end();
+    EXPECT_EQ(passedAt(heap, 1000ms), 0U);
+    EXPECT_TRUE(heap.empty());
+}
+
+TEST(DeadlineHeap, PassesAtOnceWhenToldSoHoweverTheDeadlineIsMoved)
+{
+    using namespace std::chrono_literals;
+    DeadlineHeap heap;
+    const auto deadline = deadlineAt(10000ms);
+    heap.add(deadline);
+    deadline->passNow();
+    heap.add(deadline);
+    deadline->moveTo(Start + 20000ms);
+    EXPECT_EQ(passedAt(heap, 1ms), 1U);
+}
+
+TEST(EventSplitter, CutsAtEmptyLinesOfEitherKindWhateverThePieces)
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: [DONE]\n\n";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+        EventSplitter splitter;
+        std::vector<StreamEvent> events;
+        for (std::size_t at = 0; at < text.size(); at += piece) {
+            for (StreamEvent &event : splitter.feed(std::string_view(text).substr(at, piece)))
+                events.push_back(std::move(event));
+        }
+        ASSERT_EQ(events.size(), 3U);
+        EXPECT_EQ(events[1].id, 2U);
+        EXPECT_FALSE(events[1].endOfStream);
+        EXPECT_TRUE(events[2].endOfStream);
+    }
+}
+
+TEST(StreamProgress, DoesNotTakeTheMarkInsideOfATokenForTheEnd)
+{
+    EXPECT_FALSE(parseStreamEvent("data: {\"text\":\"data: [DONE]\"}\n\n").endOfStream);
+}
+
+TEST(RelayPlan, ResumesAtTheSameEngineWhileThatBringsEvents)
+{
+    RelayPlan plan(false, Start + Long);
+    const StreamProgress progress = progressAfter(3);
+    for (int i = 0; i < 20; ++i) {
+        const RelayStep step = plan.next(endedBy(AttemptEnd::Broken, true), progress, Start);
+        EXPECT_TRUE(std::holds_alternative<ResumeStream>(step));
+    }
+}
+
+TEST(RelayPlan, GivesUpResumingWhenItBringsNothing)
+{
+    RelayPlan plan(true, Start + Long);
+    const StreamProgress progress = progressAfter(3);
+    plan.next(endedBy(AttemptEnd::Broken, true), progress, Start);
+    for (unsigned i = 0; i < RelayPlan::MostFruitlessResumes; ++i) {
+        const RelayStep step = plan.next(endedBy(AttemptEnd::Silent, false), progress, Start);
+        EXPECT_TRUE(std::holds_alternative<ResumeStream>(step));
+    }
+    const RelayStep last = plan.next(endedBy(AttemptEnd::Silent, false), progress, Start);
+    EXPECT_TRUE(std::holds_alternative<SendAnew>(last));
+}
+
+TEST(RelayPlan, SaysNotRunOnlyWhenNothingWasSent)
+{
+    RelayPlan plan(true, Start + Long);
+    const StreamProgress none;
+    plan.next({AttemptEnd::NotSent, false, false, false}, none, Start);
+    EXPECT_EQ(plan.noEndpoint().refusal.ran, Ran::No);
+    plan.next({AttemptEnd::Broken, false, false, false}, none, Start);
+    plan.next({AttemptEnd::NotSent, false, false, false}, none, Start);
+    EXPECT_EQ(plan.noEndpoint().refusal.ran, Ran::Unknown);
+}
+
+TEST(RelayPlan, EndsWithAnErrorOnceTheRequestsTimeIsOver)
+{
+    RelayPlan plan(true, Start + Long);
+    const RelayStep step =
+            plan.next(endedBy(AttemptEnd::Silent, true), progressAfter(3), Start + Long);
+    ASSERT_TRUE(std::holds_alternative<FailRelay>(step));
+    EXPECT_EQ(std::get<FailRelay>(step).refusal.code, "request_timeout");
+}
+
+TEST(EventChannel, HoldsNoMoreThanItsCapacity)
+{
+    constexpr std::size_t Capacity = 1000;
+    constexpr std::size_t PieceBytes = 300;
+    constexpr int Pieces = 100;
+    EventChannel channel(Capacity);
+    std::atomic<int> pushed{0};
+    std::thread sender([&] {
+        while (pushed < Pieces && channel.push(std::string(PieceBytes, 'x'), Start))
+            ++pushed;
+        channel.finish();
+    });
+    EXPECT_TRUE(test::waitUntil([&] { return pushed == Capacity / PieceBytes; }));
+    std::size_t taken = 0;
+    while (true) {
+        EXPECT_LE(channel.waitingBytes(), Capacity);
+        const ChannelItem item = channel.pop(SteadyTime::max());
+        if (std::holds_alternative<ChannelEnd>(item))
+            break;
+        taken += std::get<ChannelBytes>(item).bytes.size();
+    }
+    sender.join();
+    EXPECT_EQ(taken, Pieces * PieceBytes);
+}
+
+} // namespace almondmill
