--- a/include/almondmill/admission/room.h
+++ b/include/almondmill/admission/room.h
@@ -8,8 +8,8 @@
 
 namespace almondmill {
 
-/// Further requests that the endpoints have room for at `now`, as far as this router knows, when each
-/// takes `maxInFlight` at once. Cost: linear in the endpoints.
+/// Further requests that the endpoints have room for at `now`, as far as this router knows, when
+/// each takes `maxInFlight` at once. Cost: linear in the endpoints.
 std::size_t roomOf(const EndpointSet::States &states, std::uint32_t maxInFlight, SteadyTime now);
 
 } // namespace almondmill
--- a/src/admission/modelgates.cpp
+++ b/src/admission/modelgates.cpp
@@ -5,8 +5,7 @@
 ModelGates::ModelGates(std::size_t queueCapacity, AdmissionGate::Clock clock)
     : m_queueCapacity(queueCapacity)
     , m_clock(std::move(clock))
-{
-}
+{}
 
 std::size_t ModelGates::waiting() const
 {
