Let requests wait for room in the fair queue and bound their retries, on the request path

Cause: the queue and the budget existed, the path did not use them: every request went to an endpoint at once, however full it was. Ruled out: counting an endpoint's told load as it was told: the caller's own request is in it, so with one slot the endpoint stayed full for ever after its first answer. What others have open is now kept apart from what this router counts itself.

--- a/include/almondmill/config/settings.h
+++ b/include/almondmill/config/settings.h
@@ -27,11 +27,14 @@
     std::uint32_t maxRequests = 900;    ///< Requests served at once; more are refused.
     std::uint32_t callerThreads = 1000; ///< One for each connection; more than `maxRequests`.
 
+    std::uint32_t queueRequests = 200; ///< Requests a model and priority that wait for room.
+
     std::chrono::milliseconds platformTimeout{1000};
     std::chrono::milliseconds connectTimeout{500};
     std::chrono::milliseconds firstByteTimeout{30000};
     std::chrono::milliseconds streamIdleTimeout{5000};
     std::chrono::milliseconds requestTimeout{300000};
+    std::chrono::milliseconds queueWait{2000};   ///< Longest wait for room at an endpoint.
     std::chrono::milliseconds drainNotice{3000}; ///< Served as usual after SIGTERM for this long.
 };
 
--- a/include/almondmill/endpoint/endpointstate.h
+++ b/include/almondmill/endpoint/endpointstate.h
@@ -30,6 +30,10 @@
     /// Requests open at the endpoint, as it last told.
     std::uint32_t reportedLoad() const { return m_reportedLoad.load(std::memory_order_relaxed); }
 
+    /// Requests open at the endpoint now, as far as known: this router's, which it counts itself,
+    /// and those of others when the endpoint last told.
+    std::uint32_t load() const;
+
     /// Whether the endpoint itself or the VM list says that it is leaving.
     bool leaving() const { return m_leaving.load(std::memory_order_acquire); }
 
@@ -56,6 +60,7 @@
     std::atomic<std::uint64_t> m_weightsHash{0};
     std::atomic<std::uint32_t> m_inFlight{0};
     std::atomic<std::uint32_t> m_reportedLoad{0};
+    std::atomic<std::uint32_t> m_othersLoad{0};
     std::atomic<bool> m_leaving{false};
     std::atomic<std::uint32_t> m_failures{0};
     std::atomic<SteadyTime::rep> m_ejectedUntil{0};
--- a/include/almondmill/request/relayenvironment.h
+++ b/include/almondmill/request/relayenvironment.h
@@ -8,6 +8,7 @@
 class AttemptRunner;
 class CancelQueue;
 class DeadlineWatch;
+class LoadControl;
 struct Node;
 struct RelayMetrics;
 
@@ -18,6 +19,7 @@
     DeadlineWatch &watch;
     CancelQueue &cancels;
     RelayMetrics &metrics;
+    LoadControl &load;
     std::function<std::unique_ptr<AttemptRunner>()> makeAttempt;
 };
 
--- a/include/almondmill/request/relayplan.h
+++ b/include/almondmill/request/relayplan.h
@@ -27,6 +27,12 @@
 
     RelayStep next(const AttemptReport &report, const StreamProgress &progress, SteadyTime now);
 
+    /// What to do when every endpoint is busy: none had room in time, or too many wait already.
+    FailRelay noRoom() const;
+
+    /// What to do when the retry budget of the router is used up.
+    FailRelay noRetry() const;
+
     /// What to do when no endpoint is left to send the request to.
     FailRelay noEndpoint() const;
 
--- a/include/almondmill/request/streamrelay.h
+++ b/include/almondmill/request/streamrelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/admission/admissionslot.h"
 #include "almondmill/endpoint/attempthead.h"
 #include "almondmill/endpoint/endpointset.h"
 #include "almondmill/placement/placementrequest.h"
@@ -79,6 +80,8 @@
     NextStep carryOut(const FailRelay &step);
     NextStep carryOut(const AbandonRelay &step);
 
+    /// False when no endpoint had room in time. True as well when none takes work at all.
+    bool waitForRoom();
     EndpointSet::StatePointer choose();
     RelayStep attempt(const AttemptRequest &request, bool mustStream,
                       std::chrono::milliseconds firstLimit);
@@ -107,6 +110,7 @@
     StreamProgress m_progress;
     std::set<std::string> m_tried;
     EndpointSet::StatePointer m_endpoint; ///< Where the present computation is.
+    std::optional<AdmissionSlot> m_slot;  ///< From being let through to being counted.
     std::string m_attemptId;              ///< Of the present computation; empty when there is none.
     RelayStart m_answer;
 
--- /dev/null
+++ b/src/admission/loadcontrol.cpp
@@ -0,0 +1,59 @@
+#include "almondmill/admission/loadcontrol.h"
+
+#include "almondmill/admission/room.h"
+#include "almondmill/config/clientaccount.h"
+#include "almondmill/config/model.h"
+#include "almondmill/kernel/hash.h"
+#include "almondmill/metrics/metrics.h"
+
+namespace almondmill {
+
+namespace {
+
+constexpr const char *DroppedMetric = "almondmill_queue_dropped_total";
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+LoadControl::LoadControl(const Options &options, Metrics &metrics)
+    : m_options(options)
+    , m_gates(options.queueCapacity, steadyNow)
+    , m_budget(options.retries, steadyNow())
+    , m_full(metrics.counter(DroppedMetric, "reason=\"full\""))
+    , m_late(metrics.counter(DroppedMetric, "reason=\"late\""))
+    , m_retriesDenied(metrics.counter("almondmill_retries_denied_total"))
+{
+    metrics.setGauge("almondmill_queue_waiting",
+                     [this] { return static_cast<double>(m_gates.waiting()); });
+}
+
+AdmissionResult LoadControl::admit(const ClientAccount &account, Priority priority,
+                                   const Model &model, const EndpointSet::States &states)
+{
+    const SteadyTime now = steadyNow();
+    m_budget.requestStarted(now);
+    const QueuedRequest request{0, hash64(account.name), account.share, priority,
+                                now + m_options.queueWait};
+    auto result = m_gates.gate(model.name).acquire(request, [&] {
+        return roomOf(states, model.maxInFlight, steadyNow());
+    });
+    if (std::holds_alternative<QueueFull>(result))
+        m_full.add();
+    else if (std::holds_alternative<QueuedTooLong>(result))
+        m_late.add();
+    return result;
+}
+
+bool LoadControl::mayRetry(SteadyTime now)
+{
+    if (m_budget.take(now))
+        return true;
+    m_retriesDenied.add();
+    return false;
+}
+
+} // namespace almondmill
--- a/src/admission/room.cpp
+++ b/src/admission/room.cpp
@@ -1,14 +1,12 @@
 #include "almondmill/admission/room.h"
 
-#include <algorithm>
-
 namespace almondmill {
 
 std::size_t roomOf(const EndpointSet::States &states, std::uint32_t maxInFlight, SteadyTime now)
 {
     std::size_t room = 0;
     for (const auto &state : states) {
-        const std::uint32_t load = std::max(state->inFlight(), state->reportedLoad());
+        const std::uint32_t load = state->load();
         if (load < maxInFlight && state->takesWork(now))
             room += maxInFlight - load;
     }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -33,6 +33,8 @@
     settings.maxBodyBytes =
             reader.number("max_body_bytes", settings.maxBodyBytes, 1024, MostBodyBytes);
     settings.maxRequests = reader.number("max_requests", settings.maxRequests, 1, MostThreads);
+    settings.queueRequests =
+            reader.number("queue_requests", settings.queueRequests, 1, MostThreads);
     settings.callerThreads =
             reader.number("caller_threads", settings.callerThreads, 2, MostThreads);
     if (settings.callerThreads < settings.maxRequests + SpareThreads) {
@@ -49,6 +51,7 @@
     settings.firstByteTimeout = reader.duration("first_byte", settings.firstByteTimeout);
     settings.streamIdleTimeout = reader.duration("stream_idle", settings.streamIdleTimeout);
     settings.requestTimeout = reader.duration("request", settings.requestTimeout);
+    settings.queueWait = reader.duration("queue_wait", settings.queueWait);
     settings.drainNotice = reader.duration("drain_notice", settings.drainNotice);
 }
 
--- a/src/endpoint/endpointstate.cpp
+++ b/src/endpoint/endpointstate.cpp
@@ -17,6 +17,11 @@
     , m_nameHash(hash64(m_endpoint.name))
 {}
 
+std::uint32_t EndpointState::load() const
+{
+    return inFlight() + m_othersLoad.load(std::memory_order_relaxed);
+}
+
 bool EndpointState::takesWork(SteadyTime now) const
 {
     if (m_endpoint.leaving || leaving())
@@ -36,7 +41,9 @@
 
 void EndpointState::setReportedLoad(std::uint32_t load)
 {
+    const std::uint32_t own = inFlight();
     m_reportedLoad.store(load, std::memory_order_relaxed);
+    m_othersLoad.store(load > own ? load - own : 0, std::memory_order_relaxed);
 }
 
 void EndpointState::setLeaving(bool leaving)
--- a/src/request/modelhandler.cpp
+++ b/src/request/modelhandler.cpp
@@ -1,3 +1,4 @@
+#include "almondmill/admission/loadcontrol.h"
 #include "almondmill/endpoint/attempt.h"
 #include "almondmill/endpoint/cancelqueue.h"
 #include "almondmill/endpoint/deadlinewatch.h"
@@ -21,6 +22,14 @@
 constexpr std::chrono::milliseconds CancelTimeout{1000};
 constexpr std::chrono::milliseconds CallerCheckInterval{200};
 
+LoadControl::Options loadOptions(const Settings &settings)
+{
+    LoadControl::Options options;
+    options.queueCapacity = settings.queueRequests;
+    options.queueWait = settings.queueWait;
+    return options;
+}
+
 /// Serves completions: streamed ones event by event, plain ones whole.
 class ModelHandler : public RequestHandler
 {
@@ -29,8 +38,9 @@
         : m_node(node)
         , m_metrics(node.metrics)
         , m_cancels(node.metrics, CancelTimeout)
-        , m_environment{node, m_watch, m_cancels, m_metrics,
-                        [] { return std::make_unique<Attempt>(); }}
+        , m_load(loadOptions(node.settings), node.metrics)
+        , m_environment{node,      m_watch, m_cancels,
+                        m_metrics, m_load,  [] { return std::make_unique<Attempt>(); }}
     {}
 
     void handle(std::shared_ptr<const RequestContext> context,
@@ -45,6 +55,7 @@
     RelayMetrics m_metrics;
     DeadlineWatch m_watch;
     CancelQueue m_cancels;
+    LoadControl m_load;
     RelayEnvironment m_environment;
 };
 
--- a/src/request/relayplan.cpp
+++ b/src/request/relayplan.cpp
@@ -62,6 +62,17 @@
     return fail(503, "no_endpoint", "No endpoint can take the request now.");
 }
 
+FailRelay RelayPlan::noRoom() const
+{
+    return fail(503, "overloaded", "All endpoints are busy.");
+}
+
+FailRelay RelayPlan::noRetry() const
+{
+    return fail(503, "retries_exhausted",
+                "The endpoint failed, and too many requests are retried.");
+}
+
 FailRelay RelayPlan::fail(int status, std::string code, std::string sentence) const
 {
     return FailRelay{{status, std::move(code), std::move(sentence), m_ran}};
--- a/src/request/streamrelay.cpp
+++ b/src/request/streamrelay.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/request/streamrelay.h"
 
+#include "almondmill/admission/loadcontrol.h"
 #include "almondmill/config/clientaccount.h"
 #include "almondmill/endpoint/attemptrequest.h"
 #include "almondmill/endpoint/attemptrunner.h"
@@ -16,6 +17,8 @@
 #include "almondmill/request/relaymetrics.h"
 #include "almondmill/request/requestcontext.h"
 
+#include <algorithm>
+
 namespace almondmill {
 
 namespace {
@@ -103,6 +106,10 @@
 StreamRelay::NextStep StreamRelay::carryOut(const SendAnew & /*step*/)
 {
     cancelComputation();
+    if (m_endpoint && !m_environment.load.mayRetry(steadyNow()))
+        return m_plan.noRetry();
+    if (!waitForRoom())
+        return m_plan.noRoom();
     const auto endpoint = choose();
     if (!endpoint)
         return m_plan.noEndpoint();
@@ -150,6 +157,24 @@
     return std::nullopt;
 }
 
+bool StreamRelay::waitForRoom()
+{
+    const Model *model = m_context->endpoints->configuration().model(m_request.model);
+    const auto &states = m_context->endpoints->forModel(m_request.model);
+    const bool anyTakesWork = std::any_of(states.begin(), states.end(), [](const auto &state) {
+        return state->takesWork(steadyNow());
+    });
+    if (!anyTakesWork)
+        return true;
+    auto result =
+            m_environment.load.admit(*m_context->account, m_context->priority, *model, states);
+    auto *slot = std::get_if<AdmissionSlot>(&result);
+    if (!slot)
+        return false;
+    m_slot.emplace(std::move(*slot));
+    return true;
+}
+
 EndpointSet::StatePointer StreamRelay::choose()
 {
     const auto &states = m_context->endpoints->forModel(m_request.model);
@@ -172,6 +197,7 @@
     }
     AnswerReader reader(m_attemptId, mustStream, m_progress, *this);
     m_endpoint->requestStarted();
+    m_slot.reset();
     const AttemptResult result = runner->run(request, reader);
     m_endpoint->requestEnded();
     deadline->end();
--- a/tests/support/relaybench.cpp
+++ b/tests/support/relaybench.cpp
@@ -19,6 +19,14 @@
     return settings;
 }
 
+/// Bounds that no relay under test reaches.
+LoadControl::Options generousLoad()
+{
+    LoadControl::Options options;
+    options.retries.most = 1e9;
+    return options;
+}
+
 /// Addresses at which nothing listens: only cancels are ever sent there.
 std::shared_ptr<const Configuration> configurationOf(std::size_t endpoints)
 {
@@ -45,7 +53,8 @@
     : m_node(patientSettings())
     , m_metrics(m_node.metrics)
     , m_cancels(m_node.metrics, CancelTimeout)
-    , m_environment{m_node, m_watch, m_cancels, m_metrics, std::move(makeAttempt)}
+    , m_load(generousLoad(), m_node.metrics)
+    , m_environment{m_node, m_watch, m_cancels, m_metrics, m_load, std::move(makeAttempt)}
 {
     m_node.placer = std::make_unique<Placer>(PlacementRegistry::create("rendezvous"));
     m_node.endpoints.apply(configurationOf(endpoints));
--- a/tests/support/relaybench.h
+++ b/tests/support/relaybench.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/admission/loadcontrol.h"
 #include "almondmill/endpoint/attemptrunner.h"
 #include "almondmill/endpoint/cancelqueue.h"
 #include "almondmill/endpoint/deadlinewatch.h"
@@ -31,6 +32,7 @@
     RelayMetrics m_metrics;
     DeadlineWatch m_watch;
     CancelQueue m_cancels;
+    LoadControl m_load;
     RelayEnvironment m_environment;
 };
 
