Run the membership between real routers, and publish the view

Change: the fleet part ticks the membership ten times a second on one thread, sends its probes without waiting (one completion queue) and publishes the members by read-copy-update. Heartbeats carry the configuration's version, draining, requests in flight and (when a part offers them) endpoint rumours. A failed call of any kind to a peer has it probed out of turn.

--- a/include/almondmill/kernel/node.h
+++ b/include/almondmill/kernel/node.h
@@ -12,6 +12,7 @@
 
 class ConfigurationExchange;
 class ConfigurationPeers;
+class EndpointRumours;
 class MemberView;
 class ObjectStore;
 class OnceOnly;
@@ -44,6 +45,7 @@
     PlacementOwner *placementOwner = nullptr;         ///< Null unless the policy has owners.
     PlacementPeers *placementPeers = nullptr;         ///< Null without a fleet part.
     OnceOnly *onceOnly = nullptr;                     ///< Calls with a key that run at most once.
+    EndpointRumours *endpointRumours = nullptr;       ///< Null without a status part.
     const Parts *parts = nullptr;
 
     std::atomic<bool> draining{false};      ///< SIGTERM came or an operator asked to drain.
--- a/src/fleet/fleetpart.cpp
+++ b/src/fleet/fleetpart.cpp
@@ -2,21 +2,66 @@
 
 #include "grpcpeers.h"
 #include "peerlistener.h"
+#include "probesender.h"
 
+#include "almondmill/endpoint/endpointrumours.h"
 #include "almondmill/fleet/configurationexchange.h"
+#include "almondmill/kernel/log.h"
 #include "almondmill/kernel/node.h"
+#include "almondmill/kernel/randomid.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace almondmill {
 
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::milliseconds TickInterval{100};
+/// Longer than the time in which membership gives a probe up: a late answer is news as well.
+constexpr std::chrono::milliseconds ProbeCallTimeout{1500};
+
+MemberRumour ownRumour(const Node &node)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    MemberRumour self;
+    self.address = node.settings.peersListen;
+    self.dataCentre = node.settings.dataCentre;
+    self.incarnation = node.incarnation;
+    self.revision = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    return self;
+}
+
+const Member *find(const MemberView::Members &members, const std::string &address)
+{
+    const auto found = std::find_if(members.begin(), members.end(), [&](const Member &member) {
+        return member.address == address;
+    });
+    return found == members.end() ? nullptr : &*found;
+}
+
+} // namespace
+
 FleetPart::FleetPart(Node &node)
     : m_node(node)
-    , m_peers(std::make_unique<GrpcPeers>(node.metrics, [](const std::string &) {}))
+    , m_membership(ownRumour(node), MembershipOptions{}, node.incarnation,
+                   std::chrono::steady_clock::now())
+    , m_view(std::make_shared<const Members>(m_membership.view()))
+    , m_peers(std::make_unique<GrpcPeers>(node.metrics,
+                                          [this](const std::string &peer) { callFailed(peer); }))
+    , m_sender(std::make_unique<ProbeSender>(m_peers->channels(), node.metrics))
     , m_service(std::make_unique<PeerService>(node, *this, *m_peers))
 {
+    m_membership.addCandidates(node.settings.seeds);
+    node.members = this;
     node.configurationPeers = m_peers.get();
     node.placementPeers = m_peers.get();
+    node.metrics.setGauge("almondmill_members",
+                          [this] { return static_cast<double>(members()->size()); });
 }
 
 FleetPart::~FleetPart()
@@ -26,38 +71,155 @@
 
 void FleetPart::dump(nlohmann::json &object) const
 {
+    Json list = Json::array();
+    for (const Member &member : *members()) {
+        list.push_back({{"address", member.address},
+                        {"data_centre", member.dataCentre},
+                        {"incarnation", member.incarnation},
+                        {"config_version", member.configVersion},
+                        {"leaving", member.leaving}});
+    }
+    object["members"] = std::move(list);
     object["channels"] = m_peers->channels().size();
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    object["suspected"] = m_membership.suspectCount();
+    object["lost"] = m_membership.lostCount();
+}
+
+const std::string &FleetPart::self() const
+{
+    return m_node.settings.peersListen;
 }
 
 Heartbeat FleetPart::answerProbe(const Heartbeat &heartbeat, SteadyTime now)
 {
-    if (m_node.configurationExchange)
-        m_node.configurationExchange->heardVersion(heartbeat.sender, heartbeat.configVersion);
-    return ownHeartbeat(now);
+    learn(heartbeat, now);
+    Heartbeat answer;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        answer = m_membership.answer(heartbeat, now);
+    }
+    addEndpointRumours(answer, members()->size());
+    return answer;
 }
 
 Heartbeat FleetPart::ownHeartbeat(SteadyTime /*now*/)
 {
-    Heartbeat heartbeat;
-    heartbeat.sender = m_node.settings.peersListen;
-    heartbeat.dataCentre = m_node.settings.dataCentre;
-    heartbeat.incarnation = m_node.incarnation;
-    heartbeat.configVersion = m_node.endpoints.version();
-    heartbeat.inFlight = m_node.inFlight;
-    heartbeat.draining = m_node.draining;
-    return heartbeat;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_membership.heartbeat();
 }
 
 void FleetPart::start()
 {
     m_listener = std::make_unique<PeerListener>(m_node.settings.peersListen, *m_service);
+    m_thread = std::thread([this] { run(); });
 }
 
 void FleetPart::stop()
 {
+    m_stopping = true;
+    if (m_thread.joinable())
+        m_thread.join();
     m_listener.reset();
 }
 
+void FleetPart::run()
+{
+    auto nextTick = std::chrono::steady_clock::now();
+    while (!m_stopping) {
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= nextTick) {
+            nextTick = now + TickInterval;
+            tick(now);
+            publishView();
+        }
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(nextTick - now);
+        if (const auto result = m_sender->next(wait))
+            handle(*result, std::chrono::steady_clock::now());
+    }
+}
+
+void FleetPart::tick(SteadyTime now)
+{
+    std::vector<Probe> probes;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_membership.setOwnState(m_node.endpoints.version(), m_node.inFlight, m_node.draining);
+        if (m_node.endpointRumours && m_node.endpointRumours->urgent())
+            m_membership.requestPush();
+        probes = m_membership.tick(now);
+    }
+    const std::size_t memberCount = members()->size();
+    for (Probe &probe : probes) {
+        addEndpointRumours(probe.heartbeat, memberCount);
+        m_sender->send(probe, ProbeCallTimeout);
+    }
+}
+
+void FleetPart::handle(const ProbeResult &result, SteadyTime now)
+{
+    if (result.answered)
+        learn(result.heartbeat, now);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (result.answered)
+        m_membership.probeAnswered(result.id, result.heartbeat, result.reached, now);
+    else
+        m_membership.probeFailed(result.id, now);
+}
+
+void FleetPart::publishView()
+{
+    std::shared_ptr<const Members> next;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_publishedVersion == m_membership.viewVersion())
+            return;
+        m_publishedVersion = m_membership.viewVersion();
+        next = std::make_shared<const Members>(m_membership.view());
+    }
+    logChanges(*members(), *next);
+    m_view.publish(std::move(next));
+}
+
+void FleetPart::learn(const Heartbeat &heartbeat, SteadyTime now)
+{
+    if (m_node.configurationExchange)
+        m_node.configurationExchange->heardVersion(heartbeat.sender, heartbeat.configVersion);
+    if (m_node.endpointRumours && !heartbeat.endpoints.empty())
+        m_node.endpointRumours->apply(heartbeat.endpoints, now);
+}
+
+void FleetPart::addEndpointRumours(Heartbeat &heartbeat, std::size_t members)
+{
+    if (!m_node.endpointRumours)
+        return;
+    heartbeat.endpoints = heartbeat.wholeView ? m_node.endpointRumours->all()
+                                              : m_node.endpointRumours->take(members);
+}
+
+void FleetPart::callFailed(const std::string &peer)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_membership.callFailed(peer);
+}
+
+void FleetPart::logChanges(const Members &before, const Members &after) const
+{
+    for (const Member &member : after) {
+        const Member *earlier = find(before, member.address);
+        if (!earlier || earlier->incarnation != member.incarnation)
+            log(LogLevel::Info, "fleet", "Member " + member.address + " is live.");
+        else if (!earlier->leaving && member.leaving)
+            log(LogLevel::Info, "fleet", "Member " + member.address + " is leaving.");
+    }
+    for (const Member &member : before) {
+        if (find(after, member.address))
+            continue;
+        log(LogLevel::Warning, "fleet", "Member " + member.address + " is lost.");
+        m_node.metrics.counter("almondmill_members_lost_total").add();
+    }
+}
+
 namespace {
 
 const PartRegistry::Registrar FleetRegistrar("fleet", [](Node &node) {
