Keep members that only others suspect in the probing ring, so that they can refute

Change: only a member that this router's own probes could not reach leaves the ring before it is held dead.

--- a/include/almondmill/fleet/membership.h
+++ b/include/almondmill/fleet/membership.h
@@ -75,6 +75,13 @@
 private:
     struct Entry
     {
+        /// A member that only others suspect stays in the ring: it may yet refute.
+        bool worthProbing() const
+        {
+            return rumour.state == MemberState::Alive
+                   || (rumour.state == MemberState::Suspect && !suspectedHere);
+        }
+
         MemberRumour rumour;
         SteadyTime since;           ///< When it became suspect or dead.
         bool suspectedHere = false; ///< This router's own probes got no answer.
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -118,7 +118,7 @@
 {
     std::vector<std::string> alive;
     for (const auto &[address, entry] : m_entries) {
-        if (entry.rumour.state == MemberState::Alive && address != except)
+        if (entry.worthProbing() && address != except)
             alive.push_back(address);
     }
     std::shuffle(alive.begin(), alive.end(), m_random);
@@ -149,7 +149,7 @@
 {
     std::vector<std::string> ring;
     for (const auto &[address, entry] : m_entries) {
-        if (entry.rumour.state == MemberState::Alive)
+        if (entry.worthProbing())
             ring.push_back(address);
     }
     const std::uint64_t origin = hash64(m_self.address);
--- a/src/fleet/membershipprobes.cpp
+++ b/src/fleet/membershipprobes.cpp
@@ -133,8 +133,7 @@
         const std::string target = *m_urgentTargets.begin();
         m_urgentTargets.erase(m_urgentTargets.begin());
         const auto found = m_entries.find(target);
-        if (found == m_entries.end() || found->second.rumour.state != MemberState::Alive
-            || isProbed(target))
+        if (found == m_entries.end() || !found->second.worthProbing() || isProbed(target))
             continue;
         probes.push_back(makeProbe(target, now, false));
         ++sent;
@@ -305,11 +304,15 @@
 void Membership::suspect(const std::string &target, SteadyTime now)
 {
     const auto found = m_entries.find(target);
-    if (found == m_entries.end() || found->second.rumour.state != MemberState::Alive)
+    if (found == m_entries.end() || !found->second.worthProbing())
         return;
-    setState(found->second, MemberState::Suspect, now);
-    found->second.suspectedHere = true;
-    announce(target);
+    Entry &entry = found->second;
+    const bool isNews = entry.rumour.state == MemberState::Alive;
+    setState(entry, MemberState::Suspect, now);
+    entry.suspectedHere = true;
+    ++m_viewVersion;
+    if (isNews)
+        announce(target);
 }
 
 } // namespace almondmill
