Show the membership cases red on the naive ways

Cause: two cases could not fail: the one-way cut was between routers that do not probe each other, and a wrong death was healed within the same step of the fake network, before it was counted. Change: the cut is on a link that is probed; deaths are counted before the step's probes are delivered; a case of a suspicion that its holder carries through a freeze.

--- a/tests/support/fakefleet.cpp
+++ b/tests/support/fakefleet.cpp
@@ -70,7 +70,9 @@
     for (std::size_t i = 0; i < size(); ++i) {
         if (!m_nodes[i].running)
             continue;
-        for (const Probe &probe : m_nodes[i].membership->tick(m_now))
+        const auto probes = m_nodes[i].membership->tick(m_now);
+        countWrongDeaths();
+        for (const Probe &probe : probes)
             deliver(i, probe);
     }
     countWrongDeaths();
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -57,6 +57,20 @@
     EXPECT_EQ(fleet.wrongDeaths(), 0U) << "the resumed router or another dropped a live one";
 }
 
+TEST(Membership, BlamesNoOtherForTheTimeItWasFrozen)
+{
+    FakeFleet fleet = joinedFleet(14);
+    fleet.pause(6);
+    fleet.run(4s);
+    ASSERT_GT(fleet.membership(5).suspectCount(), 0U);
+    fleet.pause(5);
+    fleet.resume(6);
+    fleet.run(60s);
+    fleet.resume(5);
+    EXPECT_TRUE(fleet.runUntilConverged(OutWithin));
+    EXPECT_EQ(fleet.wrongDeaths(), 0U) << "a suspicion ran out while its holder was frozen";
+}
+
 TEST(Membership, TakesARestartAtTheSameAddressAsANewIncarnation)
 {
     FakeFleet fleet = joinedFleet(14);
@@ -92,7 +106,10 @@
 TEST(Membership, KeepsAMemberThatOneOtherCantReach)
 {
     FakeFleet fleet = joinedFleet(8);
-    fleet.setLink([](std::size_t from, std::size_t to) { return from != 2 || to != 3; });
+    const std::string target = fleet.membership(2).ringTargets().front();
+    fleet.setLink([target](std::size_t from, std::size_t to) {
+        return from != 2 || FakeFleet::address(to) != target;
+    });
     fleet.run(120s);
     EXPECT_TRUE(fleet.converged());
     EXPECT_EQ(fleet.wrongDeaths(), 0U);
