--- a/include/almondmill/config/configurationsync.h
+++ b/include/almondmill/config/configurationsync.h
@@ -55,6 +55,8 @@
     std::vector<Member> members() const;
     std::size_t fleetSize() const;
     std::chrono::milliseconds jittered(std::chrono::milliseconds mean);
+    std::chrono::milliseconds uniform(std::chrono::milliseconds least,
+                                      std::chrono::milliseconds most);
     void setNextOwnRead(SteadyTime now);
     std::chrono::milliseconds readFirst(SteadyTime now);
     void watchRoot(SteadyTime now);
@@ -66,9 +68,9 @@
     std::vector<std::string> newerPeers();
     void pullFrom(const std::vector<std::string> &peers, SteadyTime now);
     void pull(const std::string &peer, SteadyTime now);
-    std::vector<Member> pushReceivers() const;
     void pushNews();
-    void push(const Member &member);
+    std::vector<Member> pushTo(std::vector<Member> receivers);
+    bool push(const Member &member);
     void noteAcceptance(Acceptance acceptance, bool fromStore);
 
     Node &m_node;
--- a/src/config/configurationsync.cpp
+++ b/src/config/configurationsync.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds IdleStep{500};
 constexpr milliseconds PeerStepInterval{200};
 constexpr milliseconds PeerTimeout{500};
-constexpr milliseconds OwnReadPerMember{500}; ///< The whole fleet reads the root twice a second.
+constexpr milliseconds OwnReadPerMember{250}; ///< The whole fleet reads four times a second.
 constexpr milliseconds LeastOwnRead{2000};
 constexpr std::size_t MostFirstPeers = 3;
 constexpr std::size_t MostParallelPushes = 4;
@@ -118,16 +118,22 @@
 
 /// From half of `mean` to one and a half.
 milliseconds ConfigurationSync::jittered(milliseconds mean)
+{
+    return uniform(mean / 2, mean * 3 / 2);
+}
+
+milliseconds ConfigurationSync::uniform(milliseconds least, milliseconds most)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    std::uniform_int_distribution<milliseconds::rep> spread(mean.count() / 2, mean.count() * 3 / 2);
+    std::uniform_int_distribution<milliseconds::rep> spread(least.count(), most.count());
     return milliseconds(spread(m_random));
 }
 
+/// From zero to twice the mean, so that the reads of routers that started together spread at once.
 void ConfigurationSync::setNextOwnRead(SteadyTime now)
 {
     const auto mean = OwnReadPerMember * static_cast<milliseconds::rep>(fleetSize());
-    m_nextOwnRead = now + jittered(std::max(LeastOwnRead, mean));
+    m_nextOwnRead = now + uniform(milliseconds(0), std::max(LeastOwnRead, mean) * 2);
 }
 
 milliseconds ConfigurationSync::readFirst(SteadyTime now)
@@ -271,49 +277,60 @@
 }
 
 /// Watchers tell their share of the data centre. Another router that read news itself tells the
-/// watchers of its data centre, who do the rest.
-std::vector<Member> ConfigurationSync::pushReceivers() const
+/// watchers of its data centre, and the share of each that gives no answer.
+void ConfigurationSync::pushNews()
 {
-    const auto all = members();
-    if (all.empty())
-        return {};
-    const std::string &self = m_node.members->self();
+    if (!m_hasNews.exchange(false) || !m_node.members)
+        return;
+    const auto all = m_node.members->members();
     const std::string &dataCentre = m_node.settings.dataCentre;
-    if (isWatcher())
-        return pushTargets(self, dataCentre, all);
-    std::vector<Member> receivers;
-    const auto watchers = watchersOf(dataCentre, all);
-    for (const Member &member : all) {
-        const bool watches =
-                std::find(watchers.begin(), watchers.end(), member.address) != watchers.end();
-        if (m_newsFromStore && watches)
-            receivers.push_back(member);
+    if (isWatcher()) {
+        pushTo(pushTargets(m_node.members->self(), dataCentre, *all));
+        return;
     }
-    return receivers;
+    if (!m_newsFromStore)
+        return;
+    const auto addresses = watchersOf(dataCentre, *all);
+    std::vector<Member> watchers;
+    for (const Member &member : *all) {
+        if (std::find(addresses.begin(), addresses.end(), member.address) != addresses.end())
+            watchers.push_back(member);
+    }
+    for (const Member &silent : pushTo(watchers))
+        pushTo(pushTargets(silent.address, dataCentre, *all));
 }
 
-void ConfigurationSync::pushNews()
+/// Returns those that gave no answer.
+std::vector<Member> ConfigurationSync::pushTo(std::vector<Member> receivers)
 {
-    if (!m_hasNews.exchange(false))
-        return;
-    auto receivers = pushReceivers();
     const std::uint64_t version = m_inForce.version();
-    std::erase_if(receivers, [&](const Member &member) { return member.configVersion >= version; });
-    forEachInParallel(receivers, MostParallelPushes, [&](const Member &member) { push(member); });
+    std::erase_if(receivers, [&](const Member &member) {
+        return member.configVersion >= version || member.address == m_node.settings.peersListen;
+    });
+    std::mutex mutex;
+    std::vector<Member> silent;
+    forEachInParallel(receivers, MostParallelPushes, [&](const Member &member) {
+        if (push(member))
+            return;
+        const std::lock_guard<std::mutex> lock(mutex);
+        silent.push_back(member);
+    });
+    return silent;
 }
 
 /// Pushes what the member lacks by what was last heard of it, or else only the newest change; then
-/// once more by its answer, when it turns out to have less.
-void ConfigurationSync::push(const Member &member)
+/// once more by its answer, when it turns out to have less. Returns whether it answered.
+bool ConfigurationSync::push(const Member &member)
 {
     const std::uint64_t version = m_inForce.version();
     const std::uint64_t assumed = member.configVersion != 0 ? member.configVersion : version - 1;
     const auto offer = m_inForce.offer(assumed);
     if (offer.version == 0)
-        return;
+        return true;
     const auto answer = m_node.configurationPeers->push(member.address, offer, PeerTimeout);
     if (answer && *answer < assumed)
         m_node.configurationPeers->push(member.address, m_inForce.offer(*answer), PeerTimeout);
+    return answer.has_value();
 }
 
 void ConfigurationSync::noteAcceptance(Acceptance acceptance, bool fromStore)
