--- a/include/almondmill/config/configurationstore.h
+++ b/include/almondmill/config/configurationstore.h
@@ -23,6 +23,7 @@
 struct LoadedConfiguration
 {
     std::shared_ptr<const Configuration> configuration;
+    std::string submitter; ///< Who submitted it.
 };
 
 /// Nothing was accepted yet.
--- a/src/config/configurationcodec.cpp
+++ b/src/config/configurationcodec.cpp
@@ -35,12 +35,12 @@
 
 } // namespace
 
-void to_json(Json &json, const DataCentre &dataCentre)
+static void to_json(Json &json, const DataCentre &dataCentre)
 {
     json = {{"name", dataCentre.name}, {"region", dataCentre.region}};
 }
 
-void to_json(Json &json, const Model &model)
+static void to_json(Json &json, const Model &model)
 {
     json = {{"name", model.name},
             {"weights", model.weights},
@@ -49,14 +49,14 @@
             {"maxInFlight", model.maxInFlight}};
 }
 
-void to_json(Json &json, const Service &service)
+static void to_json(Json &json, const Service &service)
 {
     json = {{"name", service.name},
             {"pathPrefix", service.pathPrefix},
             {"notRepeatable", service.notRepeatable}};
 }
 
-void to_json(Json &json, const Endpoint &endpoint)
+static void to_json(Json &json, const Endpoint &endpoint)
 {
     json = {{"name", endpoint.name},
             {"address", endpoint.address},
@@ -67,7 +67,7 @@
             {"leaving", endpoint.leaving}};
 }
 
-void to_json(Json &json, const ClientAccount &account)
+static void to_json(Json &json, const ClientAccount &account)
 {
     json = {{"name", account.name},
             {"keySha256", account.keySha256},
--- a/src/config/configurationstore.cpp
+++ b/src/config/configurationstore.cpp
@@ -89,7 +89,8 @@
     auto configuration = buildConfiguration(stored->root, m_cache, findings);
     if (!configuration)
         return LoadFailure{findings.text()};
-    return LoadedConfiguration{std::move(configuration)};
+    const SubmissionRecord *record = stored->root.recordOf(stored->root.version);
+    return LoadedConfiguration{std::move(configuration), record ? record->submitter : "unknown"};
 }
 
 UpdateResult ConfigurationStore::submit(const Inventory &inventory, const Rules &rules,
--- a/src/config/submission.cpp
+++ b/src/config/submission.cpp
@@ -114,6 +114,10 @@
         if (const auto *refused = std::get_if<NotApplied>(&result))
             return *refused;
         reason = std::get<OutcomeUnknown>(result).reason;
+        const auto stands = m_store.read(PartPrefix + name, m_timeout);
+        const auto *object = std::get_if<StoredObject>(&stands);
+        if (object && object->value == content)
+            return Applied{object->version};
     }
     return NotApplied{"part " + name + ": " + reason};
 }
--- /dev/null
+++ b/tests/failure-restart.cpp
@@ -0,0 +1,83 @@
+#include "support/routerprocess.h"
+#include "support/site.h"
+#include "support/waituntil.h"
+
+#include <gtest/gtest.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace almondmill::test {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json dumpOf(const RouterProcess &router)
+{
+    httplib::Client client(router.operatorsUrl());
+    const auto result = client.Get("/dump");
+    return result ? Json::parse(result->body) : Json::object();
+}
+
+bool waitForVersion(const RouterProcess &router, std::uint64_t version)
+{
+    return waitUntil([&] { return dumpOf(router).value("config_version", 0U) == version; });
+}
+
+} // namespace
+
+TEST(Restart, ASubmittedChangeIsInForceAtThreeRouters)
+{
+    Site site(1, 0);
+    const std::array<RouterProcess, 3> routers{RouterProcess(site.platformUrl()),
+                                               RouterProcess(site.platformUrl()),
+                                               RouterProcess(site.platformUrl())};
+    for (const RouterProcess &router : routers)
+        ASSERT_TRUE(waitForVersion(router, 1));
+    site.rules().clientAccounts.front().maxConcurrent = 7;
+    const std::uint64_t version = site.submit();
+    for (const RouterProcess &router : routers)
+        EXPECT_TRUE(waitForVersion(router, version));
+}
+
+TEST(Restart, WithPlatformAndPeersGoneARouterSaysWhyAndServesAtTheFirstAnswer)
+{
+    Site site(1, 0);
+    site.platform().setFault(standin::FaultMode::Outage);
+    const RouterProcess router(site.platformUrl());
+    httplib::Client operators(router.operatorsUrl());
+    ASSERT_TRUE(waitUntil([&] {
+        const auto ready = operators.Get("/readyz");
+        return ready && ready->status == 503;
+    }));
+    EXPECT_TRUE(waitUntil([&] {
+        const Json dump = dumpOf(router);
+        return dump["parts"]["configuration"].value("platform_answer", "") == "status 503";
+    }));
+    site.platform().setFault(standin::FaultMode::None);
+    EXPECT_TRUE(router.waitUntilReady());
+    httplib::Client caller(router.callersUrl());
+    caller.set_bearer_token_auth(ApiKey);
+    const auto answer =
+            caller.Post("/v1/completions", R"({"model":"reed","prompt":"voicing","max_tokens":2})",
+                        "application/json");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+}
+
+TEST(Restart, ARouterThatWasFrozenTakesUpTheNewestVersion)
+{
+    Site site(1, 0);
+    RouterProcess router(site.platformUrl());
+    ASSERT_TRUE(waitForVersion(router, 1));
+    router.process().signal(SIGSTOP);
+    site.rules().clientAccounts.front().maxConcurrent = 7;
+    site.submit();
+    const std::uint64_t version = site.submit();
+    router.process().signal(SIGCONT);
+    EXPECT_TRUE(waitForVersion(router, version));
+}
+
+} // namespace almondmill::test
