Take configurations larger than one message, and entries without newer keys

Cause: an offer of all parts is 2.5 MB at 14,000 accounts, and a message between routers holds 4 MB; a router that is newer than the stored configuration refused it for a missing key. Change: an offer is bounded to 2 MB and who lacks parts asks again; absent keys keep their defaults. Tests: AConfigurationLargerThanOneMessageIsPulledInSeveral, WithThePlatformDownARouterStartsFromAPeer (real processes).

--- a/include/almondmill/config/configurationinforce.h
+++ b/include/almondmill/config/configurationinforce.h
@@ -40,7 +40,8 @@
     PartCache &cache() { return m_cache; }
 
     /// The version in force, without the parts that a router with `haveVersion` in force has and
-    /// those in `haveParts`; version zero unless it is newer than `haveVersion`.
+    /// those in `haveParts`; version zero unless it is newer than `haveVersion`. Parts beyond the
+    /// bound of one message are left out: who lacks them asks again.
     ConfigurationOffer offer(std::uint64_t haveVersion,
                              const std::vector<std::string> &haveParts = {}) const;
 
--- a/include/almondmill/config/partcache.h
+++ b/include/almondmill/config/partcache.h
@@ -18,6 +18,9 @@
     /// The content, or null. Constant cost.
     Content find(const std::string &name) const;
 
+    /// Names of all parts that are here.
+    std::vector<std::string> names() const;
+
     /// Those of `names` that are not here.
     std::vector<std::string> missing(const std::vector<std::string> &names) const;
 
--- a/src/config/configurationcodec.cpp
+++ b/src/config/configurationcodec.cpp
@@ -24,13 +24,24 @@
     throw Error("config.301", "stored configuration: unknown priority");
 }
 
-/// A whole number that fits; JSON conversions would wrap it silently.
-std::uint32_t number(const Json &json, const char *key)
+/// Sets `value` when the key is there: an older router wrote no keys that are newer than it. Whole
+/// numbers must fit, as JSON conversions would wrap them silently.
+void read(const Json &json, const char *key, std::uint32_t &value)
 {
-    const Json &value = json.at(key);
-    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > UINT32_MAX)
+    const auto found = json.find(key);
+    if (found == json.end())
+        return;
+    if (!found->is_number_unsigned() || found->get<std::uint64_t>() > UINT32_MAX)
         throw Error("config.301", std::string("stored configuration: bad number at ") + key);
-    return value.get<std::uint32_t>();
+    value = found->get<std::uint32_t>();
+}
+
+template<typename Value>
+void read(const Json &json, const char *key, Value &value)
+{
+    const auto found = json.find(key);
+    if (found != json.end())
+        found->get_to(value);
 }
 
 } // namespace
@@ -79,39 +90,45 @@
 
 static void from_json(const Json &json, DataCentre &dataCentre)
 {
-    dataCentre = {json.at("name"), json.at("region")};
+    json.at("name").get_to(dataCentre.name);
+    read(json, "region", dataCentre.region);
 }
 
 static void from_json(const Json &json, Model &model)
 {
-    model = {json.at("name"), json.at("weights"), number(json, "blockTokens"),
-             number(json, "maxConcurrentLoads"), number(json, "maxInFlight")};
+    json.at("name").get_to(model.name);
+    read(json, "weights", model.weights);
+    read(json, "blockTokens", model.blockTokens);
+    read(json, "maxConcurrentLoads", model.maxConcurrentLoads);
+    read(json, "maxInFlight", model.maxInFlight);
 }
 
 static void from_json(const Json &json, Service &service)
 {
-    service = {json.at("name"), json.at("pathPrefix"), json.at("notRepeatable")};
+    json.at("name").get_to(service.name);
+    read(json, "pathPrefix", service.pathPrefix);
+    read(json, "notRepeatable", service.notRepeatable);
 }
 
 static void from_json(const Json &json, Endpoint &endpoint)
 {
-    endpoint.name = json.at("name");
-    endpoint.address = json.at("address");
-    endpoint.dataCentre = json.at("dataCentre");
-    endpoint.model = json.at("model");
-    endpoint.service = json.at("service");
-    endpoint.checksFencing = json.at("checksFencing");
-    endpoint.leaving = json.at("leaving");
+    json.at("name").get_to(endpoint.name);
+    read(json, "address", endpoint.address);
+    read(json, "dataCentre", endpoint.dataCentre);
+    read(json, "model", endpoint.model);
+    read(json, "service", endpoint.service);
+    read(json, "checksFencing", endpoint.checksFencing);
+    read(json, "leaving", endpoint.leaving);
 }
 
 static void from_json(const Json &json, ClientAccount &account)
 {
-    account.name = json.at("name");
-    account.keySha256 = json.at("keySha256");
-    account.maxConcurrent = number(json, "maxConcurrent");
-    account.promptTokensPerSecond = number(json, "promptTokensPerSecond");
-    account.share = number(json, "share");
-    account.priority = priorityFromName(json.at("priority"));
+    json.at("name").get_to(account.name);
+    read(json, "keySha256", account.keySha256);
+    read(json, "maxConcurrent", account.maxConcurrent);
+    read(json, "promptTokensPerSecond", account.promptTokensPerSecond);
+    read(json, "share", account.share);
+    account.priority = priorityFromName(json.value("priority", priorityName(account.priority)));
 }
 
 std::string encodeEntries(const Inventory &inventory, const Rules &rules)
--- a/src/config/configurationinforce.cpp
+++ b/src/config/configurationinforce.cpp
@@ -16,6 +16,7 @@
 constexpr const char *RefusedMetric = "almondmill_config_refused_total";
 constexpr const char *AppliedMetric = "almondmill_config_applied_total";
 constexpr std::size_t MostFindingsShown = 20;
+constexpr std::size_t MostOfferBytes = 2U << 20U; ///< Half of what one message may hold.
 
 } // namespace
 
@@ -41,12 +42,16 @@
     offer.version = m_current.root.version;
     offer.storeVersion = m_current.storeVersion;
     offer.root = m_current.text;
+    std::size_t bytes = 0;
     const absl::flat_hash_set<std::string> known(haveParts.begin(), haveParts.end());
     for (const std::string &name : m_current.root.parts) {
         if (partVersion(name) <= haveVersion || known.contains(name))
             continue;
-        if (const auto content = m_cache.find(name))
-            offer.parts.push_back({name, *content});
+        const auto content = m_cache.find(name);
+        if (!content || bytes + content->size() > MostOfferBytes)
+            continue;
+        bytes += content->size();
+        offer.parts.push_back({name, *content});
     }
     return offer;
 }
--- a/src/config/configurationsync.cpp
+++ b/src/config/configurationsync.cpp
@@ -260,20 +260,32 @@
     forEachInParallel(peers, MostFirstPeers, [&](const std::string &peer) { pull(peer, now); });
 }
 
+/// Asks for what changed since the version in force here. Where parts are missing all the same, as
+/// an offer is bounded, asks again for those that are not here, as long as new ones come.
 void ConfigurationSync::pull(const std::string &peer, SteadyTime now)
 {
-    auto offer = m_node.configurationPeers->pull(peer, m_inForce.version(), {}, PeerTimeout);
-    Acceptance acceptance = Acceptance::NotNewer;
-    if (offer && offer->version != 0)
+    std::uint64_t haveVersion = m_inForce.version();
+    std::vector<std::string> haveParts;
+    Acceptance acceptance = Acceptance::Incomplete;
+    std::string answer = "no answer";
+    while (acceptance == Acceptance::Incomplete) {
+        const auto offer =
+                m_node.configurationPeers->pull(peer, haveVersion, haveParts, PeerTimeout);
+        if (!offer)
+            break;
+        answer = found(offer->version);
+        if (offer->version == 0)
+            break;
         acceptance = m_inForce.accept(*offer, peer, now);
-    if (acceptance == Acceptance::Incomplete) {
-        offer = m_node.configurationPeers->pull(peer, 0, {}, PeerTimeout);
-        if (offer && offer->version != 0)
-            acceptance = m_inForce.accept(*offer, peer, now);
+        haveVersion = 0;
+        auto known = m_inForce.cache().names();
+        if (known.size() <= haveParts.size())
+            break;
+        haveParts = std::move(known);
     }
     noteAcceptance(acceptance, false);
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_peerAnswer = peer + ": " + (offer ? found(offer->version) : "no answer");
+    m_peerAnswer = peer + ": " + answer;
 }
 
 /// Watchers tell their share of the data centre. Another router that read news itself tells the
--- a/src/config/partcache.cpp
+++ b/src/config/partcache.cpp
@@ -11,6 +11,15 @@
     return found == m_parts.end() ? nullptr : found->second;
 }
 
+std::vector<std::string> PartCache::names() const
+{
+    std::vector<std::string> result;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto &[name, content] : m_parts)
+        result.push_back(name);
+    return result;
+}
+
 std::vector<std::string> PartCache::missing(const std::vector<std::string> &names) const
 {
     std::vector<std::string> result;
--- a/src/config/tomlwriter.cpp
+++ b/src/config/tomlwriter.cpp
@@ -14,7 +14,8 @@
     return toml::table{{"name", model.name},
                        {"weights", model.weights},
                        {"block_tokens", model.blockTokens},
-                       {"max_concurrent_loads", model.maxConcurrentLoads}};
+                       {"max_concurrent_loads", model.maxConcurrentLoads},
+                       {"max_in_flight", model.maxInFlight}};
 }
 
 toml::table entryTable(const Service &service)
--- a/tests/failure-restart.cpp
+++ b/tests/failure-restart.cpp
@@ -14,6 +14,8 @@
 
 using Json = nlohmann::json;
 
+constexpr int StatusOk = 200;
+
 Json dumpOf(const RouterProcess &router)
 {
     httplib::Client client(router.operatorsUrl());
@@ -21,6 +23,17 @@
     return result ? Json::parse(result->body) : Json::object();
 }
 
+/// Status of a completion asked of the router.
+int complete(const RouterProcess &router)
+{
+    httplib::Client caller(router.callersUrl());
+    caller.set_bearer_token_auth(ApiKey);
+    const auto answer =
+            caller.Post("/v1/completions", R"({"model":"reed","prompt":"voicing","max_tokens":2})",
+                        "application/json");
+    return answer ? answer->status : 0;
+}
+
 bool waitForVersion(const RouterProcess &router, std::uint64_t version)
 {
     return waitUntil([&] { return dumpOf(router).value("config_version", 0U) == version; });
@@ -58,13 +71,20 @@
     }));
     site.platform().setFault(standin::FaultMode::None);
     EXPECT_TRUE(router.waitUntilReady());
-    httplib::Client caller(router.callersUrl());
-    caller.set_bearer_token_auth(ApiKey);
-    const auto answer =
-            caller.Post("/v1/completions", R"({"model":"reed","prompt":"voicing","max_tokens":2})",
-                        "application/json");
-    ASSERT_TRUE(answer);
-    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(complete(router), StatusOk);
+}
+
+TEST(Restart, WithThePlatformDownARouterStartsFromAPeer)
+{
+    Site site(1, 0);
+    const RouterProcess peer(site.platformUrl());
+    ASSERT_TRUE(waitForVersion(peer, 1));
+    RouterProcess router(site.platformUrl(), {}, {peer.peersAddress()});
+    ASSERT_TRUE(waitForVersion(router, 1));
+    site.platform().setFault(standin::FaultMode::Outage);
+    router.restart();
+    ASSERT_TRUE(router.waitUntilReady());
+    EXPECT_EQ(complete(router), StatusOk);
 }
 
 TEST(Restart, ARouterThatWasFrozenTakesUpTheNewestVersion)
--- a/tests/unit-configurationsync.cpp
+++ b/tests/unit-configurationsync.cpp
@@ -103,6 +103,21 @@
     EXPECT_EQ(fleet.version(1), 1U);
 }
 
+TEST(ConfigurationSync, AConfigurationLargerThanOneMessageIsPulledInSeveral)
+{
+    constexpr std::size_t Accounts = 28000;
+    ConfigurationFleet fleet(2);
+    ConfigurationStore store(fleet.store().inner(), Timeout);
+    store.submit(makeInventory(4), makeRules(Accounts), 0);
+    fleet.run(seconds(3));
+    ASSERT_TRUE(fleet.allHave(1));
+    fleet.store().setOutage(true);
+    fleet.restart(1);
+    fleet.refreshView();
+    fleet.peerStep(1);
+    EXPECT_EQ(fleet.version(1), 1U);
+}
+
 TEST(ConfigurationSync, WithoutPeersAndPlatformItSaysWhyItWaits)
 {
     ConfigurationFleet fleet(1);
