--- /dev/null
+++ b/tests/unit-callerstream.cpp
@@ -0,0 +1,107 @@
+#include "almondmill/request/callerstream.h"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace almondmill {
+
+namespace {
+
+constexpr std::chrono::milliseconds ShortTime{30};
+
+/// Both ends of a connection; the stream has the first.
+class CallerStreamTest : public testing::Test
+{
+protected:
+    CallerStreamTest()
+    {
+        socketpair(AF_UNIX, SOCK_STREAM, 0, m_ends.data());
+        m_limits.headBytes = 10;
+        m_limits.bodyBytes = 20;
+        m_limits.headTime = ShortTime;
+        m_limits.writeTime = ShortTime;
+    }
+
+    ~CallerStreamTest() override
+    {
+        close(m_ends[0]);
+        if (m_ends[1] >= 0)
+            close(m_ends[1]);
+    }
+
+    void sendAsCaller(const std::string &text) const
+    {
+        ASSERT_EQ(send(m_ends[1], text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
+    }
+
+    void closeAsCaller()
+    {
+        close(m_ends[1]);
+        m_ends[1] = -1;
+    }
+
+    static std::string readAll(CallerStream &stream)
+    {
+        std::string text;
+        char byte = 0;
+        while (stream.read(&byte, 1) == 1)
+            text += byte;
+        return text;
+    }
+
+    std::array<int, 2> m_ends{-1, -1};
+    CallerLimits m_limits;
+};
+
+} // namespace
+
+TEST_F(CallerStreamTest, GivesUpOnACallerThatIsSlowWithItsHead)
+{
+    CallerStream stream(m_ends[0], m_limits);
+    stream.beginHead(std::chrono::steady_clock::now());
+    sendAsCaller("GET");
+    EXPECT_EQ(readAll(stream), "GET");
+    EXPECT_EQ(stream.failure(), CallerStream::Failure::TooSlow);
+}
+
+TEST_F(CallerStreamTest, ReadsNoMoreOfAHeadThanItsLimit)
+{
+    CallerStream stream(m_ends[0], m_limits);
+    stream.beginHead(std::chrono::steady_clock::now());
+    sendAsCaller(std::string(50, 'x'));
+    EXPECT_EQ(readAll(stream).size(), m_limits.headBytes);
+    EXPECT_EQ(stream.failure(), CallerStream::Failure::HeadTooLarge);
+}
+
+TEST_F(CallerStreamTest, TellsThatTheCallerWentAway)
+{
+    const CallerStream stream(m_ends[0], m_limits);
+    EXPECT_FALSE(stream.callerGone());
+    closeAsCaller();
+    EXPECT_TRUE(stream.callerGone());
+}
+
+TEST_F(CallerStreamTest, GivesUpOnACallerThatTakesNothing)
+{
+    CallerStream stream(m_ends[0], m_limits);
+    const std::string block(1U << 16U, 'x');
+    ssize_t written = 1;
+    for (int i = 0; i < 1000 && written > 0; ++i)
+        written = stream.write(block.data(), block.size());
+    EXPECT_EQ(written, -1);
+}
+
+TEST_F(CallerStreamTest, IsTheThreadsCurrentOneWhileItLives)
+{
+    EXPECT_EQ(CallerStream::current(), nullptr);
+    {
+        const CallerStream stream(m_ends[0], m_limits);
+        EXPECT_EQ(CallerStream::current(), &stream);
+    }
+    EXPECT_EQ(CallerStream::current(), nullptr);
+}
+
+} // namespace almondmill
