--- a/standins/platformserver.cpp
+++ b/standins/platformserver.cpp
@@ -163,6 +163,7 @@
 
 bool PlatformServer::failsBefore(httplib::Response &response)
 {
+    ++m_calls;
     switch (m_fault.load()) {
     case FaultMode::Outage:
         response.status = 503;
--- a/standins/platformserver.h
+++ b/standins/platformserver.h
@@ -31,6 +31,9 @@
     int port() const { return m_port; }
     MemoryStore &store() { return m_store; }
 
+    /// Calls that came in, whatever became of them; a waiting watch is one.
+    std::uint64_t calls() const { return m_calls; }
+
     void setFault(FaultMode mode, std::chrono::milliseconds delay = {});
     void setVms(std::vector<Vm> vms);
 
@@ -43,6 +46,7 @@
     void waitOutSilence() const;
 
     MemoryStore m_store;
+    std::atomic<std::uint64_t> m_calls{0};
     std::atomic<FaultMode> m_fault{FaultMode::None};
     std::atomic<std::int64_t> m_delayMs{0};
     std::atomic<bool> m_stopping{false};
