Start servers' threads when there is work for them

Cause: with tests of six checkouts at once, 6 of 146 tests aborted: the stand-ins' pools started 1,200, 400 and 200 threads each at once, and the machine allows 32,768 threads in all. A router too started 1,000 threads for callers before the first came.

--- a/src/request/callerserver.cpp
+++ b/src/request/callerserver.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/request/callerserver.h"
 
+#include "almondmill/kernel/growingpool.h"
 #include "almondmill/request/callerstream.h"
 
 #include <linux/filter.h>
@@ -78,8 +79,8 @@
     }
 
     CallerServer &m_server;
-    httplib::ThreadPool m_serving;
-    httplib::ThreadPool m_refusing;
+    GrowingPool m_serving;
+    GrowingPool m_refusing;
 };
 
 CallerServer::CallerServer(const CallerLimits &limits, std::size_t threads,
--- a/src/request/operatorfront.cpp
+++ b/src/request/operatorfront.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/request/operatorfront.h"
 
+#include "almondmill/kernel/growingpool.h"
 #include "almondmill/kernel/httplisten.h"
 #include "almondmill/kernel/node.h"
 #include "almondmill/kernel/parts.h"
@@ -32,7 +33,7 @@
     : m_node(node)
     , m_server(std::make_unique<httplib::Server>())
 {
-    m_server->new_task_queue = [] { return new httplib::ThreadPool(OperatorThreads); };
+    m_server->new_task_queue = [] { return new GrowingPool(OperatorThreads); };
     m_server->Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
         response.set_content("ok\n", "text/plain");
     });
