--- a/include/almondmill/endpoint/endpointrumours.h
+++ b/include/almondmill/endpoint/endpointrumours.h
@@ -8,6 +8,8 @@
 
 namespace almondmill {
 
+struct Vm;
+
 /// What is told and heard of endpoints with heartbeats. Safe to call from several threads; does not
 /// block for long.
 class EndpointRumours
@@ -26,6 +28,9 @@
 
     /// Takes in what another router told.
     virtual void apply(const std::vector<EndpointRumour> &rumours, SteadyTime now) = 0;
+
+    /// Takes in what the VM list says of the endpoints' VMs.
+    virtual void applyVms(const std::vector<Vm> &vms, SteadyTime now) = 0;
 };
 
 } // namespace almondmill
--- a/include/almondmill/endpoint/endpointstate.h
+++ b/include/almondmill/endpoint/endpointstate.h
@@ -13,6 +13,8 @@
 class EndpointState
 {
 public:
+    static constexpr std::chrono::milliseconds WarmingTime{20000};
+
     explicit EndpointState(Endpoint endpoint);
 
     const Endpoint &endpoint() const { return m_endpoint; }
@@ -37,6 +39,13 @@
     /// Whether the endpoint itself or the VM list says that it is leaving.
     bool leaving() const { return m_leaving.load(std::memory_order_acquire); }
 
+    /// Whether routers that probe the endpoint get no answer from it.
+    bool unreachable() const { return m_unreachable.load(std::memory_order_acquire); }
+
+    /// Share of its usual work that the endpoint should get at `now`: grows evenly to one within
+    /// `WarmingTime` after it came back or started anew.
+    double warmth(SteadyTime now) const;
+
     /// Whether the endpoint may get new work at `now`.
     bool takesWork(SteadyTime now) const;
 
@@ -44,6 +53,12 @@
     void setWeightsHash(std::uint64_t hash);
     void setReportedLoad(std::uint32_t load);
     void setLeaving(bool leaving);
+    void setUnreachable(bool unreachable);
+    void startWarming(SteadyTime now);
+
+    /// Takes over what was learned by another state of the same endpoint.
+    void takeOver(const EndpointState &other);
+
     void requestStarted();
     void requestEnded();
 
@@ -54,6 +69,9 @@
     void failed(SteadyTime now);
 
 private:
+    /// So long ago that the endpoint is warm.
+    static constexpr SteadyTime::rep NeverWarmed = -SteadyTime::duration(WarmingTime).count();
+
     Endpoint m_endpoint;
     std::uint64_t m_nameHash;
     std::atomic<std::uint64_t> m_incarnation{0};
@@ -62,6 +80,8 @@
     std::atomic<std::uint32_t> m_reportedLoad{0};
     std::atomic<std::uint32_t> m_othersLoad{0};
     std::atomic<bool> m_leaving{false};
+    std::atomic<bool> m_unreachable{false};
+    std::atomic<SteadyTime::rep> m_warmingSince{NeverWarmed};
     std::atomic<std::uint32_t> m_failures{0};
     std::atomic<SteadyTime::rep> m_ejectedUntil{0};
 };
--- a/include/almondmill/fleet/endpointrumour.h
+++ b/include/almondmill/fleet/endpointrumour.h
@@ -17,6 +17,7 @@
     std::uint64_t revision = 0;    ///< Raised by each observed change.
     std::uint32_t load = 0;
     EndpointCondition condition = EndpointCondition::Serving;
+    bool vmLeaving = false; ///< Whether the VM list says that its VM is leaving.
 };
 
 } // namespace almondmill
--- a/include/almondmill/fleet/fleetpart.h
+++ b/include/almondmill/fleet/fleetpart.h
@@ -18,7 +18,9 @@
 class PeerListener;
 class PeerService;
 class ProbeSender;
+class VmWatcher;
 struct ProbeResult;
+struct Vm;
 
 /// Speaks with the other routers: keeps the membership by sending its probes and answering theirs,
 /// and offers the calls to peers that other parts use.
@@ -48,6 +50,7 @@
     void learn(const Heartbeat &heartbeat, SteadyTime now);
     void addEndpointRumours(Heartbeat &heartbeat, std::size_t members);
     void callFailed(const std::string &peer);
+    void addVms(const std::vector<Vm> &vms);
     void logChanges(const Members &before, const Members &after) const;
 
     Node &m_node;
@@ -59,6 +62,7 @@
     std::unique_ptr<ProbeSender> m_sender;
     std::unique_ptr<PeerService> m_service;
     std::unique_ptr<PeerListener> m_listener;
+    std::unique_ptr<VmWatcher> m_vmWatcher;
     std::atomic<bool> m_stopping{false};
     std::thread m_thread;
 };
--- /dev/null
+++ b/src/endpoint/endpointboard.cpp
@@ -0,0 +1,217 @@
+#include "almondmill/endpoint/endpointboard.h"
+
+#include "almondmill/endpoint/endpointtable.h"
+#include "almondmill/kernel/log.h"
+#include "almondmill/platform/vm.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <bit>
+
+namespace almondmill {
+
+namespace {
+
+constexpr std::size_t RumoursAMessage = 32;
+constexpr unsigned UrgentSends = 6;
+constexpr unsigned SendsPerDoubling = 3;
+constexpr unsigned SilencesBeforeUnreachable = 2;
+
+bool sameFacts(const EndpointRumour &a, const EndpointRumour &b)
+{
+    return a.incarnation == b.incarnation && a.weightsHash == b.weightsHash
+           && a.condition == b.condition && a.vmLeaving == b.vmLeaving;
+}
+
+/// Two observers may raise the same revision at once; both facts that keep work away are kept.
+EndpointRumour merge(const EndpointRumour &a, const EndpointRumour &b)
+{
+    EndpointRumour merged = a.condition >= b.condition ? a : b;
+    merged.vmLeaving = a.vmLeaving || b.vmLeaving;
+    return merged;
+}
+
+std::string withoutPort(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+EndpointSet::StatePointer findState(const EndpointSet &set, std::uint64_t nameHash)
+{
+    const auto found = std::find_if(set.all().begin(), set.all().end(), [&](const auto &state) {
+        return state->nameHash() == nameHash;
+    });
+    return found == set.all().end() ? nullptr : *found;
+}
+
+const char *describe(const EndpointRumour &rumour)
+{
+    if (rumour.vmLeaving)
+        return "is leaving by the VM list.";
+    switch (rumour.condition) {
+    case EndpointCondition::Leaving:
+        return "says that it is leaving.";
+    case EndpointCondition::Unreachable:
+        return "is unreachable.";
+    case EndpointCondition::Serving:
+        break;
+    }
+    return "is serving.";
+}
+
+} // namespace
+
+EndpointBoard::EndpointBoard(const EndpointTable &endpoints)
+    : m_endpoints(endpoints)
+{}
+
+bool EndpointBoard::urgent() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_rumours.hasSentFewerThan(UrgentSends);
+}
+
+std::vector<EndpointRumour> EndpointBoard::take(std::size_t members)
+{
+    const auto doublings = static_cast<unsigned>(std::bit_width(members));
+    const unsigned sendLimit = std::max(UrgentSends, SendsPerDoubling * doublings);
+    std::vector<EndpointRumour> rumours;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const std::uint64_t key : m_rumours.take(RumoursAMessage, sendLimit)) {
+        const auto found = m_records.find(key);
+        if (found != m_records.end())
+            rumours.push_back(found->second.rumour);
+    }
+    return rumours;
+}
+
+std::vector<EndpointRumour> EndpointBoard::all() const
+{
+    std::vector<EndpointRumour> rumours;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto &[key, record] : m_records)
+        rumours.push_back(record.rumour);
+    return rumours;
+}
+
+void EndpointBoard::apply(const std::vector<EndpointRumour> &rumours, SteadyTime now)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const EndpointRumour &rumour : rumours) {
+        Record &record = m_records[rumour.nameHash];
+        record.rumour.nameHash = rumour.nameHash;
+        if (rumour.revision < record.rumour.revision)
+            continue;
+        EndpointRumour next = rumour;
+        if (rumour.revision == record.rumour.revision)
+            next = merge(record.rumour, rumour);
+        if (next.revision != record.rumour.revision || !sameFacts(next, record.rumour))
+            change(record, next, now);
+    }
+}
+
+void EndpointBoard::applyVms(const std::vector<Vm> &vms, SteadyTime now)
+{
+    absl::flat_hash_set<std::string> leaving;
+    for (const Vm &vm : vms) {
+        if (vm.leaving)
+            leaving.insert(vm.address);
+    }
+    const auto set = m_endpoints.snapshot();
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto &state : set->all()) {
+        const std::string &address = state->endpoint().address;
+        const bool vmLeaving = leaving.contains(address) || leaving.contains(withoutPort(address));
+        Record &record = m_records[state->nameHash()];
+        record.rumour.nameHash = state->nameHash();
+        if (record.rumour.vmLeaving == vmLeaving)
+            continue;
+        EndpointRumour next = record.rumour;
+        next.vmLeaving = vmLeaving;
+        ++next.revision;
+        change(record, next, now);
+    }
+}
+
+void EndpointBoard::observe(std::uint64_t nameHash, const std::optional<EndpointStatus> &status,
+                            SteadyTime now)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Record &record = m_records[nameHash];
+    record.rumour.nameHash = nameHash;
+    record.silences = status ? 0 : record.silences + 1;
+    if (!status && record.silences < SilencesBeforeUnreachable)
+        return;
+    EndpointRumour next = record.rumour;
+    if (status) {
+        next.incarnation = status->incarnation;
+        next.weightsHash = status->weightsHash;
+        next.load = status->inFlight;
+        next.condition = status->leaving ? EndpointCondition::Leaving : EndpointCondition::Serving;
+    } else {
+        next.condition = EndpointCondition::Unreachable;
+    }
+    if (sameFacts(next, record.rumour))
+        return;
+    ++next.revision;
+    change(record, next, now);
+}
+
+void EndpointBoard::refresh(SteadyTime now)
+{
+    const auto set = m_endpoints.snapshot();
+    absl::flat_hash_set<std::uint64_t> present;
+    for (const auto &state : set->all())
+        present.insert(state->nameHash());
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    absl::erase_if(m_records, [&](const auto &item) { return !present.contains(item.first); });
+    for (const auto &state : set->all()) {
+        Record &record = m_records[state->nameHash()];
+        record.rumour.nameHash = state->nameHash();
+        // What answers taught since is newer than the last rumour.
+        if (state->incarnation() == 0)
+            state->setIncarnation(record.rumour.incarnation);
+        if (state->weightsHash() == 0)
+            state->setWeightsHash(record.rumour.weightsHash);
+        putFlags(record, *state, now);
+    }
+}
+
+void EndpointBoard::change(Record &record, const EndpointRumour &next, SteadyTime now)
+{
+    const EndpointRumour earlier = record.rumour;
+    record.rumour = next;
+    m_rumours.add(next.nameHash);
+    const auto state = findState(*m_endpoints.snapshot(), next.nameHash);
+    if (!state)
+        return;
+    if (next.incarnation != 0 && next.incarnation != earlier.incarnation) {
+        state->setIncarnation(next.incarnation);
+        // It started anew with an empty cache.
+        if (earlier.incarnation != 0)
+            state->startWarming(now);
+    }
+    if (next.weightsHash != 0 && next.weightsHash != earlier.weightsHash)
+        state->setWeightsHash(next.weightsHash);
+    putFlags(record, *state, now);
+    if (next.condition != earlier.condition || next.vmLeaving != earlier.vmLeaving) {
+        log(LogLevel::Info, "endpoint",
+            "Endpoint " + state->endpoint().name + " " + describe(next));
+    }
+}
+
+/// An endpoint that comes back gets its share little by little.
+void EndpointBoard::putFlags(Record &record, EndpointState &state, SteadyTime now)
+{
+    const EndpointRumour &rumour = record.rumour;
+    const bool takesWork = rumour.condition == EndpointCondition::Serving && !rumour.vmLeaving
+                           && !state.endpoint().leaving;
+    if (takesWork && !record.tookWork)
+        state.startWarming(now);
+    record.tookWork = takesWork;
+    state.setLeaving(rumour.vmLeaving || rumour.condition == EndpointCondition::Leaving);
+    state.setUnreachable(rumour.condition == EndpointCondition::Unreachable);
+}
+
+} // namespace almondmill
--- a/src/endpoint/endpointset.cpp
+++ b/src/endpoint/endpointset.cpp
@@ -29,10 +29,7 @@
         auto state = unchanged ? found->second : std::make_shared<EndpointState>(endpoint);
         if (!unchanged && found != known.end()
             && found->second->endpoint().address == endpoint.address) {
-            state->setIncarnation(found->second->incarnation());
-            state->setWeightsHash(found->second->weightsHash());
-            state->setReportedLoad(found->second->reportedLoad());
-            state->setLeaving(found->second->leaving());
+            state->takeOver(*found->second);
         }
         m_all.push_back(state);
         if (!endpoint.model.empty())
--- a/src/endpoint/endpointstate.cpp
+++ b/src/endpoint/endpointstate.cpp
@@ -22,9 +22,17 @@
     return inFlight() + m_othersLoad.load(std::memory_order_relaxed);
 }
 
+double EndpointState::warmth(SteadyTime now) const
+{
+    using Seconds = std::chrono::duration<double>;
+    const SteadyTime::duration since(m_warmingSince.load(std::memory_order_relaxed));
+    const Seconds elapsed = now.time_since_epoch() - since;
+    return std::clamp(elapsed / Seconds(WarmingTime), 0.0, 1.0);
+}
+
 bool EndpointState::takesWork(SteadyTime now) const
 {
-    if (m_endpoint.leaving || leaving())
+    if (m_endpoint.leaving || leaving() || unreachable())
         return false;
     return now.time_since_epoch().count() >= m_ejectedUntil.load(std::memory_order_relaxed);
 }
@@ -51,6 +59,27 @@
     m_leaving.store(leaving, std::memory_order_release);
 }
 
+void EndpointState::setUnreachable(bool unreachable)
+{
+    m_unreachable.store(unreachable, std::memory_order_release);
+}
+
+void EndpointState::startWarming(SteadyTime now)
+{
+    m_warmingSince.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+void EndpointState::takeOver(const EndpointState &other)
+{
+    setIncarnation(other.incarnation());
+    setWeightsHash(other.weightsHash());
+    setReportedLoad(other.reportedLoad());
+    setLeaving(other.leaving());
+    setUnreachable(other.unreachable());
+    m_warmingSince.store(other.m_warmingSince.load(std::memory_order_relaxed),
+                         std::memory_order_relaxed);
+}
+
 void EndpointState::requestStarted()
 {
     m_inFlight.fetch_add(1, std::memory_order_relaxed);
--- a/src/fleet/fleetpart.cpp
+++ b/src/fleet/fleetpart.cpp
@@ -3,6 +3,7 @@
 #include "grpcpeers.h"
 #include "peerlistener.h"
 #include "probesender.h"
+#include "vmwatcher.h"
 
 #include "almondmill/endpoint/endpointrumours.h"
 #include "almondmill/fleet/configurationexchange.h"
@@ -55,6 +56,8 @@
                                           [this](const std::string &peer) { callFailed(peer); }))
     , m_sender(std::make_unique<ProbeSender>(m_peers->channels(), node.metrics))
     , m_service(std::make_unique<PeerService>(node, *this, *m_peers))
+    , m_vmWatcher(std::make_unique<VmWatcher>(node,
+                                              [this](const std::vector<Vm> &vms) { addVms(vms); }))
 {
     m_membership.addCandidates(node.settings.seeds);
     node.members = this;
@@ -113,11 +116,13 @@
 {
     m_listener = std::make_unique<PeerListener>(m_node.settings.peersListen, *m_service);
     m_thread = std::thread([this] { run(); });
+    m_vmWatcher->start();
 }
 
 void FleetPart::stop()
 {
     m_stopping = true;
+    m_vmWatcher->stop();
     if (m_thread.joinable())
         m_thread.join();
     m_listener.reset();
@@ -203,6 +208,16 @@
     m_membership.callFailed(peer);
 }
 
+/// Those VMs that are no endpoint's may be routers.
+void FleetPart::addVms(const std::vector<Vm> &vms)
+{
+    if (m_node.endpointRumours)
+        m_node.endpointRumours->applyVms(vms, std::chrono::steady_clock::now());
+    const auto addresses = possibleRouters(vms, m_node);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_membership.addCandidates(addresses);
+}
+
 void FleetPart::logChanges(const Members &before, const Members &after) const
 {
     for (const Member &member : after) {
--- a/src/fleet/messages.cpp
+++ b/src/fleet/messages.cpp
@@ -22,6 +22,7 @@
     message.set_weights_hash(rumour.weightsHash);
     message.set_revision(rumour.revision);
     message.set_load(rumour.load);
+    message.set_vm_leaving(rumour.vmLeaving);
     message.set_state(static_cast<fleet::EndpointRumour::State>(rumour.condition));
 }
 
@@ -72,6 +73,7 @@
     rumour.weightsHash = message.weights_hash();
     rumour.revision = message.revision();
     rumour.load = message.load();
+    rumour.vmLeaving = message.vm_leaving();
     rumour.condition = toCondition(message.state());
     return rumour;
 }
--- /dev/null
+++ b/src/fleet/vmwatcher.cpp
@@ -0,0 +1,101 @@
+#include "vmwatcher.h"
+
+#include "almondmill/endpoint/proberchoice.h"
+#include "almondmill/fleet/memberview.h"
+#include "almondmill/kernel/hash.h"
+#include "almondmill/kernel/node.h"
+#include "almondmill/platform/vmlist.h"
+
+#include <absl/container/flat_hash_set.h>
+
+namespace almondmill {
+
+namespace {
+
+/// Chooses who reads the VM list, as an endpoint's name chooses who probes it.
+constexpr std::uint64_t VmListHash = 0x766d6c697374;
+
+std::optional<ProberPlace> placeOf(const Node &node)
+{
+    return proberPlace(VmListHash, node.settings.dataCentre, node.members->self(),
+                       *node.members->members());
+}
+
+} // namespace
+
+VmWatcher::VmWatcher(Node &node, Handler handler)
+    : m_node(node)
+    , m_handler(std::move(handler))
+{}
+
+VmWatcher::~VmWatcher()
+{
+    stop();
+}
+
+void VmWatcher::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void VmWatcher::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void VmWatcher::run()
+{
+    while (true) {
+        const auto wait = untilNextTurn(std::chrono::system_clock::now());
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            if (m_changed.wait_for(lock, wait, [&] { return m_stopping; }))
+                return;
+        }
+        if (!m_node.vmList || !isMyTurn())
+            continue;
+        const auto result = m_node.vmList->vms(m_node.settings.platformTimeout);
+        if (const auto *vms = std::get_if<std::vector<Vm>>(&result))
+            m_handler(*vms);
+    }
+}
+
+std::chrono::milliseconds VmWatcher::untilNextTurn(WallTime now) const
+{
+    const auto place = placeOf(m_node);
+    return untilTurn(VmListHash, place.value_or(ProberPlace{}), now);
+}
+
+bool VmWatcher::isMyTurn() const
+{
+    return placeOf(m_node).has_value();
+}
+
+std::vector<std::string> possibleRouters(const std::vector<Vm> &vms, const Node &node)
+{
+    absl::flat_hash_set<std::string> endpoints;
+    const auto set = node.endpoints.snapshot();
+    for (const auto &state : set->all()) {
+        const std::string &address = state->endpoint().address;
+        endpoints.insert(address);
+        endpoints.insert(address.substr(0, address.rfind(':')));
+    }
+    const std::string &own = node.settings.peersListen;
+    const std::string port = own.substr(own.rfind(':'));
+    std::vector<std::string> addresses;
+    for (const Vm &vm : vms) {
+        if (vm.leaving || endpoints.contains(vm.address))
+            continue;
+        const bool hasPort = vm.address.find(':') != std::string::npos;
+        addresses.push_back(hasPort ? vm.address : vm.address + port);
+    }
+    return addresses;
+}
+
+} // namespace almondmill
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -21,7 +21,8 @@
             continue;
         const std::uint32_t load = std::max(state->inFlight(), state->reportedLoad());
         candidates.push_back({state->nameHash(), state->incarnation(), load,
-                              state->endpoint().dataCentre == request.dataCentre});
+                              state->endpoint().dataCentre == request.dataCentre,
+                              state->warmth(now)});
         offered.push_back(state);
     }
     const auto chosen = m_policy->choose(request, candidates, now);
