--- a/include/almondmill/endpoint/endpointstate.h
+++ b/include/almondmill/endpoint/endpointstate.h
@@ -2,6 +2,7 @@
 
 #include "almondmill/config/endpoint.h"
 #include "almondmill/kernel/time.h"
+#include "almondmill/placement/expectedqueue.h"
 
 #include <atomic>
 #include <cstdint>
@@ -17,6 +18,11 @@
 
     const Endpoint &endpoint() const { return m_endpoint; }
     std::uint64_t nameHash() const { return m_nameHash; }
+    std::uint64_t dataCentreHash() const { return m_dataCentreHash; }
+
+    /// How long new work is expected to wait there.
+    const ExpectedQueue &queue() const { return m_queue; }
+    ExpectedQueue &queue() { return m_queue; }
 
     /// Incarnation the endpoint last told; zero when it is not known.
     std::uint64_t incarnation() const { return m_incarnation.load(std::memory_order_acquire); }
@@ -43,6 +49,9 @@
     void setIncarnation(std::uint64_t incarnation);
     void setWeightsHash(std::uint64_t hash);
     void setReportedLoad(std::uint32_t load);
+
+    /// Takes in a load that was measured at `taken`: corrects the expected queue too.
+    void reportLoad(std::uint32_t load, SteadyTime taken);
     void setLeaving(bool leaving);
     void requestStarted();
     void requestEnded();
@@ -56,6 +65,8 @@
 private:
     Endpoint m_endpoint;
     std::uint64_t m_nameHash;
+    std::uint64_t m_dataCentreHash;
+    ExpectedQueue m_queue;
     std::atomic<std::uint64_t> m_incarnation{0};
     std::atomic<std::uint64_t> m_weightsHash{0};
     std::atomic<std::uint32_t> m_inFlight{0};
--- a/include/almondmill/placement/candidate.h
+++ b/include/almondmill/placement/candidate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 namespace almondmill {
@@ -9,8 +10,9 @@
 {
     std::uint64_t nameHash = 0;
     std::uint64_t incarnation = 0; ///< Zero when it is not known.
-    std::uint32_t load = 0;        ///< Requests open there, as far as known.
-    bool sameDataCentre = false;
+    std::chrono::microseconds queue{0};    ///< Expected wait of new work there.
+    std::chrono::microseconds distance{0}; ///< Round trip to its data centre.
+    double weight = 1.0; ///< Share of the usual work that it may get; below one while it warms up.
 };
 
 } // namespace almondmill
--- a/include/almondmill/placement/placementpolicy.h
+++ b/include/almondmill/placement/placementpolicy.h
@@ -3,8 +3,9 @@
 #include "almondmill/kernel/registry.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/placement/candidate.h"
+#include "almondmill/placement/placementchoice.h"
 #include "almondmill/placement/placementoutcome.h"
-#include "almondmill/placement/placementrequest.h"
+#include "almondmill/placement/placementsubject.h"
 
 #include <cstddef>
 #include <optional>
@@ -19,13 +20,19 @@
 public:
     virtual ~PlacementPolicy() = default;
 
-    /// Index of the chosen candidate; nothing when there is none.
-    virtual std::optional<std::size_t> choose(const PlacementRequest &request,
-                                              std::span<const Candidate> candidates,
-                                              SteadyTime now) = 0;
+    /// Whether the router that owns a prefix is asked before this one decides alone.
+    virtual bool hasOwners() const { return false; }
+
+    /// Bytes of memory held for decisions.
+    virtual std::size_t stateBytes() const { return 0; }
+
+    /// The choice; nothing when there is no candidate.
+    virtual std::optional<PlacementChoice> choose(const PlacementSubject &subject,
+                                                  std::span<const Candidate> candidates,
+                                                  SteadyTime now) = 0;
 
     /// Takes in what an answer told; policies without memory ignore it.
-    virtual void observe(const PlacementRequest & /*request*/, const PlacementOutcome & /*outcome*/,
+    virtual void observe(const PlacementSubject & /*subject*/, const PlacementOutcome & /*outcome*/,
                          SteadyTime /*now*/)
     {}
 };
--- a/include/almondmill/placement/placementrequest.h
+++ b/include/almondmill/placement/placementrequest.h
@@ -3,11 +3,14 @@
 #include "almondmill/config/priority.h"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
 namespace almondmill {
 
+class Configuration;
+
 /// What placement needs to know of a request.
 struct PlacementRequest
 {
@@ -16,6 +19,8 @@
     std::vector<std::uint64_t> prefixKeys;
     Priority priority = Priority::High;
     std::string_view dataCentre; ///< Data centre of the deciding router.
+    std::string model;
+    const Configuration *configuration = nullptr; ///< That the request is served by; not owned.
 };
 
 } // namespace almondmill
--- /dev/null
+++ b/include/almondmill/placement/sharedprefixes.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "almondmill/kernel/time.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <span>
+#include <vector>
+
+namespace almondmill {
+
+/// Which levels of nested prefixes this router's requests share. Bounded memory; safe to use from
+/// several threads, a lock is held for a few loads and stores only.
+class SharedPrefixes
+{
+public:
+    struct Level
+    {
+        std::size_t depth = 0; ///< Leading keys up to the level that requests share.
+        bool seenBefore = false;
+    };
+
+    explicit SharedPrefixes(std::size_t entries);
+
+    /// Notes one request's keys, outermost first. Its level is the first below a branching whose
+    /// branches recur: an account's common instructions branch into its histories, and a history is
+    /// the level; a level whose continuations are each seen once is the last.
+    Level note(std::span<const std::uint64_t> keys, SteadyTime now);
+
+    std::size_t stateBytes() const;
+
+private:
+    struct Entry
+    {
+        std::uint64_t key = 0;
+        SteadyTime lastSeen = SteadyTime::min();
+        std::uint64_t lastChild = 0;
+        float branches = 0; ///< Moving mean: the next key differs from the one before.
+        float recurs = 0;   ///< Moving mean: the next key had been seen.
+    };
+
+    static constexpr std::size_t Locks = 64;
+
+    Entry entryOf(std::uint64_t key, SteadyTime now) const;
+    void noteChild(std::uint64_t key, std::uint64_t child, bool childSeen, SteadyTime now);
+
+    std::vector<Entry> m_entries;
+    mutable std::array<std::mutex, Locks> m_locks;
+};
+
+} // namespace almondmill
--- a/src/almondmilld/main.cpp
+++ b/src/almondmilld/main.cpp
@@ -60,7 +60,8 @@
     const auto platform = PlatformRegistry::create(node.settings.platformClient, node);
     node.store = platform.get();
     node.vmList = platform.get();
-    node.placer = std::make_unique<Placer>(PlacementRegistry::create("rendezvous"));
+    node.placer = std::make_unique<Placer>(node, node.metrics);
+    node.placementOwner = node.placer.get();
     Parts parts(node);
     node.parts = &parts;
     parts.start();
--- a/src/endpoint/endpointstate.cpp
+++ b/src/endpoint/endpointstate.cpp
@@ -15,6 +15,7 @@
 EndpointState::EndpointState(Endpoint endpoint)
     : m_endpoint(std::move(endpoint))
     , m_nameHash(hash64(m_endpoint.name))
+    , m_dataCentreHash(hash64(m_endpoint.dataCentre))
 {}
 
 std::uint32_t EndpointState::load() const
@@ -46,6 +47,12 @@
     m_othersLoad.store(load > own ? load - own : 0, std::memory_order_relaxed);
 }
 
+void EndpointState::reportLoad(std::uint32_t load, SteadyTime taken)
+{
+    setReportedLoad(load);
+    m_queue.report(load * m_queue.meanWork(), taken);
+}
+
 void EndpointState::setLeaving(bool leaving)
 {
     m_leaving.store(leaving, std::memory_order_release);
--- /dev/null
+++ b/src/placement/placementcost.cpp
@@ -0,0 +1,21 @@
+#include "almondmill/placement/placementcost.h"
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+constexpr double IdleBlockWeight = 1.5;
+constexpr PlacementCost::Cost FullQueue{150000};
+} // namespace
+
+PlacementCost::PlacementCost(std::span<const Candidate> candidates)
+{
+    std::chrono::microseconds total{0};
+    for (const Candidate &candidate : candidates)
+        total += candidate.queue;
+    const auto count = static_cast<double>(std::max<std::size_t>(candidates.size(), 1));
+    m_blockWeight = IdleBlockWeight + Cost(total) / count / FullQueue;
+}
+
+} // namespace almondmill
--- a/src/placement/rendezvouspolicy.cpp
+++ b/src/placement/rendezvouspolicy.cpp
@@ -1,50 +1,38 @@
 #include "almondmill/kernel/hash.h"
 #include "almondmill/placement/placementpolicy.h"
+#include "almondmill/placement/rendezvous.h"
+
+#include <atomic>
 
 namespace almondmill {
 
 namespace {
 
-constexpr double LoadBoundFactor = 1.25;
-
-/// Highest random weight over the candidates whose load is within a factor of the mean: needs no
+/// Highest random weight over the candidates whose queue is within a factor of the mean: needs no
 /// memory, so a router that has just started chooses as before.
 class RendezvousPolicy : public PlacementPolicy
 {
 public:
-    std::optional<std::size_t> choose(const PlacementRequest &request,
-                                      std::span<const Candidate> candidates,
-                                      SteadyTime now) override;
-};
+    std::optional<PlacementChoice> choose(const PlacementSubject &subject,
+                                          std::span<const Candidate> candidates,
+                                          SteadyTime now) override;
 
-double loadBound(std::span<const Candidate> candidates)
-{
-    double total = 0;
-    for (const Candidate &candidate : candidates)
-        total += candidate.load;
-    return LoadBoundFactor * (total + 1.0) / static_cast<double>(candidates.size()) + 1.0;
-}
+private:
+    std::atomic<std::uint64_t> m_unkeyed{0}; ///< Spreads requests that have no whole block.
+};
 
-std::optional<std::size_t> RendezvousPolicy::choose(const PlacementRequest &request,
-                                                    std::span<const Candidate> candidates,
-                                                    SteadyTime /*now*/)
+std::optional<PlacementChoice> RendezvousPolicy::choose(const PlacementSubject &subject,
+                                                        std::span<const Candidate> candidates,
+                                                        SteadyTime /*now*/)
 {
-    if (candidates.empty())
+    std::uint64_t key = subject.levelKey();
+    if (key == 0)
+        key = mixHash(1, m_unkeyed.fetch_add(1, std::memory_order_relaxed));
+    const auto index = rendezvousWithin(key, candidates, loadBound(candidates));
+    if (!index)
         return std::nullopt;
-    const std::uint64_t key = request.prefixKeys.empty() ? 0 : request.prefixKeys.back();
-    const double bound = loadBound(candidates);
-    std::optional<std::size_t> best;
-    std::uint64_t bestWeight = 0;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].load > bound)
-            continue;
-        const std::uint64_t weight = mixHash(candidates[i].nameHash, key);
-        if (!best || weight > bestWeight) {
-            best = i;
-            bestWeight = weight;
-        }
-    }
-    return best;
+    const auto blocks = static_cast<std::int64_t>(subject.prefixKeys.size() - subject.level + 1);
+    return PlacementChoice{*index, 0, blocks * BlockPrefillTime};
 }
 
 const PlacementRegistry::Registrar RendezvousRegistrar("rendezvous", [] {
--- a/src/request/streamrelay.cpp
+++ b/src/request/streamrelay.cpp
@@ -58,6 +58,8 @@
             prefixKeys(scope, m_request.prompt, model->blockTokens * BytesPerToken);
     m_placement.priority = m_context->priority;
     m_placement.dataCentre = m_environment.node.settings.dataCentre;
+    m_placement.model = model->name;
+    m_placement.configuration = &m_context->endpoints->configuration();
 }
 
 StreamRelay::~StreamRelay()
@@ -317,7 +319,7 @@
     m_endpoint->setIncarnation(head.incarnation);
     m_endpoint->setWeightsHash(head.weightsHash);
     if (head.hasLoad)
-        m_endpoint->setReportedLoad(head.load);
+        m_endpoint->reportLoad(head.load, std::nullopt, steadyNow());
     const PlacementOutcome outcome{
             m_endpoint->nameHash(), head.incarnation, head.cachedTokens,
             static_cast<std::uint32_t>(m_request.prompt.size() / BytesPerToken)};
