--- a/bench/enginemodel.h
+++ b/bench/enginemodel.h
@@ -56,6 +56,11 @@
         return static_cast<std::uint32_t>(m_high.size() + m_low.size()) + (m_prefilling ? 1 : 0);
     }
 
+    std::uint32_t waitingHigh() const
+    {
+        return static_cast<std::uint32_t>(m_high.size()) + (m_prefilling ? 1 : 0);
+    }
+
     bool holds(std::uint64_t key, SteadyTime now) const
     {
         const auto found = m_cache.find(key);
--- a/include/almondmill/endpoint/endpointstate.h
+++ b/include/almondmill/endpoint/endpointstate.h
@@ -2,10 +2,11 @@
 
 #include "almondmill/config/endpoint.h"
 #include "almondmill/kernel/time.h"
-#include "almondmill/placement/expectedqueue.h"
+#include "almondmill/placement/priorityqueues.h"
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 
 namespace almondmill {
 
@@ -21,8 +22,8 @@
     std::uint64_t dataCentreHash() const { return m_dataCentreHash; }
 
     /// How long new work is expected to wait there.
-    const ExpectedQueue &queue() const { return m_queue; }
-    ExpectedQueue &queue() { return m_queue; }
+    const PriorityQueues &queue() const { return m_queue; }
+    PriorityQueues &queue() { return m_queue; }
 
     /// Incarnation the endpoint last told; zero when it is not known.
     std::uint64_t incarnation() const { return m_incarnation.load(std::memory_order_acquire); }
@@ -50,8 +51,9 @@
     void setWeightsHash(std::uint64_t hash);
     void setReportedLoad(std::uint32_t load);
 
-    /// Takes in a load that was measured at `taken`: corrects the expected queue too.
-    void reportLoad(std::uint32_t load, SteadyTime taken);
+    /// Takes in a load that was measured at `taken`, and the part of high priority where the engine
+    /// tells it: corrects the expected queues too.
+    void reportLoad(std::uint32_t load, std::optional<std::uint32_t> highLoad, SteadyTime taken);
     void setLeaving(bool leaving);
     void requestStarted();
     void requestEnded();
@@ -66,7 +68,7 @@
     Endpoint m_endpoint;
     std::uint64_t m_nameHash;
     std::uint64_t m_dataCentreHash;
-    ExpectedQueue m_queue;
+    PriorityQueues m_queue;
     std::atomic<std::uint64_t> m_incarnation{0};
     std::atomic<std::uint64_t> m_weightsHash{0};
     std::atomic<std::uint32_t> m_inFlight{0};
--- a/include/almondmill/placement/ownerlookup.h
+++ b/include/almondmill/placement/ownerlookup.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "almondmill/admission/ratelimiter.h"
 #include "almondmill/placement/advicecache.h"
+#include "almondmill/placement/lookupbudget.h"
 #include "almondmill/placement/placementrequest.h"
 #include "almondmill/placement/sharedprefixes.h"
 
@@ -47,7 +47,7 @@
 
     AdviceCache m_advice;
     AdviceCache m_silentPeers;
-    RateLimiter m_budget;
+    LookupBudget m_budget;
     Counter &m_asked;
     Counter &m_unanswered;
     Counter &m_overBudget;
--- a/include/almondmill/placement/sharedprefixes.h
+++ b/include/almondmill/placement/sharedprefixes.h
@@ -3,6 +3,7 @@
 #include "almondmill/kernel/time.h"
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <mutex>
@@ -19,7 +20,7 @@
     struct Level
     {
         std::size_t depth = 0; ///< Leading keys up to the level that requests share.
-        bool seenBefore = false;
+        bool shared = false; ///< Seen before, or its like recur below the same prefix.
     };
 
     explicit SharedPrefixes(std::size_t entries);
@@ -43,10 +44,12 @@
 
     static constexpr std::size_t Locks = 64;
 
+    bool noteFirst(bool seen);
     Entry entryOf(std::uint64_t key, SteadyTime now) const;
     void noteChild(std::uint64_t key, std::uint64_t child, bool childSeen, SteadyTime now);
 
     std::vector<Entry> m_entries;
+    std::atomic<float> m_firstRecurs{1.0F}; ///< Moving mean: the outermost key had been seen.
     mutable std::array<std::mutex, Locks> m_locks;
 };
 
--- a/src/endpoint/endpointstate.cpp
+++ b/src/endpoint/endpointstate.cpp
@@ -47,10 +47,11 @@
     m_othersLoad.store(load > own ? load - own : 0, std::memory_order_relaxed);
 }
 
-void EndpointState::reportLoad(std::uint32_t load, SteadyTime taken)
+void EndpointState::reportLoad(std::uint32_t load, std::optional<std::uint32_t> highLoad,
+                               SteadyTime taken)
 {
     setReportedLoad(load);
-    m_queue.report(load * m_queue.meanWork(), taken);
+    m_queue.report(load, highLoad, taken);
 }
 
 void EndpointState::setLeaving(bool leaving)
--- a/src/placement/ownerlookup.cpp
+++ b/src/placement/ownerlookup.cpp
@@ -22,8 +22,6 @@
 /// frames with indexed headers, and the messages without their keys.
 constexpr double LookupBaseBytes = 340;
 constexpr double KeyBytes = 8;
-constexpr double LookupBytesPerSecond = 1000;
-constexpr std::chrono::milliseconds LookupBurst{2000};
 
 PlacementQuery makeQuery(const PlacementRequest &request, const SharedPrefixes::Level &level,
                          const std::set<std::string> &excluded)
@@ -66,7 +64,7 @@
         return answer;
     if (excluded.empty())
         answer.home = m_advice.find(key, now);
-    if (!answer.home && level.seenBefore)
+    if (!answer.home && level.shared)
         answer.home = ask(owner, request, level, excluded, *peers, now);
     return answer;
 }
@@ -82,7 +80,7 @@
     const PlacementQuery query = makeQuery(request, level, excluded);
     const double bytes = LookupBaseBytes + KeyBytes * static_cast<double>(query.prefixKeys.size())
             + static_cast<double>(query.model.size());
-    if (!m_budget.take(bytes, LookupBytesPerSecond, LookupBurst, now)) {
+    if (!m_budget.take(request.prefixKeys[level.depth - 1], bytes, now)) {
         m_overBudget.add();
         return std::nullopt;
     }
--- a/src/placement/ownerpolicy.cpp
+++ b/src/placement/ownerpolicy.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/placement/ownerpolicy.h"
 
+#include "almondmill/kernel/hash.h"
 #include "almondmill/placement/heldprefixes.h"
 #include "almondmill/placement/placementcost.h"
 #include "almondmill/placement/rendezvous.h"
@@ -11,7 +12,14 @@
 constexpr std::size_t RememberedHomes = 65536;
 constexpr std::chrono::milliseconds HomeIdleTime{8000};
 constexpr std::size_t DeepestRemembered = 32;
-constexpr PlacementCost::Cost RendezvousBonus{60000};
+constexpr PlacementCost::Cost PreferenceWeight{150000};
+
+/// A fraction that ranks the candidates for one prefix: the same at every router, another for each
+/// prefix, so that prefixes do not crowd where several queues look equally short.
+double preference(const Candidate &candidate, std::uint64_t key)
+{
+    return static_cast<double>(mixHash(candidate.nameHash, key) >> 11U) * 0x1.0p-53;
+}
 
 } // namespace
 
@@ -27,7 +35,6 @@
         return std::nullopt;
     const HeldPrefixes held(m_homes, subject.prefixKeys, now);
     const PlacementCost cost(candidates);
-    const auto alone = rendezvousWithin(subject.levelKey(), candidates, loadBound(candidates));
     const std::size_t blocks = subject.prefixKeys.size();
     PlacementChoice best;
     PlacementCost::Cost bestCost = PlacementCost::Cost::max();
@@ -35,8 +42,7 @@
         const Candidate &candidate = candidates[i];
         const std::uint32_t cached = held.blocks(candidate.nameHash, candidate.incarnation);
         PlacementCost::Cost here = cost.of(candidate, blocks - cached);
-        if (alone == i)
-            here -= RendezvousBonus;
+        here -= PreferenceWeight * preference(candidate, subject.levelKey());
         const bool wins = here < bestCost
                 || (here == bestCost && candidate.nameHash < candidates[best.index].nameHash);
         if (!wins)
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t NotedPrefixes = 65536;
-constexpr std::chrono::milliseconds AdviceHoldsFor{500};
+constexpr std::chrono::milliseconds AdviceHoldsFor{100};
 constexpr const char *PolicyAlone = "rendezvous";
 
 std::map<std::string, std::unique_ptr<PlacementPolicy>> allPolicies()
@@ -76,7 +76,7 @@
     if (!choice)
         return nullptr;
     const auto &state = offer.state(choice->index);
-    state->queue().add(choice->work, now);
+    state->queue().add(choice->work, request.priority, now);
     return state;
 }
 
@@ -97,7 +97,7 @@
     if (!choice)
         return {};
     const auto &state = offer.state(choice->index);
-    state->queue().add(choice->work, now);
+    state->queue().add(choice->work, request.priority, now);
     return PlacementAdvice{state->endpoint().name, offer.candidates()[choice->index].incarnation,
                            choice->cachedBlocks, AdviceHoldsFor};
 }
--- a/src/placement/rendezvous.cpp
+++ b/src/placement/rendezvous.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr double MovedBlockWeight = 1.5;
 constexpr double HashRange = 18446744073709551616.0; // 2^64
 
 /// Raises the random weight, read as a fraction, to the power of one over the candidate's weight:
@@ -25,14 +26,16 @@
 
 } // namespace
 
-std::chrono::microseconds loadBound(std::span<const Candidate> candidates)
+std::chrono::microseconds loadBound(std::span<const Candidate> candidates, std::size_t blocks)
 {
     std::chrono::microseconds total{0};
     for (const Candidate &candidate : candidates)
         total += candidate.queue;
     const auto count = static_cast<double>(std::max<std::size_t>(candidates.size(), 1));
     const double bound = LoadBoundFactor * static_cast<double>(total.count()) / count;
-    return BlockPrefillTime + std::chrono::microseconds(static_cast<std::int64_t>(bound));
+    const auto moved = static_cast<double>(std::max<std::size_t>(blocks, 1)) * MovedBlockWeight
+            * static_cast<double>(BlockPrefillTime.count());
+    return std::chrono::microseconds(static_cast<std::int64_t>(bound + moved));
 }
 
 std::optional<std::size_t> rendezvousWithin(std::uint64_t key,
--- a/src/placement/sharedprefixes.cpp
+++ b/src/placement/sharedprefixes.cpp
@@ -10,6 +10,7 @@
 constexpr float Smoothing = 0.125F;
 constexpr float BranchingThreshold = 0.05F;
 constexpr float RecurringThreshold = 0.10F;
+constexpr float FirstRecursThreshold = 0.5F;
 constexpr std::size_t DeepestNoted = 32;
 
 void smooth(float &mean, bool value)
@@ -56,22 +57,35 @@
     entry.lastChild = child;
 }
 
+bool SharedPrefixes::noteFirst(bool seen)
+{
+    float recurs = m_firstRecurs.load(std::memory_order_relaxed);
+    const bool recurred = recurs > FirstRecursThreshold;
+    smooth(recurs, seen);
+    m_firstRecurs.store(recurs, std::memory_order_relaxed);
+    return recurred;
+}
+
 SharedPrefixes::Level SharedPrefixes::note(std::span<const std::uint64_t> keys, SteadyTime now)
 {
     Level level;
     const std::size_t noted = std::min(keys.size(), DeepestNoted);
-    bool settled = false;
+    Entry above;
     Entry entry = noted == 0 ? Entry{} : entryOf(keys[0], now);
+    const bool firstKeysRecur = noteFirst(entry.key != 0);
+    bool settled = false;
     for (std::size_t i = 0; i < noted; ++i) {
         const bool isLast = i + 1 == noted;
         const Entry child = isLast ? Entry{} : entryOf(keys[i + 1], now);
         if (!settled) {
             level.depth = i + 1;
-            level.seenBefore = entry.key != 0;
-            const bool above = i > 0 && entryOf(keys[i - 1], now).branches > BranchingThreshold;
-            settled = above || entry.recurs < RecurringThreshold;
+            const bool branchesAbove = above.branches > BranchingThreshold;
+            const bool likelyShared = i == 0 ? firstKeysRecur : above.recurs > RecurringThreshold;
+            level.shared = entry.key != 0 || likelyShared;
+            settled = branchesAbove || entry.recurs < RecurringThreshold;
         }
         noteChild(keys[i], isLast ? 0 : keys[i + 1], child.key != 0, now);
+        above = entry;
         entry = child;
     }
     return level;
