--- a/src/placement/ownerpolicy.cpp
+++ b/src/placement/ownerpolicy.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t RememberedHomes = 65536;
 constexpr std::chrono::milliseconds HomeIdleTime{8000};
 constexpr std::size_t DeepestRemembered = 32;
-constexpr PlacementCost::Cost PreferenceWeight{150000};
+constexpr PlacementCost::Cost PreferenceWeight{40000};
 
 /// A fraction that ranks the candidates for one prefix: the same at every router, another for each
 /// prefix, so that prefixes do not crowd where several queues look equally short.
--- a/src/placement/placementcost.cpp
+++ b/src/placement/placementcost.cpp
@@ -5,7 +5,7 @@
 namespace almondmill {
 
 namespace {
-constexpr double IdleBlockWeight = 1.5;
+constexpr double IdleBlockWeight = 1.0;
 constexpr PlacementCost::Cost FullQueue{150000};
 } // namespace
 
--- a/src/placement/priorityqueues.cpp
+++ b/src/placement/priorityqueues.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr float ShareSmoothing = 0.0625F;
-constexpr double LowWaitWeight = 0.2;
+constexpr double LowWaitWeight = 0.1;
 } // namespace
 
 PriorityQueues::Duration PriorityQueues::at(Priority priority, SteadyTime now) const
--- a/src/placement/rendezvous.cpp
+++ b/src/placement/rendezvous.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr double MovedBlockWeight = 1.5;
+constexpr double MovedBlockWeight = 1.0;
 constexpr double HashRange = 18446744073709551616.0; // 2^64
 
 /// Raises the random weight, read as a fraction, to the power of one over the candidate's weight:
