--- a/include/almondmill/kernel/node.h
+++ b/include/almondmill/kernel/node.h
@@ -10,6 +10,7 @@
 
 namespace almondmill {
 
+class AccountLimits;
 class ConfigurationExchange;
 class ConfigurationPeers;
 class EndpointRumours;
@@ -46,6 +47,7 @@
     PlacementPeers *placementPeers = nullptr;         ///< Null without a fleet part.
     OnceOnly *onceOnly = nullptr;                     ///< Calls with a key that run at most once.
     EndpointRumours *endpointRumours = nullptr;       ///< Null without a status part.
+    AccountLimits *accountLimits = nullptr;           ///< Null without limits.
     const Parts *parts = nullptr;
 
     std::atomic<bool> draining{false};      ///< SIGTERM came or an operator asked to drain.
--- a/src/request/modelhandler.cpp
+++ b/src/request/modelhandler.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/endpoint/headernames.h"
 #include "almondmill/kernel/node.h"
 #include "almondmill/metrics/metrics.h"
+#include "almondmill/request/accountadmission.h"
 #include "almondmill/request/modelrequest.h"
 #include "almondmill/request/refusederror.h"
 #include "almondmill/request/relayenvironment.h"
@@ -95,6 +96,7 @@
     ModelRequest request = parseModelRequest(context->body);
     if (!context->endpoints->configuration().model(request.model))
         throw RefusedError({404, "unknown_model", "There is no model of that name.", Ran::No});
+    auto grant = admitByAccount(m_node, *context, request.prompt.size());
     auto relay = std::make_shared<StreamRelay>(m_environment, context, std::move(request));
     relay->start();
     const auto started = relay->waitForStart(context->callerGone);
@@ -111,7 +113,7 @@
             [this, relay, context](std::size_t, httplib::DataSink &sink) {
                 return writeNext(*relay, *context, sink);
             },
-            [relay](bool) { relay->cancel(); });
+            [relay, grant = std::move(grant)](bool) { relay->cancel(); });
 }
 
 void ModelHandler::fillHead(const RelayStart &start, httplib::Response &response) const
