--- a/bench/bench-limits.cpp
+++ b/bench/bench-limits.cpp
@@ -80,7 +80,7 @@
     {
         const ClientAccount &settings = m_configuration->rules().clientAccounts[account];
         const double mean = DemandOfLimit[account] * m_tokensPerSecond / PromptTokens
-                * std::chrono::duration<double>(Step).count();
+                            * std::chrono::duration<double>(Step).count();
         std::poisson_distribution<int> arrivals(mean);
         std::discrete_distribution<std::size_t> balancer(m_balance.begin(), m_balance.end());
         for (int i = arrivals(m_random); i > 0; --i) {
@@ -193,8 +193,9 @@
     const double usual = smallAccountP99(1);
     const double full = smallAccountP99(1.8); // the two accounts together just fill the server
     const double excess = smallAccountP99(10);
-    std::printf("fairness small_p99_ms_large_at_share=%.1f full=%.1f large_at_10x=%.1f ratio=%.3f\n",
-                usual, full, excess, excess / usual);
+    std::printf(
+            "fairness small_p99_ms_large_at_share=%.1f full=%.1f large_at_10x=%.1f ratio=%.3f\n",
+            usual, full, excess, excess / usual);
     LimitsRun(14, 400000).run();
     LimitsRun(320, 4000000).run();
     return 0;
--- a/bench/enginemodel.h
+++ b/bench/enginemodel.h
@@ -83,9 +83,9 @@
     /// Exact work before a job of the priority, by what is cached now or will be.
     std::chrono::microseconds queueFor(Priority priority, SteadyTime now) const
     {
-        auto total = std::max(std::chrono::duration_cast<std::chrono::microseconds>(
-                                      m_prefillEnds - now),
-                              std::chrono::microseconds{0});
+        auto total =
+                std::max(std::chrono::duration_cast<std::chrono::microseconds>(m_prefillEnds - now),
+                         std::chrono::microseconds{0});
         for (const Job &job : m_high)
             total += workOf(job, now);
         for (const Job &job : m_low)
--- a/include/almondmill/admission/accountlimit.h
+++ b/include/almondmill/admission/accountlimit.h
@@ -30,7 +30,8 @@
 
     /// Works out this router's part after a period, from its own demand in it and the estimate of
     /// the fleet's.
-    void update(const ClientAccount &account, std::size_t routers, std::chrono::milliseconds period);
+    void update(const ClientAccount &account, std::size_t routers,
+                std::chrono::milliseconds period);
 
     AccountUsage takeHalf();
     void add(const AccountUsage &usage);
--- a/include/almondmill/endpoint/endpointstate.h
+++ b/include/almondmill/endpoint/endpointstate.h
@@ -12,7 +12,7 @@
 
 /// What this router knows of one endpoint at the moment. Written by answers and probes, read by
 /// placement; every member is safe to use from several threads.
-class EndpointState
+class alignas(64) EndpointState
 {
 public:
     explicit EndpointState(Endpoint endpoint);
@@ -45,7 +45,12 @@
     bool leaving() const { return m_leaving.load(std::memory_order_acquire); }
 
     /// Whether the endpoint may get new work at `now`.
-    bool takesWork(SteadyTime now) const;
+    bool takesWork(SteadyTime now) const
+    {
+        if (m_toBeEmptied || leaving())
+            return false;
+        return now.time_since_epoch().count() >= m_ejectedUntil.load(std::memory_order_relaxed);
+    }
 
     void setIncarnation(std::uint64_t incarnation);
     void setWeightsHash(std::uint64_t hash);
@@ -65,9 +70,9 @@
     void failed(SteadyTime now);
 
 private:
-    Endpoint m_endpoint;
     std::uint64_t m_nameHash;
     std::uint64_t m_dataCentreHash;
+    bool m_toBeEmptied; ///< By the inventory.
     PriorityQueues m_queue;
     std::atomic<std::uint64_t> m_incarnation{0};
     std::atomic<std::uint64_t> m_weightsHash{0};
@@ -77,6 +82,7 @@
     std::atomic<bool> m_leaving{false};
     std::atomic<std::uint32_t> m_failures{0};
     std::atomic<SteadyTime::rep> m_ejectedUntil{0};
+    Endpoint m_endpoint; ///< Last: decisions read what stands before.
 };
 
 } // namespace almondmill
--- a/include/almondmill/kernel/hash.h
+++ b/include/almondmill/kernel/hash.h
@@ -9,6 +9,14 @@
 std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
 
 /// Mixes two hashes into one; order matters.
-std::uint64_t mixHash(std::uint64_t first, std::uint64_t second);
+inline std::uint64_t mixHash(std::uint64_t first, std::uint64_t second)
+{
+    constexpr std::uint64_t FirstMultiplier = 0x9e3779b97f4a7c15;
+    constexpr std::uint64_t SecondMultiplier = 0xbf58476d1ce4e5b9;
+    std::uint64_t mixed = first * FirstMultiplier + second;
+    mixed = (mixed ^ (mixed >> 30U)) * SecondMultiplier;
+    mixed = (mixed ^ (mixed >> 27U)) * FirstMultiplier;
+    return mixed ^ (mixed >> 31U);
+}
 
 } // namespace almondmill
--- a/include/almondmill/placement/advicecache.h
+++ b/include/almondmill/placement/advicecache.h
@@ -2,10 +2,9 @@
 
 #include "almondmill/kernel/time.h"
 #include "almondmill/placement/home.h"
+#include "almondmill/placement/stripedlocks.h"
 
-#include <array>
 #include <cstdint>
-#include <mutex>
 #include <optional>
 #include <vector>
 
@@ -32,10 +31,8 @@
         SteadyTime until = SteadyTime::min();
     };
 
-    static constexpr std::size_t Locks = 64;
-
     std::vector<Entry> m_entries;
-    mutable std::array<std::mutex, Locks> m_locks;
+    mutable StripedLocks m_locks;
 };
 
 } // namespace almondmill
--- a/include/almondmill/placement/candidate.h
+++ b/include/almondmill/placement/candidate.h
@@ -9,7 +9,7 @@
 struct Candidate
 {
     std::uint64_t nameHash = 0;
-    std::uint64_t incarnation = 0; ///< Zero when it is not known.
+    std::uint64_t incarnation = 0;         ///< Zero when it is not known.
     std::chrono::microseconds queue{0};    ///< Expected wait of new work there.
     std::chrono::microseconds distance{0}; ///< Round trip to its data centre.
     double weight = 1.0; ///< Share of the usual work that it may get; below one while it warms up.
--- a/include/almondmill/placement/expectedqueue.h
+++ b/include/almondmill/placement/expectedqueue.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <memory>
 
 namespace almondmill {
 
@@ -18,7 +19,12 @@
     using Duration = std::chrono::microseconds;
 
     /// The expected wait of work placed at `now`.
-    Duration at(SteadyTime now) const;
+    Duration at(SteadyTime now) const
+    {
+        const SteadyTime::rep left =
+                m_busyUntil.load(std::memory_order_relaxed) - now.time_since_epoch().count();
+        return std::chrono::duration_cast<Duration>(SteadyTime::duration(left > 0 ? left : 0));
+    }
 
     /// Mean work of the placements so far; an assumed one before the first.
     Duration meanWork() const;
@@ -37,11 +43,13 @@
     };
 
     static constexpr std::size_t RememberedPlacements = 16;
+    using Placements = std::array<Placement, RememberedPlacements>;
 
     std::atomic<SteadyTime::rep> m_busyUntil{0};
     std::atomic<std::int64_t> m_meanWork{150000};
     std::atomic<std::uint32_t> m_next{0};
-    std::array<Placement, RememberedPlacements> m_placements;
+    /// Apart from what every decision reads, so that this stays in few cache lines.
+    std::unique_ptr<Placements> m_placements = std::make_unique<Placements>();
 };
 
 } // namespace almondmill
--- a/include/almondmill/placement/hometable.h
+++ b/include/almondmill/placement/hometable.h
@@ -2,12 +2,12 @@
 
 #include "almondmill/kernel/time.h"
 #include "almondmill/placement/home.h"
+#include "almondmill/placement/stripedlocks.h"
 
 #include <array>
 #include <chrono>
 #include <cstdint>
 #include <memory>
-#include <mutex>
 #include <vector>
 
 namespace almondmill {
@@ -51,13 +51,11 @@
 
     using Group = std::array<Entry, GroupSize>;
 
-    static constexpr std::size_t Locks = 64;
-
     bool fresh(const Entry &entry, SteadyTime now) const;
 
     std::chrono::milliseconds m_idle;
     std::vector<Group> m_groups;
-    mutable std::array<std::mutex, Locks> m_locks;
+    mutable StripedLocks m_locks;
 };
 
 } // namespace almondmill
--- a/include/almondmill/placement/priorityqueues.h
+++ b/include/almondmill/placement/priorityqueues.h
@@ -17,7 +17,14 @@
 
     /// What placing a request of the priority costs in time at `now`: its own wait, and for high
     /// priority a part of the longer wait that it causes to low.
-    Duration at(Priority priority, SteadyTime now) const;
+    Duration at(Priority priority, SteadyTime now) const
+    {
+        const Duration all = m_all.at(now);
+        if (priority == Priority::Low)
+            return all;
+        const Duration high = m_high.at(now);
+        return all > high ? high + (all - high) / LowWaitDivisor : high;
+    }
 
     /// Mean work of the placements so far.
     Duration meanWork() const { return m_all.meanWork(); }
@@ -30,6 +37,8 @@
     void report(std::uint32_t waiting, std::optional<std::uint32_t> waitingHigh, SteadyTime taken);
 
 private:
+    static constexpr int LowWaitDivisor = 10;
+
     ExpectedQueue m_high;
     ExpectedQueue m_all;
     std::atomic<float> m_highShare{0.5F};
--- a/include/almondmill/placement/sharedprefixes.h
+++ b/include/almondmill/placement/sharedprefixes.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "almondmill/kernel/time.h"
+#include "almondmill/placement/stripedlocks.h"
 
-#include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
-#include <mutex>
 #include <span>
 #include <vector>
 
@@ -20,7 +19,7 @@
     struct Level
     {
         std::size_t depth = 0; ///< Leading keys up to the level that requests share.
-        bool shared = false; ///< Seen before, or its like recur below the same prefix.
+        bool shared = false;   ///< Seen before, or its like recur below the same prefix.
     };
 
     explicit SharedPrefixes(std::size_t entries);
@@ -42,15 +41,13 @@
         float recurs = 0;   ///< Moving mean: the next key had been seen.
     };
 
-    static constexpr std::size_t Locks = 64;
-
     bool noteFirst(bool seen);
-    Entry entryOf(std::uint64_t key, SteadyTime now) const;
-    void noteChild(std::uint64_t key, std::uint64_t child, bool childSeen, SteadyTime now);
+    /// Notes the key and the one below it; returns the entry as it was, empty when unknown.
+    Entry visit(std::uint64_t key, std::uint64_t child, bool childSeen, SteadyTime now);
 
     std::vector<Entry> m_entries;
     std::atomic<float> m_firstRecurs{1.0F}; ///< Moving mean: the outermost key had been seen.
-    mutable std::array<std::mutex, Locks> m_locks;
+    mutable StripedLocks m_locks;
 };
 
 } // namespace almondmill
--- a/src/admission/ratelimiter.cpp
+++ b/src/admission/ratelimiter.cpp
@@ -43,9 +43,9 @@
 std::chrono::milliseconds RateLimiter::wait(double amount, double perSecond,
                                             std::chrono::milliseconds burst, SteadyTime now) const
 {
-    const SteadyTime::rep missing = lacking(m_fullAt.load(std::memory_order_relaxed),
-                                            ticksOf(amount, perSecond), ticksOf(burst),
-                                            now.time_since_epoch().count());
+    const SteadyTime::rep missing =
+            lacking(m_fullAt.load(std::memory_order_relaxed), ticksOf(amount, perSecond),
+                    ticksOf(burst), now.time_since_epoch().count());
     return std::chrono::ceil<std::chrono::milliseconds>(
             SteadyTime::duration(std::max<SteadyTime::rep>(missing, 0)));
 }
--- a/src/endpoint/endpointstate.cpp
+++ b/src/endpoint/endpointstate.cpp
@@ -13,9 +13,10 @@
 } // namespace
 
 EndpointState::EndpointState(Endpoint endpoint)
-    : m_endpoint(std::move(endpoint))
-    , m_nameHash(hash64(m_endpoint.name))
-    , m_dataCentreHash(hash64(m_endpoint.dataCentre))
+    : m_nameHash(hash64(endpoint.name))
+    , m_dataCentreHash(hash64(endpoint.dataCentre))
+    , m_toBeEmptied(endpoint.leaving)
+    , m_endpoint(std::move(endpoint))
 {}
 
 std::uint32_t EndpointState::load() const
@@ -23,13 +24,6 @@
     return inFlight() + m_othersLoad.load(std::memory_order_relaxed);
 }
 
-bool EndpointState::takesWork(SteadyTime now) const
-{
-    if (m_endpoint.leaving || leaving())
-        return false;
-    return now.time_since_epoch().count() >= m_ejectedUntil.load(std::memory_order_relaxed);
-}
-
 void EndpointState::setIncarnation(std::uint64_t incarnation)
 {
     m_incarnation.store(incarnation, std::memory_order_release);
--- a/src/placement/advicecache.cpp
+++ b/src/placement/advicecache.cpp
@@ -11,7 +11,7 @@
 std::optional<Home> AdviceCache::find(std::uint64_t key, SteadyTime now) const
 {
     const std::size_t index = key % m_entries.size();
-    const std::lock_guard<std::mutex> lock(m_locks[index % Locks]);
+    const std::lock_guard<std::mutex> lock(m_locks.of(index));
     const Entry &entry = m_entries[index];
     if (entry.key != key || entry.until <= now)
         return std::nullopt;
@@ -26,7 +26,7 @@
 void AdviceCache::store(std::uint64_t key, const Home &home, SteadyTime until)
 {
     const std::size_t index = key % m_entries.size();
-    const std::lock_guard<std::mutex> lock(m_locks[index % Locks]);
+    const std::lock_guard<std::mutex> lock(m_locks.of(index));
     m_entries[index] = Entry{key, home, until};
 }
 
--- a/src/placement/expectedqueue.cpp
+++ b/src/placement/expectedqueue.cpp
@@ -20,13 +20,6 @@
 
 } // namespace
 
-ExpectedQueue::Duration ExpectedQueue::at(SteadyTime now) const
-{
-    const SteadyTime::rep left = m_busyUntil.load(std::memory_order_relaxed) - ticks(now);
-    return std::chrono::duration_cast<Duration>(
-            SteadyTime::duration(std::max<SteadyTime::rep>(left, 0)));
-}
-
 ExpectedQueue::Duration ExpectedQueue::meanWork() const
 {
     return Duration(m_meanWork.load(std::memory_order_relaxed));
@@ -41,7 +34,7 @@
     const std::int64_t mean = m_meanWork.load(std::memory_order_relaxed);
     m_meanWork.store(mean + (work.count() - mean) / MeanOver, std::memory_order_relaxed);
     const std::uint32_t next = m_next.fetch_add(1, std::memory_order_relaxed);
-    Placement &placement = m_placements[next % RememberedPlacements];
+    Placement &placement = (*m_placements)[next % RememberedPlacements];
     placement.work.store(work.count(), std::memory_order_relaxed);
     placement.time.store(ticks(now), std::memory_order_relaxed);
 }
@@ -49,7 +42,7 @@
 void ExpectedQueue::report(Duration queue, SteadyTime taken)
 {
     Duration since{0};
-    for (const Placement &placement : m_placements) {
+    for (const Placement &placement : *m_placements) {
         if (placement.time.load(std::memory_order_relaxed) > ticks(taken))
             since += Duration(placement.work.load(std::memory_order_relaxed));
     }
--- a/src/placement/hometable.cpp
+++ b/src/placement/hometable.cpp
@@ -18,7 +18,7 @@
 {
     Homes homes;
     const std::size_t index = key % m_groups.size();
-    const std::lock_guard<std::mutex> lock(m_locks[index % Locks]);
+    const std::lock_guard<std::mutex> lock(m_locks.of(index));
     for (const Entry &entry : m_groups[index]) {
         if (entry.key == key && fresh(entry, now))
             homes.items[homes.size++] = entry.home;
@@ -34,11 +34,9 @@
 void HomeTable::remember(std::uint64_t key, const Home &home, SteadyTime now)
 {
     const std::size_t index = key % m_groups.size();
-    const std::lock_guard<std::mutex> lock(m_locks[index % Locks]);
+    const std::lock_guard<std::mutex> lock(m_locks.of(index));
     Group &group = m_groups[index];
-    const auto isSame = [&](const Entry &entry) {
-        return entry.key == key && entry.home == home;
-    };
+    const auto isSame = [&](const Entry &entry) { return entry.key == key && entry.home == home; };
     auto entry = std::find_if(group.begin(), group.end(), isSame);
     if (entry == group.end()) {
         entry = std::min_element(group.begin(), group.end(), [](const Entry &a, const Entry &b) {
@@ -51,7 +49,7 @@
 void HomeTable::forget(std::uint64_t key, const Home &home)
 {
     const std::size_t index = key % m_groups.size();
-    const std::lock_guard<std::mutex> lock(m_locks[index % Locks]);
+    const std::lock_guard<std::mutex> lock(m_locks.of(index));
     for (Entry &entry : m_groups[index]) {
         if (entry.key == key && entry.home == home)
             entry = Entry{};
--- a/src/placement/offer.cpp
+++ b/src/placement/offer.cpp
@@ -70,7 +70,8 @@
             continue;
         if (!excluded.empty() && excluded.count(state.endpoint().name) != 0)
             continue;
-        m_candidates.push_back({state.nameHash(), state.incarnation(), state.queue().at(request.priority, now),
+        m_candidates.push_back({state.nameHash(), state.incarnation(),
+                                state.queue().at(request.priority, now),
                                 distances.to(state.dataCentreHash())});
         m_stateIndexes.push_back(i);
     }
@@ -80,7 +81,7 @@
 {
     for (std::size_t i = 0; i < m_candidates.size(); ++i) {
         const bool isSame = m_candidates[i].nameHash == home.nameHash
-                && m_candidates[i].incarnation == home.incarnation;
+                            && m_candidates[i].incarnation == home.incarnation;
         if (isSame)
             return i;
     }
--- a/src/placement/ownerlookup.cpp
+++ b/src/placement/ownerlookup.cpp
@@ -54,6 +54,7 @@
                                       SteadyTime now)
 {
     Answer answer;
+    answer.ownedHere = !members;
     if (!members || !request.configuration || level.depth == 0)
         return answer;
     const std::uint64_t key = request.prefixKeys[level.depth - 1];
@@ -79,7 +80,7 @@
         return std::nullopt;
     const PlacementQuery query = makeQuery(request, level, excluded);
     const double bytes = LookupBaseBytes + KeyBytes * static_cast<double>(query.prefixKeys.size())
-            + static_cast<double>(query.model.size());
+                         + static_cast<double>(query.model.size());
     if (!m_budget.take(request.prefixKeys[level.depth - 1], bytes, now)) {
         m_overBudget.add();
         return std::nullopt;
--- a/src/placement/ownerpolicy.cpp
+++ b/src/placement/ownerpolicy.cpp
@@ -43,7 +43,8 @@
         const std::uint32_t cached = held.blocks(candidate.nameHash, candidate.incarnation);
         PlacementCost::Cost here = cost.of(candidate, blocks - cached);
         here -= PreferenceWeight * preference(candidate, subject.levelKey());
-        const bool wins = here < bestCost
+        const bool wins =
+                here < bestCost
                 || (here == bestCost && candidate.nameHash < candidates[best.index].nameHash);
         if (!wins)
             continue;
@@ -72,9 +73,8 @@
 
 namespace {
 
-const PlacementRegistry::Registrar OwnerRegistrar("owner", [] {
-    return std::make_unique<OwnerPolicy>();
-});
+const PlacementRegistry::Registrar OwnerRegistrar("owner",
+                                                  [] { return std::make_unique<OwnerPolicy>(); });
 
 } // namespace
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -61,8 +61,8 @@
     PlacementPolicy *policy = &policyFor(request);
     std::optional<Home> advised;
     if (policy->hasOwners()) {
-        const auto answer = m_lookup.find(request, level, excluded, m_node.members,
-                                          m_node.placementPeers, now);
+        const auto answer =
+                m_lookup.find(request, level, excluded, m_node.members, m_node.placementPeers, now);
         advised = answer.home;
         if (!answer.ownedHere)
             policy = &m_alone;
@@ -92,8 +92,8 @@
     const std::set<std::string> excluded(query.excluded.begin(), query.excluded.end());
     const SharedPrefixes::Level level = m_shared.note(request.prefixKeys, now);
     const Offer offer(request, endpoints->forModel(query.model), excluded, now);
-    const auto choice = policyFor(request).choose(subjectOf(request, level.depth),
-                                                  offer.candidates(), now);
+    const auto choice =
+            policyFor(request).choose(subjectOf(request, level.depth), offer.candidates(), now);
     if (!choice)
         return {};
     const auto &state = offer.state(choice->index);
--- a/src/placement/prefixowners.cpp
+++ b/src/placement/prefixowners.cpp
@@ -36,7 +36,8 @@
     const Member *best = nullptr;
     std::uint64_t bestWeight = 0;
     for (const Member &member : *view) {
-        const bool near = region.empty()
+        const bool near =
+                region.empty()
                 || std::find(region.begin(), region.end(), member.dataCentre) != region.end();
         if (!near || member.leaving)
             continue;
--- a/src/placement/rendezvous.cpp
+++ b/src/placement/rendezvous.cpp
@@ -34,7 +34,7 @@
     const auto count = static_cast<double>(std::max<std::size_t>(candidates.size(), 1));
     const double bound = LoadBoundFactor * static_cast<double>(total.count()) / count;
     const auto moved = static_cast<double>(std::max<std::size_t>(blocks, 1)) * MovedBlockWeight
-            * static_cast<double>(BlockPrefillTime.count());
+                       * static_cast<double>(BlockPrefillTime.count());
     return std::chrono::microseconds(static_cast<std::int64_t>(bound + moved));
 }
 
@@ -48,7 +48,8 @@
         if (candidates[i].queue > bound)
             continue;
         const std::uint64_t weight = randomWeight(candidates[i], key);
-        const bool wins = !best || weight > bestWeight
+        const bool wins =
+                !best || weight > bestWeight
                 || (weight == bestWeight && candidates[i].nameHash < candidates[*best].nameHash);
         if (wins) {
             best = i;
--- a/src/placement/rendezvouspolicy.cpp
+++ b/src/placement/rendezvouspolicy.cpp
@@ -28,7 +28,8 @@
     std::uint64_t key = subject.levelKey();
     if (key == 0)
         key = mixHash(1, m_unkeyed.fetch_add(1, std::memory_order_relaxed));
-    const auto index = rendezvousWithin(key, candidates, loadBound(candidates, subject.prefixKeys.size()));
+    const auto index =
+            rendezvousWithin(key, candidates, loadBound(candidates, subject.prefixKeys.size()));
     if (!index)
         return std::nullopt;
     const auto blocks = static_cast<std::int64_t>(subject.prefixKeys.size() - subject.level + 1);
--- a/src/request/accountadmission.cpp
+++ b/src/request/accountadmission.cpp
@@ -26,9 +26,9 @@
 {
     if (!node.accountLimits)
         return nullptr;
-    auto result = node.accountLimits->admit(
-            *context.account, static_cast<std::uint32_t>(promptBytes / BytesPerToken),
-            std::chrono::steady_clock::now());
+    auto result = node.accountLimits->admit(*context.account,
+                                            static_cast<std::uint32_t>(promptBytes / BytesPerToken),
+                                            std::chrono::steady_clock::now());
     if (const auto *verdict = std::get_if<AccountLimit::Verdict>(&result))
         throw RefusedError(refusalFor(*verdict));
     return std::make_shared<AccountGrant>(std::move(std::get<AccountGrant>(result)));
--- a/tests/property-isolation.cpp
+++ b/tests/property-isolation.cpp
@@ -145,7 +145,7 @@
     const PrefixScope one{names[0], names[1], names[2]};
     const PrefixScope two{names[3], names[4], names[5]};
     const bool same = one.clientAccount == two.clientAccount && one.model == two.model
-            && one.weights == two.weights;
+                      && one.weights == two.weights;
     const auto oneKeys = prefixKeys(one, prompt, 2);
     const auto twoKeys = prefixKeys(two, prompt, 2);
     if (same)
