--- a/include/almondmill/endpoint/endpointstate.h
+++ b/include/almondmill/endpoint/endpointstate.h
@@ -2,15 +2,17 @@
 
 #include "almondmill/config/endpoint.h"
 #include "almondmill/kernel/time.h"
+#include "almondmill/placement/priorityqueues.h"
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 
 namespace almondmill {
 
 /// What this router knows of one endpoint at the moment. Written by answers and probes, read by
 /// placement; every member is safe to use from several threads.
-class EndpointState
+class alignas(64) EndpointState
 {
 public:
     static constexpr std::chrono::milliseconds WarmingTime{20000};
@@ -19,6 +21,11 @@
 
     const Endpoint &endpoint() const { return m_endpoint; }
     std::uint64_t nameHash() const { return m_nameHash; }
+    std::uint64_t dataCentreHash() const { return m_dataCentreHash; }
+
+    /// How long new work is expected to wait there.
+    const PriorityQueues &queue() const { return m_queue; }
+    PriorityQueues &queue() { return m_queue; }
 
     /// Incarnation the endpoint last told; zero when it is not known.
     std::uint64_t incarnation() const { return m_incarnation.load(std::memory_order_acquire); }
@@ -26,6 +33,13 @@
     /// Hash of the weights version the endpoint last told; zero when it is not known.
     std::uint64_t weightsHash() const { return m_weightsHash.load(std::memory_order_acquire); }
 
+    /// Names one life of the endpoint's cache, which ends with a restart and with a change of
+    /// weights; zero when it is not known.
+    std::uint64_t cacheLife() const { return cacheLifeOf(incarnation(), weightsHash()); }
+
+    /// The same from what an answer tells.
+    static std::uint64_t cacheLifeOf(std::uint64_t incarnation, std::uint64_t weightsHash);
+
     /// Requests of this router open at the endpoint.
     std::uint32_t inFlight() const { return m_inFlight.load(std::memory_order_relaxed); }
 
@@ -47,11 +61,20 @@
     double warmth(SteadyTime now) const;
 
     /// Whether the endpoint may get new work at `now`.
-    bool takesWork(SteadyTime now) const;
+    bool takesWork(SteadyTime now) const
+    {
+        if (m_toBeEmptied || leaving() || unreachable())
+            return false;
+        return now.time_since_epoch().count() >= m_ejectedUntil.load(std::memory_order_relaxed);
+    }
 
     void setIncarnation(std::uint64_t incarnation);
     void setWeightsHash(std::uint64_t hash);
     void setReportedLoad(std::uint32_t load);
+
+    /// Takes in a load that was measured at `taken`, and the part of high priority where the engine
+    /// tells it: corrects the expected queues too.
+    void reportLoad(std::uint32_t load, std::optional<std::uint32_t> highLoad, SteadyTime taken);
     void setLeaving(bool leaving);
     void setUnreachable(bool unreachable);
     void startWarming(SteadyTime now);
@@ -72,8 +95,10 @@
     /// So long ago that the endpoint is warm.
     static constexpr SteadyTime::rep NeverWarmed = -SteadyTime::duration(WarmingTime).count();
 
-    Endpoint m_endpoint;
     std::uint64_t m_nameHash;
+    std::uint64_t m_dataCentreHash;
+    bool m_toBeEmptied; ///< By the inventory.
+    PriorityQueues m_queue;
     std::atomic<std::uint64_t> m_incarnation{0};
     std::atomic<std::uint64_t> m_weightsHash{0};
     std::atomic<std::uint32_t> m_inFlight{0};
@@ -84,6 +109,7 @@
     std::atomic<SteadyTime::rep> m_warmingSince{NeverWarmed};
     std::atomic<std::uint32_t> m_failures{0};
     std::atomic<SteadyTime::rep> m_ejectedUntil{0};
+    Endpoint m_endpoint; ///< Last: decisions read what stands before.
 };
 
 } // namespace almondmill
--- a/src/endpoint/endpointstate.cpp
+++ b/src/endpoint/endpointstate.cpp
@@ -13,10 +13,17 @@
 } // namespace
 
 EndpointState::EndpointState(Endpoint endpoint)
-    : m_endpoint(std::move(endpoint))
-    , m_nameHash(hash64(m_endpoint.name))
+    : m_nameHash(hash64(endpoint.name))
+    , m_dataCentreHash(hash64(endpoint.dataCentre))
+    , m_toBeEmptied(endpoint.leaving)
+    , m_endpoint(std::move(endpoint))
 {}
 
+std::uint64_t EndpointState::cacheLifeOf(std::uint64_t incarnation, std::uint64_t weightsHash)
+{
+    return incarnation == 0 ? 0 : mixHash(incarnation, weightsHash);
+}
+
 std::uint32_t EndpointState::load() const
 {
     return inFlight() + m_othersLoad.load(std::memory_order_relaxed);
@@ -30,13 +37,6 @@
     return std::clamp(elapsed / Seconds(WarmingTime), 0.0, 1.0);
 }
 
-bool EndpointState::takesWork(SteadyTime now) const
-{
-    if (m_endpoint.leaving || leaving() || unreachable())
-        return false;
-    return now.time_since_epoch().count() >= m_ejectedUntil.load(std::memory_order_relaxed);
-}
-
 void EndpointState::setIncarnation(std::uint64_t incarnation)
 {
     m_incarnation.store(incarnation, std::memory_order_release);
@@ -54,6 +54,13 @@
     m_othersLoad.store(load > own ? load - own : 0, std::memory_order_relaxed);
 }
 
+void EndpointState::reportLoad(std::uint32_t load, std::optional<std::uint32_t> highLoad,
+                               SteadyTime taken)
+{
+    setReportedLoad(load);
+    m_queue.report(load, highLoad, taken);
+}
+
 void EndpointState::setLeaving(bool leaving)
 {
     m_leaving.store(leaving, std::memory_order_release);
--- a/tests/failure-streams.cpp
+++ b/tests/failure-streams.cpp
@@ -169,6 +169,7 @@
     for (const bool stream : {true, false}) {
         CompletionOrder order;
         order.stream = stream;
+        order.prompt = std::string(20000, stream ? 's' : 'p');
         const std::string expected = readDirectly(order);
         const std::size_t first = indexOf(ask(order));
         const auto before = counterValue(m_router, "almondmill_crossed_answers_total");
