Repair a damaged or outdated root, say so in status, and note the design

Cause: a root that is no root, or an older one after a restored backup, could not be replaced by our tool: submissions were refused, or accepted and never in force, as routers refuse lower versions. Tests: RepairsARoot..., StatusWarnsWhenThePlatformHoldsLess...

--- a/include/almondmill/config/configurationstore.h
+++ b/include/almondmill/config/configurationstore.h
@@ -79,6 +79,12 @@
     UpdateResult submit(const Inventory &inventory, const Rules &rules, std::uint64_t baseVersion,
                         const std::string &submitter = "unknown");
 
+    /// The same for a root that is damaged, gone, or older than what is in force at the routers, as
+    /// after a restored backup: the next version is counted from `inForceVersion`. Conflict when
+    /// the root is sound and not older. What the root said is lost.
+    UpdateResult repair(const Inventory &inventory, const Rules &rules,
+                        std::uint64_t inForceVersion, const std::string &submitter);
+
 private:
     ObjectStore &m_store;
     std::chrono::milliseconds m_timeout;
--- a/include/almondmill/config/submission.h
+++ b/include/almondmill/config/submission.h
@@ -20,7 +20,8 @@
 class Submission
 {
 public:
-    /// `base` is the root in force, or null when there is none yet.
+    /// `base` is the root in force, or null when there is none yet. A store version of zero in it
+    /// says that the root object is not there.
     Submission(ObjectStore &store, std::chrono::milliseconds timeout, const StoredRoot *base,
                const std::string &submitter);
 
--- a/src/almondmill/commands.h
+++ b/src/almondmill/commands.h
@@ -1,8 +1,6 @@
 #pragma once
 
-namespace CLI {
-class App;
-}
+#include <CLI/CLI.hpp>
 
 namespace almondmill::cli {
 
--- a/src/almondmill/options.h
+++ b/src/almondmill/options.h
@@ -2,11 +2,9 @@
 
 #include "almondmill/config/configurationfiles.h"
 
-#include <string>
+#include <CLI/CLI.hpp>
 
-namespace CLI {
-class App;
-}
+#include <string>
 
 namespace almondmill::cli {
 
--- a/src/almondmill/status.cpp
+++ b/src/almondmill/status.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <iostream>
 #include <mutex>
+#include <optional>
 
 namespace almondmill::cli {
 
@@ -141,22 +142,60 @@
         std::cout << "    " << finding.get<std::string>() << "\n";
 }
 
+/// Version of the accepted configuration; nothing without a platform, or when it gives none.
+std::optional<std::uint64_t> acceptedVersion(const StatusOptions &options)
+{
+    if (options.platform.empty())
+        return std::nullopt;
+    PlatformAccess access(options.platform);
+    const RootResult result = access.store().readRoot();
+    const auto *stored = std::get_if<StoredRoot>(&result);
+    return stored ? std::optional(stored->root.version) : std::nullopt;
+}
+
+void printStatusJson(const StatusOptions &options, const std::vector<RouterStatus> &all,
+                     std::uint64_t newest)
+{
+    Json list = Json::array();
+    for (const RouterStatus &router : all)
+        list.push_back(toJson(router, newest));
+    const auto accepted = acceptedVersion(options);
+    printJson({{"accepted_version", accepted ? Json(*accepted) : Json()},
+               {"newest_version", newest},
+               {"routers", list}});
+}
+
+/// Says which version is accepted; one that is lower than what is in force can't come into force.
+bool printAccepted(const StatusOptions &options, std::uint64_t newest)
+{
+    const auto accepted = acceptedVersion(options);
+    if (!accepted) {
+        std::cout << "the platform holds no root that can be read\n";
+        return false;
+    }
+    std::cout << "accepted: version " << *accepted << "\n";
+    if (*accepted >= newest)
+        return true;
+    std::cout << "the platform's version is older than version " << newest
+              << " in force, see 'almondmill submit --repair'\n";
+    return false;
+}
+
 int status(const StatusOptions &options)
 {
     const auto all = readAll(routerAddresses(options));
     const std::uint64_t newest = newestVersion(all);
-    Json list = Json::array();
-    bool fine = true;
-    for (const RouterStatus &router : all) {
-        fine = fine && isFine(router, newest);
-        if (options.json)
-            list.push_back(toJson(router, newest));
-        else
-            print(router, newest);
+    const bool allFine = std::all_of(all.begin(), all.end(), [&](const RouterStatus &router) {
+        return isFine(router, newest);
+    });
+    if (options.json) {
+        printStatusJson(options, all, newest);
+        return allFine ? ExitOk : ExitDiffers;
     }
-    if (options.json)
-        printJson({{"newest_version", newest}, {"routers", list}});
-    return fine ? ExitOk : ExitDiffers;
+    const bool rootIsFine = options.platform.empty() || printAccepted(options, newest);
+    for (const RouterStatus &router : all)
+        print(router, newest);
+    return allFine && rootIsFine ? ExitOk : ExitDiffers;
 }
 
 } // namespace
@@ -168,8 +207,10 @@
     command->add_option("--routers", options->routers,
                         "operators' listeners as IP:port, with commas between")
             ->delimiter(',');
-    command->add_option("--platform", options->platform,
-                        "base URL of the platform, for the routers of its VM list");
+    command->add_option(
+            "--platform", options->platform,
+            "base URL of the platform, for the accepted version, and for the routers of its VM "
+            "list where none are named");
     command->add_option("--operators-port", options->operatorsPort,
                         "port of the operators' listeners of the VM list's routers")
             ->capture_default_str();
--- a/src/almondmill/submit.cpp
+++ b/src/almondmill/submit.cpp
@@ -16,6 +16,7 @@
 struct SubmitOptions : Options
 {
     std::uint64_t base = 0;
+    bool repair = false;
 };
 
 int reportApplied(const SubmitOptions &options, std::uint64_t version)
@@ -57,12 +58,19 @@
     return exitCode;
 }
 
+UpdateResult send(const SubmitOptions &options, const ParsedConfiguration &files,
+                  ConfigurationStore &store)
+{
+    if (options.repair)
+        return store.repair(files.inventory, files.rules, options.base, options.submitter);
+    return store.submit(files.inventory, files.rules, options.base, options.submitter);
+}
+
 int submit(const SubmitOptions &options)
 {
     const ParsedConfiguration files = options.load();
     PlatformAccess access(options.platform);
-    const auto result =
-            access.store().submit(files.inventory, files.rules, options.base, options.submitter);
+    const auto result = send(options, files, access.store());
     if (const auto *applied = std::get_if<Applied>(&result))
         return reportApplied(options, applied->version);
     if (std::holds_alternative<Conflict>(result))
@@ -85,6 +93,9 @@
     options->addSubmitter(*command);
     options->addJson(*command);
     command->add_option("--base", options->base, "version that the edit started from")->required();
+    command->add_flag("--repair", options->repair,
+                      "replace a root that is damaged, gone or older than --base, the version in "
+                      "force at the routers");
     command->callback([options, &exitCode] { exitCode = submit(*options); });
 }
 
--- a/src/config/configurationstore.cpp
+++ b/src/config/configurationstore.cpp
@@ -110,4 +110,23 @@
     return submission.run(inventory, rules);
 }
 
+UpdateResult ConfigurationStore::repair(const Inventory &inventory, const Rules &rules,
+                                        std::uint64_t inForceVersion, const std::string &submitter)
+{
+    const RootResult current = readRoot();
+    if (const auto *failure = std::get_if<LoadFailure>(&current))
+        return NotApplied{"the root can't be read: " + failure->reason};
+    StoredRoot base;
+    base.root.version = inForceVersion;
+    if (const auto *damaged = std::get_if<DamagedRoot>(&current))
+        base.storeVersion = damaged->storeVersion;
+    if (const auto *stored = std::get_if<StoredRoot>(&current)) {
+        if (stored->root.version >= inForceVersion)
+            return Conflict{StoredObject{RootName, stored->text, stored->storeVersion}};
+        base.storeVersion = stored->storeVersion;
+    }
+    Submission submission(m_store, m_timeout, &base, submitter);
+    return submission.run(inventory, rules);
+}
+
 } // namespace almondmill
--- a/src/config/configurationsync.cpp
+++ b/src/config/configurationsync.cpp
@@ -4,7 +4,6 @@
 #include "almondmill/config/watchers.h"
 #include "almondmill/fleet/configurationpeers.h"
 #include "almondmill/fleet/memberview.h"
-#include "almondmill/kernel/log.h"
 #include "almondmill/kernel/node.h"
 #include "almondmill/platform/objectstore.h"
 
@@ -30,7 +29,6 @@
 constexpr std::size_t MostParallelPushes = 4;
 constexpr std::size_t FewParts = 4;              ///< So many are read at once, whoever asks.
 constexpr std::size_t PartReadsPerSecond = 1000; ///< For the whole fleet, when all start at once.
-constexpr const char *Prefix = "config";
 
 std::string found(std::uint64_t version)
 {
--- a/src/config/submission.cpp
+++ b/src/config/submission.cpp
@@ -162,8 +162,9 @@
 UpdateResult Submission::writeRoot(const ConfigurationRoot &root)
 {
     const std::string text = encodeRoot(root);
-    auto result = m_base ? m_store.update(RootName, text, m_base->storeVersion, m_timeout)
-                         : m_store.createIfAbsent(RootName, text, m_timeout);
+    const std::uint64_t storeVersion = m_base ? m_base->storeVersion : 0;
+    auto result = storeVersion != 0 ? m_store.update(RootName, text, storeVersion, m_timeout)
+                                    : m_store.createIfAbsent(RootName, text, m_timeout);
     if (std::holds_alternative<Applied>(result))
         return Applied{m_version};
     if (const auto *unknown = std::get_if<OutcomeUnknown>(&result))
--- a/tests/failure-cli.cpp
+++ b/tests/failure-cli.cpp
@@ -197,6 +197,46 @@
     EXPECT_THAT(shown.output, HasSubstr("'by-hand' is not known"));
 }
 
+TEST(CommandLine, RepairsARootThatIsDamagedOrOlderThanWhatIsInForce)
+{
+    Platform platform;
+    const Files files;
+    const std::string options = files.options() + platform.option();
+    ASSERT_EQ(runAlmondmill("submit --base 0" + options).exitCode, 0);
+    EXPECT_EQ(runAlmondmill("submit --repair --base 1" + options).exitCode, 3);
+    auto &store = platform.server.store();
+    const auto version = std::get<StoredObject>(store.read(RootName, Timeout)).version;
+    store.update(RootName, "not a root", version, Timeout);
+    EXPECT_EQ(runAlmondmill("submit --base 1" + options).exitCode, 4);
+    EXPECT_THAT(runAlmondmill("submit --repair --base 1" + options).output,
+                HasSubstr("accepted: version 2"));
+    EXPECT_THAT(runAlmondmill("submit --repair --base 9" + options).output,
+                HasSubstr("accepted: version 10"));
+    EXPECT_EQ(runAlmondmill("diff" + options).exitCode, 0);
+}
+
+TEST(CommandLine, StatusWarnsWhenThePlatformHoldsLessThanIsInForce)
+{
+    Site site(1, 0);
+    const RouterProcess router(site.platformUrl());
+    ASSERT_TRUE(router.waitUntilReady());
+    const std::string status = "status --platform " + site.platformUrl() + " --routers "
+                               + router.operatorsUrl().substr(7);
+    EXPECT_THAT(runAlmondmill(status).output, HasSubstr("accepted: version 1"));
+    auto &store = site.platform().store();
+    const auto old = std::get<StoredObject>(store.read(RootName, Timeout));
+    const std::uint64_t version = site.submit();
+    ASSERT_TRUE(waitUntil([&] {
+        const auto json = runAlmondmill("status --json" + status.substr(6)).output;
+        return Json::parse(json)["newest_version"] == version;
+    }));
+    const auto current = std::get<StoredObject>(store.read(RootName, Timeout));
+    store.update(RootName, old.value, current.version, Timeout);
+    const auto shown = runAlmondmill(status);
+    EXPECT_EQ(shown.exitCode, 1);
+    EXPECT_THAT(shown.output, HasSubstr("older than version 2 in force"));
+}
+
 TEST(CommandLine, WrongArgumentsGiveExitCodeTwo)
 {
     EXPECT_EQ(runAlmondmill("").exitCode, 2);
