--- a/tests/failure-restart.cpp
+++ b/tests/failure-restart.cpp
@@ -2,10 +2,13 @@
 #include "support/site.h"
 #include "support/waituntil.h"
 
+#include "almondmill/config/watchers.h"
+
 #include <gtest/gtest.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace almondmill::test {
@@ -15,6 +18,7 @@
 using Json = nlohmann::json;
 
 constexpr int StatusOk = 200;
+constexpr const char *FewThreads = "[limits]\nmax_requests = 50\ncaller_threads = 100\n";
 
 Json dumpOf(const RouterProcess &router)
 {
@@ -87,6 +91,41 @@
     EXPECT_EQ(complete(router), StatusOk);
 }
 
+TEST(Restart, AChangeIsInForceWhileAllWatchersAreFrozen)
+{
+    constexpr std::size_t Routers = 6;
+    Site site(1, 0);
+    std::vector<std::unique_ptr<RouterProcess>> routers;
+    std::vector<std::string> seeds;
+    for (std::size_t i = 0; i < Routers; ++i) {
+        routers.push_back(std::make_unique<RouterProcess>(site.platformUrl(), FewThreads, seeds));
+        seeds.push_back(routers.back()->peersAddress());
+    }
+    const auto watchers = [&] {
+        std::vector<RouterProcess *> found;
+        for (const auto &router : routers) {
+            if (dumpOf(*router)["parts"]["configuration"].value("watcher", true))
+                found.push_back(router.get());
+        }
+        return found;
+    };
+    for (const auto &router : routers)
+        ASSERT_TRUE(waitForVersion(*router, 1));
+    ASSERT_TRUE(waitUntil([&] { return watchers().size() == WatchersPerDataCentre; }));
+    const auto frozen = watchers();
+    for (RouterProcess *router : frozen)
+        router->process().signal(SIGSTOP);
+    const std::uint64_t version = site.submit();
+    for (const auto &router : routers) {
+        const bool isFrozen = std::find(frozen.begin(), frozen.end(), router.get()) != frozen.end();
+        EXPECT_TRUE(isFrozen || waitForVersion(*router, version));
+    }
+    for (RouterProcess *router : frozen) {
+        router->process().signal(SIGCONT);
+        EXPECT_TRUE(waitForVersion(*router, version));
+    }
+}
+
 TEST(Restart, ARouterThatWasFrozenTakesUpTheNewestVersion)
 {
     Site site(1, 0);
