Let the endpoint's thread write events to the caller

Cause: each event changed threads twice in the router, from the endpoint's connection to the relay's thread and on to the listener's thread; on a machine with more ready threads than cores each change adds a wait. Change: EventChannel::writeAll has the listener's thread only watch the caller while the relay's thread writes; what waits is written first, in order.

--- a/include/almondmill/request/streamrelay.h
+++ b/include/almondmill/request/streamrelay.h
@@ -58,6 +58,12 @@
     /// The next bytes for the caller; blocks until there are some, the end, or `until`.
     ChannelItem nextBytes(SteadyTime until) { return m_channel.pop(until); }
 
+    /// Writes all that is left with `writer`. False when the caller is gone.
+    bool writeAll(const EventChannel::Writer &writer, const std::function<bool()> &callerGone)
+    {
+        return m_channel.writeAll(writer, callerGone);
+    }
+
     /// Bytes that wait for the caller now.
     std::size_t waitingBytes() const { return m_channel.waitingBytes(); }
 
--- a/src/request/modelhandler.cpp
+++ b/src/request/modelhandler.cpp
@@ -20,7 +20,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds CancelTimeout{1000};
-constexpr std::chrono::milliseconds CallerCheckInterval{200};
 
 LoadControl::Options loadOptions(const Settings &settings)
 {
@@ -35,8 +34,7 @@
 {
 public:
     explicit ModelHandler(Node &node)
-        : m_node(node)
-        , m_metrics(node.metrics)
+        : m_metrics(node.metrics)
         , m_cancels(node.metrics, CancelTimeout)
         , m_load(loadOptions(node.settings), node.metrics)
         , m_environment{node,      m_watch, m_cancels,
@@ -48,10 +46,9 @@
 
 private:
     void fillHead(const RelayStart &start, httplib::Response &response) const;
-    bool writeNext(StreamRelay &relay, const RequestContext &context,
-                   httplib::DataSink &sink) const;
+    bool writeStream(StreamRelay &relay, const RequestContext &context,
+                     httplib::DataSink &sink) const;
 
-    Node &m_node;
     RelayMetrics m_metrics;
     DeadlineWatch m_watch;
     CancelQueue m_cancels;
@@ -71,22 +68,20 @@
     }
 }
 
-/// Writes what comes next. False when the caller is gone.
-bool ModelHandler::writeNext(StreamRelay &relay, const RequestContext &context,
-                             httplib::DataSink &sink) const
+/// Writes the whole stream. False when the caller is gone.
+bool ModelHandler::writeStream(StreamRelay &relay, const RequestContext &context,
+                               httplib::DataSink &sink) const
 {
-    const auto item = relay.nextBytes(std::chrono::steady_clock::now() + CallerCheckInterval);
-    if (std::holds_alternative<ChannelEnd>(item)) {
-        sink.done();
-        return true;
-    }
-    const auto *piece = std::get_if<ChannelBytes>(&item);
-    if (!piece)
-        return !context.callerGone();
-    const bool written = sink.write(piece->bytes.data(), piece->bytes.size());
-    m_metrics.addedDelay.add(std::chrono::duration_cast<std::chrono::microseconds>(
-            std::chrono::steady_clock::now() - piece->arrived));
-    return written;
+    const EventChannel::Writer writer = [&](const ChannelBytes &piece) {
+        const bool written = sink.write(piece.bytes.data(), piece.bytes.size());
+        m_metrics.addedDelay.add(std::chrono::duration_cast<std::chrono::microseconds>(
+                std::chrono::steady_clock::now() - piece.arrived));
+        return written;
+    };
+    if (!relay.writeAll(writer, context.callerGone))
+        return false;
+    sink.done();
+    return true;
 }
 
 void ModelHandler::handle(std::shared_ptr<const RequestContext> context,
@@ -109,7 +104,7 @@
     response.set_chunked_content_provider(
             start.head.contentType,
             [this, relay, context](std::size_t, httplib::DataSink &sink) {
-                return writeNext(*relay, *context, sink);
+                return writeStream(*relay, *context, sink);
             },
             [relay](bool) { relay->cancel(); });
 }
--- a/tests/property-streams.cpp
+++ b/tests/property-streams.cpp
@@ -118,11 +118,9 @@
 
 std::vector<DrawnFault> drawFaults()
 {
-    const auto count = *rc::gen::inRange(0, 8);
-    std::vector<DrawnFault> faults;
-    for (int i = 0; i < count; ++i)
-        faults.push_back({*rc::gen::inRange(0U, 9U), *rc::gen::inRange(0U, 12U),
-                          *rc::gen::inRange(1U, 60U)});
+    std::vector<DrawnFault> faults(*rc::gen::inRange(0U, 8U));
+    for (DrawnFault &fault : faults)
+        fault = {*rc::gen::inRange(0U, 9U), *rc::gen::inRange(0U, 12U), *rc::gen::inRange(1U, 60U)};
     return faults;
 }
 
@@ -134,6 +132,15 @@
 
 } // namespace
 
+RC_GTEST_PROP(StreamProperty, WritingAtOnceGivesTheSameBytesAsTakingPieces, ())
+{
+    const Script script{drawFaults(), *rc::gen::inRange(1U, 12U), 0};
+    const bool deterministic = *rc::gen::arbitrary<bool>();
+    Script again = script;
+    RelayBench bench(Endpoints, [&again] { return std::make_unique<FakeAttempt>(again); });
+    RC_ASSERT(bench.writeWhole(deterministic) == readThrough(script, deterministic));
+}
+
 RC_GTEST_PROP(StreamProperty, CallerGetsTheNaiveReadingOrItsBeginningAndAnExplicitError, ())
 {
     const Script script{drawFaults(), *rc::gen::inRange(1U, 12U), 0};
--- a/tests/support/relaybench.cpp
+++ b/tests/support/relaybench.cpp
@@ -91,4 +91,20 @@
     }
 }
 
+std::string RelayBench::writeWhole(bool deterministic) const
+{
+    const auto relay = makeRelay(deterministic);
+    relay->start();
+    const auto start = relay->waitForStart([] { return false; });
+    if (const auto *refusal = std::get_if<Refusal>(&start))
+        return refusal->json();
+    std::string text;
+    const auto writer = [&text](const ChannelBytes &piece) {
+        text += piece.bytes;
+        return true;
+    };
+    relay->writeAll(writer, [] { return false; });
+    return text;
+}
+
 } // namespace almondmill::test
--- a/tests/support/relaybench.h
+++ b/tests/support/relaybench.h
@@ -27,6 +27,9 @@
     /// All bytes that the caller gets; the refusal's JSON when the request is refused.
     std::string readWhole(bool deterministic) const;
 
+    /// The same, written by the relay itself as a listener has it done.
+    std::string writeWhole(bool deterministic) const;
+
 private:
     Node m_node;
     RelayMetrics m_metrics;
--- a/tests/unit-relay.cpp
+++ b/tests/unit-relay.cpp
@@ -186,4 +186,25 @@
     EXPECT_EQ(taken, Pieces * PieceBytes);
 }
 
+TEST(EventChannel, EndsBothSidesWhenThePieceCannotBeWritten)
+{
+    EventChannel channel(1000);
+    std::thread sender([&] {
+        while (channel.push("x", Start)) {
+        }
+    });
+    int left = 5;
+    const auto writer = [&left](const ChannelBytes & /*piece*/) { return --left > 0; };
+    EXPECT_FALSE(channel.writeAll(writer, [] { return false; }));
+    sender.join();
+}
+
+TEST(EventChannel, EndsWhenTheCallerIsGoneAndNothingComes)
+{
+    EventChannel channel(1000);
+    const auto writer = [](const ChannelBytes & /*piece*/) { return true; };
+    EXPECT_FALSE(channel.writeAll(writer, [] { return true; }));
+    EXPECT_FALSE(channel.push("x", Start));
+}
+
 } // namespace almondmill
