--- a/bench/bench-relay.cpp
+++ b/bench/bench-relay.cpp
@@ -177,6 +177,7 @@
     engine.tokenGap = TokenGap;
     test::Site site(1, 0, engine);
     site.rules().clientAccounts.front().maxConcurrent = static_cast<std::uint32_t>(options.streams);
+    site.inventory().models.front().maxInFlight = static_cast<std::uint32_t>(options.streams);
     site.submit();
     test::RouterProcess router(site.platformUrl());
     if (!router.waitUntilReady()) {
