--- /dev/null
+++ b/tests/unit-claims.cpp
@@ -0,0 +1,327 @@
+#include "support/claimharness.h"
+
+#include "almondmill/claims/claimcodec.h"
+#include "almondmill/claims/claimsweeper.h"
+#include "almondmill/config/service.h"
+#include "almondmill/kernel/error.h"
+#include "almondmill/request/refusederror.h"
+#include "almondmill/request/repeatability.h"
+
+#include <gtest/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+constexpr std::chrono::milliseconds Timeout{1000};
+const WallTime Start = WallTime(std::chrono::hours(24 * 365 * 50));
+
+Claim doneClaim(std::size_t bodyBytes)
+{
+    Claim claim;
+    claim.id = "id";
+    claim.fingerprint = "fingerprint";
+    claim.holder = "router";
+    claim.incarnation = 7;
+    claim.created = Start;
+    claim.state = ClaimState::Done;
+    claim.answer = StoredAnswer{201,
+                                "application/json",
+                                {{"Location", "/booking/slots/1"}},
+                                "service-0",
+                                std::string(bodyBytes, '\xff'),
+                                true};
+    return claim;
+}
+
+/// Moves a holder, without faults, until it has sent or finished.
+void moveUntil(ClaimHarness &harness, std::size_t holder, unsigned runs)
+{
+    while (harness.runs() < runs && !harness.steps().finished(holder))
+        harness.move(holder);
+}
+
+void moveToEnd(ClaimHarness &harness, std::size_t holder)
+{
+    while (!harness.steps().finished(holder))
+        harness.move(holder);
+}
+
+StepFault step(StoreFault fault)
+{
+    return {fault, SendFault::None};
+}
+
+StepFault step(SendFault fault)
+{
+    return {StoreFault::None, fault};
+}
+
+} // namespace
+
+TEST(ClaimCodec, ReadsBackWhatItWrote)
+{
+    const Claim claim = decodeClaim(encodeClaim(doneClaim(1000)));
+    EXPECT_EQ(claim.id, "id");
+    EXPECT_EQ(claim.incarnation, 7U);
+    EXPECT_EQ(claim.created, Start);
+    EXPECT_EQ(claim.state, ClaimState::Done);
+    EXPECT_EQ(claim.answer->body, std::string(1000, '\xff'));
+    EXPECT_EQ(claim.answer->headers.at(0).value, "/booking/slots/1");
+}
+
+TEST(ClaimCodec, KeysOfTwoAccountsNeverMeet)
+{
+    EXPECT_NE(claimName("a", "bc"), claimName("ab", "c"));
+    EXPECT_EQ(claimName("a", "bc").find("bc"), std::string::npos);
+    EXPECT_NE(callFingerprint("POST", "/a", "b"), callFingerprint("POST", "/ab", ""));
+}
+
+TEST(ClaimCodec, LeavesOutABodyOverTheStoresLimit)
+{
+    const std::string text = encodeClaim(doneClaim(800000));
+    EXPECT_LE(text.size(), MostClaimBytes);
+    const Claim claim = decodeClaim(text);
+    EXPECT_FALSE(claim.answer->bodyKept);
+    EXPECT_TRUE(decodeClaim(encodeClaim(doneClaim(740000))).answer->bodyKept);
+}
+
+TEST(ClaimCodec, RefusesWhatIsNoClaim)
+{
+    EXPECT_THROW(decodeClaim("{}"), Error);
+    EXPECT_THROW(decodeClaim("not json"), Error);
+}
+
+TEST(Repeatability, FindsAListedCallHoweverItsPathIsSpelt)
+{
+    const Service service{"booking", "/booking/", {"POST /booking/slots"}};
+    for (const char *path :
+         {"/booking/slots", "/booking//slots", "/booking/./slots/7", "/booking/x/../slots"})
+        EXPECT_EQ(repeatability(service, "POST", path), Repeatability::AtMostOnce) << path;
+    EXPECT_EQ(repeatability(service, "POST", "/booking/notes"), Repeatability::SentOnce);
+    EXPECT_EQ(repeatability(service, "GET", "/booking/slots"), Repeatability::Repeatable);
+}
+
+TEST(OnceOnly, CostsTwoWritesAndNoRead)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    harness.finish();
+    EXPECT_EQ(harness.runs(), 1U);
+    EXPECT_EQ(harness.store().writes(), 2U);
+    EXPECT_EQ(harness.store().reads(), 0U);
+}
+
+TEST(OnceOnly, AHolderPausedBeforeItSendsIsNotOvertaken)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    harness.move(0); // The claim stands; the holder is about to send.
+    harness.add();
+    moveToEnd(harness, 1);
+    EXPECT_EQ(harness.result(1).code, "in_progress");
+    EXPECT_EQ(harness.result(1).ran, "unknown");
+    harness.finish();
+    EXPECT_EQ(harness.runs(), 1U);
+}
+
+TEST(OnceOnly, ALeaseThatLapsesWhileItsHolderIsPausedWouldRunTwice)
+{
+    ClaimHarness harness(ClaimHarness::lapsingLease);
+    harness.add();
+    harness.move(0);
+    harness.add();
+    moveToEnd(harness, 1);
+    EXPECT_EQ(harness.runs(), 1U);
+    harness.finish();
+    EXPECT_EQ(harness.runs(), 2U) << "the naive way was expected to run the call twice";
+}
+
+TEST(OnceOnly, AHolderKilledBetweenClaimAndSendLeavesTheCallUnrun)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    harness.move(0);
+    harness.kill(0);
+    harness.add();
+    moveToEnd(harness, 1);
+    harness.finish();
+    EXPECT_EQ(harness.runs(), 0U);
+    EXPECT_EQ(harness.result(1).ran, "unknown");
+}
+
+TEST(OnceOnly, AHolderKilledAfterItSentIsNeverRunAgain)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    moveUntil(harness, 0, 1);
+    harness.kill(0);
+    harness.add();
+    moveToEnd(harness, 1);
+    harness.finish();
+    EXPECT_EQ(harness.runs(), 1U);
+    EXPECT_EQ(harness.result(1).ran, "unknown");
+}
+
+TEST(OnceOnly, ALostAnswerToTheClaimIsReadBack)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    harness.move(0, step(StoreFault::AnswerLost));
+    harness.finish();
+    EXPECT_EQ(harness.result(0).kind, CallResult::Kind::Answered);
+    EXPECT_EQ(harness.runs(), 1U);
+}
+
+TEST(OnceOnly, AClaimThatMayStandIsReleasedOnceTheStoreIsBack)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    harness.move(0, step(StoreFault::AnswerLost));
+    harness.move(0, step(StoreFault::Refused)); // Reading back fails.
+    EXPECT_EQ(harness.result(0).code, "claims_unavailable");
+    EXPECT_EQ(harness.result(0).ran, "no");
+    harness.finish();
+    harness.add();
+    moveToEnd(harness, 1);
+    EXPECT_EQ(harness.result(1).kind, CallResult::Kind::Answered);
+    EXPECT_EQ(harness.runs(), 1U);
+}
+
+TEST(OnceOnly, AClaimThatComesLateFindsItsReleaseThere)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    harness.move(0, step(StoreFault::Late));
+    harness.move(0, step(StoreFault::Refused));
+    EXPECT_EQ(harness.result(0).ran, "no");
+    harness.finish(); // Settles before the late claim comes.
+    harness.add();
+    moveToEnd(harness, 1);
+    EXPECT_EQ(harness.result(1).kind, CallResult::Kind::Answered);
+}
+
+TEST(OnceOnly, ATakeoverThatComesLateFindsItsReleaseThere)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    harness.move(0);
+    harness.move(0, step(SendFault::NeverConnected));
+    moveToEnd(harness, 0);
+    harness.add();
+    harness.move(1); // Finds the released claim.
+    harness.move(1, step(StoreFault::Late));
+    harness.move(1, step(StoreFault::Refused));
+    EXPECT_EQ(harness.result(1).ran, "no");
+    harness.finish(); // Settles before the late takeover comes.
+    harness.add();
+    moveToEnd(harness, 2);
+    EXPECT_EQ(harness.result(2).kind, CallResult::Kind::Answered);
+}
+
+TEST(OnceOnly, ACallThatWasNeverSentFreesItsKey)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    harness.move(0);
+    harness.move(0, step(SendFault::NeverConnected));
+    moveToEnd(harness, 0);
+    EXPECT_EQ(harness.result(0).code, "not_sent");
+    harness.add();
+    moveToEnd(harness, 1);
+    EXPECT_EQ(harness.result(1).kind, CallResult::Kind::Answered);
+}
+
+TEST(OnceOnly, AnOutcomeThatCannotBeWrittenIsAnsweredAndWrittenLater)
+{
+    ClaimHarness harness(ClaimHarness::onceOnly);
+    harness.add();
+    moveUntil(harness, 0, 1);
+    harness.move(0);
+    harness.move(0, step(StoreFault::Refused));
+    EXPECT_EQ(harness.result(0).kind, CallResult::Kind::Answered);
+    harness.finish();
+    harness.add();
+    moveToEnd(harness, 1);
+    EXPECT_EQ(harness.result(1).kind, CallResult::Kind::Replayed);
+    EXPECT_EQ(harness.runs(), 1U);
+}
+
+TEST(OnceOnly, AHolderThatWakesAfterItsDeadlineSendsNothing)
+{
+    HookedStore store;
+    Metrics metrics;
+    ClaimStore claims(store, Timeout, std::chrono::seconds(60));
+    ClaimSettler settler(claims, metrics);
+    SteadyTime now = SteadyTime{} + std::chrono::hours(1);
+    OnceOnly onceOnly(claims, settler, metrics, "router", 1, [&] { return now; });
+    const OnceOnlyCall call{"account", "key", "fingerprint", now + std::chrono::seconds(10)};
+    now += std::chrono::seconds(11);
+    unsigned sent = 0;
+    try {
+        onceOnly.run(call, Start, [&] {
+            ++sent;
+            return StoredAnswer{};
+        });
+        FAIL() << "no refusal";
+    } catch (const RefusedError &error) {
+        EXPECT_EQ(error.refusal().ran, Ran::No);
+    }
+    EXPECT_EQ(sent, 0U);
+}
+
+TEST(OnceOnly, AnAnswerOverTheStoresLimitIsToldToHaveRun)
+{
+    HookedStore store;
+    Metrics metrics;
+    ClaimStore claims(store, Timeout, std::chrono::seconds(60));
+    ClaimSettler settler(claims, metrics);
+    OnceOnly onceOnly(claims, settler, metrics, "router", 1);
+    const OnceOnlyCall call{"account", "key", "fingerprint", SteadyTime::max()};
+    const auto send = [] {
+        StoredAnswer answer;
+        answer.status = 200;
+        answer.body = std::string(2 * MostClaimBytes, 'x');
+        return answer;
+    };
+    EXPECT_EQ(onceOnly.run(call, Start, send).answer.body.size(), 2 * MostClaimBytes);
+    try {
+        onceOnly.run(call, Start, send);
+        FAIL() << "no refusal";
+    } catch (const RefusedError &error) {
+        EXPECT_EQ(error.refusal().code, "answer_not_kept");
+        EXPECT_EQ(error.refusal().ran, Ran::Yes);
+    }
+}
+
+TEST(ClaimSweeper, RemovesOnlyWhatIsPastTheWindow)
+{
+    HookedStore store;
+    Claim claim = doneClaim(10);
+    store.createIfAbsent("claims/0a1old", encodeClaim(claim), Timeout);
+    claim.created = Start + std::chrono::hours(2);
+    store.createIfAbsent("claims/0a1young", encodeClaim(claim), Timeout);
+    store.createIfAbsent("claims/0a2other", encodeClaim(doneClaim(10)), Timeout);
+    ClaimSweeper sweeper(store, Timeout);
+    const WallTime now =
+            Start + ClaimSweeper::Window + ClaimSweeper::Margin + std::chrono::seconds(1);
+    const SweepStep step = sweeper.sweep(0x0a1, now);
+    EXPECT_TRUE(step.complete);
+    EXPECT_EQ(step.removed, 1U);
+    EXPECT_EQ(step.calls, 2U);
+    EXPECT_TRUE(std::holds_alternative<Absent>(store.read("claims/0a1old", Timeout)));
+    EXPECT_TRUE(std::holds_alternative<StoredObject>(store.read("claims/0a1young", Timeout)));
+}
+
+TEST(ClaimSweeper, KeepsToItsNumberOfCalls)
+{
+    HookedStore store;
+    for (std::size_t i = 0; i <= ClaimSweeper::MostRemovals; ++i)
+        store.createIfAbsent("claims/fff" + std::to_string(i), encodeClaim(doneClaim(1)), Timeout);
+    const WallTime now = Start + std::chrono::hours(30);
+    const SweepStep step = ClaimSweeper(store, Timeout).sweep(0xfff, now);
+    EXPECT_EQ(step.calls, 1 + ClaimSweeper::MostRemovals);
+    EXPECT_FALSE(step.complete);
+}
+
+} // namespace almondmill::test
--- /dev/null
+++ b/tests/unit-platform.cpp
@@ -0,0 +1,253 @@
+#include "support/hookedstore.h"
+
+#include "almondmill/metrics/metrics.h"
+#include "almondmill/platform/circuit.h"
+#include "almondmill/platform/guardedplatform.h"
+#include "almondmill/platform/httpplatform.h"
+#include "almondmill/platform/updatesettler.h"
+
+#include "platformserver.h"
+#include "support/loopback.h"
+
+#include <gtest/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds Timeout{1000};
+
+SteadyTime at(std::chrono::milliseconds time)
+{
+    return SteadyTime{} + 1h + time;
+}
+
+/// Counts the calls of one busy router that go out during `length` of an outage from time zero.
+unsigned callsInOutage(Circuit &circuit, std::chrono::milliseconds length)
+{
+    unsigned calls = 0;
+    for (auto time = 0ms; time < length; time += 1ms) {
+        if (!circuit.allow(at(time)))
+            continue;
+        ++calls;
+        circuit.failed(at(time), 0);
+    }
+    return calls;
+}
+
+/// Fails the first change with `fault`, and every read after it when `readsFail`.
+void spoilFirstChange(HookedStore &store, StoreFault fault, bool readsFail = false)
+{
+    store.setHook([fault, readsFail, first = true](const StoreCall &call) mutable {
+        if (call.kind == StoreCall::Kind::Read)
+            return readsFail ? StoreFault::Refused : StoreFault::None;
+        const bool spoil = first;
+        first = false;
+        return spoil ? fault : StoreFault::None;
+    });
+}
+
+/// A platform whose calls are those of a HookedStore.
+class FakePlatform : public Platform
+{
+public:
+    explicit FakePlatform(HookedStore &store)
+        : m_store(store)
+    {}
+
+    ReadResult read(const std::string &name, std::chrono::milliseconds timeout) override
+    {
+        return m_store.read(name, timeout);
+    }
+    ListResult list(const std::string &prefix, std::chrono::milliseconds timeout) override
+    {
+        return m_store.list(prefix, timeout);
+    }
+    WatchResult watch(const std::string &prefix, std::uint64_t revision,
+                      std::chrono::milliseconds wait) override
+    {
+        return m_store.watch(prefix, revision, wait);
+    }
+    UpdateResult createIfAbsent(const std::string &name, const std::string &value,
+                                std::chrono::milliseconds timeout) override
+    {
+        return m_store.createIfAbsent(name, value, timeout);
+    }
+    UpdateResult update(const std::string &name, const std::string &value,
+                        std::uint64_t expectedVersion, std::chrono::milliseconds timeout) override
+    {
+        return m_store.update(name, value, expectedVersion, timeout);
+    }
+    UpdateResult remove(const std::string &name, std::uint64_t expectedVersion,
+                        std::chrono::milliseconds timeout) override
+    {
+        return m_store.remove(name, expectedVersion, timeout);
+    }
+    VmListResult vms(std::chrono::milliseconds) override { return std::vector<Vm>{}; }
+
+private:
+    HookedStore &m_store;
+};
+
+} // namespace
+
+TEST(Circuit, LetsFewCallsOutDuringAnOutage)
+{
+    Circuit circuit;
+    // Three to open, back-off 50 ms to 500 ms while it grows, then one each half second at least.
+    EXPECT_LE(callsInOutage(circuit, 60s), 3U + 4U + 120U);
+    EXPECT_EQ(circuit.state(), Circuit::State::Open);
+}
+
+TEST(Circuit, ProbesAgainWithinASecond)
+{
+    Circuit circuit;
+    callsInOutage(circuit, 60s);
+    circuit.failed(at(60s), 0.999);
+    EXPECT_TRUE(circuit.allow(at(61s)));
+    EXPECT_FALSE(circuit.allow(at(61s + 1ms))) << "a second probe while one is under way";
+}
+
+TEST(Circuit, OpensNoFloodWhenThePlatformReturns)
+{
+    Circuit circuit;
+    callsInOutage(circuit, 60s);
+    ASSERT_TRUE(circuit.allow(at(62s)));
+    circuit.succeeded(at(62s));
+    unsigned firstSecond = 0;
+    for (auto time = 62s + 0ms; time < 63s; time += 1ms)
+        firstSecond += circuit.allow(at(time)) ? 1 : 0;
+    EXPECT_LE(firstSecond, 11U);
+    EXPECT_GE(firstSecond, 5U);
+    EXPECT_TRUE(circuit.allow(at(80s)));
+    EXPECT_EQ(circuit.state(), Circuit::State::Closed);
+}
+
+TEST(Circuit, AProbeWhoseEndIsNeverToldBlocksNothingForLong)
+{
+    Circuit circuit;
+    callsInOutage(circuit, 1s);
+    ASSERT_TRUE(circuit.allow(at(10s)));
+    EXPECT_FALSE(circuit.allow(at(15s)));
+    EXPECT_TRUE(circuit.allow(at(10s + Circuit::ProbeLimit)));
+}
+
+TEST(GuardedPlatform, FailsAtOnceAndTruthfullyWhileOpen)
+{
+    HookedStore store;
+    store.setHook([](const StoreCall &) { return StoreFault::Refused; });
+    Metrics metrics;
+    GuardedPlatform guarded(std::make_unique<FakePlatform>(store), metrics, [] { return at(0ms); });
+    for (int i = 0; i < 1000; ++i) {
+        const auto result = guarded.createIfAbsent("a", "1", Timeout);
+        ASSERT_TRUE(std::holds_alternative<NotApplied>(result));
+    }
+    EXPECT_EQ(store.writes(), Circuit::FailuresToOpen);
+    EXPECT_TRUE(std::holds_alternative<Unavailable>(guarded.read("a", Timeout)));
+    EXPECT_EQ(store.reads(), 0U);
+    EXPECT_EQ(metrics.counter("almondmill_platform_not_called_total").value(),
+              1001U - Circuit::FailuresToOpen);
+}
+
+TEST(GuardedPlatform, CountsAConflictAsAnAnswer)
+{
+    HookedStore store;
+    store.inner().createIfAbsent("a", "1", Timeout);
+    Metrics metrics;
+    GuardedPlatform guarded(std::make_unique<FakePlatform>(store), metrics);
+    for (int i = 0; i < 10; ++i)
+        EXPECT_TRUE(std::holds_alternative<Conflict>(guarded.createIfAbsent("a", "2", Timeout)));
+}
+
+TEST(UpdateSettler, ALostAnswerOfAnAppliedChangeEndsAsApplied)
+{
+    HookedStore store;
+    spoilFirstChange(store, StoreFault::AnswerLost);
+    const auto result = UpdateSettler(store, Timeout).createIfAbsent("a", "mine");
+    EXPECT_TRUE(std::holds_alternative<Applied>(result));
+    EXPECT_EQ(store.writes(), 1U);
+}
+
+TEST(UpdateSettler, ALostRequestIsSentAgainAndEndsAsApplied)
+{
+    HookedStore store;
+    const auto first = std::get<Applied>(store.inner().createIfAbsent("a", "old", Timeout));
+    spoilFirstChange(store, StoreFault::RequestLost);
+    const auto result = UpdateSettler(store, Timeout).update("a", "mine", first.version);
+    EXPECT_TRUE(std::holds_alternative<Applied>(result));
+    EXPECT_EQ(std::get<StoredObject>(store.inner().read("a", Timeout)).value, "mine");
+}
+
+TEST(UpdateSettler, ALostAnswerOfARefusedCreationEndsAsConflict)
+{
+    HookedStore store;
+    store.inner().createIfAbsent("a", "another's", Timeout);
+    spoilFirstChange(store, StoreFault::AnswerLost);
+    const auto result = UpdateSettler(store, Timeout).createIfAbsent("a", "mine");
+    ASSERT_TRUE(std::holds_alternative<Conflict>(result));
+    EXPECT_EQ(std::get<Conflict>(result).current->value, "another's");
+}
+
+TEST(UpdateSettler, EndsAsUnknownWhenReadingBackFails)
+{
+    HookedStore store;
+    spoilFirstChange(store, StoreFault::AnswerLost, true);
+    const auto result = UpdateSettler(store, Timeout).createIfAbsent("a", "mine");
+    EXPECT_TRUE(std::holds_alternative<OutcomeUnknown>(result));
+}
+
+TEST(UpdateSettler, AReplacedObjectLeavesAnUpdateUnknown)
+{
+    HookedStore store;
+    const auto first = std::get<Applied>(store.inner().createIfAbsent("a", "old", Timeout));
+    store.inner().update("a", "another's", first.version, Timeout);
+    spoilFirstChange(store, StoreFault::AnswerLost);
+    const auto result = UpdateSettler(store, Timeout).update("a", "mine", first.version);
+    EXPECT_TRUE(std::holds_alternative<OutcomeUnknown>(result));
+}
+
+TEST(UpdateSettler, ALateFirstRequestTakesNoSecondEffect)
+{
+    HookedStore store;
+    spoilFirstChange(store, StoreFault::Late);
+    const auto result = UpdateSettler(store, Timeout).createIfAbsent("a", "mine");
+    ASSERT_TRUE(std::holds_alternative<Applied>(result));
+    store.applyLate();
+    EXPECT_EQ(std::get<StoredObject>(store.inner().read("a", Timeout)).version,
+              std::get<Applied>(result).version);
+}
+
+TEST(HttpPlatform, CarriesNamesWithAnyCharacters)
+{
+    const std::string address = nextLoopbackAddress() + ":8000";
+    const standin::PlatformServer server(address);
+    Metrics metrics;
+    HttpPlatform platform("http://" + address, metrics);
+    const std::string name = "claims/a b+c%2F?d=e&f#g\xc3\xa9";
+    ASSERT_TRUE(std::holds_alternative<Applied>(platform.createIfAbsent(name, "1", Timeout)));
+    platform.createIfAbsent("claims/z", "2", Timeout);
+    const auto read = platform.read(name, Timeout);
+    ASSERT_TRUE(std::holds_alternative<StoredObject>(read));
+    EXPECT_EQ(std::get<StoredObject>(read).value, "1");
+    const auto listed = platform.list("claims/a b+c%2F?d=e&f#", Timeout);
+    ASSERT_TRUE(std::holds_alternative<ObjectList>(listed));
+    ASSERT_EQ(std::get<ObjectList>(listed).objects.size(), 1U);
+    EXPECT_EQ(std::get<ObjectList>(listed).objects[0].name, name);
+}
+
+TEST(HttpPlatform, SettlesAnAnswerThatWasLostOnTheWire)
+{
+    const std::string address = nextLoopbackAddress() + ":8000";
+    standin::PlatformServer server(address);
+    Metrics metrics;
+    HttpPlatform platform("http://" + address, metrics);
+    server.setFault(standin::FaultMode::LoseAnswer);
+    const auto result = UpdateSettler(platform, Timeout).createIfAbsent("claims/a", "mine");
+    EXPECT_TRUE(std::holds_alternative<Applied>(result));
+    EXPECT_EQ(metrics.counter("almondmill_platform_calls_total", "kind=\"create\"").value(), 1U);
+    EXPECT_EQ(metrics.counter("almondmill_platform_calls_total", "kind=\"read\"").value(), 1U);
+}
+
+} // namespace almondmill::test
