--- a/standins/platformserver.cpp
+++ b/standins/platformserver.cpp
@@ -36,6 +36,8 @@
         return FaultMode::Silent;
     if (text == "slow")
         return FaultMode::Slow;
+    if (text == "hold-answer")
+        return FaultMode::HoldAnswer;
     if (text == "lose-answer")
         return FaultMode::LoseAnswer;
     throw Error("standin.101", "unknown fault '" + text + "'");
@@ -170,27 +172,29 @@
         response.status = 503;
         return true;
     case FaultMode::Silent:
-        waitOutSilence();
+        waitWhile(FaultMode::Silent);
         response.status = 503;
         return true;
     case FaultMode::Slow:
         std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMs.load()));
         return false;
     case FaultMode::None:
+    case FaultMode::HoldAnswer:
     case FaultMode::LoseAnswer:
         return false;
     }
     return false;
 }
 
-void PlatformServer::waitOutSilence() const
+void PlatformServer::waitWhile(FaultMode mode) const
 {
-    while (m_fault == FaultMode::Silent && !m_stopping)
+    while (m_fault == mode && !m_stopping)
         std::this_thread::sleep_for(SilenceStep);
 }
 
 void PlatformServer::finishUpdate(const UpdateResult &result, httplib::Response &response)
 {
+    waitWhile(FaultMode::HoldAnswer);
     if (m_fault == FaultMode::LoseAnswer) {
         response.status = 500;
         return;
--- a/standins/platformserver.h
+++ b/standins/platformserver.h
@@ -43,7 +43,7 @@
     void addControlRoutes();
     bool failsBefore(httplib::Response &response);
     void finishUpdate(const UpdateResult &result, httplib::Response &response);
-    void waitOutSilence() const;
+    void waitWhile(FaultMode mode) const;
 
     MemoryStore m_store;
     std::atomic<std::uint64_t> m_calls{0};
--- a/standins/serviceserver.cpp
+++ b/standins/serviceserver.cpp
@@ -15,6 +15,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t WorkerThreads = 200;
+constexpr std::chrono::seconds PartnerTimeout{10};
 constexpr const char *JsonType = "application/json";
 
 } // namespace
@@ -60,6 +61,7 @@
     m_server->Get(".*", handler);
     m_server->Post(".*", handler);
     m_server->Put(".*", handler);
+    m_server->Delete(".*", handler);
 }
 
 void ServiceServer::run(const httplib::Request &request, httplib::Response &response)
@@ -73,9 +75,19 @@
     }
     const Fault fault = takeFault();
     std::this_thread::sleep_for(std::chrono::milliseconds(fault.delayMs));
-    response.set_header(AttemptIdHeader, request.get_header_value(AttemptIdHeader));
+    Answer answer;
+    answer.attemptId = request.get_header_value(AttemptIdHeader);
+    answer.body = Json{{"operation", operation},
+                       {"runs", count},
+                       {"target", request.target},
+                       {"note", request.get_header_value("X-Note")}}
+                          .dump();
+    if (fault.mode == "swap")
+        answer = swapped(answer);
+    response.set_header(AttemptIdHeader, answer.attemptId);
     response.set_header(IncarnationHeader, std::to_string(m_incarnation));
-    const std::string body = Json{{"operation", operation}, {"runs", count}}.dump();
+    response.set_header("Location", "/booking/slots/" + operation);
+    const std::string body = answer.body;
     if (fault.mode != "reset-before-answer" && fault.mode != "reset-half-way") {
         response.set_content(body, JsonType);
         return;
@@ -90,6 +102,22 @@
             });
 }
 
+ServiceServer::Answer ServiceServer::swapped(const Answer &answer)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_toSwap.push_back(answer);
+    if (m_toSwap.size() == 2) {
+        ++m_swaps;
+        m_swap.notify_all();
+        return m_toSwap.front();
+    }
+    const unsigned before = m_swaps;
+    m_swap.wait_for(lock, PartnerTimeout, [&] { return m_swaps != before; });
+    Answer other = m_toSwap.back();
+    m_toSwap.clear();
+    return other;
+}
+
 ServiceServer::Fault ServiceServer::takeFault()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- /dev/null
+++ b/tests/support/rawendpoint.cpp
@@ -0,0 +1,112 @@
+#include "support/rawendpoint.h"
+
+#include "support/loopback.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <stdexcept>
+
+namespace almondmill::test {
+
+namespace {
+
+constexpr std::uint16_t Port = 8000;
+constexpr int Backlog = 64;
+
+std::size_t contentLength(const std::string &head)
+{
+    const std::string name = "Content-Length: ";
+    const auto found = head.find(name);
+    return found == std::string::npos ? 0 : std::stoul(head.substr(found + name.size()));
+}
+
+} // namespace
+
+RawEndpoint::RawEndpoint(Behaviour behaviour)
+    : m_behaviour(std::move(behaviour))
+{
+    const std::string host = nextLoopbackAddress();
+    m_address = host + ":" + std::to_string(Port);
+    m_listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(Port);
+    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+    if (bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0
+        || listen(m_listener, Backlog) != 0)
+        throw std::runtime_error("can't listen on " + m_address);
+    m_acceptor = std::thread([this] { accept(); });
+}
+
+RawEndpoint::~RawEndpoint()
+{
+    shutdown(m_listener, SHUT_RDWR);
+    m_acceptor.join();
+    close(m_listener);
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        for (const int connection : m_sockets)
+            shutdown(connection, SHUT_RDWR);
+    }
+    for (std::thread &thread : m_threads)
+        thread.join();
+    for (const int connection : m_sockets)
+        close(connection);
+}
+
+std::string RawEndpoint::readRequest(int socket)
+{
+    std::string request;
+    std::array<char, 4096> buffer{};
+    for (;;) {
+        const auto end = request.find("\r\n\r\n");
+        if (end != std::string::npos && request.size() >= end + 4 + contentLength(request))
+            return request;
+        const ssize_t size = recv(socket, buffer.data(), buffer.size(), 0);
+        if (size <= 0)
+            return request;
+        request.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+}
+
+void RawEndpoint::write(int socket, const std::string &bytes)
+{
+    send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+void RawEndpoint::resetOnClose(int socket)
+{
+    const linger option{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
+void RawEndpoint::waitForClose(int socket)
+{
+    std::array<char, 4096> buffer{};
+    while (recv(socket, buffer.data(), buffer.size(), 0) > 0)
+        continue;
+}
+
+void RawEndpoint::accept()
+{
+    for (;;) {
+        const int connection = ::accept(m_listener, nullptr, nullptr);
+        if (connection < 0)
+            return;
+        const unsigned before = m_connections++;
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_sockets.push_back(connection);
+        const std::size_t index = m_sockets.size() - 1;
+        m_threads.emplace_back([this, connection, before, index] {
+            m_behaviour(connection, before);
+            const std::lock_guard<std::mutex> closing(m_mutex);
+            close(connection);
+            m_sockets[index] = -1;
+        });
+    }
+}
+
+} // namespace almondmill::test
