--- a/include/almondmill/claims/claimspart.h
+++ b/include/almondmill/claims/claimspart.h
@@ -2,10 +2,9 @@
 
 #include "almondmill/claims/claimsettler.h"
 #include "almondmill/claims/claimstore.h"
-#include "almondmill/claims/claimsweeper.h"
 #include "almondmill/claims/onceonly.h"
+#include "almondmill/claims/sweepduty.h"
 #include "almondmill/kernel/part.h"
-#include "almondmill/orders/lease.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -43,10 +42,8 @@
     Node &m_node;
     ClaimStore m_claims;
     ClaimSettler m_settler;
-    ClaimSweeper m_sweeper;
     OnceOnly m_onceOnly;
-    Lease m_lease;
-    unsigned m_nextPart = 0;
+    SweepDuty m_duty;
     Counter &m_swept;
     std::mutex m_mutex;
     std::condition_variable m_changed;
--- a/include/almondmill/request/servicecaller.h
+++ b/include/almondmill/request/servicecaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/claims/sendoutcome.h"
+#include "almondmill/endpoint/deadlinewatch.h"
 #include "almondmill/endpoint/endpointset.h"
 
 #include <set>
@@ -38,6 +39,7 @@
     Node &m_node;
     Counter &m_dropped;
     Counter &m_retries;
+    DeadlineWatch m_watch;
 };
 
 } // namespace almondmill
--- a/include/almondmill/request/wholeanswer.h
+++ b/include/almondmill/request/wholeanswer.h
@@ -2,7 +2,6 @@
 
 #include "almondmill/endpoint/attempthead.h"
 #include "almondmill/endpoint/attemptobserver.h"
-#include "almondmill/kernel/time.h"
 
 #include <cstddef>
 #include <string>
@@ -14,14 +13,7 @@
 class WholeAnswer : public AttemptObserver
 {
 public:
-    /// What an answer must keep to.
-    struct Limits
-    {
-        std::size_t bodyBytes = 0;
-        SteadyTime end; ///< Ends the attempt even when bytes still trickle in.
-    };
-
-    WholeAnswer(std::string attemptId, Limits limits);
+    WholeAnswer(std::string attemptId, std::size_t mostBytes);
 
     const AttemptHead &head() const { return m_head; }
     const std::string &body() const { return m_body; }
@@ -35,7 +27,7 @@
 
 private:
     std::string m_attemptId;
-    Limits m_limits;
+    std::size_t m_mostBytes;
     AttemptHead m_head;
     std::string m_body;
     bool m_answersAnother = false;
--- a/src/claims/claimspart.cpp
+++ b/src/claims/claimspart.cpp
@@ -42,10 +42,8 @@
     : m_node(node)
     , m_claims(*node.store, node.settings.platformTimeout, longestCall(node.settings))
     , m_settler(m_claims, node.metrics)
-    , m_sweeper(*node.store, node.settings.platformTimeout)
     , m_onceOnly(m_claims, m_settler, node.metrics, node.settings.name, node.incarnation)
-    , m_lease(*node.store, sweepLease(node))
-    , m_nextPart(static_cast<unsigned>(node.incarnation % ClaimSweeper::PartCount))
+    , m_duty(*node.store, sweepLease(node), static_cast<unsigned>(node.incarnation))
     , m_swept(node.metrics.counter("almondmill_claims_swept_total"))
 {
     node.onceOnly = &m_onceOnly;
@@ -93,17 +91,16 @@
             wait = idleCheck();
         }
     }
-    m_lease.release();
+    m_duty.release();
 }
 
 std::chrono::milliseconds ClaimsPart::sweepOnce()
 {
-    m_lease.maintain(std::chrono::steady_clock::now);
-    if (!m_lease.held(std::chrono::steady_clock::now()))
+    const std::optional<SweepStep> step =
+            m_duty.step(std::chrono::steady_clock::now, std::chrono::system_clock::now());
+    if (!step)
         return idleCheck();
-    const SweepStep step = m_sweeper.sweep(m_nextPart, std::chrono::system_clock::now());
-    m_swept.add(step.removed);
-    m_nextPart = (m_nextPart + 1) % ClaimSweeper::PartCount;
+    m_swept.add(step->removed);
     return std::chrono::duration_cast<std::chrono::milliseconds>(SweepRound)
            / ClaimSweeper::PartCount;
 }
--- a/src/request/servicecaller.cpp
+++ b/src/request/servicecaller.cpp
@@ -2,6 +2,7 @@
 
 #include "almondmill/endpoint/attempt.h"
 #include "almondmill/endpoint/attemptrequest.h"
+#include "almondmill/endpoint/deadline.h"
 #include "almondmill/kernel/node.h"
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/placement/placer.h"
@@ -123,11 +124,15 @@
 {
     const OpenAtEndpoint open(endpoint);
     const AttemptRequest request = toAttempt(context, endpoint, m_node.settings);
-    const WholeAnswer::Limits limits{m_node.settings.maxBodyBytes,
-                                     context.arrived + m_node.settings.requestTimeout};
-    WholeAnswer whole(request.attemptId, limits);
-    Attempt attempt;
-    const AttemptResult result = attempt.run(request, whole);
+    WholeAnswer whole(request.attemptId, m_node.settings.maxBodyBytes);
+    const SteadyTime endBy = context.arrived + m_node.settings.requestTimeout;
+    const auto running = std::make_shared<Attempt>();
+    const auto deadline = m_watch.start(endBy, [weak = std::weak_ptr<Attempt>(running)] {
+        if (const auto attempt = weak.lock())
+            attempt->cancel();
+    });
+    const AttemptResult result = running->run(request, whole);
+    deadline->end();
     if (std::holds_alternative<AttemptCompleted>(result)) {
         if (whole.head().status < FirstServerError)
             endpoint.succeeded();
--- a/src/request/wholeanswer.cpp
+++ b/src/request/wholeanswer.cpp
@@ -2,9 +2,9 @@
 
 namespace almondmill {
 
-WholeAnswer::WholeAnswer(std::string attemptId, Limits limits)
+WholeAnswer::WholeAnswer(std::string attemptId, std::size_t mostBytes)
     : m_attemptId(std::move(attemptId))
-    , m_limits(limits)
+    , m_mostBytes(mostBytes)
 {}
 
 bool WholeAnswer::onHead(const AttemptHead &head)
@@ -16,9 +16,7 @@
 
 bool WholeAnswer::onBytes(std::string_view bytes)
 {
-    if (m_body.size() + bytes.size() > m_limits.bodyBytes)
-        return false;
-    if (std::chrono::steady_clock::now() > m_limits.end)
+    if (m_body.size() + bytes.size() > m_mostBytes)
         return false;
     m_body.append(bytes);
     return true;
--- a/tests/failure-claims.cpp
+++ b/tests/failure-claims.cpp
@@ -441,6 +441,21 @@
     EXPECT_EQ(silent.connections(), 2U);
 }
 
+TEST_F(ClaimFailure, AnAnswerThatOnlyTricklesEndsAtTheDeadline)
+{
+    RawEndpoint trickling([](int socket, unsigned) {
+        RawEndpoint::readRequest(socket);
+        RawEndpoint::write(socket, "HTTP/1.1 200 OK\r\nX-Long: ");
+        while (RawEndpoint::write(socket, "x"))
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    });
+    m_site.inventory().endpoints.front().address = trickling.address();
+    m_site.submit();
+    startRouters("[timeouts]\nrequest = \"500ms\"\n");
+    EXPECT_EQ(bookWithoutKey(first(), "b1").ran, "unknown");
+    EXPECT_EQ(trickling.connections(), 1U);
+}
+
 TEST_F(ClaimFailure, CrossedAnswersAreDroppedAndCounted)
 {
     startRouters();
--- a/tests/support/rawendpoint.cpp
+++ b/tests/support/rawendpoint.cpp
@@ -72,9 +72,9 @@
     }
 }
 
-void RawEndpoint::write(int socket, const std::string &bytes)
+bool RawEndpoint::write(int socket, const std::string &bytes)
 {
-    send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0;
 }
 
 void RawEndpoint::resetOnClose(int socket)
--- a/tests/support/rawendpoint.h
+++ b/tests/support/rawendpoint.h
@@ -29,7 +29,9 @@
     /// Reads until the blank line after a request's head and its body of `Content-Length` came, or
     /// the connection ends. Returns what was read.
     static std::string readRequest(int socket);
-    static void write(int socket, const std::string &bytes);
+
+    /// False when the other side closed.
+    static bool write(int socket, const std::string &bytes);
 
     /// Lets the socket's close send a reset.
     static void resetOnClose(int socket);
--- a/tests/unit-claims.cpp
+++ b/tests/unit-claims.cpp
@@ -2,6 +2,7 @@
 
 #include "almondmill/claims/claimcodec.h"
 #include "almondmill/claims/claimsweeper.h"
+#include "almondmill/claims/sweepduty.h"
 #include "almondmill/config/service.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/request/refusederror.h"
@@ -324,4 +325,34 @@
     EXPECT_FALSE(step.complete);
 }
 
+TEST(SweepDuty, OneRouterAtATimeSweepsAndAnotherTakesOver)
+{
+    HookedStore store;
+    SteadyTime now = SteadyTime{} + std::chrono::hours(1);
+    const Lease::Clock clock = [&] { return now; };
+    LeaseOptions options;
+    options.objectName = "leases/claims-sweep";
+    options.duration = std::chrono::seconds(60);
+    options.holder = "router-1";
+    SweepDuty one(store, options, 0);
+    options.holder = "router-2";
+    SweepDuty other(store, options, 0);
+    const WallTime wall = Start + std::chrono::hours(30);
+    store.createIfAbsent("claims/0001", encodeClaim(doneClaim(1)), Timeout);
+    store.createIfAbsent("claims/0011", encodeClaim(doneClaim(1)), Timeout);
+
+    const unsigned before = store.reads() + store.writes();
+    const auto first = one.step(clock, wall);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->removed, 1U);
+    EXPECT_LE(store.reads() + store.writes() - before, 2U + first->calls);
+    EXPECT_FALSE(other.step(clock, wall));
+
+    // The holder is paused past its lease: the other takes over, and the paused one sweeps no more.
+    now += std::chrono::seconds(70);
+    ASSERT_TRUE(other.step(clock, wall));
+    EXPECT_FALSE(one.step(clock, wall));
+    EXPECT_EQ(other.step(clock, wall)->removed, 1U);
+}
+
 } // namespace almondmill::test
