--- a/standins/platformserver.cpp
+++ b/standins/platformserver.cpp
@@ -36,6 +36,8 @@
         return FaultMode::Silent;
     if (text == "slow")
         return FaultMode::Slow;
+    if (text == "hold-answer")
+        return FaultMode::HoldAnswer;
     if (text == "lose-answer")
         return FaultMode::LoseAnswer;
     throw Error("standin.101", "unknown fault '" + text + "'");
@@ -81,7 +83,7 @@
 void PlatformServer::addObjectRoutes()
 {
     m_server->Get("/objects", [this](const httplib::Request &request, httplib::Response &response) {
-        if (failsBefore(response))
+        if (failsBefore(request, response))
             return;
         const auto listed =
                 std::get<ObjectList>(m_store.list(request.get_param_value("prefix"), NoTimeout));
@@ -94,7 +96,7 @@
     });
     m_server->Get(R"(/objects/(.+))",
                   [this](const httplib::Request &request, httplib::Response &response) {
-                      if (failsBefore(response))
+                      if (failsBefore(request, response))
                           return;
                       const auto result = m_store.read(request.matches[1], NoTimeout);
                       if (const auto *object = std::get_if<StoredObject>(&result)) {
@@ -106,7 +108,7 @@
                   });
     m_server->Put(R"(/objects/(.+))", [this](const httplib::Request &request,
                                              httplib::Response &response) {
-        if (failsBefore(response))
+        if (failsBefore(request, response))
             return;
         const std::string name = request.matches[1];
         if (request.has_header("If-None-Match")) {
@@ -118,13 +120,13 @@
     });
     m_server->Delete(R"(/objects/(.+))", [this](const httplib::Request &request,
                                                 httplib::Response &response) {
-        if (failsBefore(response))
+        if (failsBefore(request, response))
             return;
         const auto expected = parseNumber(request.get_header_value("If-Match"));
         finishUpdate(m_store.remove(request.matches[1], expected, NoTimeout), response);
     });
     m_server->Get("/watch", [this](const httplib::Request &request, httplib::Response &response) {
-        if (failsBefore(response))
+        if (failsBefore(request, response))
             return;
         const auto changes = std::get<ObjectChanges>(m_store.watch(
                 request.get_param_value("prefix"), parseNumber(request.get_param_value("after")),
@@ -140,8 +142,8 @@
 
 void PlatformServer::addControlRoutes()
 {
-    m_server->Get("/vms", [this](const httplib::Request &, httplib::Response &response) {
-        if (failsBefore(response))
+    m_server->Get("/vms", [this](const httplib::Request &request, httplib::Response &response) {
+        if (failsBefore(request, response))
             return;
         Json list = Json::array();
         const std::lock_guard<std::mutex> lock(m_vmsMutex);
@@ -162,7 +164,7 @@
     });
 }
 
-bool PlatformServer::failsBefore(httplib::Response &response)
+bool PlatformServer::failsBefore(const httplib::Request &request, httplib::Response &response)
 {
     ++m_calls;
     switch (m_fault.load()) {
@@ -170,27 +172,31 @@
         response.status = 503;
         return true;
     case FaultMode::Silent:
-        waitOutSilence();
+        if (request.method == "PUT")
+            ++m_swallowedChanges;
+        waitWhile(FaultMode::Silent);
         response.status = 503;
         return true;
     case FaultMode::Slow:
         std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMs.load()));
         return false;
     case FaultMode::None:
+    case FaultMode::HoldAnswer:
     case FaultMode::LoseAnswer:
         return false;
     }
     return false;
 }
 
-void PlatformServer::waitOutSilence() const
+void PlatformServer::waitWhile(FaultMode mode) const
 {
-    while (m_fault == FaultMode::Silent && !m_stopping)
+    while (m_fault == mode && !m_stopping)
         std::this_thread::sleep_for(SilenceStep);
 }
 
 void PlatformServer::finishUpdate(const UpdateResult &result, httplib::Response &response)
 {
+    waitWhile(FaultMode::HoldAnswer);
     if (m_fault == FaultMode::LoseAnswer) {
         response.status = 500;
         return;
