--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -1,6 +1,11 @@
 #include "almondmill/admission/accountlimits.h"
 #include "almondmill/config/clientaccount.h"
 #include "almondmill/config/configuration.h"
+#include "almondmill/kernel/node.h"
+#include "almondmill/placement/placer.h"
+#include "almondmill/request/accountadmission.h"
+#include "almondmill/request/refusederror.h"
+#include "almondmill/request/requestcontext.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -122,6 +127,25 @@
     EXPECT_LE(admitted, 1050);
 }
 
+TEST(AccountAdmission, ARefusalIs429AndSaysThatNothingRan)
+{
+    Node node{Settings{}};
+    AccountLimits limits;
+    node.accountLimits = &limits;
+    const ClientAccount account = makeAccount(1, 0);
+    RequestContext context;
+    context.account = &account;
+    const auto grant = admitByAccount(node, context, 100);
+    try {
+        admitByAccount(node, context, 100);
+        FAIL() << "a second request was admitted";
+    } catch (const RefusedError &error) {
+        EXPECT_EQ(error.refusal().status, 429);
+        EXPECT_EQ(error.refusal().code, "too_many_requests");
+        EXPECT_EQ(error.refusal().ran, Ran::No);
+    }
+}
+
 namespace {
 
 /// Routers with drawn demand, noted so often that what they hold is their own demand.
