--- a/include/almondmill/endpoint/endpointstate.h
+++ b/include/almondmill/endpoint/endpointstate.h
@@ -15,6 +15,8 @@
 class alignas(64) EndpointState
 {
 public:
+    static constexpr std::chrono::milliseconds WarmingTime{20000};
+
     explicit EndpointState(Endpoint endpoint);
 
     const Endpoint &endpoint() const { return m_endpoint; }
@@ -44,10 +46,17 @@
     /// Whether the endpoint itself or the VM list says that it is leaving.
     bool leaving() const { return m_leaving.load(std::memory_order_acquire); }
 
+    /// Whether routers that probe the endpoint get no answer from it.
+    bool unreachable() const { return m_unreachable.load(std::memory_order_acquire); }
+
+    /// Share of its usual work that the endpoint should get at `now`: grows evenly to one within
+    /// `WarmingTime` after it came back or started anew.
+    double warmth(SteadyTime now) const;
+
     /// Whether the endpoint may get new work at `now`.
     bool takesWork(SteadyTime now) const
     {
-        if (m_toBeEmptied || leaving())
+        if (m_toBeEmptied || leaving() || unreachable())
             return false;
         return now.time_since_epoch().count() >= m_ejectedUntil.load(std::memory_order_relaxed);
     }
@@ -60,6 +69,12 @@
     /// tells it: corrects the expected queues too.
     void reportLoad(std::uint32_t load, std::optional<std::uint32_t> highLoad, SteadyTime taken);
     void setLeaving(bool leaving);
+    void setUnreachable(bool unreachable);
+    void startWarming(SteadyTime now);
+
+    /// Takes over what was learned by another state of the same endpoint.
+    void takeOver(const EndpointState &other);
+
     void requestStarted();
     void requestEnded();
 
@@ -70,6 +85,9 @@
     void failed(SteadyTime now);
 
 private:
+    /// So long ago that the endpoint is warm.
+    static constexpr SteadyTime::rep NeverWarmed = -SteadyTime::duration(WarmingTime).count();
+
     std::uint64_t m_nameHash;
     std::uint64_t m_dataCentreHash;
     bool m_toBeEmptied; ///< By the inventory.
@@ -80,6 +98,8 @@
     std::atomic<std::uint32_t> m_reportedLoad{0};
     std::atomic<std::uint32_t> m_othersLoad{0};
     std::atomic<bool> m_leaving{false};
+    std::atomic<bool> m_unreachable{false};
+    std::atomic<SteadyTime::rep> m_warmingSince{NeverWarmed};
     std::atomic<std::uint32_t> m_failures{0};
     std::atomic<SteadyTime::rep> m_ejectedUntil{0};
     Endpoint m_endpoint; ///< Last: decisions read what stands before.
