--- a/tests/support/relaybench.cpp
+++ b/tests/support/relaybench.cpp
@@ -42,6 +42,7 @@
         inventory.endpoints.push_back(endpoint);
     }
     Rules rules;
+    rules.placementPolicy = "rendezvous";
     rules.clientAccounts.resize(1);
     return std::make_shared<const Configuration>(1, inventory, rules);
 }
@@ -56,7 +57,7 @@
     , m_load(generousLoad(), m_node.metrics)
     , m_environment{m_node, m_watch, m_cancels, m_metrics, m_load, std::move(makeAttempt)}
 {
-    m_node.placer = std::make_unique<Placer>(PlacementRegistry::create("rendezvous"));
+    m_node.placer = std::make_unique<Placer>(m_node, m_node.metrics);
     m_node.endpoints.apply(configurationOf(endpoints));
 }
 
