--- a/src/placement/offer.cpp
+++ b/src/placement/offer.cpp
@@ -71,10 +71,9 @@
             continue;
         if (!excluded.empty() && excluded.count(state.endpoint().name) != 0)
             continue;
-        m_candidates.push_back({state.nameHash(), state.incarnation(),
-                                state.queue().at(request.priority, now),
-                                distances.to(state.dataCentreHash()),
-                                std::max(state.warmth(now), LeastWeight)});
+        m_candidates.push_back(
+                {state.nameHash(), state.incarnation(), state.queue().at(request.priority, now),
+                 distances.to(state.dataCentreHash()), std::max(state.warmth(now), LeastWeight)});
         m_stateIndexes.push_back(i);
     }
 }
--- a/src/placement/rendezvouspolicy.cpp
+++ b/src/placement/rendezvouspolicy.cpp
@@ -1,9 +1,6 @@
-#include "almondmill/kernel/hash.h"
 #include "almondmill/placement/placementpolicy.h"
 #include "almondmill/placement/rendezvous.h"
 
-#include <atomic>
-
 namespace almondmill {
 
 namespace {
@@ -16,20 +13,14 @@
     std::optional<PlacementChoice> choose(const PlacementSubject &subject,
                                           std::span<const Candidate> candidates,
                                           SteadyTime now) override;
-
-private:
-    std::atomic<std::uint64_t> m_unkeyed{0}; ///< Spreads requests that have no whole block.
 };
 
 std::optional<PlacementChoice> RendezvousPolicy::choose(const PlacementSubject &subject,
                                                         std::span<const Candidate> candidates,
                                                         SteadyTime /*now*/)
 {
-    std::uint64_t key = subject.levelKey();
-    if (key == 0)
-        key = mixHash(1, m_unkeyed.fetch_add(1, std::memory_order_relaxed));
-    const auto index =
-            rendezvousWithin(key, candidates, loadBound(candidates, subject.prefixKeys.size()));
+    const auto index = rendezvousWithin(subject.levelKey(), candidates,
+                                        loadBound(candidates, subject.prefixKeys.size()));
     if (!index)
         return std::nullopt;
     const auto blocks = static_cast<std::int64_t>(subject.prefixKeys.size() - subject.level + 1);
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -13,6 +13,7 @@
 namespace almondmill::test {
 
 namespace {
+constexpr std::uint32_t MostOpen = 10000; // more than any test or bench has open at once
 constexpr std::chrono::milliseconds Timeout{1000};
 constexpr const char *Port = ":8000";
 } // namespace
@@ -52,6 +53,7 @@
     ClientAccount account;
     account.name = "workshop";
     account.keySha256 = sha256Hex(ApiKey);
+    account.maxConcurrent = MostOpen;
     m_rules.clientAccounts = {account};
     m_rules.placementPolicy = "rendezvous";
     submit();
