--- a/bench/bench-limits.cpp
+++ b/bench/bench-limits.cpp
@@ -117,7 +117,6 @@
         double overshoot = 0;
         double refused = 0;
         double admitted = 0;
-        double wanted = 0;
         const std::chrono::duration<double> counted = RunTime - WarmUp;
         for (std::size_t i = 0; i < AccountCount; ++i) {
             const Central &central = m_central[i];
@@ -129,7 +128,6 @@
             overshoot += over;
             refused += under;
             admitted += central.admitted;
-            wanted += central.wanted;
         }
         std::printf("heartbeat accounts=%zu bytes=%zu\n", AccountsInHeartbeat, m_mostBytes);
         std::printf("limits routers=%zu overshoot_pct=%.2f refused_wrongly_pct=%.2f\n",
--- a/bench/bench-placement.cpp
+++ b/bench/bench-placement.cpp
@@ -114,7 +114,8 @@
 /// One router: the project's own decision code over states of its own.
 struct Router
 {
-    Router(std::uint32_t index, Site &site, std::shared_ptr<const std::vector<Member>> members,
+    Router(std::uint32_t index, Site &site,
+           const std::shared_ptr<const std::vector<Member>> &members,
            std::shared_ptr<const Configuration> configuration)
         : node(settingsFor(index))
         , view(members, (*members)[index].address)
@@ -191,7 +192,7 @@
     void arrive();
     void report();
     void happen();
-    void place(Job job);
+    void place(const Job &job);
     void send(Job job, std::size_t engine, std::set<std::string> excluded);
     void startPrefills(std::size_t engine);
     void finishPrefill(std::size_t engine, const Prefill &prefill);
@@ -343,7 +344,7 @@
     startPrefills(engine);
 }
 
-void Site::place(Job job)
+void Site::place(const Job &job)
 {
     m_lookedUp = false;
     const auto engine = choose(job, *m_routers[job.router], {});
@@ -453,8 +454,8 @@
         m_workload.shift();
         return;
     case Event::EngineRestart:
-        for (Job &job : m_engines[engine].restart(m_now + seconds(5)))
-            place(std::move(job));
+        for (const Job &job : m_engines[engine].restart(m_now + seconds(5)))
+            place(job);
         return;
     case Event::RouterHerd:
         restartRouters();
@@ -506,13 +507,12 @@
 void print(const Scenario &scenario, const std::string &policy, const Measured &measured)
 {
     std::printf("placement workload=%s event=%s policy=%s hit=%.3f ttft_p50_ms=%.0f "
-                "ttft_p95_ms=%.0f ttft_p99_ms=%.0f recomputed_tokens=%llu "
+                "ttft_p95_ms=%.0f ttft_p99_ms=%.0f recomputed_tokens=%s "
                 "max_over_mean_load=%.2f\n",
                 scenario.shape.name.c_str(), scenario.eventName.c_str(), policy.c_str(),
                 measured.hit(), Measured::percentile(measured.ttftMs, 0.5),
                 Measured::percentile(measured.ttftMs, 0.95), measured.p99(),
-                static_cast<unsigned long long>(measured.wasted * BlockTokens),
-                measured.maxOverMean);
+                std::to_string(measured.wasted * BlockTokens).c_str(), measured.maxOverMean);
 }
 
 const char *verdict(bool met)
--- a/tests/property-isolation.cpp
+++ b/tests/property-isolation.cpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace almondmill {
 
@@ -23,7 +24,11 @@
     std::string account;
     std::string weights;
     std::string prefix;
-    auto operator<=>(const TruePlace &) const = default;
+    bool operator<(const TruePlace &other) const
+    {
+        return std::tie(engine, incarnation, account, weights, prefix) < std::tie(
+                       other.engine, other.incarnation, other.account, other.weights, other.prefix);
+    }
 };
 
 /// An answer that arrives later than the request it belongs to, or never.
--- a/tests/property-placement.cpp
+++ b/tests/property-placement.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace almondmill {
 
@@ -89,7 +90,11 @@
         std::uint64_t key;
         std::uint64_t nameHash;
         std::uint64_t incarnation;
-        auto operator<=>(const Placement &) const = default;
+        bool operator<(const Placement &other) const
+        {
+            return std::tie(key, nameHash, incarnation)
+                   < std::tie(other.key, other.nameHash, other.incarnation);
+        }
     };
 
     std::size_t held(const std::vector<std::uint64_t> &keys, const Candidate &candidate,
