--- a/src/placement/offer.cpp
+++ b/src/placement/offer.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::chrono::microseconds OtherDataCentre{1500};
 constexpr std::chrono::microseconds OtherRegion{30000};
+constexpr double LeastWeight = 0.05;
 
 /// How far each data centre is from the router's own.
 class Distances
@@ -59,9 +60,9 @@
             continue;
         if (!excluded.empty() && excluded.count(state.endpoint().name) != 0)
             continue;
-        m_candidates.push_back({state.nameHash(), state.cacheLife(),
-                                state.queue().at(request.priority, now),
-                                distances.to(state.dataCentreHash()), state.warmth(now)});
+        m_candidates.push_back(
+                {state.nameHash(), state.cacheLife(), state.queue().at(request.priority, now),
+                 distances.to(state.dataCentreHash()), std::max(state.warmth(now), LeastWeight)});
         m_stateIndexes.push_back(i);
     }
 }
--- a/tests/support/relaybench.cpp
+++ b/tests/support/relaybench.cpp
@@ -42,6 +42,7 @@
         inventory.endpoints.push_back(endpoint);
     }
     Rules rules;
+    rules.placementPolicy = "rendezvous";
     rules.clientAccounts.resize(1);
     return std::make_shared<const Configuration>(1, inventory, rules);
 }
