Try endpoints that all failed, rather than none

Cause: ejection and probers that get no answer could take out every endpoint of a model, and the router then refused everything until a probe was answered. Change: where no endpoint takes work, those that are ejected or unreachable are offered all the same, never those that leave. The test was written with the change; it was not run red before.

--- a/include/almondmill/endpoint/endpointstate.h
+++ b/include/almondmill/endpoint/endpointstate.h
@@ -53,6 +53,9 @@
     /// Whether the endpoint itself or the VM list says that it is leaving.
     bool leaving() const { return m_leaving.load(std::memory_order_acquire); }
 
+    /// Whether the inventory, the VM list or the endpoint itself says that it is leaving.
+    bool isToLeave() const { return m_toBeEmptied || leaving(); }
+
     /// Whether routers that probe the endpoint get no answer from it.
     bool unreachable() const { return m_unreachable.load(std::memory_order_acquire); }
 
@@ -63,7 +66,7 @@
     /// Whether the endpoint may get new work at `now`.
     bool takesWork(SteadyTime now) const
     {
-        if (m_toBeEmptied || leaving() || unreachable())
+        if (isToLeave() || unreachable())
             return false;
         return now.time_since_epoch().count() >= m_ejectedUntil.load(std::memory_order_relaxed);
     }
--- a/include/almondmill/placement/offer.h
+++ b/include/almondmill/placement/offer.h
@@ -20,8 +20,9 @@
 class Offer
 {
 public:
-    /// Passes over endpoints that are named in `excluded`, take no work, or last told weights other
-    /// than the request's. Cost: linear in the states.
+    /// Passes over endpoints that are named in `excluded` or take no work. Where that leaves none,
+    /// those that are ejected or unreachable are offered all the same, never those that leave.
+    /// Cost: linear in the states.
     Offer(const PlacementRequest &request, const EndpointSet::States &states,
           const std::set<std::string> &excluded, SteadyTime now);
 
@@ -36,6 +37,9 @@
     }
 
 private:
+    void add(std::uint32_t index, const PlacementRequest &request,
+             std::chrono::microseconds distance, SteadyTime now);
+
     const EndpointSet::States &m_states;
     std::vector<Candidate> m_candidates;
     std::vector<std::uint32_t> m_stateIndexes;
--- a/src/placement/offer.cpp
+++ b/src/placement/offer.cpp
@@ -54,17 +54,29 @@
     const Distances distances(request);
     m_candidates.reserve(states.size());
     m_stateIndexes.reserve(states.size());
-    for (std::uint32_t i = 0; i < states.size(); ++i) {
-        const EndpointState &state = *states[i];
-        if (!state.takesWork(now))
-            continue;
-        if (!excluded.empty() && excluded.count(state.endpoint().name) != 0)
-            continue;
-        m_candidates.push_back(
-                {state.nameHash(), state.cacheLife(), state.queue().at(request.priority, now),
-                 distances.to(state.dataCentreHash()), std::max(state.warmth(now), LeastWeight)});
-        m_stateIndexes.push_back(i);
-    }
+    const auto addWhere = [&](const auto &mayTake) {
+        for (std::uint32_t i = 0; i < states.size(); ++i) {
+            const EndpointState &state = *states[i];
+            if (!mayTake(state))
+                continue;
+            if (!excluded.empty() && excluded.count(state.endpoint().name) != 0)
+                continue;
+            add(i, request, distances.to(state.dataCentreHash()), now);
+        }
+    };
+    addWhere([&](const EndpointState &state) { return state.takesWork(now); });
+    if (m_candidates.empty())
+        addWhere([](const EndpointState &state) { return !state.isToLeave(); });
+}
+
+void Offer::add(std::uint32_t index, const PlacementRequest &request,
+                std::chrono::microseconds distance, SteadyTime now)
+{
+    const EndpointState &state = *m_states[index];
+    m_candidates.push_back({state.nameHash(), state.cacheLife(),
+                            state.queue().at(request.priority, now), distance,
+                            std::max(state.warmth(now), LeastWeight)});
+    m_stateIndexes.push_back(index);
 }
 
 std::optional<std::size_t> Offer::indexOf(const Home &home) const
--- a/tests/unit-orders.cpp
+++ b/tests/unit-orders.cpp
@@ -204,6 +204,7 @@
 {
     std::vector<LoadCandidate> candidates;
     const auto bits = *rc::gen::container<std::vector<unsigned>>(rc::gen::inRange(0U, 64U));
+    candidates.reserve(bits.size());
     for (const unsigned bit : bits)
         candidates.push_back({std::to_string(candidates.size()), (bit & 1U) != 0, (bit & 2U) != 0,
                               (bit & 4U) != 0, (bit & 8U) != 0, bit >> 4U});
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -200,6 +200,17 @@
     EXPECT_NE(choose(Start), nullptr);
 }
 
+TEST_F(PlacerTest, EndpointsThatAllFailedAreTriedAllTheSame)
+{
+    for (const auto &state : m_endpoints->all())
+        state->setUnreachable(true);
+    for (std::size_t i = 1; i < m_endpoints->all().size(); ++i)
+        m_endpoints->all()[i]->setLeaving(true);
+    const auto chosen = choose(Start);
+    ASSERT_NE(chosen, nullptr);
+    EXPECT_EQ(chosen->endpoint().name, "e0");
+}
+
 TEST_F(PlacerTest, AnOwnersAnswerIsOneThatTakesWork)
 {
     const PlacementQuery query{{11, 12, 13}, "model", Priority::High, {"e0", "e1", "e2"}};
