Keep the log library's set-up reachable

Cause: the pointer to the library's initializer was used by nobody, so the compiler dropped it, and the leak check reported its one byte in every process (23 of 244 tests of the memory-check build).

--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -28,21 +28,30 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
+/// The library, set up, and its root logger.
+struct Log
+{
+    Log();
+
+    log4cplus::Initializer initializer;
+    log4cplus::Logger logger;
+};
+
+Log::Log()
+    : logger(log4cplus::Logger::getRoot())
+{
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    appender->setLayout(
+            std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
+    logger.addAppender(appender);
+    logger.setLogLevel(log4cplus::WARN_LOG_LEVEL);
+}
+
 log4cplus::Logger &logger()
 {
     // Never destroyed: threads may log until the process ends.
-    static auto *initializer = new log4cplus::Initializer;
-    static auto *instance = [] {
-        auto *made = new log4cplus::Logger(log4cplus::Logger::getRoot());
-        const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-        appender->setLayout(
-                std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
-        made->addAppender(appender);
-        made->setLogLevel(log4cplus::WARN_LOG_LEVEL);
-        return made;
-    }();
-    (void)initializer;
-    return *instance;
+    static auto *instance = new Log;
+    return instance->logger;
 }
 
 } // namespace
