--- a/bench/bench-claims.cpp
+++ b/bench/bench-claims.cpp
@@ -6,7 +6,7 @@
 #include "almondmill/claims/onceonly.h"
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/metrics/metrics.h"
-#include "almondmill/platform/httpplatform.h"
+#include "almondmill/store/httpplatform.h"
 
 #include "platformserver.h"
 
--- a/include/almondmill/config/configurationstore.h
+++ b/include/almondmill/config/configurationstore.h
@@ -3,7 +3,7 @@
 #include "almondmill/config/configuration.h"
 #include "almondmill/config/configurationroot.h"
 #include "almondmill/config/partcache.h"
-#include "almondmill/platform/updateresult.h"
+#include "almondmill/store/updateresult.h"
 
 #include <chrono>
 #include <memory>
--- a/include/almondmill/config/submission.h
+++ b/include/almondmill/config/submission.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "almondmill/config/configurationroot.h"
-#include "almondmill/platform/updateresult.h"
+#include "almondmill/store/updateresult.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/almondmill/config/tablereader.h
+++ b/include/almondmill/config/tablereader.h
@@ -37,6 +37,9 @@
     std::uint32_t number(const std::string &key, std::uint32_t fallback, std::uint32_t least,
                          std::uint32_t most);
 
+    /// A number from zero to `most`.
+    double fraction(const std::string &key, double fallback, double most);
+
     /// A duration written with its unit, such as "250ms", "3s" or "5m".
     std::chrono::milliseconds duration(const std::string &key, std::chrono::milliseconds fallback);
 
--- /dev/null
+++ b/include/almondmill/forward/endpointchoice.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "almondmill/forward/endpointcandidate.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <variant>
+
+namespace almondmill {
+
+/// Places calls of plain services: where the least time is expected.
+struct LeastExpectedTime
+{
+    std::uint64_t requestHash = 0; ///< Breaks ties differently for each request.
+};
+
+/// Places prompts: where the first event is expected soonest, in parts of its target latency. Each
+/// shared part has a home among the engines, the same at every router, where it is likely cached;
+/// elsewhere it is fetched.
+struct SoonestFirstEvent
+{
+    std::uint64_t sharedPartHash = 0; ///< Of the longest shared prefix.
+    double ownTokens = 0;             ///< To be read anywhere.
+    double sharedTokens = 0;          ///< Cached at home, fetched or read elsewhere.
+    double outputTokens = 0;
+    std::chrono::milliseconds targetLatency{1000};
+};
+
+using PlacementRule = std::variant<LeastExpectedTime, SoonestFirstEvent>;
+
+/// Index of the endpoint that `rule` picks; nothing when there are no candidates. Cost: n log n.
+std::optional<std::size_t> chooseEndpoint(const PlacementRule &rule,
+                                          std::span<const EndpointCandidate> candidates);
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "almondmill/forward/callerlistener.h"
+#include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/requestforwarder.h"
+#include "almondmill/forward/sendplanner.h"
+#include "almondmill/forward/statusserver.h"
+#include "almondmill/forward/storeviews.h"
+#include "almondmill/peers/peerexchange.h"
+#include "almondmill/rollout/rolloutleader.h"
+#include "almondmill/rollout/weightsrollout.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+
+namespace almondmill {
+
+class AsyncStore;
+
+/// A router process that forwards on a platform: one event loop with everything on it.
+class ForwardingRouter
+{
+public:
+    /// Throws Error when an address can't be used.
+    ForwardingRouter(boost::asio::io_context &loop, ForwarderSettings settings);
+    ~ForwardingRouter();
+
+    /// Serves until SIGTERM, then until open requests are done or the grace time is nearly over.
+    void run();
+
+private:
+    StatusServer::Reply ready(const std::string &path) const;
+    StatusServer::Reply status(const std::string &path) const;
+    std::string dump() const;
+    void learn(const PeerMessage &message);
+    boost::asio::awaitable<void> awaitTermination();
+    boost::asio::awaitable<void> drain();
+    boost::asio::awaitable<void> maintain();
+    boost::asio::awaitable<void> watchRollout();
+
+    boost::asio::io_context &m_loop;
+    ForwardingContext m_context;
+    std::unique_ptr<AsyncStore> m_store;
+    StoreViews m_views;
+    PeerExchange m_peers;
+    WeightsRollout m_rollout;
+    RolloutLeader m_leader;
+    SendPlanner m_planner;
+    RequestForwarder m_forwarder;
+    CallerListener m_callers;
+    StatusServer m_readiness;
+    std::unique_ptr<StatusServer> m_operators; ///< Null without an address for operators.
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/forward/platformadapter.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "almondmill/directory/registration.h"
+#include "almondmill/directory/weightstarget.h"
+#include "almondmill/kernel/registry.h"
+#include "almondmill/route/routingconfiguration.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <string>
+
+namespace almondmill {
+
+class AsyncStore;
+class WireCodec;
+enum class OrderAnswer;
+struct EngineReport;
+struct WeightsOrder;
+
+/// Everything that a platform says in its own way: headers, objects of its store, orders to
+/// engines. Adapters register by the name that the settings use; they hold no state and decide
+/// nothing.
+class PlatformAdapter
+{
+public:
+    virtual ~PlatformAdapter() = default;
+
+    virtual const WireCodec &codec() const = 0;
+
+    virtual std::unique_ptr<AsyncStore> makeStore(boost::asio::any_io_executor executor,
+                                                  boost::asio::ip::tcp::endpoint server) const = 0;
+
+    /// Name of the object that holds the routing configuration.
+    virtual std::string routingObject() const = 0;
+
+    /// Path that the balancer asks for readiness.
+    virtual std::string readyPath() const = 0;
+
+    /// The decoders throw Error "platform.1xx" when the text doesn't hold what it should.
+    virtual RoutingConfiguration decodeRouting(const std::string &text) const = 0;
+    virtual Registration decodeRegistration(const std::string &id,
+                                            const std::string &text) const = 0;
+    virtual WeightsTarget decodeWeightsTarget(const std::string &text) const = 0;
+
+    /// The path of orders, their headers as whole lines, and their bodies.
+    virtual std::string orderPath() const = 0;
+    virtual std::string encodeOrderHeaders(const WeightsOrder &order) const = 0;
+    virtual std::string encodeOrder(const WeightsOrder &order) const = 0;
+    virtual OrderAnswer decodeOrderAnswer(unsigned status) const = 0;
+
+    /// The path of an engine's report on itself, and the report. Throws as the decoders above.
+    virtual std::string reportPath() const = 0;
+    virtual EngineReport decodeReport(const std::string &text) const = 0;
+};
+
+using PlatformAdapterRegistry = Registry<PlatformAdapter>;
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/forward/sendplanner.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "almondmill/forward/endpointcandidate.h"
+#include "almondmill/forward/endpointsend.h"
+#include "almondmill/forward/keptprompts.h"
+#include "almondmill/kernel/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace almondmill {
+
+class EndpointView;
+class RoutingTable;
+struct CallerRequest;
+struct ForwardingContext;
+struct KeyedAccount;
+struct Route;
+
+/// One request as far as placement goes.
+struct PlacedRequest
+{
+    const CallerRequest &request;
+    const RoutingTable &table;
+    const Route &route;
+    const KeyedAccount *account; ///< Null on public routes.
+    const std::string &service;
+};
+
+/// Decides where a request goes next and what is sent with it.
+class SendPlanner
+{
+public:
+    using View = std::shared_ptr<EndpointView>;
+
+    explicit SendPlanner(ForwardingContext &context);
+
+    /// The endpoint for the next attempt, none of `tried`; null when there is none.
+    View pick(const PlacedRequest &placed, const std::vector<View> &tried, SteadyTime now) const;
+
+    /// What the router adds to the request for that endpoint.
+    EndpointSend planSend(const PlacedRequest &placed, const EndpointView &view,
+                          std::chrono::milliseconds timeLeft, SteadyTime now);
+
+private:
+    bool isUsable(const PlacedRequest &placed, const EndpointView &view, SteadyTime now) const;
+    EndpointCandidate describe(const PlacedRequest &placed, const EndpointView &view,
+                               SteadyTime now) const;
+
+    ForwardingContext &m_context;
+    KeptPrompts m_kept;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/http/messageparser.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "almondmill/http/httphead.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <string>
+
+namespace almondmill {
+
+/// Incremental parser of one HTTP/1.1 message. The head is kept as it came; the body, without its
+/// transfer coding, gathers in `body()` until the reader takes it.
+template<bool IsRequest>
+class MessageParser : public boost::beast::http::basic_parser<IsRequest>
+{
+public:
+    using ErrorCode = boost::beast::error_code;
+    using View = boost::beast::string_view;
+
+    const HttpHead &head() const { return m_head; }
+
+    /// Body bytes parsed and not yet taken.
+    std::string &body() { return m_body; }
+
+private:
+    using BodyLength = boost::optional<std::uint64_t>;
+
+    void on_request_impl(boost::beast::http::verb, View method, View target, int,
+                         ErrorCode &) override
+    {
+        m_head.method.assign(method.data(), method.size());
+        m_head.target.assign(target.data(), target.size());
+    }
+
+    void on_response_impl(int status, View, int, ErrorCode &) override
+    {
+        m_head.status = static_cast<unsigned>(status);
+    }
+
+    void on_field_impl(boost::beast::http::field, View name, View value, ErrorCode &) override
+    {
+        m_head.fields.add({name.data(), name.size()}, {value.data(), value.size()});
+    }
+
+    void on_header_impl(ErrorCode &) override {}
+    void on_body_init_impl(const BodyLength &, ErrorCode &) override {}
+
+    std::size_t on_body_impl(View bytes, ErrorCode &) override
+    {
+        m_body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, View, ErrorCode &) override {}
+
+    std::size_t on_chunk_body_impl(std::uint64_t, View bytes, ErrorCode &) override
+    {
+        m_body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_finish_impl(ErrorCode &) override {}
+
+    HttpHead m_head;
+    std::string m_body;
+};
+
+using RequestParser = MessageParser<true>;
+using AnswerParser = MessageParser<false>;
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/http/messagereader.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "almondmill/http/messageparser.h"
+#include "almondmill/http/timedsocket.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace almondmill {
+
+/// Reads messages from a connection step by step.
+template<bool IsRequest>
+class MessageReader
+{
+public:
+    using ErrorCode = boost::system::error_code;
+    using Parser = MessageParser<IsRequest>;
+
+    MessageReader(TimedSocket &socket, Parser &parser)
+        : m_socket(socket)
+        , m_parser(parser)
+    {}
+
+    /// Reads until the head is complete. On an error the connection can't be used any more.
+    boost::asio::awaitable<ErrorCode> readHead()
+    {
+        for (;;) {
+            const ErrorCode parsed = parseHead();
+            if (parsed || m_parser.is_header_done())
+                co_return parsed;
+            const ErrorCode received = co_await m_socket.readSome();
+            if (received)
+                co_return received;
+        }
+    }
+
+    /// Reads until there is more of the body or the message is complete. A body without a length
+    /// ends with the connection, but not with a reset.
+    boost::asio::awaitable<ErrorCode> readBodySome()
+    {
+        for (;;) {
+            const std::size_t before = m_parser.body().size();
+            const ErrorCode parsed = parseAll();
+            if (parsed || m_parser.is_done() || m_parser.body().size() > before)
+                co_return parsed;
+            const ErrorCode received = co_await m_socket.readSome();
+            if (received == boost::asio::error::eof && m_parser.need_eof()) {
+                ErrorCode ended;
+                m_parser.put_eof(ended);
+                co_return ended;
+            }
+            if (received)
+                co_return received;
+        }
+    }
+
+    /// Reads the rest of the message.
+    boost::asio::awaitable<ErrorCode> readBody()
+    {
+        while (!m_parser.is_done()) {
+            const ErrorCode error = co_await readBodySome();
+            if (error)
+                co_return error;
+        }
+        co_return ErrorCode();
+    }
+
+private:
+    ErrorCode parseHead()
+    {
+        while (!m_parser.is_header_done() && !m_socket.input().empty()) {
+            ErrorCode error;
+            if (!put(error))
+                return error;
+        }
+        return {};
+    }
+
+    ErrorCode parseAll()
+    {
+        while (!m_parser.is_done() && !m_socket.input().empty()) {
+            ErrorCode error;
+            if (!put(error))
+                return error;
+        }
+        return {};
+    }
+
+    /// Feeds the input to the parser once; false when it needs more bytes or met an error.
+    bool put(ErrorCode &error)
+    {
+        const std::size_t used = m_parser.put(boost::asio::buffer(m_socket.input()), error);
+        m_socket.consume(used);
+        if (error == boost::beast::http::error::need_more) {
+            error = {};
+            return false;
+        }
+        return !error;
+    }
+
+    TimedSocket &m_socket;
+    Parser &m_parser;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/observe/eventline.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace almondmill {
+
+/// One line of the structured log while it is put together; it is logged when it goes out of scope.
+class EventLine
+{
+public:
+    /// `event` names the decision or the change, such as "request.done".
+    explicit EventLine(std::string_view event);
+    ~EventLine();
+    EventLine(const EventLine &) = delete;
+    EventLine &operator=(const EventLine &) = delete;
+
+    EventLine &add(std::string_view key, std::string_view value);
+    EventLine &add(std::string_view key, const char *value);
+    EventLine &add(std::string_view key, const std::string &value);
+    EventLine &add(std::string_view key, std::uint64_t value);
+    EventLine &add(std::string_view key, std::uint32_t value);
+    EventLine &add(std::string_view key, int value);
+    EventLine &add(std::string_view key, bool value);
+    EventLine &add(std::string_view key, std::chrono::milliseconds value);
+
+private:
+    std::string m_text;
+};
+
+} // namespace almondmill
--- a/include/almondmill/orders/lease.h
+++ b/include/almondmill/orders/lease.h
@@ -11,7 +11,7 @@
 
 namespace almondmill {
 
-class ObjectStore;
+class ConditionalStore;
 
 /// How a lease is held.
 struct LeaseOptions
@@ -36,7 +36,7 @@
 public:
     using Clock = std::function<SteadyTime()>;
 
-    Lease(ObjectStore &store, LeaseOptions options);
+    Lease(ConditionalStore &store, LeaseOptions options);
 
     /// Whether an order sent at `now` ends, at its timeout, while the lease still holds.
     bool mayOrder(SteadyTime now) const;
@@ -44,6 +44,13 @@
     /// Whether this process holds the lease at `now`.
     bool held(SteadyTime now) const { return m_held && now < m_heldUntil; }
 
+    /// Until when it is held; meaningless unless `held`.
+    SteadyTime heldUntil() const { return m_heldUntil; }
+
+    /// When the last record of the holder before this process was first seen; nothing when there
+    /// was none. Its orders end by then plus `duration - orderTimeout`.
+    std::optional<SteadyTime> previousHolderSeenAt() const { return m_previousSeenAt; }
+
     /// Number that each order carries; zero unless the lease was once held.
     std::uint64_t fencing() const { return m_held ? m_record.fencing : 0; }
 
@@ -54,6 +61,9 @@
     /// before and after them.
     void maintain(const Clock &clock);
 
+    /// Notes the record as it stands, without asking for the lease; one call to the store.
+    void observe(const Clock &clock);
+
     /// Gives the lease up, so that another may take it without waiting. Best effort.
     void release();
 
@@ -68,11 +78,12 @@
     void hold(const LeaseRecord &record, std::uint64_t version, SteadyTime countedFrom);
     void lose() { m_held = false; }
 
-    ObjectStore &m_store;
+    ConditionalStore &m_store;
     LeaseOptions m_options;
     LeaseRecord m_record;
     std::uint64_t m_version = 0;
     std::optional<SteadyTime> m_seenSince; ///< Since when the record stands as it is.
+    std::optional<SteadyTime> m_previousSeenAt;
     bool m_held = false;
     SteadyTime m_heldUntil;
 };
--- a/include/almondmill/request/eventsplitter.h
+++ b/include/almondmill/request/eventsplitter.h
@@ -23,6 +23,9 @@
     /// Whether an event grew beyond MostEventBytes.
     bool overflowed() const { return m_rest.size() > MostEventBytes; }
 
+    /// Bytes of an event that is not complete.
+    const std::string &rest() const { return m_rest; }
+
 private:
     std::string m_rest;
     std::size_t m_scanned = 0; ///< Bytes of `m_rest` known to hold no end of an event.
--- a/include/almondmill/platform/guardedplatform.h
+++ b/include/almondmill/store/guardedplatform.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "almondmill/platform/circuit.h"
-#include "almondmill/platform/platform.h"
+#include "almondmill/store/circuit.h"
+#include "almondmill/store/platform.h"
 
 #include <functional>
 #include <memory>
--- a/include/almondmill/platform/httpplatform.h
+++ b/include/almondmill/store/httpplatform.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "almondmill/platform/platform.h"
+#include "almondmill/store/platform.h"
 
 #include <string>
 
--- a/include/almondmill/platform/objectstore.h
+++ b/include/almondmill/store/objectstore.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "almondmill/platform/readresult.h"
-#include "almondmill/platform/updateresult.h"
+#include "almondmill/store/conditionalstore.h"
 
 #include <chrono>
 #include <cstdint>
@@ -11,28 +10,15 @@
 
 /// The platform's object API. Implementations are safe to call from several threads and never throw
 /// for an outage: it is one of the results. Each call blocks for at most its timeout.
-class ObjectStore
+class ObjectStore : public ConditionalStore
 {
 public:
-    virtual ~ObjectStore() = default;
-
-    virtual ReadResult read(const std::string &name, std::chrono::milliseconds timeout) = 0;
-
     virtual ListResult list(const std::string &prefix, std::chrono::milliseconds timeout) = 0;
 
     /// Waits until an object under `prefix` changes after `revision`, for at most `wait`.
     virtual WatchResult watch(const std::string &prefix, std::uint64_t revision,
                               std::chrono::milliseconds wait) = 0;
 
-    /// Conflict when an object of that name exists.
-    virtual UpdateResult createIfAbsent(const std::string &name, const std::string &value,
-                                        std::chrono::milliseconds timeout) = 0;
-
-    /// Conflict when the object's version is not `expectedVersion`.
-    virtual UpdateResult update(const std::string &name, const std::string &value,
-                                std::uint64_t expectedVersion,
-                                std::chrono::milliseconds timeout) = 0;
-
     /// Conflict when the object's version is not `expectedVersion`.
     virtual UpdateResult remove(const std::string &name, std::uint64_t expectedVersion,
                                 std::chrono::milliseconds timeout) = 0;
--- a/include/almondmill/platform/platform.h
+++ b/include/almondmill/store/platform.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "almondmill/kernel/registry.h"
-#include "almondmill/platform/objectstore.h"
-#include "almondmill/platform/vmlist.h"
+#include "almondmill/store/objectstore.h"
+#include "almondmill/store/vmlist.h"
 
 namespace almondmill {
 
--- a/include/almondmill/platform/updateresult.h
+++ b/include/almondmill/store/updateresult.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "almondmill/platform/storedobject.h"
+#include "almondmill/store/storedobject.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/almondmill/platform/updatesettler.h
+++ b/include/almondmill/store/updatesettler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "almondmill/platform/updateresult.h"
+#include "almondmill/store/updateresult.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/almondmill/platform/vmlist.h
+++ b/include/almondmill/store/vmlist.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "almondmill/platform/readresult.h"
-#include "almondmill/platform/vm.h"
+#include "almondmill/store/readresult.h"
+#include "almondmill/store/vm.h"
 
 #include <chrono>
 #include <variant>
--- a/src/almondmill/accepted.h
+++ b/src/almondmill/accepted.h
@@ -3,7 +3,7 @@
 #include "almondmill/config/configurationfiles.h"
 #include "almondmill/config/configurationstore.h"
 #include "almondmill/metrics/metrics.h"
-#include "almondmill/platform/httpplatform.h"
+#include "almondmill/store/httpplatform.h"
 
 #include <chrono>
 #include <string>
--- a/src/almondmilld/main.cpp
+++ b/src/almondmilld/main.cpp
@@ -1,12 +1,15 @@
 // The router daemon.
 
 #include "almondmill/config/settings.h"
+#include "almondmill/config/textfile.h"
+#include "almondmill/forward/forwardersettings.h"
+#include "almondmill/forward/forwardingrouter.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/kernel/log.h"
 #include "almondmill/kernel/node.h"
 #include "almondmill/kernel/parts.h"
 #include "almondmill/placement/placer.h"
-#include "almondmill/platform/platform.h"
+#include "almondmill/store/platform.h"
 
 #include <CLI/CLI.hpp>
 
@@ -51,11 +54,24 @@
     parts.finishOpenWork();
 }
 
+/// The router in front of a platform's own endpoints.
+int runForwarding(ForwarderSettings settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    boost::asio::io_context loop(1);
+    ForwardingRouter router(loop, std::move(settings));
+    router.run();
+    return 0;
+}
+
 int run(const std::string &settingsFile)
 {
-    const sigset_t signals = blockTerminationSignals();
     raiseDescriptorLimit();
-    Node node(loadSettings(settingsFile));
+    const std::string text = readTextFile(settingsFile);
+    if (hasForwarderSettings(text))
+        return runForwarding(parseForwarderSettings(text, settingsFile));
+    const sigset_t signals = blockTerminationSignals();
+    Node node(parseSettings(text, settingsFile));
     setUpLog(node.settings.logLevel);
     const auto platform = PlatformRegistry::create(node.settings.platformClient, node);
     node.store = platform.get();
@@ -81,7 +97,9 @@
 {
     CLI::App app("almondmilld: routes language-model traffic with long shared prompts");
     std::string settingsFile;
-    app.add_option("--config", settingsFile, "settings file in TOML")->required();
+    app.add_option("--config", settingsFile, "settings file in TOML")
+            ->envname("ALMONDMILL_SETTINGS")
+            ->required();
     CLI11_PARSE(app, argc, argv);
     try {
         return run(settingsFile);
--- a/src/claims/claimstore.cpp
+++ b/src/claims/claimstore.cpp
@@ -3,8 +3,8 @@
 #include "almondmill/claims/claimcodec.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/kernel/log.h"
-#include "almondmill/platform/objectstore.h"
-#include "almondmill/platform/updatesettler.h"
+#include "almondmill/store/objectstore.h"
+#include "almondmill/store/updatesettler.h"
 
 namespace almondmill {
 
--- a/src/claims/claimsweeper.cpp
+++ b/src/claims/claimsweeper.cpp
@@ -3,7 +3,7 @@
 #include "almondmill/claims/claimcodec.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/kernel/log.h"
-#include "almondmill/platform/objectstore.h"
+#include "almondmill/store/objectstore.h"
 
 namespace almondmill {
 
--- a/src/claims/sweepduty.cpp
+++ b/src/claims/sweepduty.cpp
@@ -1,4 +1,5 @@
 #include "almondmill/claims/sweepduty.h"
+#include "almondmill/store/objectstore.h"
 
 namespace almondmill {
 
--- a/src/config/configurationstore.cpp
+++ b/src/config/configurationstore.cpp
@@ -5,7 +5,7 @@
 #include "almondmill/config/submission.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/kernel/findings.h"
-#include "almondmill/platform/objectstore.h"
+#include "almondmill/store/objectstore.h"
 
 #include <mutex>
 
--- a/src/config/configurationsync.cpp
+++ b/src/config/configurationsync.cpp
@@ -5,7 +5,7 @@
 #include "almondmill/fleet/configurationpeers.h"
 #include "almondmill/fleet/memberview.h"
 #include "almondmill/kernel/node.h"
-#include "almondmill/platform/objectstore.h"
+#include "almondmill/store/objectstore.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/config/submission.cpp
+++ b/src/config/submission.cpp
@@ -4,7 +4,7 @@
 #include "almondmill/config/partition.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/kernel/randomid.h"
-#include "almondmill/platform/objectstore.h"
+#include "almondmill/store/objectstore.h"
 
 #include <absl/container/flat_hash_set.h>
 
--- a/src/config/tablereader.cpp
+++ b/src/config/tablereader.cpp
@@ -102,6 +102,23 @@
     return static_cast<std::uint32_t>(*value);
 }
 
+double TableReader::fraction(const std::string &key, double fallback, double most)
+{
+    const toml::node *node = find(key);
+    if (!node)
+        return fallback;
+    const auto value = node->value<double>();
+    if (!value) {
+        report(WrongType, key, "must be a number");
+        return fallback;
+    }
+    if (*value < 0 || *value > most) {
+        report(OutOfRange, key, "must be from 0 to " + std::to_string(most));
+        return fallback;
+    }
+    return *value;
+}
+
 std::chrono::milliseconds TableReader::duration(const std::string &key,
                                                 std::chrono::milliseconds fallback)
 {
--- a/src/endpoint/endpointboard.cpp
+++ b/src/endpoint/endpointboard.cpp
@@ -2,7 +2,7 @@
 
 #include "almondmill/endpoint/endpointtable.h"
 #include "almondmill/kernel/log.h"
-#include "almondmill/platform/vm.h"
+#include "almondmill/store/vm.h"
 
 #include <absl/container/flat_hash_set.h>
 
--- a/src/fleet/vmwatcher.cpp
+++ b/src/fleet/vmwatcher.cpp
@@ -4,7 +4,7 @@
 #include "almondmill/fleet/memberview.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/node.h"
-#include "almondmill/platform/vmlist.h"
+#include "almondmill/store/vmlist.h"
 
 #include <absl/container/flat_hash_set.h>
 
--- a/src/fleet/vmwatcher.h
+++ b/src/fleet/vmwatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "almondmill/platform/vm.h"
+#include "almondmill/store/vm.h"
 
 #include "almondmill/kernel/time.h"
 #include <condition_variable>
--- /dev/null
+++ b/src/forward/callerlistener.cpp
@@ -0,0 +1,85 @@
+#include "almondmill/forward/callerlistener.h"
+
+#include "almondmill/forward/callersession.h"
+#include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/socketaddress.h"
+#include "almondmill/observe/eventline.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace almondmill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Time until accepting goes on after it failed, mostly for want of descriptors.
+constexpr std::chrono::milliseconds AcceptPause{50};
+
+} // namespace
+
+CallerListener::CallerListener(ForwardingContext &context, RequestForwarder &forwarder)
+    : m_context(context)
+    , m_forwarder(forwarder)
+    , m_acceptor(context.loop)
+{}
+
+void CallerListener::start()
+{
+    const auto address = parseSocketAddress(m_context.settings.callersListen);
+    m_acceptor.open(address.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(address);
+    m_acceptor.listen();
+    asio::co_spawn(m_context.loop, accept(), asio::detached);
+}
+
+void CallerListener::stopAccepting()
+{
+    boost::system::error_code ignored; // Already closed is fine.
+    m_acceptor.close(ignored);
+}
+
+void CallerListener::closeIdle()
+{
+    for (const auto &weak : m_sessions) {
+        if (const auto session = weak.lock())
+            session->closeIfIdle();
+    }
+}
+
+asio::awaitable<void> CallerListener::accept()
+{
+    while (m_acceptor.is_open()) {
+        boost::system::error_code error;
+        auto socket =
+                co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            asio::co_spawn(m_context.loop, serve(std::move(socket)), asio::detached);
+            continue;
+        }
+        if (!m_acceptor.is_open())
+            co_return;
+        EventLine("listener.accept_failed").add("reason", error.message());
+        asio::steady_timer pause(m_context.loop, AcceptPause);
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+asio::awaitable<void> CallerListener::serve(asio::ip::tcp::socket socket)
+{
+    const auto session = std::make_shared<CallerSession>(m_context, m_forwarder, std::move(socket));
+    const auto place = m_sessions.insert(m_sessions.end(), session);
+    try {
+        co_await session->run();
+    } catch (const std::exception &error) {
+        EventLine("session.failed").add("reason", error.what());
+    }
+    m_sessions.erase(place);
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/forward/callersession.cpp
@@ -0,0 +1,193 @@
+#include "almondmill/forward/callersession.h"
+
+#include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/platformadapter.h"
+#include "almondmill/forward/requestforwarder.h"
+#include "almondmill/forward/wirecodec.h"
+#include "almondmill/http/messagereader.h"
+#include "almondmill/http/timedsocket.h"
+#include "almondmill/observe/eventline.h"
+
+#include <boost/beast/http/error.hpp>
+
+namespace almondmill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned BadRequest = 400;
+constexpr unsigned BodyTooLarge = 413;
+constexpr unsigned HeaderTooLarge = 431;
+
+/// A caller that takes no bytes for this long is given up; longer than any pause on a link.
+constexpr milliseconds SendTimeout{5000};
+
+/// Time for a whole body beyond the header's: 4 MB at a tenth of the slowest link's 10 Mbit/s.
+constexpr milliseconds BodyTimeout{30000};
+
+/// Longest time that bytes to a caller stay without an acknowledgement.
+constexpr milliseconds SilentCallerTimeout{4000};
+
+unsigned statusOf(const boost::system::error_code &error)
+{
+    namespace http = boost::beast::http;
+    if (error == http::error::header_limit)
+        return HeaderTooLarge;
+    if (error == http::error::body_limit)
+        return BodyTooLarge;
+    return BadRequest;
+}
+
+bool isParseError(const boost::system::error_code &error)
+{
+    static const auto &category =
+            boost::beast::http::make_error_code(boost::beast::http::error::bad_method).category();
+    return error.category() == category && error != boost::beast::http::error::partial_message
+           && error != boost::beast::http::error::end_of_stream;
+}
+
+} // namespace
+
+std::string_view CallerRequest::path() const
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+CallerSession::CallerSession(ForwardingContext &context, RequestForwarder &forwarder,
+                             boost::asio::ip::tcp::socket socket)
+    : m_context(context)
+    , m_forwarder(forwarder)
+    , m_socket(std::make_shared<TimedSocket>(std::move(socket)))
+{}
+
+CallerSession::~CallerSession() = default;
+
+CallerSession::Awaitable<void> CallerSession::run()
+{
+    const auto self = shared_from_this();
+    m_socket->detectSilentPeer(SilentCallerTimeout);
+    for (;;) {
+        CallerRequest request;
+        m_idle = true;
+        const Next next = co_await readRequest(request);
+        if (next == Next::Close)
+            break;
+        m_idle = false;
+        const bool keepOpen = co_await m_forwarder.serve(request, *this);
+        m_socket->stopWatching();
+        if (!keepOpen || closesAfterAnswer())
+            break;
+    }
+    m_socket->shutdownSending();
+    m_socket->abort();
+}
+
+CallerSession::Awaitable<bool> CallerSession::send(std::string_view bytes)
+{
+    if (m_left)
+        co_return false;
+    m_socket->setDeadline(std::chrono::steady_clock::now() + SendTimeout);
+    const auto error = co_await m_socket->write(bytes);
+    m_socket->setDeadline(SteadyTime::max());
+    co_return !error;
+}
+
+bool CallerSession::closesAfterAnswer() const
+{
+    return m_callerCloses || m_context.draining;
+}
+
+void CallerSession::onLeave(std::function<void()> callback)
+{
+    m_socket->watchForClose([weak = weak_from_this(), callback = std::move(callback)] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->m_left = true;
+        callback();
+    });
+}
+
+void CallerSession::abort()
+{
+    m_socket->abort();
+}
+
+void CallerSession::closeIfIdle()
+{
+    if (m_idle && m_socket->input().empty())
+        m_socket->abort();
+}
+
+CallerBounds CallerSession::bounds() const
+{
+    const auto table = m_context.table.snapshot();
+    return table ? table->configuration().bounds : CallerBounds();
+}
+
+CallerSession::Awaitable<CallerSession::Next> CallerSession::readRequest(CallerRequest &request)
+{
+    const CallerBounds limits = bounds();
+    const auto now = std::chrono::steady_clock::now;
+    if (m_socket->input().empty()) {
+        m_socket->setDeadline(now() + limits.idleTimeout);
+        const auto error = co_await m_socket->readSome();
+        if (error)
+            co_return Next::Close;
+    }
+    RequestParser parser;
+    parser.header_limit(limits.maxHeaderBytes);
+    parser.body_limit(limits.maxBodyBytes);
+    MessageReader<true> reader(*m_socket, parser);
+    m_socket->setDeadline(now() + limits.headerTimeout);
+    const auto error = co_await reader.readHead();
+    if (error) {
+        if (m_socket->ended() == TimedSocket::Ended::No && isParseError(error))
+            co_return co_await refuse(statusOf(error), "the header can't be read");
+        co_return Next::Close;
+    }
+    request = m_context.adapter->codec().decodeRequest(parser.head());
+    m_callerCloses = !parser.keep_alive();
+    if (parser.head().fields.count("Host") != 1)
+        co_return co_await refuse(BadRequest, "exactly one Host is needed");
+    const Next next = co_await readBody(parser, limits);
+    m_socket->setDeadline(SteadyTime::max());
+    request.body = std::move(parser.body());
+    co_return next;
+}
+
+CallerSession::Awaitable<CallerSession::Next> CallerSession::readBody(RequestParser &parser,
+                                                                      const CallerBounds &limits)
+{
+    if (parser.is_done())
+        co_return Next::Serve;
+    const auto length = parser.content_length();
+    if (length && *length > limits.maxBodyBytes)
+        co_return co_await refuse(BodyTooLarge, "the body is too large");
+    if (parser.head().fields.find("Expect")) {
+        if (!co_await send("HTTP/1.1 100 Continue\r\n\r\n"))
+            co_return Next::Close;
+    }
+    m_socket->setDeadline(std::chrono::steady_clock::now() + BodyTimeout);
+    MessageReader<true> reader(*m_socket, parser);
+    const auto error = co_await reader.readBody();
+    if (!error)
+        co_return Next::Serve;
+    if (m_socket->ended() == TimedSocket::Ended::No && isParseError(error))
+        co_return co_await refuse(statusOf(error), "the body can't be read");
+    co_return Next::Close;
+}
+
+CallerSession::Awaitable<CallerSession::Next> CallerSession::refuse(unsigned status,
+                                                                    std::string_view text)
+{
+    EventLine("request.malformed").add("status", status).add("reason", text);
+    const std::string answer =
+            m_context.adapter->codec().encodeOwnAnswer(status, {}, std::nullopt, text, true);
+    co_await send(answer);
+    m_socket->shutdownSending();
+    co_return Next::Close;
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/forward/endpointexchange.cpp
@@ -0,0 +1,151 @@
+#include "almondmill/forward/endpointexchange.h"
+
+#include "almondmill/forward/callerrequest.h"
+#include "almondmill/forward/endpointsend.h"
+#include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/wirecodec.h"
+#include "almondmill/http/messagereader.h"
+#include "almondmill/http/timedsocket.h"
+
+namespace almondmill {
+
+namespace {
+
+/// Longest time that sent bytes stay without an acknowledgement: some round trips with a lost
+/// packet, well below the shortest timeout of a route.
+constexpr std::chrono::milliseconds SilentPeerTimeout{600};
+
+/// Connections are kept this long where the endpoint says nothing; shorter than usual timeouts.
+constexpr std::chrono::milliseconds DefaultKeepAlive{4000};
+
+/// Part of the stated idle timeout for which a connection is used again, so that a request doesn't
+/// cross the endpoint's close.
+constexpr double KeepAlivePart = 0.7;
+
+/// Bound of an answer's body that is gathered whole.
+constexpr std::uint64_t MostAnswerBytes = 16U << 20U;
+
+std::chrono::milliseconds usableFor(const AnswerFacts &facts)
+{
+    const auto stated = facts.keepAlive.value_or(DefaultKeepAlive);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(stated * KeepAlivePart);
+}
+
+} // namespace
+
+EndpointExchange::EndpointExchange(std::shared_ptr<EndpointView> endpoint, const WireCodec &codec)
+    : m_endpoint(std::move(endpoint))
+    , m_codec(codec)
+{
+    m_parser.emplace();
+}
+
+EndpointExchange::~EndpointExchange()
+{
+    if (m_socket)
+        m_socket->abort();
+}
+
+EndpointExchange::Awaitable<ExchangeError>
+EndpointExchange::connect(boost::asio::any_io_executor executor, SteadyTime deadline)
+{
+    m_socket = m_endpoint->connections().take(std::chrono::steady_clock::now());
+    if (m_socket)
+        co_return ExchangeError::None;
+    m_socket = std::make_shared<TimedSocket>(TimedSocket::Socket(executor));
+    m_socket->setDeadline(deadline);
+    const auto error = co_await m_socket->connect(m_endpoint->address());
+    if (m_cancelled)
+        co_return ExchangeError::Cancelled;
+    if (error)
+        co_return ExchangeError::NoConnection;
+    m_socket->detectSilentPeer(SilentPeerTimeout);
+    co_return ExchangeError::None;
+}
+
+EndpointExchange::Awaitable<ExchangeError>
+EndpointExchange::send(const CallerRequest &request, const EndpointSend &send, SteadyTime deadline)
+{
+    m_socket->setDeadline(deadline);
+    m_sent = true;
+    std::string message = m_codec.encodeRequest(request, send);
+    message += request.body;
+    const auto error = co_await m_socket->write(message);
+    // An endpoint may answer early and close: its answer may still be there to be read.
+    if (error && m_socket->ended() != TimedSocket::Ended::No)
+        co_return errorOf(error);
+    co_return ExchangeError::None;
+}
+
+EndpointExchange::Awaitable<ExchangeError> EndpointExchange::readHead(const std::string &requestId,
+                                                                      SteadyTime deadline)
+{
+    m_socket->setDeadline(deadline);
+    for (;;) {
+        m_parser.emplace();
+        m_parser->body_limit(MostAnswerBytes);
+        MessageReader<false> reader(*m_socket, *m_parser);
+        const auto error = co_await reader.readHead();
+        if (error)
+            co_return errorOf(error);
+        m_facts = m_codec.decodeAnswer(m_parser->head());
+        const bool informational = m_facts.status < 200;
+        const bool foreign = !m_facts.requestId.empty() && m_facts.requestId != requestId;
+        if (!informational && !foreign)
+            co_return ExchangeError::None;
+        const auto rest = co_await reader.readBody();
+        if (rest)
+            co_return errorOf(rest);
+    }
+}
+
+EndpointExchange::Awaitable<ExchangeError> EndpointExchange::readBodySome(SteadyTime deadline)
+{
+    m_socket->setDeadline(deadline);
+    MessageReader<false> reader(*m_socket, *m_parser);
+    const auto error = co_await reader.readBodySome();
+    co_return error ? errorOf(error) : ExchangeError::None;
+}
+
+EndpointExchange::Awaitable<ExchangeError> EndpointExchange::readBody(SteadyTime deadline)
+{
+    while (!isComplete()) {
+        const auto error = co_await readBodySome(deadline);
+        if (error != ExchangeError::None)
+            co_return error;
+    }
+    co_return ExchangeError::None;
+}
+
+void EndpointExchange::finish(SteadyTime now)
+{
+    const auto socket = std::move(m_socket);
+    m_socket = nullptr;
+    if (!socket)
+        return;
+    const bool reusable = m_parser->is_done() && m_parser->keep_alive() && !m_parser->need_eof()
+                          && !m_facts.closes && m_endpoint->takesRequests()
+                          && !socket->spoiledWhileIdle();
+    if (reusable)
+        m_endpoint->connections().put(socket, now, usableFor(m_facts));
+    else
+        socket->abort();
+}
+
+void EndpointExchange::cancel()
+{
+    m_cancelled = true;
+    if (m_socket)
+        m_socket->abort();
+}
+
+ExchangeError EndpointExchange::errorOf(const boost::system::error_code &) const
+{
+    if (m_cancelled)
+        return ExchangeError::Cancelled;
+    if (m_socket->ended() == TimedSocket::Ended::Deadline)
+        return ExchangeError::TooLate;
+    return ExchangeError::Broken;
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/forward/endpointview.cpp
@@ -0,0 +1,106 @@
+#include "almondmill/forward/endpointview.h"
+
+#include "almondmill/forward/socketaddress.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondmill {
+
+namespace {
+
+/// Over which load is averaged: requests last about half a second, and peers are told once a
+/// second.
+constexpr std::chrono::duration<double> LoadAverageTime{1.0};
+
+std::optional<std::uint64_t> versionIn(const std::vector<ServedModel> &models,
+                                       std::string_view name)
+{
+    for (const ServedModel &model : models) {
+        if (model.name == name)
+            return model.weightsVersion;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+EndpointView::EndpointView(Registration registration)
+    : m_registration(std::move(registration))
+    , m_address(parseSocketAddress(m_registration.address))
+{}
+
+bool EndpointView::isSameLifetime(const Registration &registration) const
+{
+    return m_registration.startedAt == registration.startedAt
+           && m_registration.address == registration.address
+           && m_registration.service == registration.service;
+}
+
+void EndpointView::update(Registration registration)
+{
+    const auto before = std::move(m_registration.models);
+    m_registration = std::move(registration);
+    // What answers showed is newer than a registration that says the same as before.
+    m_shown.erase(std::remove_if(m_shown.begin(), m_shown.end(),
+                                 [&](const ServedModel &shown) {
+                                     return versionIn(before, shown.name)
+                                            != versionIn(m_registration.models, shown.name);
+                                 }),
+                  m_shown.end());
+}
+
+void EndpointView::retire()
+{
+    m_gone = true;
+    m_connections.closeAll();
+}
+
+void EndpointView::requestOpened(std::uint64_t tokens)
+{
+    ++m_openRequests;
+    m_heldTokens += tokens;
+}
+
+void EndpointView::requestClosed(std::uint64_t tokens)
+{
+    --m_openRequests;
+    m_heldTokens -= tokens;
+}
+
+EndpointLoad EndpointView::load() const
+{
+    return {static_cast<double>(m_openRequests), static_cast<double>(m_unreadTokens),
+            static_cast<double>(m_heldTokens)};
+}
+
+EndpointLoad EndpointView::averageLoad(SteadyTime now)
+{
+    const std::chrono::duration<double> passed = now - m_averagedAt;
+    const double weight = 1 - std::exp(-passed / LoadAverageTime);
+    const EndpointLoad current = load();
+    m_average.openRequests += weight * (current.openRequests - m_average.openRequests);
+    m_average.unreadTokens += weight * (current.unreadTokens - m_average.unreadTokens);
+    m_average.heldTokens += weight * (current.heldTokens - m_average.heldTokens);
+    m_averagedAt = now;
+    return m_average;
+}
+
+std::optional<std::uint64_t> EndpointView::weightsVersion(std::string_view model) const
+{
+    const auto shown = versionIn(m_shown, model);
+    return shown ? shown : versionIn(m_registration.models, model);
+}
+
+void EndpointView::setWeightsVersion(std::string_view model, std::uint64_t version)
+{
+    for (ServedModel &shown : m_shown) {
+        if (shown.name == model) {
+            shown.weightsVersion = version;
+            return;
+        }
+    }
+    m_shown.push_back({std::string(model), version});
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/forward/endpointviews.cpp
@@ -0,0 +1,67 @@
+#include "almondmill/forward/endpointviews.h"
+
+#include "almondmill/forward/endpointview.h"
+#include "almondmill/kernel/abslview.h"
+#include "almondmill/observe/eventline.h"
+
+#include <algorithm>
+
+namespace almondmill {
+
+void EndpointViews::changed(const RegistrationChange &change)
+{
+    const View known = find(change.id);
+    if (!change.entry) {
+        EventLine("endpoint.gone").add("endpoint", change.id);
+        drop(change.id);
+        return;
+    }
+    if (known && known->isSameLifetime(*change.entry)) {
+        if (known->registration().draining != change.entry->draining)
+            EventLine("endpoint.draining")
+                    .add("endpoint", change.id)
+                    .add("draining", change.entry->draining);
+        known->update(*change.entry);
+        return;
+    }
+    drop(change.id);
+    EventLine("endpoint.registered")
+            .add("endpoint", change.id)
+            .add("service", change.entry->service)
+            .add("address", change.entry->address)
+            .add("started_at", change.entry->startedAt);
+    add(std::make_shared<EndpointView>(*change.entry));
+}
+
+const std::vector<EndpointViews::View> &EndpointViews::ofService(std::string_view service) const
+{
+    static const std::vector<View> none;
+    const auto found = m_byService.find(abslView(service));
+    return found == m_byService.end() ? none : found->second;
+}
+
+EndpointViews::View EndpointViews::find(std::string_view id) const
+{
+    const auto found = m_byId.find(abslView(id));
+    return found == m_byId.end() ? nullptr : found->second;
+}
+
+void EndpointViews::add(View view)
+{
+    m_byService[view->registration().service].push_back(view);
+    m_byId[view->id()] = std::move(view);
+}
+
+void EndpointViews::drop(const std::string &id)
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end())
+        return;
+    const View view = found->second;
+    view->retire();
+    auto &views = m_byService[view->registration().service];
+    views.erase(std::remove(views.begin(), views.end(), view), views.end());
+    m_byId.erase(found);
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/forward/forwardersettings.cpp
@@ -0,0 +1,86 @@
+#include "almondmill/forward/forwardersettings.h"
+
+#include "almondmill/config/tablereader.h"
+#include "almondmill/config/tomltext.h"
+#include "almondmill/forward/platformadapter.h"
+#include "almondmill/kernel/findings.h"
+#include "almondmill/kernel/inputerror.h"
+
+namespace almondmill {
+
+namespace {
+
+constexpr const char *TableName = "forwarding";
+constexpr std::uint32_t MostDescriptors = 1U << 20U;
+constexpr std::uint32_t MostRetries = 1U << 20U;
+
+/// A share written in thousandths would surprise; it is a number from zero to one.
+constexpr double MostRetryShare = 1.0;
+
+void readAddresses(TableReader &reader, ForwarderSettings &settings)
+{
+    settings.store = reader.requiredString("store");
+    settings.callersListen = reader.requiredString("callers_listen");
+    settings.readyListen = reader.requiredString("ready_listen");
+    settings.operatorsListen = reader.optionalString("operators_listen", "");
+    settings.peersListen = reader.requiredString("peers_listen");
+}
+
+void readBounds(TableReader &reader, ForwarderSettings &settings)
+{
+    const auto read = [&](const char *key, std::chrono::milliseconds &value) {
+        value = reader.duration(key, value);
+    };
+    read("configuration_deadline", settings.configurationDeadline);
+    read("drain_deadline", settings.drainDeadline);
+    read("shutdown_grace", settings.shutdownGrace);
+    read("weights_deadline", settings.weightsDeadline);
+    read("lease_turn", settings.leaseTurn);
+    read("reuse_window", settings.reuseWindow);
+    read("heartbeat", settings.heartbeat);
+    read("retry_window", settings.retryWindow);
+    settings.retryShare = reader.fraction("retry_share", settings.retryShare, MostRetryShare);
+    settings.retriesAlways =
+            reader.number("retries_always", settings.retriesAlways, 0, MostRetries);
+}
+
+void readForwarding(TableReader &reader, ForwarderSettings &settings)
+{
+    settings.adapter = reader.requiredString("adapter");
+    if (!settings.adapter.empty() && !PlatformAdapterRegistry::knows(settings.adapter)) {
+        reader.report("config.220", "adapter",
+                      "unknown, known: " + PlatformAdapterRegistry::knownNames());
+    }
+    readAddresses(reader, settings);
+    settings.maxDescriptors =
+            reader.number("max_descriptors", settings.maxDescriptors, 64, MostDescriptors);
+    reader.table("bounds", [&](TableReader &bounds) { readBounds(bounds, settings); });
+}
+
+} // namespace
+
+bool hasForwarderSettings(const std::string &text)
+{
+    Findings findings;
+    const toml::table table = parseToml(text, "", findings);
+    return findings.empty() && table.contains(TableName);
+}
+
+ForwarderSettings parseForwarderSettings(const std::string &text, const std::string &file)
+{
+    Findings findings;
+    const toml::table table = parseToml(text, file, findings);
+    if (!findings.empty())
+        throw InputError("config.200", findings);
+    TableReader reader(table, file, {}, findings);
+    ForwarderSettings settings;
+    settings.name = reader.requiredString("name");
+    settings.dataCentre = reader.requiredString("data_centre");
+    reader.table(TableName, [&](TableReader &forwarding) { readForwarding(forwarding, settings); });
+    reader.reportUnknownKeys();
+    if (!findings.empty())
+        throw InputError("config.200", findings);
+    return settings;
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/forward/forwardingcontext.cpp
@@ -0,0 +1,20 @@
+#include "almondmill/forward/forwardingcontext.h"
+
+#include "almondmill/forward/platformadapter.h"
+
+namespace almondmill {
+
+ForwardingContext::ForwardingContext(boost::asio::io_context &eventLoop,
+                                     ForwarderSettings forwarderSettings,
+                                     std::unique_ptr<PlatformAdapter> platformAdapter)
+    : loop(eventLoop)
+    , settings(std::move(forwarderSettings))
+    , adapter(std::move(platformAdapter))
+    , table(nullptr)
+    , directory([this](const RegistrationChange &change) { endpoints.changed(change); })
+    , repeats({settings.retryShare, settings.retriesAlways, settings.retryWindow})
+{}
+
+ForwardingContext::~ForwardingContext() = default;
+
+} // namespace almondmill
--- /dev/null
+++ b/src/forward/forwardingrouter.cpp
@@ -0,0 +1,197 @@
+#include "almondmill/forward/forwardingrouter.h"
+
+#include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/platformadapter.h"
+#include "almondmill/forward/socketaddress.h"
+#include "almondmill/observe/eventline.h"
+#include "almondmill/observe/eventlog.h"
+#include "almondmill/store/asyncstore.h"
+
+#include <nlohmann/json.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+
+namespace almondmill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned Ok = 200;
+constexpr unsigned NotFound = 404;
+constexpr unsigned NotReady = 503;
+
+/// How often the log is written out and expired connections are closed.
+constexpr milliseconds MaintenanceInterval{500};
+
+/// The balancer asks once a second and takes a router out after two misses; a little more.
+constexpr milliseconds BalancerNotice{2600};
+
+/// Before the end of the grace time, for the end of the process itself.
+constexpr milliseconds ExitMargin{400};
+
+/// How often it is checked whether engines are behind on weights: a small part of their load time.
+constexpr milliseconds RolloutCheck{100};
+
+/// How often a draining router looks whether its requests are done.
+constexpr milliseconds DrainCheck{100};
+
+asio::awaitable<void> sleep(asio::io_context &loop, milliseconds pause)
+{
+    asio::steady_timer timer(loop, pause);
+    boost::system::error_code ignored; // Only the end of the loop cancels it.
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace
+
+ForwardingRouter::ForwardingRouter(asio::io_context &loop, ForwarderSettings settings)
+    : m_loop(loop)
+    , m_context(loop, settings, PlatformAdapterRegistry::create(settings.adapter))
+    , m_store(m_context.adapter->makeStore(loop.get_executor(), parseSocketAddress(settings.store)))
+    , m_views(m_context, *m_store)
+    , m_peers(m_context, *m_store, [this](const PeerMessage &message) { learn(message); })
+    , m_rollout(m_context, [this] { m_peers.announce(); })
+    , m_leader(m_context, *m_store, m_rollout)
+    , m_planner(m_context)
+    , m_forwarder(m_context, m_planner)
+    , m_callers(m_context, m_forwarder)
+    , m_readiness(loop, settings.readyListen,
+                  [this](const std::string &path) { return ready(path); })
+{
+    if (!settings.operatorsListen.empty()) {
+        m_operators = std::make_unique<StatusServer>(
+                loop, settings.operatorsListen,
+                [this](const std::string &path) { return status(path); });
+    }
+}
+
+ForwardingRouter::~ForwardingRouter() = default;
+
+void ForwardingRouter::run()
+{
+    EventLine("router.start")
+            .add("name", m_context.settings.name)
+            .add("data_centre", m_context.settings.dataCentre)
+            .add("callers", m_context.settings.callersListen);
+    m_views.start();
+    m_peers.start();
+    m_callers.start();
+    m_readiness.start();
+    if (m_operators)
+        m_operators->start();
+    asio::co_spawn(m_loop, awaitTermination(), asio::detached);
+    asio::co_spawn(m_loop, maintain(), asio::detached);
+    asio::co_spawn(m_loop, watchRollout(), asio::detached);
+    m_leader.start();
+    m_loop.run();
+    m_leader.stop();
+    EventLine("router.stop").add("name", m_context.settings.name);
+    eventLog().flush();
+}
+
+StatusServer::Reply ForwardingRouter::ready(const std::string &path) const
+{
+    if (path != m_context.adapter->readyPath())
+        return {NotFound, ""};
+    const bool isReady = m_context.table.snapshot() != nullptr && !m_context.draining;
+    return {isReady ? Ok : NotReady, ""};
+}
+
+StatusServer::Reply ForwardingRouter::status(const std::string &path) const
+{
+    if (path == "/metrics")
+        return {Ok, m_context.metrics.text()};
+    if (path == "/dump")
+        return {Ok, dump()};
+    return {NotFound, ""};
+}
+
+std::string ForwardingRouter::dump() const
+{
+    const auto table = m_context.table.snapshot();
+    nlohmann::json endpoints = nlohmann::json::object();
+    for (const auto &[id, view] : m_context.endpoints.all()) {
+        endpoints[id] = {{"service", view->registration().service},
+                         {"address", view->registration().address},
+                         {"takes_requests", view->takesRequests()},
+                         {"open_requests", view->openRequests()}};
+    }
+    nlohmann::json weights = nlohmann::json::object();
+    for (const WeightsTarget &target : m_context.weights.all())
+        weights[target.model] = target.version;
+    const nlohmann::json state{{"name", m_context.settings.name},
+                               {"draining", m_context.draining},
+                               {"configuration", table ? table->version() : 0},
+                               {"registrations_revision", m_context.directory.revision()},
+                               {"sessions", m_callers.openSessions()},
+                               {"weights", std::move(weights)},
+                               {"endpoints", std::move(endpoints)}};
+    return state.dump(2) + "\n";
+}
+
+void ForwardingRouter::learn(const PeerMessage &message)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    for (const WeightsTarget &target : message.weights) {
+        if (m_context.weights.learn(target, now))
+            EventLine("weights.named")
+                    .add("model", target.model)
+                    .add("version", target.version)
+                    .add("peer", message.sender);
+    }
+}
+
+asio::awaitable<void> ForwardingRouter::awaitTermination()
+{
+    asio::signal_set signals(m_loop, SIGTERM, SIGINT);
+    co_await signals.async_wait(asio::use_awaitable);
+    EventLine("router.draining").add("sessions", m_callers.openSessions());
+    co_await drain();
+    m_loop.stop();
+}
+
+asio::awaitable<void> ForwardingRouter::drain()
+{
+    const auto begun = std::chrono::steady_clock::now();
+    const auto end = begun + m_context.settings.shutdownGrace - ExitMargin;
+    m_context.draining = true;
+    co_await sleep(m_loop, BalancerNotice);
+    m_callers.closeIdle();
+    while (m_callers.openSessions() != 0 && std::chrono::steady_clock::now() < end) {
+        co_await sleep(m_loop, DrainCheck);
+        m_callers.closeIdle();
+    }
+    m_callers.stopAccepting();
+}
+
+asio::awaitable<void> ForwardingRouter::watchRollout()
+{
+    for (;;) {
+        co_await sleep(m_loop, RolloutCheck);
+        const bool needed = m_rollout.check(std::chrono::steady_clock::now());
+        m_leader.update(needed && !m_context.draining,
+                        m_context.peers.firstInLine(m_context.settings.name),
+                        m_rollout.lastProgress());
+    }
+}
+
+asio::awaitable<void> ForwardingRouter::maintain()
+{
+    for (;;) {
+        co_await sleep(m_loop, MaintenanceInterval);
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto &[id, view] : m_context.endpoints.all())
+            view->connections().closeExpired(now);
+        eventLog().flush();
+    }
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/forward/sendplanner.cpp
@@ -0,0 +1,161 @@
+#include "almondmill/forward/sendplanner.h"
+
+#include "almondmill/forward/callerrequest.h"
+#include "almondmill/forward/endpointchoice.h"
+#include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/kernel/hash.h"
+#include "almondmill/route/routingtable.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+
+/// The least urgent priority that engines know.
+constexpr std::uint32_t LastEnginePriority = 9;
+
+/// Engines behind on weights get no request in this last part of the bound: a request waits at the
+/// engine before it begins.
+constexpr std::chrono::milliseconds WeightsMargin{1500};
+
+/// Answers made with old weights keep their whole worth for 1.5 s after newer ones were named, less
+/// the time until a request begins.
+constexpr std::chrono::milliseconds FullWorthOnOldWeights{1300};
+
+/// Stands for the target latency of routes that have none.
+constexpr std::chrono::milliseconds LeastTargetLatency{100};
+
+std::uint64_t sharedPartHash(const PromptRequest &prompt)
+{
+    if (prompt.parts.empty())
+        return 0;
+    // The last part is the request's own; before it stands the longest part that others share.
+    const std::size_t shared = prompt.parts.size() > 1 ? prompt.parts.size() - 2 : 0;
+    return hash64(prompt.parts[shared].id);
+}
+
+SoonestFirstEvent promptRule(const PlacedRequest &placed)
+{
+    const PromptRequest &prompt = *placed.request.prompt;
+    SoonestFirstEvent rule;
+    rule.sharedPartHash = sharedPartHash(prompt);
+    for (std::size_t part = 0; part + 1 < prompt.parts.size(); ++part)
+        rule.sharedTokens += prompt.parts[part].tokens;
+    rule.ownTokens = std::max(0.0, prompt.promptTokens - rule.sharedTokens);
+    rule.outputTokens = prompt.maxOutputTokens;
+    rule.targetLatency = std::max(placed.route.targetLatency, LeastTargetLatency);
+    return rule;
+}
+
+std::uint32_t priorityOf(const PlacedRequest &placed)
+{
+    const std::uint32_t priority = placed.account && placed.account->priority
+                                           ? *placed.account->priority
+                                           : placed.route.priority;
+    return std::min(priority, LastEnginePriority);
+}
+
+/// Parts made under other weights, or for an account that shares nothing, must not be found.
+std::string cacheScope(const PlacedRequest &placed, std::uint64_t weightsVersion)
+{
+    std::string scope = absl::StrCat("w", weightsVersion);
+    if (placed.account && placed.account->isolated)
+        absl::StrAppend(&scope, "/", placed.account->name);
+    return scope;
+}
+
+} // namespace
+
+SendPlanner::SendPlanner(ForwardingContext &context)
+    : m_context(context)
+{}
+
+SendPlanner::View SendPlanner::pick(const PlacedRequest &placed, const std::vector<View> &tried,
+                                    SteadyTime now) const
+{
+    std::vector<EndpointCandidate> candidates;
+    std::vector<View> views;
+    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+        const bool again = std::find(tried.begin(), tried.end(), view) != tried.end();
+        if (again || !isUsable(placed, *view, now))
+            continue;
+        candidates.push_back(describe(placed, *view, now));
+        views.push_back(view);
+    }
+    PlacementRule rule = LeastExpectedTime{hash64(placed.request.id)};
+    if (placed.request.prompt)
+        rule = promptRule(placed);
+    const auto chosen = chooseEndpoint(rule, candidates);
+    return chosen ? views[*chosen] : nullptr;
+}
+
+bool SendPlanner::isUsable(const PlacedRequest &placed, const EndpointView &view,
+                           SteadyTime now) const
+{
+    if (!view.takesRequests())
+        return false;
+    if (!placed.request.prompt)
+        return true;
+    const auto version = view.weightsVersion(placed.request.prompt->model);
+    if (!version)
+        return false;
+    const auto oldSince = m_context.weights.oldSince(placed.request.prompt->model, *version);
+    return !oldSince || now < *oldSince + m_context.settings.weightsDeadline - WeightsMargin;
+}
+
+EndpointCandidate SendPlanner::describe(const PlacedRequest &placed, const EndpointView &view,
+                                        SteadyTime now) const
+{
+    const std::uint32_t name = shortHash(view.id());
+    EndpointCandidate candidate;
+    candidate.idHash = hash64(view.id());
+    candidate.slots = std::max(view.registration().slots, 1U);
+    candidate.load = view.load();
+    candidate.load += m_context.peers.loadOn(name);
+    candidate.latency = view.health().latency();
+    candidate.failureShare = view.health().failureShare(now);
+    candidate.isAvoided = view.health().isAvoided(now) || now < view.loadingUntil()
+                          || m_context.peers.isLoading(name, now);
+    candidate.isLocal = view.registration().dataCentre == m_context.settings.dataCentre;
+    if (!placed.request.prompt)
+        return candidate;
+    const RoutedService *service = placed.table.service(placed.service);
+    if (service && service->engine)
+        candidate.memoryTokens = static_cast<double>(service->engine->memoryTokens);
+    const auto version = view.weightsVersion(placed.request.prompt->model).value_or(0);
+    const auto oldSince = m_context.weights.oldSince(placed.request.prompt->model, version);
+    candidate.hasOldWeights = oldSince && now >= *oldSince + FullWorthOnOldWeights;
+    return candidate;
+}
+
+EndpointSend SendPlanner::planSend(const PlacedRequest &placed, const EndpointView &view,
+                                   std::chrono::milliseconds timeLeft, SteadyTime now)
+{
+    EndpointSend send;
+    send.endpointId = view.id();
+    send.timeLeft = timeLeft;
+    send.resumeAfter = placed.request.resumeAfter;
+    if (placed.account)
+        send.account = placed.account->name;
+    if (!placed.request.prompt)
+        return send;
+    const PromptRequest &prompt = *placed.request.prompt;
+    const std::uint64_t version = view.weightsVersion(prompt.model).value_or(0);
+    send.weightsVersion = version;
+    send.cacheScope = cacheScope(placed, version);
+    send.enginePriority = priorityOf(placed);
+    const KeptCache *kept = placed.table.keptCache();
+    if (kept && prompt.parts.size() > 1) {
+        send.fetchFrom = kept->address;
+        const std::uint64_t part = mixHash(hash64(send.cacheScope), sharedPartHash(prompt));
+        if (m_kept.shouldSave(part, now))
+            send.saveTo = kept->address;
+    }
+    return send;
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/http/hopfields.cpp
@@ -0,0 +1,53 @@
+#include "almondmill/http/hopfields.h"
+
+#include "almondmill/http/httphead.h"
+#include "almondmill/kernel/abslview.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+
+namespace almondmill {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> HopNames{"Connection",
+                                                   "Keep-Alive",
+                                                   "Proxy-Authenticate",
+                                                   "Proxy-Authorization",
+                                                   "Proxy-Connection",
+                                                   "TE",
+                                                   "Trailer",
+                                                   "Transfer-Encoding",
+                                                   "Upgrade"};
+
+bool listsOption(std::string_view list, std::string_view option)
+{
+    for (const absl::string_view item : absl::StrSplit(abslView(list), ',')) {
+        const absl::string_view trimmed = absl::StripAsciiWhitespace(item);
+        if (sameHeaderName({trimmed.data(), trimmed.size()}, option))
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+bool hasConnectionOption(const HttpFields &fields, std::string_view option)
+{
+    const auto &all = fields.all();
+    return std::any_of(all.begin(), all.end(), [&](const HttpField &field) {
+        return sameHeaderName(field.name, "Connection") && listsOption(field.value, option);
+    });
+}
+
+bool isHopField(std::string_view name, const HttpFields &fields)
+{
+    const bool known = std::any_of(HopNames.begin(), HopNames.end(),
+                                   [&](std::string_view hop) { return sameHeaderName(name, hop); });
+    return known || hasConnectionOption(fields, name);
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/http/httpclient.cpp
@@ -0,0 +1,96 @@
+#include "almondmill/http/httpclient.h"
+
+#include "almondmill/http/hopfields.h"
+#include "almondmill/http/messagereader.h"
+#include "almondmill/http/timedsocket.h"
+
+#include <boost/lexical_cast.hpp>
+
+namespace almondmill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Longest time that sent bytes stay without an acknowledgement; some round trips with a lost
+/// packet, well below the deadline of a call.
+constexpr std::chrono::milliseconds SilentPeerTimeout{700};
+
+/// Connections kept between calls: a watch, a read and a write at once, and one to spare.
+constexpr std::size_t MostIdle = 4;
+
+/// Bound of an answer's body: the platform returns pages of about a megabyte.
+constexpr std::uint64_t MostAnswerBytes = 16U << 20U;
+
+} // namespace
+
+HttpClient::HttpClient(asio::any_io_executor executor, asio::ip::tcp::endpoint server)
+    : m_executor(std::move(executor))
+    , m_server(std::move(server))
+    , m_host(boost::lexical_cast<std::string>(m_server))
+{}
+
+asio::awaitable<HttpOutcome> HttpClient::call(std::string method, std::string target,
+                                              std::string headers, std::string body,
+                                              SteadyTime deadline)
+{
+    std::string request = method + " " + target + " HTTP/1.1\r\nHost: " + m_host + "\r\n" + headers;
+    if (!body.empty())
+        request += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    request += "\r\n" + body;
+
+    auto socket = takeIdle();
+    if (!socket) {
+        socket = std::make_shared<TimedSocket>(asio::ip::tcp::socket(m_executor));
+        socket->setDeadline(deadline);
+        const auto error = co_await socket->connect(m_server);
+        if (error)
+            co_return HttpFailure{"connect: " + error.message(), false};
+        socket->detectSilentPeer(SilentPeerTimeout);
+    }
+    socket->setDeadline(deadline);
+    co_return co_await exchange(std::move(socket), std::move(request));
+}
+
+asio::awaitable<HttpOutcome> HttpClient::exchange(std::shared_ptr<TimedSocket> socket,
+                                                  std::string request)
+{
+    const auto sent = co_await socket->write(request);
+    if (sent)
+        co_return HttpFailure{"send: " + sent.message(), true};
+    AnswerParser parser;
+    parser.body_limit(MostAnswerBytes);
+    MessageReader<false> reader(*socket, parser);
+    auto error = co_await reader.readHead();
+    if (!error)
+        error = co_await reader.readBody();
+    if (error) {
+        const bool late = socket->ended() == TimedSocket::Ended::Deadline;
+        socket->abort();
+        co_return HttpFailure{late ? "timeout" : "receive: " + error.message(), true};
+    }
+    HttpReply reply{parser.head(), std::move(parser.body())};
+    if (parser.keep_alive() && !hasConnectionOption(reply.head.fields, "close"))
+        keep(std::move(socket));
+    co_return reply;
+}
+
+std::shared_ptr<TimedSocket> HttpClient::takeIdle()
+{
+    while (!m_idle.empty()) {
+        auto socket = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (!socket->spoiledWhileIdle())
+            return socket;
+    }
+    return nullptr;
+}
+
+void HttpClient::keep(std::shared_ptr<TimedSocket> socket)
+{
+    socket->setDeadline(SteadyTime::max());
+    if (m_idle.size() < MostIdle)
+        m_idle.push_back(std::move(socket));
+}
+
+} // namespace almondmill
--- a/src/orders/lease.cpp
+++ b/src/orders/lease.cpp
@@ -1,11 +1,11 @@
 #include "almondmill/orders/lease.h"
 
 #include "almondmill/kernel/error.h"
-#include "almondmill/platform/objectstore.h"
+#include "almondmill/store/conditionalstore.h"
 
 namespace almondmill {
 
-Lease::Lease(ObjectStore &store, LeaseOptions options)
+Lease::Lease(ConditionalStore &store, LeaseOptions options)
     : m_store(store)
     , m_options(std::move(options))
 {}
@@ -25,6 +25,13 @@
         acquire(clock);
 }
 
+void Lease::observe(const Clock &clock)
+{
+    const auto result = m_store.read(m_options.objectName, m_options.storeTimeout);
+    if (const auto *object = std::get_if<StoredObject>(&result))
+        observe(object->value, object->version, clock());
+}
+
 void Lease::release()
 {
     if (!m_held)
@@ -60,8 +67,11 @@
     const LeaseRecord record = nextRecord(own ? m_record.fencing : m_record.fencing + 1);
     const auto written = m_store.update(m_options.objectName, encodeLease(record), m_version,
                                         m_options.storeTimeout);
-    if (const auto *applied = std::get_if<Applied>(&written))
+    if (const auto *applied = std::get_if<Applied>(&written)) {
+        if (!own)
+            m_previousSeenAt = m_seenSince;
         hold(record, applied->version, before);
+    }
 }
 
 void Lease::create(const Clock &clock)
--- a/src/orders/orderspart.cpp
+++ b/src/orders/orderspart.cpp
@@ -7,6 +7,7 @@
 #include "almondmill/orders/httpenginecontrol.h"
 #include "almondmill/orders/lease.h"
 #include "almondmill/orders/ordercontroller.h"
+#include "almondmill/store/objectstore.h"
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/src/peers/peermessage.cpp
@@ -0,0 +1,123 @@
+#include "almondmill/peers/peermessage.h"
+
+#include "almondmill/kernel/hash.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace almondmill {
+
+namespace {
+
+using nlohmann::json;
+
+/// Of the layout; messages of another one are ignored, so that versions can be mixed.
+constexpr std::uint32_t LayoutVersion = 1;
+
+constexpr double TenthsInOne = 10;
+
+/// Loads are told in tenths: an average below that says nothing.
+std::uint64_t tenths(double value)
+{
+    return static_cast<std::uint64_t>(std::llround(std::max(value, 0.0) * TenthsInOne));
+}
+
+double fromTenths(const json &value)
+{
+    return static_cast<double>(value.get<std::uint64_t>()) / TenthsInOne;
+}
+
+json encodeLoads(const std::vector<PeerMessage::Load> &loads)
+{
+    json array = json::array();
+    for (const PeerMessage::Load &entry : loads) {
+        array.push_back(entry.endpoint);
+        array.push_back(tenths(entry.load.openRequests));
+        array.push_back(static_cast<std::uint64_t>(std::max(entry.load.unreadTokens, 0.0)));
+        array.push_back(static_cast<std::uint64_t>(std::max(entry.load.heldTokens, 0.0)));
+    }
+    return array;
+}
+
+constexpr std::size_t FieldsPerLoad = 4;
+
+std::vector<PeerMessage::Load> decodeLoads(const json &array)
+{
+    std::vector<PeerMessage::Load> loads;
+    for (std::size_t at = 0; at + FieldsPerLoad <= array.size(); at += FieldsPerLoad) {
+        PeerMessage::Load entry;
+        entry.endpoint = array.at(at).get<std::uint32_t>();
+        entry.load.openRequests = fromTenths(array.at(at + 1));
+        entry.load.unreadTokens = array.at(at + 2).get<double>();
+        entry.load.heldTokens = array.at(at + 3).get<double>();
+        loads.push_back(entry);
+    }
+    return loads;
+}
+
+json encodeWeights(const std::vector<WeightsTarget> &weights)
+{
+    json array = json::array();
+    for (const WeightsTarget &target : weights)
+        array.push_back({target.model, target.version});
+    return array;
+}
+
+json encodeLoading(const std::vector<PeerMessage::Loading> &loading)
+{
+    json array = json::array();
+    for (const PeerMessage::Loading &entry : loading)
+        array.push_back({entry.endpoint, entry.timeLeft.count()});
+    return array;
+}
+
+PeerMessage decodeFields(const json &fields)
+{
+    PeerMessage message;
+    message.sender = fields.at(1).get<std::string>();
+    message.incarnation = fields.at(2).get<std::uint64_t>();
+    message.sequence = fields.at(3).get<std::uint64_t>();
+    message.leaving = fields.at(4).get<bool>();
+    message.configuration = fields.at(5).get<std::uint64_t>();
+    for (const json &target : fields.at(6))
+        message.weights.push_back(
+                {target.at(0).get<std::string>(), target.at(1).get<std::uint64_t>()});
+    message.loads = decodeLoads(fields.at(7));
+    for (const json &entry : fields.at(8))
+        message.loading.push_back({entry.at(0).get<std::uint32_t>(),
+                                   std::chrono::milliseconds(entry.at(1).get<std::int64_t>())});
+    return message;
+}
+
+} // namespace
+
+std::uint32_t shortHash(std::string_view endpointId)
+{
+    return static_cast<std::uint32_t>(hash64(endpointId));
+}
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    const json fields =
+            json::array({LayoutVersion, message.sender, message.incarnation, message.sequence,
+                         message.leaving, message.configuration, encodeWeights(message.weights),
+                         encodeLoads(message.loads), encodeLoading(message.loading)});
+    std::string bytes;
+    json::to_cbor(fields, bytes);
+    return bytes;
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
+{
+    const json fields = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!fields.is_array() || fields.empty() || fields.front() != LayoutVersion)
+        return std::nullopt;
+    try {
+        return decodeFields(fields);
+    } catch (const json::exception &) {
+        return std::nullopt; // Counted by the receiver.
+    }
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/rollout/rolloutplan.cpp
@@ -0,0 +1,39 @@
+#include "almondmill/rollout/rolloutplan.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace almondmill {
+
+namespace {
+
+/// One engine in so many is moved at the same time. Each first ends the requests that it runs,
+/// which takes longer than the load itself, and the others carry the load meanwhile.
+constexpr std::size_t EnginesPerMove = 3;
+
+constexpr std::size_t LeastMoves = 2;
+
+} // namespace
+
+std::vector<std::size_t> planRollout(const std::vector<RolloutEngine> &engines,
+                                     std::uint64_t target)
+{
+    std::vector<std::size_t> waiting;
+    std::size_t loading = 0;
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        if (engines[index].isLoading)
+            ++loading;
+        else if (engines[index].version < target)
+            waiting.push_back(index);
+    }
+    std::stable_sort(waiting.begin(), waiting.end(), [&](std::size_t first, std::size_t second) {
+        const RolloutEngine &one = engines[first];
+        const RolloutEngine &two = engines[second];
+        return std::tie(one.version, one.openRequests) < std::tie(two.version, two.openRequests);
+    });
+    const std::size_t most = std::max(LeastMoves, engines.size() / EnginesPerMove);
+    waiting.resize(std::min(waiting.size(), most - std::min(most, loading)));
+    return waiting;
+}
+
+} // namespace almondmill
--- /dev/null
+++ b/src/rollout/weightsrollout.cpp
@@ -0,0 +1,227 @@
+#include "almondmill/rollout/weightsrollout.h"
+
+#include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/platformadapter.h"
+#include "almondmill/http/httpclient.h"
+#include "almondmill/kernel/boottime.h"
+#include "almondmill/kernel/error.h"
+#include "almondmill/observe/eventline.h"
+#include "almondmill/rollout/orderlimits.h"
+#include "almondmill/rollout/rolloutplan.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace almondmill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// An engine that carries out an order is asked this often; a load takes several times as long.
+constexpr milliseconds ReportInterval{200};
+
+/// Longest time for an order to be carried out: running requests end first, then the load.
+constexpr milliseconds LoadTimeout{4000};
+
+const char *nameOf(OrderAnswer answer)
+{
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        return "accepted";
+    case OrderAnswer::AlreadyHolds:
+        return "already_holds";
+    case OrderAnswer::Conflict:
+        return "conflict";
+    case OrderAnswer::Fenced:
+        return "fenced";
+    case OrderAnswer::OtherEndpoint:
+        return "other_endpoint";
+    case OrderAnswer::Rejected:
+        return "rejected";
+    case OrderAnswer::Unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+asio::awaitable<void> sleep(asio::io_context &loop, milliseconds pause)
+{
+    asio::steady_timer timer(loop, pause);
+    boost::system::error_code ignored; // Only the end of the loop cancels it.
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace
+
+WeightsRollout::WeightsRollout(ForwardingContext &context, std::function<void()> announce)
+    : m_context(context)
+    , m_announce(std::move(announce))
+{}
+
+WeightsRollout::~WeightsRollout() = default;
+
+bool WeightsRollout::check(SteadyTime now)
+{
+    const std::size_t behind = enginesBehind();
+    if (behind != m_behind)
+        m_lastProgress = now;
+    m_behind = behind;
+    return behind != 0;
+}
+
+std::size_t WeightsRollout::enginesBehind() const
+{
+    std::size_t behind = 0;
+    for (const WeightsTarget &target : m_context.weights.all()) {
+        for (const auto &[id, view] : m_context.endpoints.all()) {
+            const auto version = view->weightsVersion(target.model);
+            if (view->takesRequests() && version && *version < target.version)
+                ++behind;
+        }
+    }
+    return behind;
+}
+
+void WeightsRollout::step(const OrderRight &right)
+{
+    m_right = right;
+    for (const WeightsTarget &target : m_context.weights.all())
+        stepModel(target.model, target.version, right);
+}
+
+void WeightsRollout::stepModel(const std::string &model, std::uint64_t version,
+                               const OrderRight &right)
+{
+    if (bootTime() + OrderTimeout >= right.until)
+        return;
+    std::vector<View> views;
+    std::vector<RolloutEngine> engines;
+    for (const auto &[id, view] : m_context.endpoints.all()) {
+        const auto current = view->weightsVersion(model);
+        if (!current || !view->takesRequests())
+            continue;
+        views.push_back(view);
+        EndpointLoad load = view->load();
+        load += m_context.peers.loadOn(shortHash(id));
+        engines.push_back({*current, m_moving.contains(id), load.openRequests});
+    }
+    const auto chosen = planRollout(engines, version);
+    for (const std::size_t index : chosen) {
+        views[index]->setLoadingUntil(steadyNow() + LoadTimeout);
+        WeightsOrder order;
+        order.endpointId = views[index]->id();
+        order.model = model;
+        order.version = version;
+        order.holder = right.holder;
+        order.fencing = right.fencing;
+        m_moving[order.endpointId] = version;
+        asio::co_spawn(m_context.loop, move(views[index], order, right.until), asio::detached);
+    }
+    if (!chosen.empty())
+        m_announce();
+}
+
+asio::awaitable<void> WeightsRollout::move(View view, WeightsOrder order, SteadyTime until)
+{
+    HttpClient client(m_context.loop.get_executor(), view->address());
+    const auto before = co_await report(client);
+    if (before && !learn(*view, *before, order) && !before->isBusy) {
+        order.expectedOrders = before->orders;
+        if (co_await this->order(client, order, until))
+            co_await awaitWeights(client, view, order);
+    } else if (!before) {
+        view->health().silent(steadyNow());
+        co_await sleep(m_context.loop, ReportInterval);
+    } else if (before->isBusy) {
+        co_await awaitWeights(client, view, order);
+    }
+    m_moving.erase(order.endpointId);
+    view->setLoadingUntil(steadyNow());
+    m_announce();
+    step(m_right);
+}
+
+asio::awaitable<bool> WeightsRollout::order(HttpClient &client, WeightsOrder order,
+                                            SteadyTime until)
+{
+    if (bootTime() + OrderTimeout >= until)
+        co_return false;
+    const auto outcome = co_await client.call(
+            "POST", m_context.adapter->orderPath(), m_context.adapter->encodeOrderHeaders(order),
+            m_context.adapter->encodeOrder(order), steadyNow() + OrderTimeout);
+    const auto *reply = std::get_if<HttpReply>(&outcome);
+    const OrderAnswer answer = reply ? m_context.adapter->decodeOrderAnswer(reply->head.status)
+                                     : OrderAnswer::Unanswered;
+    EventLine("weights.ordered")
+            .add("endpoint", order.endpointId)
+            .add("model", order.model)
+            .add("version", order.version)
+            .add("fencing", order.fencing)
+            .add("expected_orders", order.expectedOrders.value_or(0))
+            .add("answer", nameOf(answer));
+    m_context.metrics
+            .counter("almondmill_orders_total", std::string("result=\"") + nameOf(answer) + "\"")
+            .add();
+    // An order without an answer may have been accepted: what the engine reports tells.
+    co_return answer == OrderAnswer::Accepted || answer == OrderAnswer::Unanswered
+            || answer == OrderAnswer::AlreadyHolds;
+}
+
+asio::awaitable<void> WeightsRollout::awaitWeights(HttpClient &client, View view,
+                                                   WeightsOrder order)
+{
+    const SteadyTime end = steadyNow() + LoadTimeout;
+    while (steadyNow() < end && view->takesRequests()) {
+        co_await sleep(m_context.loop, ReportInterval);
+        const auto current = co_await report(client);
+        if (!current || learn(*view, *current, order) || !current->isBusy)
+            co_return;
+    }
+}
+
+asio::awaitable<std::optional<EngineReport>> WeightsRollout::report(HttpClient &client)
+{
+    const auto outcome = co_await client.call("GET", m_context.adapter->reportPath(), "", "",
+                                              steadyNow() + OrderTimeout);
+    const auto *reply = std::get_if<HttpReply>(&outcome);
+    if (!reply || reply->head.status != 200)
+        co_return std::nullopt;
+    try {
+        co_return m_context.adapter->decodeReport(reply->body);
+    } catch (const Error &error) {
+        EventLine("engine.report_unreadable").add("reason", error.what());
+        co_return std::nullopt;
+    }
+}
+
+bool WeightsRollout::learn(EndpointView &view, const EngineReport &report,
+                           const WeightsOrder &order)
+{
+    for (const ServedModel &served : report.models) {
+        if (served.name != order.model)
+            continue;
+        view.setWeightsVersion(served.name, served.weightsVersion);
+        if (served.weightsVersion >= order.version && !report.isBusy) {
+            EventLine("weights.loaded")
+                    .add("endpoint", order.endpointId)
+                    .add("model", order.model)
+                    .add("version", served.weightsVersion);
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace almondmill
--- a/src/platform/circuit.cpp
+++ b/src/store/circuit.cpp
@@ -1,4 +1,4 @@
-#include "almondmill/platform/circuit.h"
+#include "almondmill/store/circuit.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/platform/guardedplatform.cpp
+++ b/src/store/guardedplatform.cpp
@@ -1,4 +1,4 @@
-#include "almondmill/platform/guardedplatform.h"
+#include "almondmill/store/guardedplatform.h"
 
 #include "almondmill/kernel/log.h"
 #include "almondmill/metrics/metrics.h"
--- a/src/platform/httpplatform.cpp
+++ b/src/store/httpplatform.cpp
@@ -1,8 +1,8 @@
-#include "almondmill/platform/httpplatform.h"
+#include "almondmill/store/httpplatform.h"
 
 #include "almondmill/kernel/node.h"
 #include "almondmill/metrics/metrics.h"
-#include "almondmill/platform/guardedplatform.h"
+#include "almondmill/store/guardedplatform.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
--- a/src/platform/updatesettler.cpp
+++ b/src/store/updatesettler.cpp
@@ -1,6 +1,6 @@
-#include "almondmill/platform/updatesettler.h"
+#include "almondmill/store/updatesettler.h"
 
-#include "almondmill/platform/objectstore.h"
+#include "almondmill/store/objectstore.h"
 
 namespace almondmill {
 
--- a/standins/memorystore.h
+++ b/standins/memorystore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "almondmill/platform/objectstore.h"
+#include "almondmill/store/objectstore.h"
 
 #include <condition_variable>
 #include <map>
--- a/standins/platformserver.h
+++ b/standins/platformserver.h
@@ -3,7 +3,7 @@
 #include "faultmode.h"
 #include "memorystore.h"
 
-#include "almondmill/platform/vm.h"
+#include "almondmill/store/vm.h"
 
 #include <atomic>
 #include <chrono>
--- a/tests/support/claimharness.cpp
+++ b/tests/support/claimharness.cpp
@@ -1,8 +1,8 @@
 #include "support/claimharness.h"
 
 #include "almondmill/claims/claimcodec.h"
-#include "almondmill/platform/updatesettler.h"
 #include "almondmill/request/refusederror.h"
+#include "almondmill/store/updatesettler.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/unit-endpointstatus.cpp
+++ b/tests/unit-endpointstatus.cpp
@@ -2,7 +2,7 @@
 #include "almondmill/endpoint/endpointtable.h"
 #include "almondmill/endpoint/proberchoice.h"
 #include "almondmill/kernel/hash.h"
-#include "almondmill/platform/vm.h"
+#include "almondmill/store/vm.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -1,10 +1,10 @@
 #include "support/hookedstore.h"
 
 #include "almondmill/metrics/metrics.h"
-#include "almondmill/platform/circuit.h"
-#include "almondmill/platform/guardedplatform.h"
-#include "almondmill/platform/httpplatform.h"
-#include "almondmill/platform/updatesettler.h"
+#include "almondmill/store/circuit.h"
+#include "almondmill/store/guardedplatform.h"
+#include "almondmill/store/httpplatform.h"
+#include "almondmill/store/updatesettler.h"
 
 #include "platformserver.h"
 #include "support/loopback.h"
