--- a/include/almondmill/forward/forwardersettings.h
+++ b/include/almondmill/forward/forwardersettings.h
@@ -29,6 +29,8 @@
     double retryShare = 0.2;                      ///< Repeats for each request, over all routers.
     std::uint32_t retriesAlways = 100;            ///< Repeats in a window beside the share.
     std::chrono::milliseconds retryWindow{10000};
+
+    bool operator==(const ForwarderSettings &) const = default;
 };
 
 /// Whether the TOML text holds settings of a forwarding router.
--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -25,8 +25,9 @@
 class ForwardingRouter
 {
 public:
-    /// Throws Error when an address can't be used.
-    ForwardingRouter(boost::asio::io_context &loop, ForwarderSettings settings);
+    /// `settingsFile` is read again on SIGHUP. Throws Error when an address can't be used.
+    ForwardingRouter(boost::asio::io_context &loop, ForwarderSettings settings,
+                     std::string settingsFile);
     ~ForwardingRouter();
 
     /// Serves until SIGTERM, then until open requests are done or the grace time is nearly over.
@@ -38,11 +39,14 @@
     std::string dump() const;
     void learn(const PeerMessage &message);
     boost::asio::awaitable<void> awaitTermination();
+    boost::asio::awaitable<void> awaitReloads();
+    void reload();
     boost::asio::awaitable<void> drain();
     boost::asio::awaitable<void> maintain();
     boost::asio::awaitable<void> watchRollout();
 
     boost::asio::io_context &m_loop;
+    const std::string m_settingsFile;
     ForwardingContext m_context;
     std::unique_ptr<AsyncStore> m_store;
     StoreViews m_views;
--- a/include/almondmill/forward/storeviews.h
+++ b/include/almondmill/forward/storeviews.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/kernel/time.h"
 #include "almondmill/store/readresult.h"
 
 namespace almondmill {
@@ -22,7 +23,7 @@
     void applyRouting(const StoredObject &object);
     void applyRegistrations(const ObjectList &list);
     void applyRegistrationEvents(const ObjectEvents &events);
-    void applyWeightsTarget(const StoredObject &object);
+    void applyWeightsTarget(const StoredObject &object, SteadyTime since);
     void followRouting();
     void followRegistrations();
     void followWeights();
--- a/include/almondmill/forward/weightstargets.h
+++ b/include/almondmill/forward/weightstargets.h
@@ -17,8 +17,15 @@
 class WeightsTargets
 {
 public:
-    /// Takes a target over if it is newer than what is known; says whether it was.
-    bool learn(const WeightsTarget &target, SteadyTime now);
+    /// A version and since when it is known to be named.
+    struct Named
+    {
+        std::uint64_t version = 0;
+        SteadyTime since;
+    };
+
+    /// Takes over that `target` was named by `since`; says whether its version is the newest known.
+    bool learn(const WeightsTarget &target, SteadyTime since);
 
     /// The newest version; nothing while no version of the model was named.
     std::optional<std::uint64_t> newest(std::string_view model) const;
@@ -29,13 +36,10 @@
     /// The newest version of every model.
     std::vector<WeightsTarget> all() const;
 
-private:
-    struct Named
-    {
-        std::uint64_t version = 0;
-        SteadyTime since;
-    };
+    /// The versions of a model that are remembered, ascending.
+    const std::vector<Named> &named(std::string_view model) const;
 
+private:
     absl::flat_hash_map<std::string, std::vector<Named>> m_named; ///< Ascending.
 };
 
--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -32,10 +32,11 @@
     bool isOpen() const { return m_socket.is_open() && m_ended == Ended::No; }
 
     /// Whether the peer closed an idle connection or sent bytes that nobody asked for.
-    bool spoiledWhileIdle();
+    bool spoiledWhileIdle() const;
 
-    /// Whether the peer has closed its side and all that it sent was read.
-    bool peerClosed();
+    /// What can be read at once, without reading it.
+    enum class Readable { Nothing, Bytes, End };
+    Readable readable() const;
 
     /// Bytes received and not yet consumed.
     const std::string &input() const { return m_input; }
--- a/include/almondmill/orders/lease.h
+++ b/include/almondmill/orders/lease.h
@@ -47,9 +47,9 @@
     /// Until when it is held; meaningless unless `held`.
     SteadyTime heldUntil() const { return m_heldUntil; }
 
-    /// When the last record of the holder before this process was first seen; nothing when there
-    /// was none. Its orders end by then plus `duration - orderTimeout`.
-    std::optional<SteadyTime> previousHolderSeenAt() const { return m_previousSeenAt; }
+    /// By when the orders of the holder before this process have all been sent; nothing when there
+    /// was none.
+    std::optional<SteadyTime> previousOrdersEnd() const { return m_previousOrdersEnd; }
 
     /// Number that each order carries; zero unless the lease was once held.
     std::uint64_t fencing() const { return m_held ? m_record.fencing : 0; }
@@ -74,6 +74,7 @@
     void create(const Clock &clock);
     void observe(const std::string &value, std::uint64_t version, SteadyTime seenAt);
     bool lapsed(SteadyTime now) const;
+    SteadyTime ordersEnd() const;
     LeaseRecord nextRecord(std::uint64_t fencing) const;
     void hold(const LeaseRecord &record, std::uint64_t version, SteadyTime countedFrom);
     void lose() { m_held = false; }
@@ -83,7 +84,7 @@
     LeaseRecord m_record;
     std::uint64_t m_version = 0;
     std::optional<SteadyTime> m_seenSince; ///< Since when the record stands as it is.
-    std::optional<SteadyTime> m_previousSeenAt;
+    std::optional<SteadyTime> m_previousOrdersEnd;
     bool m_held = false;
     SteadyTime m_heldUntil;
 };
--- a/include/almondmill/peers/peermessage.h
+++ b/include/almondmill/peers/peermessage.h
@@ -30,12 +30,19 @@
         std::chrono::milliseconds timeLeft{0}; ///< For which no requests should go there.
     };
 
+    /// A version of a model's weights.
+    struct Weights
+    {
+        WeightsTarget target;
+        std::chrono::milliseconds knownFor{0}; ///< Since the sender heard that it was named.
+    };
+
     std::string sender; ///< Name of the router.
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0; ///< Grows with each message of an incarnation.
     bool leaving = false;
     std::uint64_t configuration = 0; ///< Version in force.
-    std::vector<WeightsTarget> weights;
+    std::vector<Weights> weights;
     std::vector<Load> loads;
     std::vector<Loading> loading;
 };
--- a/include/almondmill/rollout/rolloutleader.h
+++ b/include/almondmill/rollout/rolloutleader.h
@@ -33,6 +33,9 @@
     RolloutLeader &operator=(const RolloutLeader &) = delete;
 
     void start();
+
+    /// Gives the lease up and asks for it no more; the event loop must go on meanwhile.
+    void resign();
     void stop();
 
     /// Says whether a roll-out is needed, which routers should take over first from a holder that
@@ -44,6 +47,7 @@
 private:
     void run();
     bool waitForWork();
+    bool isFirstInLine() const;
     void runOnce();
     bool isOwnTurn(SteadyTime now);
     SteadyTime orderFrom() const;
@@ -62,6 +66,7 @@
     std::condition_variable m_changed;
     std::vector<std::string> m_line; ///< Names of routers.
     bool m_needed = false;
+    bool m_resigning = false;
     bool m_stopping = false;
     SteadyTime m_neededSince;
     SteadyTime m_lastProgress;
--- a/src/almondmilld/main.cpp
+++ b/src/almondmilld/main.cpp
@@ -55,11 +55,11 @@
 }
 
 /// The router in front of a platform's own endpoints.
-int runForwarding(ForwarderSettings settings)
+int runForwarding(ForwarderSettings settings, const std::string &settingsFile)
 {
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context loop(1);
-    ForwardingRouter router(loop, std::move(settings));
+    ForwardingRouter router(loop, std::move(settings), settingsFile);
     router.run();
     return 0;
 }
@@ -69,7 +69,7 @@
     raiseDescriptorLimit();
     const std::string text = readTextFile(settingsFile);
     if (hasForwarderSettings(text))
-        return runForwarding(parseForwarderSettings(text, settingsFile));
+        return runForwarding(parseForwarderSettings(text, settingsFile), settingsFile);
     const sigset_t signals = blockTerminationSignals();
     Node node(parseSettings(text, settingsFile));
     setUpLog(node.settings.logLevel);
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -1,8 +1,10 @@
 #include "almondmill/forward/forwardingrouter.h"
 
+#include "almondmill/config/textfile.h"
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/socketaddress.h"
+#include "almondmill/kernel/error.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/observe/eventlog.h"
 #include "almondmill/store/asyncstore.h"
@@ -52,8 +54,10 @@
 
 } // namespace
 
-ForwardingRouter::ForwardingRouter(asio::io_context &loop, ForwarderSettings settings)
+ForwardingRouter::ForwardingRouter(asio::io_context &loop, ForwarderSettings settings,
+                                   std::string settingsFile)
     : m_loop(loop)
+    , m_settingsFile(std::move(settingsFile))
     , m_context(loop, settings, PlatformAdapterRegistry::create(settings.adapter))
     , m_store(m_context.adapter->makeStore(loop.get_executor(), parseSocketAddress(settings.store)))
     , m_views(m_context, *m_store)
@@ -88,6 +92,7 @@
     if (m_operators)
         m_operators->start();
     asio::co_spawn(m_loop, awaitTermination(), asio::detached);
+    asio::co_spawn(m_loop, awaitReloads(), asio::detached);
     asio::co_spawn(m_loop, maintain(), asio::detached);
     asio::co_spawn(m_loop, watchRollout(), asio::detached);
     m_leader.start();
@@ -140,11 +145,12 @@
 void ForwardingRouter::learn(const PeerMessage &message)
 {
     const SteadyTime now = std::chrono::steady_clock::now();
-    for (const WeightsTarget &target : message.weights) {
-        if (m_context.weights.learn(target, now))
+    for (const PeerMessage::Weights &entry : message.weights) {
+        if (m_context.weights.learn(entry.target, now - entry.knownFor))
             EventLine("weights.named")
-                    .add("model", target.model)
-                    .add("version", target.version)
+                    .add("model", entry.target.model)
+                    .add("version", entry.target.version)
+                    .add("known_for", entry.knownFor)
                     .add("peer", message.sender);
     }
 }
@@ -158,18 +164,42 @@
     m_loop.stop();
 }
 
+asio::awaitable<void> ForwardingRouter::awaitReloads()
+{
+    asio::signal_set signals(m_loop, SIGHUP);
+    for (;;) {
+        co_await signals.async_wait(asio::use_awaitable);
+        reload();
+    }
+}
+
+void ForwardingRouter::reload()
+{
+    const std::string &file = m_settingsFile;
+    try {
+        const auto settings = parseForwarderSettings(readTextFile(file), file);
+        // What a running router could take over from its settings has no use yet: addresses are
+        // bound, and bounds hold for its life.
+        EventLine("router.reload").add("file", file).add("same", settings == m_context.settings);
+    } catch (const Error &error) {
+        EventLine("router.reload_failed").add("file", file).add("reason", error.what());
+    }
+}
+
 asio::awaitable<void> ForwardingRouter::drain()
 {
     const auto begun = std::chrono::steady_clock::now();
     const auto end = begun + m_context.settings.shutdownGrace - ExitMargin;
     m_context.draining = true;
+    m_leader.resign();
+    m_peers.announce();
     co_await sleep(m_loop, BalancerNotice);
+    m_callers.stopAccepting();
     m_callers.closeIdle();
     while (m_callers.openSessions() != 0 && std::chrono::steady_clock::now() < end) {
         co_await sleep(m_loop, DrainCheck);
         m_callers.closeIdle();
     }
-    m_callers.stopAccepting();
 }
 
 asio::awaitable<void> ForwardingRouter::watchRollout()
--- a/src/forward/storeviews.cpp
+++ b/src/forward/storeviews.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds RoutingWait{5000};
 constexpr milliseconds WeightsWait{5000};
 
+/// Stands for the age of what is listed: a router is back this soon after all were stopped at once,
+/// and else the others tell the age.
+constexpr milliseconds UnknownAge{2500};
+
 /// Heartbeats change registrations many times a second; gathering them saves calls.
 constexpr milliseconds RegistrationsPause{500};
 
@@ -99,13 +103,15 @@
                                    milliseconds(0)};
     StoreFollower::Handlers handlers;
     handlers.listed = [this](const ObjectList &list) {
+        // Nothing says for how long a listed version has been named.
+        const auto since = std::chrono::steady_clock::now() - UnknownAge;
         for (const StoredObject &object : list.objects)
-            applyWeightsTarget(object);
+            applyWeightsTarget(object, since);
     };
     handlers.changed = [this](const ObjectEvents &events) {
         for (const ObjectEvent &event : events.events) {
             if (!event.deleted)
-                applyWeightsTarget(event.object);
+                applyWeightsTarget(event.object, std::chrono::steady_clock::now());
         }
     };
     spawnFollower(m_context, m_store, std::move(options), std::move(handlers));
@@ -159,11 +165,11 @@
     m_context.directory.advance(events.revision);
 }
 
-void StoreViews::applyWeightsTarget(const StoredObject &object)
+void StoreViews::applyWeightsTarget(const StoredObject &object, SteadyTime since)
 {
     try {
         const auto target = m_context.adapter->decodeWeightsTarget(object.value);
-        if (m_context.weights.learn(target, std::chrono::steady_clock::now()))
+        if (m_context.weights.learn(target, since))
             EventLine("weights.named")
                     .add("model", target.model)
                     .add("version", target.version)
--- a/src/forward/weightstargets.cpp
+++ b/src/forward/weightstargets.cpp
@@ -2,24 +2,39 @@
 
 #include "almondmill/kernel/abslview.h"
 
+#include <algorithm>
+
 namespace almondmill {
 
 namespace {
 
-/// Versions remembered for a model: many times as many as are named within the longest bound.
-constexpr std::size_t MostVersions = 32;
+/// Versions remembered for a model: more than are named within the longest bound.
+constexpr std::size_t MostVersions = 8;
 
 } // namespace
 
-bool WeightsTargets::learn(const WeightsTarget &target, SteadyTime now)
+bool WeightsTargets::learn(const WeightsTarget &target, SteadyTime since)
 {
     auto &named = m_named[target.model];
-    if (!named.empty() && target.version <= named.back().version)
+    const auto place = std::lower_bound(
+            named.begin(), named.end(), target.version,
+            [](const Named &entry, std::uint64_t version) { return entry.version < version; });
+    if (place != named.end() && place->version == target.version) {
+        place->since = std::min(place->since, since);
         return false;
-    named.push_back({target.version, now});
+    }
+    const bool isNewest = place == named.end();
+    named.insert(place, {target.version, since});
     if (named.size() > MostVersions)
         named.erase(named.begin());
-    return true;
+    return isNewest;
+}
+
+const std::vector<WeightsTargets::Named> &WeightsTargets::named(std::string_view model) const
+{
+    static const std::vector<Named> none;
+    const auto found = m_named.find(abslView(model));
+    return found == m_named.end() ? none : found->second;
 }
 
 std::optional<std::uint64_t> WeightsTargets::newest(std::string_view model) const
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -46,24 +46,22 @@
     , m_timer(m_socket.get_executor())
 {}
 
-bool TimedSocket::spoiledWhileIdle()
+bool TimedSocket::spoiledWhileIdle() const
 {
-    if (!isOpen() || !m_input.empty())
-        return true;
-    char byte = 0;
-    const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return !isOpen() || !m_input.empty() || readable() != Readable::Nothing;
 }
 
-bool TimedSocket::peerClosed()
+TimedSocket::Readable TimedSocket::readable() const
 {
     if (!isOpen())
-        return true;
+        return Readable::End;
     char byte = 0;
-    const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    auto &socket = const_cast<Socket &>(m_socket); // native_handle() isn't const.
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (got > 0)
-        return false;
-    return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+        return Readable::Bytes;
+    const bool wouldBlock = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return wouldBlock ? Readable::Nothing : Readable::End;
 }
 
 void TimedSocket::setDeadline(SteadyTime deadline)
@@ -145,9 +143,14 @@
                             if (!self || generation != self->m_watchGeneration
                                 || error == asio::error::operation_aborted)
                                 return;
+                            const Readable readable = error ? Readable::End : self->readable();
+                            if (readable == Readable::Nothing) {
+                                self->waitForClose(generation); // Woken for nothing.
+                                return;
+                            }
                             // Bytes that arrive early belong to the next request: they end the
                             // watch, not the request.
-                            if (!error && !self->peerClosed())
+                            if (readable == Readable::Bytes)
                                 return;
                             const auto callback = std::move(self->m_onClose);
                             self->m_onClose = nullptr;
--- a/src/orders/lease.cpp
+++ b/src/orders/lease.cpp
@@ -65,11 +65,12 @@
     if (!own && !lapsed(before))
         return;
     const LeaseRecord record = nextRecord(own ? m_record.fencing : m_record.fencing + 1);
+    const SteadyTime ordersEndBefore = ordersEnd();
     const auto written = m_store.update(m_options.objectName, encodeLease(record), m_version,
                                         m_options.storeTimeout);
     if (const auto *applied = std::get_if<Applied>(&written)) {
         if (!own)
-            m_previousSeenAt = m_seenSince;
+            m_previousOrdersEnd = ordersEndBefore;
         hold(record, applied->version, before);
     }
 }
@@ -127,6 +128,13 @@
     return now >= *m_seenSince + m_record.duration + m_options.orderTimeout;
 }
 
+SteadyTime Lease::ordersEnd() const
+{
+    if (m_record.holder.empty())
+        return *m_seenSince;
+    return *m_seenSince + m_record.duration - m_options.orderTimeout;
+}
+
 LeaseRecord Lease::nextRecord(std::uint64_t fencing) const
 {
     return {m_options.holder, m_options.incarnation, fencing, m_record.renewal + 1,
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -198,7 +198,12 @@
     message.leaving = m_context.draining;
     const auto table = m_context.table.snapshot();
     message.configuration = table ? table->version() : 0;
-    message.weights = m_context.weights.all();
+    for (const WeightsTarget &target : m_context.weights.all()) {
+        // Older versions go with it: each has its own bound.
+        for (const auto &[version, since] : m_context.weights.named(target.model))
+            message.weights.push_back({{target.model, version},
+                                       std::chrono::duration_cast<milliseconds>(now - since)});
+    }
     for (const auto &[id, view] : m_context.endpoints.all()) {
         const EndpointLoad load = view->averageLoad(now);
         if (load.openRequests >= 0.1 || load.unreadTokens >= 1)
--- a/src/peers/peermessage.cpp
+++ b/src/peers/peermessage.cpp
@@ -56,11 +56,11 @@
     return loads;
 }
 
-json encodeWeights(const std::vector<WeightsTarget> &weights)
+json encodeWeights(const std::vector<PeerMessage::Weights> &weights)
 {
     json array = json::array();
-    for (const WeightsTarget &target : weights)
-        array.push_back({target.model, target.version});
+    for (const PeerMessage::Weights &entry : weights)
+        array.push_back({entry.target.model, entry.target.version, entry.knownFor.count()});
     return array;
 }
 
@@ -82,7 +82,8 @@
     message.configuration = fields.at(5).get<std::uint64_t>();
     for (const json &target : fields.at(6))
         message.weights.push_back(
-                {target.at(0).get<std::string>(), target.at(1).get<std::uint64_t>()});
+                {{target.at(0).get<std::string>(), target.at(1).get<std::uint64_t>()},
+                 std::chrono::milliseconds(target.at(2).get<std::int64_t>())});
     message.loads = decodeLoads(fields.at(7));
     for (const json &entry : fields.at(8))
         message.loading.push_back({entry.at(0).get<std::uint32_t>(),
--- a/src/rollout/rolloutleader.cpp
+++ b/src/rollout/rolloutleader.cpp
@@ -34,10 +34,19 @@
 /// it knows soon when it is not renewed any more.
 constexpr milliseconds StandbyInterval{700};
 
+/// And this often while there is none, so that a holder that is gone is known as such beforehand.
+constexpr milliseconds IdleStandbyInterval{4000};
+
+/// Before that the holder has its chance to renew the lease at the begin of a roll-out.
+constexpr milliseconds HolderStart{400};
+
 /// The others ask for the lease when there was no progress for this long, one after the other.
 constexpr milliseconds LeastStandby{3500};
 constexpr std::uint64_t StandbySpreadMs = 2500;
 
+/// Added to the least time between the orders of two holders, for their ways to the engines.
+constexpr milliseconds TurnMargin{100};
+
 /// Routers that start together ask for the first lease within this time.
 constexpr std::uint64_t StartSpreadMs = 1500;
 
@@ -73,6 +82,15 @@
     m_thread = std::thread([this] { run(); });
 }
 
+void RolloutLeader::resign()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_resigning = true;
+    }
+    m_changed.notify_all();
+}
+
 void RolloutLeader::stop()
 {
     {
@@ -110,13 +128,29 @@
             break;
     }
     m_lease.release();
+    m_holds = false;
 }
 
 bool RolloutLeader::waitForWork()
 {
     std::unique_lock<std::mutex> lock(m_mutex);
-    m_changed.wait(lock, [this] { return m_needed || m_stopping; });
-    return !m_stopping;
+    const auto ready = [this] { return m_needed || m_resigning || m_stopping; };
+    while (!m_changed.wait_for(lock, IdleStandbyInterval, ready)) {
+        if (!isFirstInLine())
+            continue;
+        lock.unlock();
+        m_lease.observe(bootTime);
+        lock.lock();
+    }
+    return !m_resigning && !m_stopping;
+}
+
+bool RolloutLeader::isFirstInLine() const
+{
+    const auto first = std::find_if(m_line.begin(), m_line.end(), [&](const std::string &name) {
+        return name != m_lease.lastSeenHolder();
+    });
+    return first != m_line.end() && *first == m_context.settings.name;
 }
 
 bool RolloutLeader::isOwnTurn(SteadyTime now)
@@ -125,10 +159,8 @@
     if (m_lease.held(bootTime()) || holder == m_context.settings.name)
         return true;
     const std::lock_guard<std::mutex> lock(m_mutex);
-    const auto first = std::find_if(m_line.begin(), m_line.end(),
-                                    [&](const std::string &name) { return name != holder; });
-    if (first != m_line.end() && *first == m_context.settings.name)
-        return true;
+    if (isFirstInLine())
+        return now >= m_neededSince + HolderStart;
     const auto delay = LeastStandby + milliseconds(m_ownHash % StandbySpreadMs);
     return now >= std::max(m_neededSince, m_lastProgress) + delay;
 }
@@ -148,10 +180,8 @@
 
 SteadyTime RolloutLeader::orderFrom() const
 {
-    const auto seenAt = m_lease.previousHolderSeenAt();
-    if (!seenAt)
-        return {};
-    return *seenAt + OrderLeaseDuration - OrderTimeout + m_context.settings.leaseTurn;
+    const auto ordersEnd = m_lease.previousOrdersEnd();
+    return ordersEnd ? *ordersEnd + m_context.settings.leaseTurn + TurnMargin : SteadyTime();
 }
 
 void RolloutLeader::noteHolder()
@@ -173,7 +203,7 @@
 bool RolloutLeader::pause(milliseconds duration)
 {
     std::unique_lock<std::mutex> lock(m_mutex);
-    return !m_changed.wait_for(lock, duration, [this] { return m_stopping; });
+    return !m_changed.wait_for(lock, duration, [this] { return m_resigning || m_stopping; });
 }
 
 } // namespace almondmill
