Change weights under running requests, a fifth of the engines at once

Busy endpoints were taken for silent ones and avoided, which moved their load and had prompts read again.

--- a/include/almondmill/forward/endpointcandidate.h
+++ b/include/almondmill/forward/endpointcandidate.h
@@ -16,7 +16,8 @@
     EndpointLoad load;        ///< Of this router now, and of the others as they told last.
     std::chrono::microseconds latency{0}; ///< Smoothed; zero while unknown.
     double failureShare = 0;              ///< Of recent requests.
-    bool isAvoided = false;               ///< Silent, full or loading.
+    bool isAvoided = false;               ///< Silent or full a moment ago.
+    bool isLoading = false;               ///< Weights; it turns requests away meanwhile.
     bool isLocal = false;                 ///< In this router's data centre.
     bool hasOldWeights = false;           ///< So old that answers made with them are worth less.
 };
--- a/include/almondmill/forward/endpointhealth.h
+++ b/include/almondmill/forward/endpointhealth.h
@@ -12,6 +12,12 @@
 class EndpointHealth
 {
 public:
+    /// Some bytes of any answer came.
+    void heard(SteadyTime now) { m_heardAt = now; }
+
+    /// Whether anything came since `since`.
+    bool wasHeardSince(SteadyTime since) const { return m_heardAt >= since; }
+
     /// An answer came and wasn't a failure of the endpoint; `latency` to its first byte.
     void succeeded(std::chrono::milliseconds latency, SteadyTime now);
 
@@ -42,6 +48,7 @@
     std::uint32_t m_silences = 0;
     SteadyTime m_changedAt;
     SteadyTime m_avoidUntil;
+    SteadyTime m_heardAt;
 };
 
 } // namespace almondmill
--- a/include/almondmill/rollout/weightsorder.h
+++ b/include/almondmill/rollout/weightsorder.h
@@ -19,7 +19,7 @@
     std::string endpointId; ///< Any other engine at that address must not take the order.
     std::string model;
     std::uint64_t version = 0;
-    RunningRequests running = RunningRequests::Finish;
+    RunningRequests running = RunningRequests::Continue;
     std::string holder;                          ///< Of the lease under which it is given.
     std::uint64_t fencing = 0;                   ///< Grows with each change of holder.
     std::optional<std::uint64_t> expectedOrders; ///< Orders that the engine must have had.
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -18,6 +18,9 @@
 /// A failed call costs a second one and the time of both.
 constexpr double FailurePenalty = 4;
 
+/// By how much longer a call takes at an endpoint that was silent or full a moment ago.
+constexpr double AvoidedFactor = 50;
+
 /// Added to an endpoint in another data centre: a round trip and the price of its bytes.
 constexpr double RemotePenaltyMs = 2;
 
@@ -40,8 +43,15 @@
 /// For each request that an engine has beyond its slots: it waits for another one's end.
 constexpr double WaitForSlotMs = 20;
 
-/// Running requests are preempted when memory runs out, and read again.
-constexpr double NoMemoryCost = 1;
+/// Running requests are preempted when memory runs out, and read again: the cost of an engine whose
+/// memory is asked for twice.
+constexpr double NoMemoryCost = 3;
+
+/// Part of an engine's memory up to which its requests cost nothing more.
+constexpr double FreeMemoryPart = 0.8;
+
+/// Of an endpoint that was silent or full a moment ago, in target latencies.
+constexpr double AvoidedCost = 3;
 
 /// Prefers engines that don't fail where all else is the same.
 constexpr double EngineFailureCost = 2;
@@ -54,7 +64,8 @@
                     : std::chrono::duration<double, std::milli>(candidate.latency).count();
     const double load = 1 + candidate.load.openRequests / candidate.slots;
     const double remote = candidate.isLocal ? 0 : RemotePenaltyMs;
-    return (latency * load + remote) * (1 + FailurePenalty * candidate.failureShare);
+    const double failing = FailurePenalty * candidate.failureShare;
+    return (latency * load + remote) * (1 + failing + (candidate.isAvoided ? AvoidedFactor : 0));
 }
 
 /// Random, the same at every router, and differently ordered for each key.
@@ -72,19 +83,22 @@
     const double firstEvent = unread / TokensPerMs + fetch + overSlots * WaitForSlotMs;
     const double targets = firstEvent / static_cast<double>(rule.targetLatency.count());
     const double needed = rule.ownTokens + rule.sharedTokens + rule.outputTokens;
-    const bool noMemory = candidate.memoryTokens > 0
-                          && candidate.load.heldTokens + needed > candidate.memoryTokens;
+    const double memory = candidate.memoryTokens > 0
+                                  ? (candidate.load.heldTokens + needed) / candidate.memoryTokens
+                                  : 0;
     return targets + (targets > 1 ? LateCost : 0) + (isHome ? 0 : AwayCost)
-           + (noMemory ? NoMemoryCost : 0) + (candidate.hasOldWeights ? OldWeightsCost : 0)
+           + NoMemoryCost * std::max(0.0, memory - FreeMemoryPart)
+           + (candidate.isAvoided ? AvoidedCost : 0)
+           + (candidate.hasOldWeights ? OldWeightsCost : 0)
            + EngineFailureCost * candidate.failureShare;
 }
 
-/// All that are not avoided; all when every one is.
-std::vector<std::size_t> unavoided(Candidates candidates)
+/// All that can take requests; those that load weights only when every one does.
+std::vector<std::size_t> notLoading(Candidates candidates)
 {
     std::vector<std::size_t> indexes;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        if (!candidates[index].isAvoided)
+        if (!candidates[index].isLoading)
             indexes.push_back(index);
     }
     if (!indexes.empty())
@@ -144,7 +158,7 @@
 {
     if (candidates.empty())
         return std::nullopt;
-    const auto indexes = unavoided(candidates);
+    const auto indexes = notLoading(candidates);
     return std::visit(Chooser{candidates, indexes}, rule);
 }
 
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -44,6 +44,8 @@
         const auto error = co_await exchange.readBodySome(
                 elsewhere ? attemptDeadline(patience, asked) : m_deadline);
         const SteadyTime now = steadyNow();
+        if (!exchange.body().empty())
+            exchange.endpoint().health().heard(now);
         if (m_unread != 0 && !exchange.body().empty())
             noteFirstByte(exchange, now);
         if (!co_await relayNewEvents(exchange))
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -237,6 +237,7 @@
     const auto error = co_await exchange.readHead(m_request.id, by);
     if (error != ExchangeError::None)
         co_return endOf(error, exchange, steadyNow());
+    exchange.endpoint().health().heard(steadyNow());
     const AnswerFacts &facts = exchange.facts();
     if (facts.weightsVersion && m_request.prompt)
         exchange.endpoint().setWeightsVersion(m_request.prompt->model, *facts.weightsVersion);
@@ -324,7 +325,9 @@
         return End::NotSent;
     case ExchangeError::TooLate:
         m_lastReason = "timeout";
-        health.silent(now);
+        // One that answers others meanwhile is busy, and to avoid it would only move its load.
+        if (!health.wasHeardSince(m_attemptAt))
+            health.silent(now);
         return End::Failed;
     case ExchangeError::Broken:
     case ExchangeError::None:
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -118,8 +118,8 @@
     candidate.load += m_context.peers.loadOn(name);
     candidate.latency = view.health().latency();
     candidate.failureShare = view.health().failureShare(now);
-    candidate.isAvoided = view.health().isAvoided(now) || now < view.loadingUntil()
-                          || m_context.peers.isLoading(name, now);
+    candidate.isAvoided = view.health().isAvoided(now);
+    candidate.isLoading = now < view.loadingUntil() || m_context.peers.isLoading(name, now);
     candidate.isLocal = view.registration().dataCentre == m_context.settings.dataCentre;
     if (!placed.request.prompt)
         return candidate;
--- a/src/rollout/rolloutplan.cpp
+++ b/src/rollout/rolloutplan.cpp
@@ -9,7 +9,7 @@
 
 /// One engine in so many is moved at the same time. Each first ends the requests that it runs,
 /// which takes longer than the load itself, and the others carry the load meanwhile.
-constexpr std::size_t EnginesPerMove = 3;
+constexpr std::size_t EnginesPerMove = 5;
 
 constexpr std::size_t LeastMoves = 2;
 
