Place prompts where their shared parts were sent last, fetch them from there, bound what is saved

Then: routers that knew each other's load a second late filled the same idle engine together (25 open requests beside 0). Change: routers tell each other where parts were sent; a prompt goes there or fetches from there; saving keeps to a share of the store's link; each part may go to four engines; this router's own change of load is expected of others.

--- a/include/almondmill/forward/endpointcandidate.h
+++ b/include/almondmill/forward/endpointcandidate.h
@@ -19,6 +19,7 @@
     bool isAvoided = false;               ///< Silent or full a moment ago.
     bool isLoading = false;               ///< Weights; it turns requests away meanwhile.
     bool isLocal = false;                 ///< In this router's data centre.
+    bool hasSharedParts = false;          ///< The request's shared parts were sent there last.
     bool hasOldWeights = false;           ///< So old that answers made with them are worth less.
 };
 
--- a/include/almondmill/forward/endpointchoice.h
+++ b/include/almondmill/forward/endpointchoice.h
@@ -17,14 +17,14 @@
     std::uint64_t requestHash = 0; ///< Breaks ties differently for each request.
 };
 
-/// Places prompts: where the first event is expected soonest, in parts of its target latency. Each
-/// shared part has a home among the engines, the same at every router, where it is likely cached;
-/// elsewhere it is fetched.
+/// Places prompts: where the first event is expected soonest, in parts of its target latency.
+/// Shared parts are cached where they were sent last; elsewhere they are fetched from there. Parts
+/// that are new go to the same engine from every router.
 struct SoonestFirstEvent
 {
     std::uint64_t sharedPartHash = 0; ///< Of the longest shared prefix.
     double ownTokens = 0;             ///< To be read anywhere.
-    double sharedTokens = 0;          ///< Cached at home, fetched or read elsewhere.
+    double sharedTokens = 0;          ///< Cached where they were sent last, else fetched or read.
     double outputTokens = 0;
     std::chrono::milliseconds targetLatency{1000};
 };
--- a/include/almondmill/forward/endpointhealth.h
+++ b/include/almondmill/forward/endpointhealth.h
@@ -34,6 +34,9 @@
     /// Whether requests should go elsewhere while there is an elsewhere.
     bool isAvoided(SteadyTime now) const { return now < m_avoidUntil; }
 
+    /// Whether it answered, or at least was not silent, when it was last asked.
+    bool isReachable(SteadyTime now) const { return m_silences == 0 || !isAvoided(now); }
+
     /// Share of recent requests that failed, from zero to one.
     double failureShare(SteadyTime now) const;
 
--- a/include/almondmill/forward/endpointview.h
+++ b/include/almondmill/forward/endpointview.h
@@ -58,6 +58,9 @@
     /// This router's load there, averaged over about a second up to `now`.
     EndpointLoad averageLoad(SteadyTime now);
 
+    /// The same as of the last call.
+    const EndpointLoad &lastAverage() const { return m_average; }
+
     /// No requests should go there before: the endpoint carries out an order of this router.
     SteadyTime loadingUntil() const { return m_loadingUntil; }
     void setLoadingUntil(SteadyTime until) { m_loadingUntil = until; }
--- a/include/almondmill/forward/endpointviews.h
+++ b/include/almondmill/forward/endpointviews.h
@@ -30,11 +30,15 @@
     /// Null when there is no endpoint of that id.
     View find(std::string_view id) const;
 
+    /// The same by the short hash of the id.
+    View findShort(std::uint32_t hash) const;
+
 private:
     void add(View view);
     void drop(const std::string &id);
 
     absl::flat_hash_map<std::string, View> m_byId;
+    absl::flat_hash_map<std::uint32_t, View> m_byHash;
     absl::flat_hash_map<std::string, std::vector<View>> m_byService;
 };
 
--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -3,6 +3,7 @@
 #include "almondmill/directory/endpointdirectory.h"
 #include "almondmill/forward/endpointviews.h"
 #include "almondmill/forward/forwardersettings.h"
+#include "almondmill/forward/partlocations.h"
 #include "almondmill/forward/repeatbudgets.h"
 #include "almondmill/forward/weightstargets.h"
 #include "almondmill/kernel/rcucell.h"
@@ -37,6 +38,7 @@
     EndpointDirectory directory;
     WeightsTargets weights;
     PeerViews peers;
+    PartLocations parts;
     RepeatBudgets repeats;
     bool draining = false; ///< SIGTERM came: not ready, and connections close after their answer.
 };
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -2,7 +2,7 @@
 
 #include "almondmill/forward/endpointcandidate.h"
 #include "almondmill/forward/endpointsend.h"
-#include "almondmill/forward/keptprompts.h"
+#include "almondmill/forward/savebudget.h"
 #include "almondmill/kernel/time.h"
 
 #include <cstdint>
@@ -16,6 +16,7 @@
 class RoutingTable;
 struct CallerRequest;
 struct ForwardingContext;
+struct KeptCache;
 struct KeyedAccount;
 struct Route;
 
@@ -49,8 +50,17 @@
     EndpointCandidate describe(const PlacedRequest &placed, const EndpointView &view,
                                SteadyTime now) const;
 
+    /// What the other routers added to an endpoint's load and have not told yet, going by this one.
+    EndpointLoad expectedChange(const EndpointLoad &now, const EndpointLoad &told) const;
+
+    void planCache(const PlacedRequest &placed, const EndpointView &view, EndpointSend &send,
+                   SteadyTime now);
+    std::string sourceOf(const PlacedRequest &placed, const EndpointSend &send,
+                         SteadyTime now) const;
+    bool maySave(const PlacedRequest &placed, const KeptCache &kept, SteadyTime now);
+
     ForwardingContext &m_context;
-    KeptPrompts m_kept;
+    SaveBudget m_saves;
 };
 
 } // namespace almondmill
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -37,13 +37,19 @@
 private:
     using Address = boost::asio::ip::udp::endpoint;
 
+    struct Peer
+    {
+        Address address;
+        std::uint64_t toldPlacements = 0; ///< Position up to which it was told.
+    };
+
     boost::asio::awaitable<void> findPeers();
     boost::asio::awaitable<bool> registerSelf();
     boost::asio::awaitable<void> receive();
     boost::asio::awaitable<void> tell();
     void take(std::string_view bytes, const Address &from);
     void addPeer(const std::string &name, const Address &address);
-    void sendTo(const Address &address, const std::string &bytes);
+    void tellPeer(Peer &peer, PeerMessage message);
     PeerMessage describe(SteadyTime now);
 
     ForwardingContext &m_context;
@@ -54,7 +60,7 @@
     std::uint64_t m_sequence = 0;
     std::vector<std::string> m_order; ///< Names of peers in the order of telling.
     std::size_t m_next = 0;           ///< In that order.
-    absl::flat_hash_map<std::string, Address> m_addresses;
+    absl::flat_hash_map<std::string, Peer> m_peers;
 };
 
 } // namespace almondmill
--- a/include/almondmill/peers/peermessage.h
+++ b/include/almondmill/peers/peermessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/directory/weightstarget.h"
+#include "almondmill/forward/partlocations.h"
 #include "almondmill/peers/endpointload.h"
 
 #include <chrono>
@@ -12,8 +13,8 @@
 
 namespace almondmill {
 
-/// What one router tells others of itself, whole in each message, so that a lost one is made good
-/// by the next.
+/// What one router tells others of itself. All but the placements is whole in each message, so that
+/// a lost one is made good by the next.
 struct PeerMessage
 {
     /// Load on one endpoint.
@@ -45,6 +46,7 @@
     std::vector<Weights> weights;
     std::vector<Load> loads;
     std::vector<Loading> loading;
+    std::vector<PartPlacement> placements; ///< Since the last message to the same router.
 };
 
 /// Short name of an endpoint in messages.
--- a/include/almondmill/route/routedservice.h
+++ b/include/almondmill/route/routedservice.h
@@ -23,6 +23,7 @@
     std::string address; ///< "IP:port".
     std::string dataCentre;
     std::uint64_t memoryTokens = 0;
+    double linkMegabitsPerSecond = 0; ///< For all that is moved in and out.
 };
 
 /// A group of endpoints that serve the same requests.
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -12,6 +12,11 @@
 
 using Candidates = std::span<const EndpointCandidate>;
 
+/// Engines that a shared part may go to, besides where it is. What routers know of each other's
+/// load is up to a second old: were all engines open to all parts, every router would fill the same
+/// idle one at the same time.
+constexpr std::size_t ChoicesPerPart = 4;
+
 /// Stands for the latency of an endpoint that has not answered yet; it is tried soon.
 constexpr double UnknownLatencyMs = 1;
 
@@ -33,9 +38,13 @@
 /// Part of the worth that an answer made with old weights loses.
 constexpr double OldWeightsCost = 0.2;
 
-/// Of a place other than the home, in target latencies: what is not cached there and can't be
-/// fetched is read again, which costs more than the answer is worth.
-constexpr double AwayCost = 0.5;
+/// Of a place other than where the parts are, in target latencies: what can't be fetched is read
+/// again, which costs more than the answer is worth.
+constexpr double AwayCost = 0.3;
+
+/// Of a place for new parts other than the one that all routers choose, in target latencies: enough
+/// to keep two routers from reading the same part at two engines.
+constexpr double NotHomeCost = 0.05;
 
 /// Beyond the target latency an answer is worth a third.
 constexpr double LateCost = 0.7;
@@ -74,11 +83,28 @@
     return mixHash(key, candidate.idHash);
 }
 
-/// Cost of placing a prompt, in target latencies; the home's parts are cached.
-double promptCost(const EndpointCandidate &candidate, const SoonestFirstEvent &rule, bool isHome)
+/// Where the shared parts of a prompt are.
+enum class Parts { Cached, Elsewhere, NewHome, New };
+
+double awayCost(Parts parts)
+{
+    switch (parts) {
+    case Parts::Elsewhere:
+        return AwayCost;
+    case Parts::New:
+        return NotHomeCost;
+    case Parts::Cached:
+    case Parts::NewHome:
+        break;
+    }
+    return 0;
+}
+
+/// Cost of placing a prompt, in target latencies.
+double promptCost(const EndpointCandidate &candidate, const SoonestFirstEvent &rule, Parts parts)
 {
     const double unread = candidate.load.unreadTokens + rule.ownTokens;
-    const double fetch = isHome ? 0 : rule.sharedTokens / FetchedTokensPerMs;
+    const double fetch = parts == Parts::Elsewhere ? rule.sharedTokens / FetchedTokensPerMs : 0;
     const double overSlots = std::max(0.0, candidate.load.openRequests + 1 - candidate.slots);
     const double firstEvent = unread / TokensPerMs + fetch + overSlots * WaitForSlotMs;
     const double targets = firstEvent / static_cast<double>(rule.targetLatency.count());
@@ -86,7 +112,7 @@
     const double memory = candidate.memoryTokens > 0
                                   ? (candidate.load.heldTokens + needed) / candidate.memoryTokens
                                   : 0;
-    return targets + (targets > 1 ? LateCost : 0) + (isHome ? 0 : AwayCost)
+    return targets + (targets > 1 ? LateCost : 0) + awayCost(parts)
            + NoMemoryCost * std::max(0.0, memory - FreeMemoryPart)
            + (candidate.isAvoided ? AvoidedCost : 0)
            + (candidate.hasOldWeights ? OldWeightsCost : 0)
@@ -140,15 +166,35 @@
 
     std::size_t operator()(const SoonestFirstEvent &rule) const
     {
-        std::size_t home = indexes.front();
-        for (const std::size_t index : indexes) {
-            if (rankOf(candidates[index], rule.sharedPartHash)
-                < rankOf(candidates[home], rule.sharedPartHash))
-                home = index;
+        const auto ranked = rankedFor(rule.sharedPartHash);
+        const bool isNew = std::none_of(ranked.begin(), ranked.end(), [&](std::size_t index) {
+            return candidates[index].hasSharedParts;
+        });
+        std::size_t best = ranked.front();
+        double bestCost = std::numeric_limits<double>::max();
+        for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+            const auto &candidate = candidates[ranked[rank]];
+            if (rank >= ChoicesPerPart && !candidate.hasSharedParts)
+                continue;
+            const Parts known = candidate.hasSharedParts ? Parts::Cached : Parts::Elsewhere;
+            const Parts unknown = rank == 0 ? Parts::NewHome : Parts::New;
+            const double cost = promptCost(candidate, rule, isNew ? unknown : known);
+            if (cost >= bestCost)
+                continue;
+            best = ranked[rank];
+            bestCost = cost;
         }
-        return cheapest(rule.sharedPartHash, [&](std::size_t index) {
-            return promptCost(candidates[index], rule, index == home);
+        return best;
+    }
+
+    /// The indexes in the order that belongs to `key`, the same at every router.
+    std::vector<std::size_t> rankedFor(std::uint64_t key) const
+    {
+        std::vector<std::size_t> ranked = indexes;
+        std::sort(ranked.begin(), ranked.end(), [&](std::size_t first, std::size_t second) {
+            return rankOf(candidates[first], key) < rankOf(candidates[second], key);
         });
+        return ranked;
     }
 };
 
--- a/src/forward/endpointviews.cpp
+++ b/src/forward/endpointviews.cpp
@@ -3,6 +3,7 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/kernel/abslview.h"
 #include "almondmill/observe/eventline.h"
+#include "almondmill/peers/peermessage.h"
 
 #include <algorithm>
 
@@ -46,9 +47,16 @@
     return found == m_byId.end() ? nullptr : found->second;
 }
 
+EndpointViews::View EndpointViews::findShort(std::uint32_t hash) const
+{
+    const auto found = m_byHash.find(hash);
+    return found == m_byHash.end() ? nullptr : found->second;
+}
+
 void EndpointViews::add(View view)
 {
     m_byService[view->registration().service].push_back(view);
+    m_byHash[shortHash(view->id())] = view;
     m_byId[view->id()] = std::move(view);
 }
 
@@ -61,6 +69,7 @@
     view->retire();
     auto &views = m_byService[view->registration().service];
     views.erase(std::remove(views.begin(), views.end(), view), views.end());
+    m_byHash.erase(shortHash(id));
     m_byId.erase(found);
 }
 
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -397,14 +397,17 @@
     line.add("id", m_request.id).add("endpoint", view.id()).add("time_left", send.timeLeft);
     if (!m_request.prompt)
         return;
+    const auto &parts = m_request.prompt->parts;
     line.add("scope", send.cacheScope)
             .add("tokens", m_request.prompt->promptTokens)
-            .add("part", m_request.prompt->parts.size() < 2
-                                 ? std::string()
-                                 : m_request.prompt->parts[m_request.prompt->parts.size() - 2].id)
             .add("open", view.openRequests())
             .add("fetch", !send.fetchFrom.empty())
             .add("save", !send.saveTo.empty());
+    if (parts.size() > 1)
+        line.add("part", parts[parts.size() - 2].id)
+                .add("part_tokens", parts[parts.size() - 2].tokens);
+    if (parts.size() > 2)
+        line.add("first_part", parts[0].id).add("first_tokens", parts[0].tokens);
 }
 
 void ForwardedRequest::logEnd(std::string_view outcome, unsigned status) const
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -145,6 +145,8 @@
 void ForwardingRouter::learn(const PeerMessage &message)
 {
     const SteadyTime now = std::chrono::steady_clock::now();
+    for (const PartPlacement &placement : message.placements)
+        m_context.parts.learn(placement, now);
     for (const PeerMessage::Weights &entry : message.weights) {
         if (m_context.weights.learn(entry.target, now - entry.knownFor))
             EventLine("weights.named")
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -29,6 +29,22 @@
 /// Stands for the target latency of routes that have none.
 constexpr std::chrono::milliseconds LeastTargetLatency{100};
 
+/// After this time a part is saved again: it may have been dropped as the least recently used, or
+/// with all others when the store restarted.
+constexpr std::chrono::seconds SaveAgainAfter{30};
+
+/// An endpoint is taken to keep a part this long after the last request with it.
+constexpr std::chrono::seconds SourceLifetime{20};
+
+/// Part of the link of the store of kept KV cache that saving may take; the rest is for fetching.
+constexpr double SavePart = 0.4;
+
+constexpr double BytesPerMegabit = 125000;
+
+/// Routers that decide alike from the same news change the load of an endpoint alike, and tell of
+/// it later: the part of this router's own change that each of the others is expected to make.
+constexpr double LikeChangePart = 0.25;
+
 std::uint64_t sharedPartHash(const PromptRequest &prompt)
 {
     if (prompt.parts.empty())
@@ -70,6 +86,16 @@
 
 } // namespace
 
+EndpointLoad SendPlanner::expectedChange(const EndpointLoad &now, const EndpointLoad &told) const
+{
+    const auto others = static_cast<double>(m_context.peers.liveCount());
+    const auto change = [&](double current, double average) {
+        return std::max(0.0, current - average) * others * LikeChangePart;
+    };
+    return {change(now.openRequests, told.openRequests),
+            change(now.unreadTokens, told.unreadTokens), change(now.heldTokens, told.heldTokens)};
+}
+
 SendPlanner::SendPlanner(ForwardingContext &context)
     : m_context(context)
 {}
@@ -116,6 +142,7 @@
     candidate.slots = std::max(view.registration().slots, 1U);
     candidate.load = view.load();
     candidate.load += m_context.peers.loadOn(name);
+    candidate.load += expectedChange(view.load(), view.lastAverage());
     candidate.latency = view.health().latency();
     candidate.failureShare = view.health().failureShare(now);
     candidate.isAvoided = view.health().isAvoided(now);
@@ -129,6 +156,12 @@
     const auto version = view.weightsVersion(placed.request.prompt->model).value_or(0);
     const auto oldSince = m_context.weights.oldSince(placed.request.prompt->model, version);
     candidate.hasOldWeights = oldSince && now >= *oldSince + FullWorthOnOldWeights;
+    const auto &parts = placed.request.prompt->parts;
+    if (parts.size() > 1) {
+        const auto *known = m_context.parts.find(
+                partKey(cacheScope(placed, version), parts[parts.size() - 2].id));
+        candidate.hasSharedParts = known && known->endpoint == name;
+    }
     return candidate;
 }
 
@@ -148,14 +181,61 @@
     send.weightsVersion = version;
     send.cacheScope = cacheScope(placed, version);
     send.enginePriority = priorityOf(placed);
+    planCache(placed, view, send, now);
+    return send;
+}
+
+void SendPlanner::planCache(const PlacedRequest &placed, const EndpointView &view,
+                            EndpointSend &send, SteadyTime now)
+{
+    const auto &parts = placed.request.prompt->parts;
+    if (parts.size() < 2)
+        return;
+    const std::uint32_t name = shortHash(view.id());
     const KeptCache *kept = placed.table.keptCache();
-    if (kept && prompt.parts.size() > 1) {
-        send.fetchFrom = kept->address;
-        const std::uint64_t part = mixHash(hash64(send.cacheScope), sharedPartHash(prompt));
-        if (m_kept.shouldSave(part, now))
-            send.saveTo = kept->address;
+    const PartKey longest = partKey(send.cacheScope, parts[parts.size() - 2].id);
+    const auto *known = m_context.parts.find(longest);
+    if (!known || known->endpoint != name)
+        send.fetchFrom = sourceOf(placed, send, now);
+    const bool isSaved = known && known->savedAt && now - *known->savedAt < SaveAgainAfter;
+    if (kept && !isSaved && maySave(placed, *kept, now))
+        send.saveTo = kept->address;
+    for (std::size_t part = 0; part + 2 < parts.size(); ++part)
+        m_context.parts.learn(
+                {partKey(send.cacheScope, parts[part].id), name, !send.saveTo.empty()}, now);
+    m_context.parts.place({longest, name, !send.saveTo.empty()}, now);
+}
+
+std::string SendPlanner::sourceOf(const PlacedRequest &placed, const EndpointSend &send,
+                                  SteadyTime now) const
+{
+    const PromptRequest &prompt = *placed.request.prompt;
+    for (std::size_t part = prompt.parts.size() - 1; part-- > 0;) {
+        const auto *known = m_context.parts.find(partKey(send.cacheScope, prompt.parts[part].id));
+        if (!known)
+            continue;
+        const auto view = m_context.endpoints.findShort(known->endpoint);
+        const bool hasPart = view && view->id() != send.endpointId
+                             && view->weightsVersion(prompt.model) == send.weightsVersion
+                             && view->health().isReachable(now)
+                             && now - known->since < SourceLifetime;
+        if (hasPart)
+            return view->registration().address;
     }
-    return send;
+    const KeptCache *kept = placed.table.keptCache();
+    return kept ? kept->address : std::string();
+}
+
+bool SendPlanner::maySave(const PlacedRequest &placed, const KeptCache &kept, SteadyTime now)
+{
+    const RoutedService *service = placed.table.service(placed.service);
+    if (!service || !service->engine)
+        return false;
+    const double bytes = static_cast<double>(placed.request.prompt->promptTokens)
+                         * static_cast<double>(service->engine->bytesPerToken);
+    const double routers = 1 + static_cast<double>(m_context.peers.liveCount());
+    const double share = kept.linkMegabitsPerSecond * BytesPerMegabit * SavePart / routers;
+    return m_saves.take(bytes, share, now);
 }
 
 } // namespace almondmill
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -83,9 +83,9 @@
 
 void PeerExchange::announce()
 {
-    const std::string bytes = encodePeerMessage(describe(std::chrono::steady_clock::now()));
-    for (const auto &[name, address] : m_addresses)
-        sendTo(address, bytes);
+    const PeerMessage message = describe(std::chrono::steady_clock::now());
+    for (auto &[name, peer] : m_peers)
+        tellPeer(peer, message);
 }
 
 asio::awaitable<void> PeerExchange::findPeers()
@@ -103,7 +103,7 @@
                     addPeer(object.name,
                             parseDatagramAddress(value.at("address").get<std::string>()));
             }
-            EventLine("peers.found").add("routers", m_addresses.size());
+            EventLine("peers.found").add("routers", m_peers.size());
             announce();
             co_return;
         }
@@ -153,10 +153,10 @@
         m_context.peers.refresh(now);
         if (m_order.empty())
             continue;
-        const std::string bytes = encodePeerMessage(describe(now));
+        const PeerMessage message = describe(now);
         for (std::size_t sent = 0; sent < std::min(PeersPerRound, m_order.size()); ++sent) {
             m_next = (m_next + 1) % m_order.size();
-            sendTo(m_addresses[m_order[m_next]], bytes);
+            tellPeer(m_peers[m_order[m_next]], message);
         }
     }
 }
@@ -177,16 +177,19 @@
 {
     if (name == m_context.settings.name)
         return;
-    const auto [place, isNew] = m_addresses.try_emplace(name, address);
-    place->second = address;
+    const auto [place, isNew] = m_peers.try_emplace(name);
+    place->second.address = address;
     if (isNew)
         m_order.push_back(name);
 }
 
-void PeerExchange::sendTo(const Address &address, const std::string &bytes)
+void PeerExchange::tellPeer(Peer &peer, PeerMessage message)
 {
+    message.placements = m_context.parts.news(peer.toldPlacements);
+    const std::string bytes = encodePeerMessage(message);
+    m_context.metrics.counter("almondmill_peer_bytes_sent_total").add(bytes.size());
     boost::system::error_code ignored; // A lost message is made good by the next.
-    m_socket.send_to(asio::buffer(bytes), address, 0, ignored);
+    m_socket.send_to(asio::buffer(bytes), peer.address, 0, ignored);
 }
 
 PeerMessage PeerExchange::describe(SteadyTime now)
--- a/src/peers/peermessage.cpp
+++ b/src/peers/peermessage.cpp
@@ -13,7 +13,7 @@
 using nlohmann::json;
 
 /// Of the layout; messages of another one are ignored, so that versions can be mixed.
-constexpr std::uint32_t LayoutVersion = 1;
+constexpr std::uint32_t LayoutVersion = 2;
 
 constexpr double TenthsInOne = 10;
 
@@ -72,6 +72,28 @@
     return array;
 }
 
+json encodePlacements(const std::vector<PartPlacement> &placements)
+{
+    json array = json::array();
+    for (const PartPlacement &placement : placements) {
+        array.push_back(placement.part);
+        array.push_back(placement.endpoint);
+        array.push_back(placement.saved);
+    }
+    return array;
+}
+
+constexpr std::size_t FieldsPerPlacement = 3;
+
+std::vector<PartPlacement> decodePlacements(const json &array)
+{
+    std::vector<PartPlacement> placements;
+    for (std::size_t at = 0; at + FieldsPerPlacement <= array.size(); at += FieldsPerPlacement)
+        placements.push_back({array.at(at).get<PartKey>(), array.at(at + 1).get<std::uint32_t>(),
+                              array.at(at + 2).get<bool>()});
+    return placements;
+}
+
 PeerMessage decodeFields(const json &fields)
 {
     PeerMessage message;
@@ -88,6 +110,7 @@
     for (const json &entry : fields.at(8))
         message.loading.push_back({entry.at(0).get<std::uint32_t>(),
                                    std::chrono::milliseconds(entry.at(1).get<std::int64_t>())});
+    message.placements = decodePlacements(fields.at(9));
     return message;
 }
 
@@ -100,10 +123,10 @@
 
 std::string encodePeerMessage(const PeerMessage &message)
 {
-    const json fields =
-            json::array({LayoutVersion, message.sender, message.incarnation, message.sequence,
-                         message.leaving, message.configuration, encodeWeights(message.weights),
-                         encodeLoads(message.loads), encodeLoading(message.loading)});
+    const json fields = json::array(
+            {LayoutVersion, message.sender, message.incarnation, message.sequence, message.leaving,
+             message.configuration, encodeWeights(message.weights), encodeLoads(message.loads),
+             encodeLoading(message.loading), encodePlacements(message.placements)});
     std::string bytes;
     json::to_cbor(fields, bytes);
     return bytes;
