Leave the time of named weights with the lease, and say in it when the last order was given

Ruled out: the store's revision as a clock (heartbeats that say nothing new don't raise it: 22 in 8.5 s). Change: the lease's record carries a note with the versions and their times, and how long ago the last order was; the watch for registrations waits 6 s instead of 1.5.

--- a/include/almondmill/orders/lease.h
+++ b/include/almondmill/orders/lease.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace almondmill {
 
@@ -64,8 +65,15 @@
     /// Notes the record as it stands, without asking for the lease; one call to the store.
     void observe(const Clock &clock);
 
-    /// Gives the lease up, so that another may take it without waiting. Best effort.
-    void release();
+    /// What the record last seen holds as its holder's note.
+    const std::string &lastSeenNote() const { return m_record.note; }
+
+    /// Goes with each record that this process writes from now on.
+    void setNote(std::string note) { m_note = std::move(note); }
+
+    /// Gives the lease up, so that another may take it without waiting; the last order under it was
+    /// sent `idle` ago. Best effort.
+    void release(std::chrono::milliseconds idle = std::chrono::milliseconds(0));
 
 private:
     bool isOwn(const LeaseRecord &record) const;
@@ -85,6 +93,7 @@
     std::uint64_t m_version = 0;
     std::optional<SteadyTime> m_seenSince; ///< Since when the record stands as it is.
     std::optional<SteadyTime> m_previousOrdersEnd;
+    std::string m_note;
     bool m_held = false;
     SteadyTime m_heldUntil;
 };
--- a/include/almondmill/orders/leaserecord.h
+++ b/include/almondmill/orders/leaserecord.h
@@ -14,6 +14,8 @@
     std::uint64_t fencing = 0;     ///< Grows by one with each change of holder.
     std::uint64_t renewal = 0;     ///< Grows by one with each write, so that writes differ.
     std::chrono::milliseconds duration{0};
+    std::chrono::milliseconds idle{0}; ///< Of a lease given up: since its last order.
+    std::string note;                  ///< What the holder leaves for those after it.
 };
 
 /// The record as JSON text.
--- a/include/almondmill/rollout/rolloutleader.h
+++ b/include/almondmill/rollout/rolloutleader.h
@@ -8,8 +8,10 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -50,6 +52,12 @@
     bool isFirstInLine() const;
     void runOnce();
     bool isOwnTurn(SteadyTime now);
+    void giveUp();
+    void readNote();
+    void writeNote();
+
+    /// Runs a short task on the event loop; nothing when the loop has stopped.
+    std::optional<SteadyTime> onLoop(std::function<SteadyTime()> task);
     SteadyTime orderFrom() const;
     void noteHolder();
     void stepOnLoop(const OrderRight &right);
--- a/include/almondmill/rollout/weightsrollout.h
+++ b/include/almondmill/rollout/weightsrollout.h
@@ -47,13 +47,17 @@
     /// Starts as many orders as the plan allows.
     void step(const OrderRight &right);
 
+    /// Gives no order from now on; returns when the last one was sent, on the clock of leases.
+    SteadyTime revoke();
+
 private:
     using View = std::shared_ptr<EndpointView>;
 
     std::size_t enginesBehind() const;
     void stepModel(const std::string &model, std::uint64_t version, const OrderRight &right);
-    boost::asio::awaitable<void> move(View view, WeightsOrder order, SteadyTime until);
-    boost::asio::awaitable<bool> order(HttpClient &client, WeightsOrder order, SteadyTime until);
+    bool mayOrder() const;
+    boost::asio::awaitable<void> move(View view, WeightsOrder order);
+    boost::asio::awaitable<bool> order(HttpClient &client, WeightsOrder order);
     boost::asio::awaitable<void> awaitWeights(HttpClient &client, View view, WeightsOrder order);
     boost::asio::awaitable<std::optional<EngineReport>> report(HttpClient &client);
     bool learn(EndpointView &view, const EngineReport &report, const WeightsOrder &order);
@@ -62,6 +66,7 @@
     std::function<void()> m_announce;
     absl::flat_hash_map<std::string, std::uint64_t> m_moving; ///< Version ordered, by endpoint.
     OrderRight m_right;                                       ///< Of the last step.
+    SteadyTime m_lastOrderAt;                                 ///< On the clock of leases.
     std::size_t m_behind = 0;                                 ///< Engines, at the last check.
     SteadyTime m_lastProgress;
 };
--- a/src/forward/storeviews.cpp
+++ b/src/forward/storeviews.cpp
@@ -28,8 +28,8 @@
 /// Heartbeats change registrations many times a second; gathering them saves calls.
 constexpr milliseconds RegistrationsPause{500};
 
-/// Longest wait for changed registrations; the heartbeats of any endpoint end it sooner.
-constexpr milliseconds RegistrationsWait{1500};
+/// Longest wait for changed registrations; heartbeats that say nothing new don't end it.
+constexpr milliseconds RegistrationsWait{6000};
 
 void spawnFollower(ForwardingContext &context, AsyncStore &store, StoreFollower::Options options,
                    StoreFollower::Handlers handlers)
--- a/src/orders/lease.cpp
+++ b/src/orders/lease.cpp
@@ -32,7 +32,7 @@
         observe(object->value, object->version, clock());
 }
 
-void Lease::release()
+void Lease::release(std::chrono::milliseconds idle)
 {
     if (!m_held)
         return;
@@ -40,6 +40,7 @@
     LeaseRecord record = nextRecord(m_record.fencing);
     record.holder.clear();
     record.duration = std::chrono::milliseconds(0);
+    record.idle = idle;
     m_store.update(m_options.objectName, encodeLease(record), m_version, m_options.storeTimeout);
 }
 
@@ -131,14 +132,14 @@
 SteadyTime Lease::ordersEnd() const
 {
     if (m_record.holder.empty())
-        return *m_seenSince;
+        return *m_seenSince - m_record.idle;
     return *m_seenSince + m_record.duration - m_options.orderTimeout;
 }
 
 LeaseRecord Lease::nextRecord(std::uint64_t fencing) const
 {
-    return {m_options.holder, m_options.incarnation, fencing, m_record.renewal + 1,
-            m_options.duration};
+    return {m_options.holder,   m_options.incarnation,        fencing, m_record.renewal + 1,
+            m_options.duration, std::chrono::milliseconds(0), m_note};
 }
 
 void Lease::hold(const LeaseRecord &record, std::uint64_t version, SteadyTime countedFrom)
--- a/src/orders/leaserecord.cpp
+++ b/src/orders/leaserecord.cpp
@@ -14,7 +14,9 @@
                 {"incarnation", record.incarnation},
                 {"fencing", record.fencing},
                 {"renewal", record.renewal},
-                {"duration_ms", record.duration.count()}}
+                {"duration_ms", record.duration.count()},
+                {"idle_ms", record.idle.count()},
+                {"note", record.note}}
             .dump();
 }
 
@@ -22,8 +24,13 @@
 {
     try {
         const Json json = Json::parse(text);
-        return {json.at("holder"), json.at("incarnation"), json.at("fencing"), json.at("renewal"),
-                std::chrono::milliseconds(json.at("duration_ms").get<std::int64_t>())};
+        return {json.at("holder"),
+                json.at("incarnation"),
+                json.at("fencing"),
+                json.at("renewal"),
+                std::chrono::milliseconds(json.at("duration_ms").get<std::int64_t>()),
+                std::chrono::milliseconds(json.value("idle_ms", std::int64_t(0))),
+                json.value("note", std::string())};
     } catch (const Json::exception &error) {
         throw Error("orders.101", std::string("stored lease: ") + error.what());
     }
--- /dev/null
+++ b/src/rollout/namedweights.cpp
@@ -0,0 +1,55 @@
+#include "almondmill/rollout/namedweights.h"
+
+#include "almondmill/forward/weightstargets.h"
+#include "almondmill/observe/eventline.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+milliseconds unixTime()
+{
+    return std::chrono::duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace
+
+std::string describeNamedWeights(const WeightsTargets &targets)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    json entries = json::array();
+    for (const WeightsTarget &target : targets.all()) {
+        for (const auto &[version, since] : targets.named(target.model)) {
+            const auto namedAt = unixTime() - std::chrono::duration_cast<milliseconds>(now - since);
+            entries.push_back({target.model, version, namedAt.count()});
+        }
+    }
+    return entries.dump();
+}
+
+void learnNamedWeights(WeightsTargets &targets, const std::string &text)
+{
+    if (text.empty())
+        return;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    try {
+        for (const json &entry : json::parse(text)) {
+            const WeightsTarget target{entry.at(0).get<std::string>(),
+                                       entry.at(1).get<std::uint64_t>()};
+            const auto age = unixTime() - milliseconds(entry.at(2).get<std::int64_t>());
+            targets.learn(target, now - std::max(age, milliseconds(0)));
+        }
+    } catch (const json::exception &error) {
+        EventLine("weights.note_unreadable").add("reason", error.what());
+    }
+}
+
+} // namespace almondmill
--- a/src/rollout/rolloutleader.cpp
+++ b/src/rollout/rolloutleader.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
+#include "almondmill/rollout/namedweights.h"
 #include "almondmill/rollout/orderlimits.h"
 #include "almondmill/rollout/weightsrollout.h"
 #include "almondmill/store/asyncstore.h"
@@ -13,6 +14,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <future>
 
 namespace almondmill {
 
@@ -44,6 +46,9 @@
 constexpr milliseconds LeastStandby{3500};
 constexpr std::uint64_t StandbySpreadMs = 2500;
 
+/// The event loop does a short task within this time, unless it has stopped.
+constexpr milliseconds LoopTimeout{500};
+
 /// Added to the least time between the orders of two holders, for their ways to the engines.
 constexpr milliseconds TurnMargin{100};
 
@@ -122,15 +127,56 @@
         return;
     m_lease.maintain(bootTime);
     noteHolder();
+    readNote();
     while (waitForWork()) {
         runOnce();
         if (!pause(m_holds ? RoundInterval : StandbyInterval))
             break;
     }
-    m_lease.release();
+    giveUp();
+}
+
+void RolloutLeader::giveUp()
+{
+    if (!m_lease.held(bootTime()))
+        return;
+    const auto lastOrder = onLoop([this] { return m_rollout.revoke(); });
+    if (!lastOrder)
+        return; // The loop has stopped: the lease runs out by itself.
+    const SteadyTime ordersEnd =
+            std::max(*lastOrder, m_lease.previousOrdersEnd().value_or(SteadyTime()));
+    m_lease.release(std::max(std::chrono::duration_cast<milliseconds>(bootTime() - ordersEnd),
+                             milliseconds(0)));
     m_holds = false;
 }
 
+std::optional<SteadyTime> RolloutLeader::onLoop(std::function<SteadyTime()> task)
+{
+    const auto packaged = std::make_shared<std::packaged_task<SteadyTime()>>(std::move(task));
+    auto done = packaged->get_future();
+    boost::asio::post(m_context.loop, [packaged] { (*packaged)(); });
+    if (done.wait_for(LoopTimeout) != std::future_status::ready)
+        return std::nullopt;
+    return done.get();
+}
+
+void RolloutLeader::readNote()
+{
+    const std::string note = m_lease.lastSeenNote();
+    boost::asio::post(m_context.loop, [this, note] { learnNamedWeights(m_context.weights, note); });
+}
+
+void RolloutLeader::writeNote()
+{
+    const auto note = std::make_shared<std::string>();
+    const auto written = onLoop([this, note] {
+        *note = describeNamedWeights(m_context.weights);
+        return SteadyTime();
+    });
+    if (written)
+        m_lease.setNote(*note);
+}
+
 bool RolloutLeader::waitForWork()
 {
     std::unique_lock<std::mutex> lock(m_mutex);
@@ -171,6 +217,7 @@
         return;
     const auto now = bootTime();
     if (!m_lease.held(now) || m_lease.heldUntil() - now < RenewBefore) {
+        writeNote();
         m_lease.maintain(bootTime);
         noteHolder();
     }
--- a/src/rollout/weightsrollout.cpp
+++ b/src/rollout/weightsrollout.cpp
@@ -104,7 +104,7 @@
 void WeightsRollout::stepModel(const std::string &model, std::uint64_t version,
                                const OrderRight &right)
 {
-    if (bootTime() + OrderTimeout >= right.until)
+    if (!mayOrder())
         return;
     std::vector<View> views;
     std::vector<RolloutEngine> engines;
@@ -127,19 +127,19 @@
         order.holder = right.holder;
         order.fencing = right.fencing;
         m_moving[order.endpointId] = version;
-        asio::co_spawn(m_context.loop, move(views[index], order, right.until), asio::detached);
+        asio::co_spawn(m_context.loop, move(views[index], order), asio::detached);
     }
     if (!chosen.empty())
         m_announce();
 }
 
-asio::awaitable<void> WeightsRollout::move(View view, WeightsOrder order, SteadyTime until)
+asio::awaitable<void> WeightsRollout::move(View view, WeightsOrder order)
 {
     HttpClient client(m_context.loop.get_executor(), view->address());
     const auto before = co_await report(client);
     if (before && !learn(*view, *before, order) && !before->isBusy) {
         order.expectedOrders = before->orders;
-        if (co_await this->order(client, order, until))
+        if (co_await this->order(client, order))
             co_await awaitWeights(client, view, order);
     } else if (!before) {
         view->health().silent(steadyNow());
@@ -153,11 +153,22 @@
     step(m_right);
 }
 
-asio::awaitable<bool> WeightsRollout::order(HttpClient &client, WeightsOrder order,
-                                            SteadyTime until)
+bool WeightsRollout::mayOrder() const
 {
-    if (bootTime() + OrderTimeout >= until)
+    return bootTime() + OrderTimeout < m_right.until;
+}
+
+SteadyTime WeightsRollout::revoke()
+{
+    m_right.until = SteadyTime();
+    return m_lastOrderAt;
+}
+
+asio::awaitable<bool> WeightsRollout::order(HttpClient &client, WeightsOrder order)
+{
+    if (!mayOrder() || order.fencing != m_right.fencing)
         co_return false;
+    m_lastOrderAt = bootTime();
     const auto outcome = co_await client.call(
             "POST", m_context.adapter->orderPath(), m_context.adapter->encodeOrderHeaders(order),
             m_context.adapter->encodeOrder(order), steadyNow() + OrderTimeout);
