--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -26,7 +26,7 @@
 {
 public:
     /// `settingsFile` is read again on SIGHUP. Throws Error when an address can't be used.
-    ForwardingRouter(boost::asio::io_context &loop, ForwarderSettings settings,
+    ForwardingRouter(boost::asio::io_context &loop, const ForwarderSettings &settings,
                      std::string settingsFile);
     ~ForwardingRouter();
 
--- a/include/almondmill/observe/eventlog.h
+++ b/include/almondmill/observe/eventlog.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace almondmill {
 
@@ -18,7 +19,7 @@
     explicit EventLog(int descriptor);
 
     /// Takes a line, with its end, into the buffer.
-    void write(std::string line);
+    void write(std::string_view line);
 
     /// Writes out what the descriptor takes at once.
     void flush();
--- a/src/almondmilld/main.cpp
+++ b/src/almondmilld/main.cpp
@@ -55,11 +55,11 @@
 }
 
 /// The router in front of a platform's own endpoints.
-int runForwarding(ForwarderSettings settings, const std::string &settingsFile)
+int runForwarding(const ForwarderSettings &settings, const std::string &settingsFile)
 {
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context loop(1);
-    ForwardingRouter router(loop, std::move(settings), settingsFile);
+    ForwardingRouter router(loop, settings, settingsFile);
     router.run();
     return 0;
 }
--- a/src/forward/forwardersettings.cpp
+++ b/src/forward/forwardersettings.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/forward/forwardersettings.h"
 
+#include "almondmill/config/ipaddress.h"
 #include "almondmill/config/tablereader.h"
 #include "almondmill/config/tomltext.h"
 #include "almondmill/forward/platformadapter.h"
@@ -17,13 +18,21 @@
 /// A share written in thousandths would surprise; it is a number from zero to one.
 constexpr double MostRetryShare = 1.0;
 
+std::string readAddress(TableReader &reader, const char *key)
+{
+    std::string address = reader.requiredString(key);
+    if (!address.empty() && !isIpAndPort(address))
+        reader.report("config.221", key, "must be IP:port");
+    return address;
+}
+
 void readAddresses(TableReader &reader, ForwarderSettings &settings)
 {
-    settings.store = reader.requiredString("store");
-    settings.callersListen = reader.requiredString("callers_listen");
-    settings.readyListen = reader.requiredString("ready_listen");
+    settings.store = readAddress(reader, "store");
+    settings.callersListen = readAddress(reader, "callers_listen");
+    settings.readyListen = readAddress(reader, "ready_listen");
     settings.operatorsListen = reader.optionalString("operators_listen", "");
-    settings.peersListen = reader.requiredString("peers_listen");
+    settings.peersListen = readAddress(reader, "peers_listen");
 }
 
 void readBounds(TableReader &reader, ForwarderSettings &settings)
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -54,7 +54,7 @@
 
 } // namespace
 
-ForwardingRouter::ForwardingRouter(asio::io_context &loop, ForwarderSettings settings,
+ForwardingRouter::ForwardingRouter(asio::io_context &loop, const ForwarderSettings &settings,
                                    std::string settingsFile)
     : m_loop(loop)
     , m_settingsFile(std::move(settingsFile))
--- a/src/observe/eventline.cpp
+++ b/src/observe/eventline.cpp
@@ -37,7 +37,7 @@
 EventLine::~EventLine()
 {
     m_text += '\n';
-    eventLog().write(std::move(m_text));
+    eventLog().write(m_text);
 }
 
 EventLine &EventLine::add(std::string_view key, std::string_view value)
--- a/src/observe/eventlog.cpp
+++ b/src/observe/eventlog.cpp
@@ -35,7 +35,7 @@
     makeNonBlocking(descriptor);
 }
 
-void EventLog::write(std::string line)
+void EventLog::write(std::string_view line)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     if (m_buffer.size() + line.size() > MostBufferedBytes) {
--- /dev/null
+++ b/tests/failure-forwarding.cpp
@@ -0,0 +1,365 @@
+// What callers and endpoints see of the forwarding router's request path when endpoints misbehave.
+
+#include "support/caller.h"
+#include "support/forwardingbench.h"
+#include "support/rawendpoint.h"
+#include "support/waituntil.h"
+
+#include "almondmill/forward/endpointview.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+
+namespace almondmill::test {
+
+namespace {
+
+RawEndpoint::Behaviour answering(const std::string &statusLine, const std::string &body,
+                                 const std::string &headers = {})
+{
+    return [=](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, signedAnswer(call, statusLine, body, headers));
+    };
+}
+
+std::string streamHead(const std::string &call)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(call, "Request-Id")
+           + "\r\nServer-Signature: s1\r\nContent-Type: text/event-stream\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &bytes)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", bytes.size());
+    return std::string(size.data()) + "\r\n" + bytes + "\r\n";
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
+}
+
+constexpr const char *LastChunk = "0\r\n\r\n";
+constexpr const char *PromptHeaders =
+        "Model: m\r\nToken-Usage: 30,5\r\nPrompt-Prefix: a1:10,b2:15,c3:5\r\n";
+
+bool startsWithStatus(const std::string &answer, int status)
+{
+    return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+} // namespace
+
+TEST(Forwarding, PassesMethodTargetAndBodyOnUnchanged)
+{
+    std::string seen;
+    const RawEndpoint endpoint([&](int socket, const std::string &call, unsigned) {
+        seen = call;
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", "done"));
+    });
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "once", endpoint.address());
+    const auto answer = ask(bench, requestText("POST", "/once/a%2Fb//c?x=1&y=%20",
+                                               "X-Other: kept\r\n", "a body\r\n\r\n."));
+    EXPECT_TRUE(startsWithStatus(answer, 200)) << answer;
+    EXPECT_TRUE(answer.ends_with("\r\n\r\ndone"));
+    EXPECT_EQ(headerOf(answer, "Server-Signature"), "s1");
+    EXPECT_TRUE(seen.starts_with("POST /once/a%2Fb//c?x=1&y=%20 HTTP/1.1\r\n")) << seen;
+    EXPECT_TRUE(seen.ends_with("\r\n\r\na body\r\n\r\n."));
+    EXPECT_EQ(headerOf(seen, "X-Other"), "kept");
+    EXPECT_EQ(headerOf(seen, "Expect-Instance"), "e1");
+    EXPECT_EQ(headerOf(seen, "Tenant"), "open");
+    EXPECT_FALSE(headerOf(seen, "Deadline-Ms").empty());
+}
+
+TEST(Forwarding, CallersCannotSetWhatOnlyTheRouterSets)
+{
+    std::string seen;
+    const RawEndpoint endpoint([&](int socket, const std::string &call, unsigned) {
+        seen = call;
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", ""));
+    });
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "once", endpoint.address());
+    ask(bench, requestText("POST", "/once/x",
+                           "Hold: h\r\nPin-Ms: 1\r\nKv-Backup: a\r\nKv-From: b\r\n"
+                           "Kv-Fetch-From: c\r\nKv-Save-To: d\r\nCache-Salt: s\r\n"
+                           "Tenant: other\r\nExpect-Instance: x\r\nExpect-Version: 9\r\n"
+                           "Request-Priority: 0\r\nTE: trailers\r\nX-Hop: 1\r\n"
+                           "Connection: X-Hop\r\n"));
+    for (const char *name :
+         {"Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch-From", "Kv-Save-To", "Cache-Salt",
+          "Expect-Version", "Request-Priority", "Authorization", "TE", "X-Hop"})
+        EXPECT_EQ(headerOf(seen, name), "") << name;
+    EXPECT_EQ(headerOf(seen, "Tenant"), "open");
+    EXPECT_EQ(headerOf(seen, "Expect-Instance"), "e1");
+}
+
+TEST(Forwarding, PromptsCarryWeightsAndAScopeOfTheirCache)
+{
+    std::string seen;
+    const RawEndpoint endpoint([&](int socket, const std::string &call, unsigned) {
+        seen = call;
+        RawEndpoint::write(socket, streamHead(call) + chunk(event(1)) + LastChunk);
+    });
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "stream", endpoint.address(), 7);
+    ask(bench, requestText("POST", "/stream/x", PromptHeaders));
+    const std::string openScope = headerOf(seen, "Cache-Salt");
+    EXPECT_EQ(headerOf(seen, "Expect-Version"), "7");
+    EXPECT_EQ(headerOf(seen, "Request-Priority"), "3");
+    EXPECT_EQ(headerOf(seen, "Prompt-Prefix"), "a1:10,b2:15,c3:5");
+    ask(bench, requestText("POST", "/stream/x",
+                           std::string("Authorization: Bearer k2\r\n") + PromptHeaders));
+    EXPECT_NE(headerOf(seen, "Cache-Salt"), openScope);
+    EXPECT_EQ(headerOf(seen, "Request-Priority"), "1");
+}
+
+TEST(Forwarding, RefusesWithoutConfigurationRouteOrKey)
+{
+    ForwardingBench bench;
+    const auto before = ask(bench, requestText("GET", "/any/x"));
+    EXPECT_TRUE(startsWithStatus(before, 503)) << before;
+    EXPECT_FALSE(headerOf(before, "Retry-After").empty());
+    bench.configure(oneRouteOfEachKind());
+    EXPECT_TRUE(startsWithStatus(ask(bench, requestText("GET", "/none/x")), 404));
+    EXPECT_TRUE(startsWithStatus(
+            ask(bench, requestText("GET", "/any/x", "Authorization: Bearer no\r\n")), 401));
+    EXPECT_TRUE(startsWithStatus(ask(bench, requestText("GET", "/any/x")), 503));
+}
+
+TEST(Forwarding, ARequestWithTwoLengthsIsNoRequest)
+{
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    const auto answer =
+            ask(bench, "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /any/ HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(startsWithStatus(answer, 400)) << answer;
+}
+
+TEST(Forwarding, ACallThatMayNotBeRepeatedIsSentOnceWhenItsAnswerIsLost)
+{
+    const auto lose = [](int socket, const std::string &, unsigned) {
+        RawEndpoint::resetOnClose(socket);
+    };
+    const RawEndpoint first(lose);
+    const RawEndpoint second(lose);
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "once", first.address());
+    bench.addEndpoint("e2", "once", second.address());
+    const auto answer = ask(bench, requestText("POST", "/once/x", {}, "body"));
+    EXPECT_TRUE(startsWithStatus(answer, 502)) << answer;
+    EXPECT_EQ(headerOf(answer, "Server-Signature"), "");
+    EXPECT_EQ(first.calls() + second.calls(), 1U);
+}
+
+TEST(Forwarding, OnlyAnAnswerThatSaysNotRunBecomesARefusal)
+{
+    const RawEndpoint full(answering("503 Service Unavailable", "", "Not-Executed: 1\r\n"));
+    const RawEndpoint failing(answering("503 Service Unavailable", ""));
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "once", full.address());
+    const auto refused = ask(bench, requestText("POST", "/once/x", {}, "body"));
+    EXPECT_TRUE(startsWithStatus(refused, 503)) << refused;
+    EXPECT_FALSE(headerOf(refused, "Retry-After").empty());
+    bench.addEndpoint("e2", "stream", failing.address(), 1);
+    const auto failed = ask(bench, requestText("POST", "/stream/x", PromptHeaders));
+    EXPECT_TRUE(startsWithStatus(failed, 502)) << failed;
+}
+
+TEST(Forwarding, RepeatableCallsGoElsewhereAfterAFailure)
+{
+    const RawEndpoint failing(answering("500 Internal Server Error", "no"));
+    const RawEndpoint sound(answering("200 OK", "yes"));
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "any", failing.address());
+    bench.addEndpoint("e2", "any", sound.address());
+    for (int call = 0; call < 3; ++call) {
+        const auto answer = ask(bench, requestText("GET", "/any/x"));
+        EXPECT_TRUE(startsWithStatus(answer, 200)) << answer;
+    }
+}
+
+TEST(Forwarding, AFailureKeepsTheEndpointsStatusAndSignature)
+{
+    const RawEndpoint endpoint(answering("500 Internal Server Error", "broken"));
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "once", endpoint.address());
+    const auto answer = ask(bench, requestText("POST", "/once/x", {}, "body"));
+    EXPECT_TRUE(startsWithStatus(answer, 500)) << answer;
+    EXPECT_EQ(headerOf(answer, "Server-Signature"), "s1");
+    EXPECT_TRUE(answer.ends_with("broken"));
+}
+
+TEST(Forwarding, ASuccessNeedsSignatureWholeBodyAndNoCoding)
+{
+    const std::vector<std::string> answers{
+            "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nno",
+            "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: s\r\nContent-Length: "
+            "9\r\n\r\nno",
+            "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: s\r\n"
+            "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno",
+            "these are no bytes of HTTP\r\n\r\n"};
+    for (const std::string &text : answers) {
+        const RawEndpoint endpoint([&](int socket, const std::string &, unsigned) {
+            RawEndpoint::write(socket, text);
+        });
+        ForwardingBench bench;
+        bench.configure(oneRouteOfEachKind());
+        bench.addEndpoint("e1", "once", endpoint.address());
+        const auto answer = ask(bench, requestText("POST", "/once/x", {}, "body"));
+        EXPECT_TRUE(startsWithStatus(answer, 502)) << text << "\n->\n" << answer;
+    }
+}
+
+TEST(Forwarding, AnAnswerWithoutLengthEndsWithItsConnection)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &, unsigned) {
+        RawEndpoint::write(socket,
+                           "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: s\r\n\r\n"
+                           "whole");
+    });
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "once", endpoint.address());
+    const auto answer = ask(bench, requestText("POST", "/once/x", {}, "body"));
+    EXPECT_TRUE(startsWithStatus(answer, 200)) << answer;
+    EXPECT_TRUE(answer.ends_with("\r\n\r\nwhole"));
+}
+
+TEST(Forwarding, AnAnswerToAnotherRequestIsDropped)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Signature: s\r\n"
+                                   "Content-Length: 5\r\n\r\nwrong"
+                                           + signedAnswer(call, "200 OK", "right"));
+    });
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "once", endpoint.address());
+    const auto answer = ask(bench, requestText("POST", "/once/x", {}, "body"));
+    EXPECT_TRUE(startsWithStatus(answer, 200)) << answer;
+    EXPECT_TRUE(answer.ends_with("\r\n\r\nright"));
+}
+
+TEST(Forwarding, AnotherEndpointAtTheAddressIsPassedOver)
+{
+    const RawEndpoint other(answering("421 Misdirected Request", "", "Instance-Id: e9\r\n"));
+    const RawEndpoint sound(answering("200 OK", "yes"));
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "once", other.address());
+    bench.addEndpoint("e2", "once", sound.address());
+    for (int call = 0; call < 3; ++call) {
+        const auto answer = ask(bench, requestText("POST", "/once/x", {}, "body"));
+        EXPECT_TRUE(startsWithStatus(answer, 200)) << answer;
+    }
+}
+
+TEST(Forwarding, AStreamComesWholeAndEndsOnce)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, streamHead(call) + chunk(event(1) + event(2).substr(0, 5)));
+        RawEndpoint::write(socket, chunk(event(2).substr(5)) + LastChunk);
+    });
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "stream", endpoint.address(), 1);
+    const auto answer = ask(bench, requestText("POST", "/stream/x", PromptHeaders));
+    EXPECT_TRUE(startsWithStatus(answer, 200)) << answer;
+    EXPECT_EQ(headerOf(answer, "Server-Signature"), "s1");
+    EXPECT_NE(answer.find(event(1)), std::string::npos);
+    EXPECT_NE(answer.find(event(2)), std::string::npos);
+    EXPECT_TRUE(answer.ends_with(LastChunk));
+}
+
+TEST(Forwarding, AStreamThatIsCutDoesNotLookComplete)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, streamHead(call) + chunk(event(1) + "id: 2\nda"));
+        RawEndpoint::resetOnClose(socket);
+    });
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "stream", endpoint.address(), 1);
+    const auto answer = ask(bench, requestText("POST", "/stream/x", PromptHeaders));
+    EXPECT_FALSE(answer.ends_with(LastChunk)) << answer;
+    EXPECT_EQ(answer.find("id: 2"), std::string::npos);
+}
+
+TEST(Forwarding, AResumableStreamGoesOnElsewhereInsideOneAnswer)
+{
+    std::string resumed;
+    const auto behave = [&](int socket, const std::string &call, unsigned) {
+        const std::string after = headerOf(call, "Last-Event-Id");
+        if (after.empty()) {
+            RawEndpoint::write(socket, streamHead(call) + chunk(event(1) + event(2) + "id: 3\nda"));
+            return;
+        }
+        resumed = after;
+        RawEndpoint::write(socket, streamHead(call) + chunk(event(3)) + LastChunk);
+    };
+    const RawEndpoint first(behave);
+    const RawEndpoint second(behave);
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "resume", first.address(), 1);
+    bench.addEndpoint("e2", "resume", second.address(), 1);
+    const auto answer = ask(bench, requestText("POST", "/resume/x", PromptHeaders));
+    EXPECT_EQ(resumed, "2");
+    EXPECT_EQ(eventCount(answer), 3U) << answer;
+    EXPECT_TRUE(answer.ends_with(LastChunk));
+    EXPECT_EQ(first.calls(), 1U);
+    EXPECT_EQ(second.calls(), 1U);
+}
+
+TEST(Forwarding, ACallerThatLeavesEndsItsRequestAtTheEndpoint)
+{
+    std::atomic<bool> asked{false};
+    std::atomic<bool> closed{false};
+    const RawEndpoint endpoint([&](int socket, const std::string &, unsigned) {
+        asked = true;
+        RawEndpoint::waitForClose(socket);
+        closed = true;
+    });
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "resume", endpoint.address(), 1);
+    {
+        const RawCaller caller(bench.url());
+        caller.send(requestText("POST", "/resume/x", PromptHeaders));
+        ASSERT_TRUE(waitUntil([&] { return asked.load(); }));
+    }
+    EXPECT_TRUE(waitUntil([&] { return closed.load(); }));
+}
+
+TEST(Forwarding, ADrainingOrDepartedEndpointGetsNothing)
+{
+    const RawEndpoint endpoint(answering("200 OK", "yes"));
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "any", endpoint.address());
+    bench.onLoop([](ForwardingContext &context) {
+        Registration entry = *context.directory.find("e1");
+        entry.draining = true;
+        context.directory.put(entry);
+    });
+    EXPECT_TRUE(startsWithStatus(ask(bench, requestText("GET", "/any/x")), 503));
+    bench.onLoop([](ForwardingContext &context) { context.directory.remove("e1"); });
+    EXPECT_TRUE(startsWithStatus(ask(bench, requestText("GET", "/any/x")), 503));
+    EXPECT_EQ(endpoint.calls(), 0U);
+}
+
+} // namespace almondmill::test
--- /dev/null
+++ b/tests/unit-endpointdirectory.cpp
@@ -0,0 +1,87 @@
+#include "almondmill/directory/endpointdirectory.h"
+#include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/endpointviews.h"
+
+#include <gtest/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+Registration entryOf(const std::string &id, std::int64_t startedAt = 1)
+{
+    Registration entry;
+    entry.id = id;
+    entry.startedAt = std::chrono::milliseconds(startedAt);
+    entry.service = "s";
+    entry.address = "127.0.0.1:80";
+    entry.models = {{"m", 1}};
+    return entry;
+}
+
+/// A directory whose changes the views follow.
+struct Followed
+{
+    EndpointViews views;
+    EndpointDirectory directory{
+            [this](const RegistrationChange &change) { views.changed(change); }};
+};
+
+} // namespace
+
+TEST(EndpointDirectory, AListReplacesWhatItDoesNotName)
+{
+    Followed followed;
+    followed.directory.replaceAll({entryOf("a"), entryOf("b")}, 5);
+    followed.directory.replaceAll({entryOf("b"), entryOf("c")}, 6);
+    EXPECT_EQ(followed.views.find("a"), nullptr);
+    EXPECT_NE(followed.views.find("b"), nullptr);
+    EXPECT_NE(followed.views.find("c"), nullptr);
+    EXPECT_EQ(followed.directory.revision(), 6U);
+}
+
+TEST(EndpointDirectory, AnOlderListIsIgnored)
+{
+    Followed followed;
+    followed.directory.replaceAll({entryOf("a")}, 5);
+    followed.directory.replaceAll({}, 4);
+    EXPECT_NE(followed.views.find("a"), nullptr);
+}
+
+TEST(EndpointDirectory, ARestartUnderTheSameIdIsAnotherLifetime)
+{
+    Followed followed;
+    followed.directory.put(entryOf("a", 1));
+    const auto before = followed.views.find("a");
+    followed.directory.put(entryOf("a", 1));
+    EXPECT_EQ(followed.views.find("a"), before);
+    followed.directory.put(entryOf("a", 2));
+    EXPECT_NE(followed.views.find("a"), before);
+    EXPECT_FALSE(before->takesRequests());
+    EXPECT_EQ(followed.views.ofService("s").size(), 1U);
+}
+
+TEST(EndpointDirectory, ADrainingEndpointTakesNoRequests)
+{
+    Followed followed;
+    followed.directory.put(entryOf("a"));
+    Registration draining = entryOf("a");
+    draining.draining = true;
+    followed.directory.put(draining);
+    EXPECT_FALSE(followed.views.find("a")->takesRequests());
+}
+
+TEST(EndpointView, WhatAnswersShowedHoldsUntilTheEntryChanges)
+{
+    EndpointView view(entryOf("a"));
+    view.setWeightsVersion("m", 2);
+    view.update(entryOf("a"));
+    EXPECT_EQ(view.weightsVersion("m"), 2U);
+    Registration newer = entryOf("a");
+    newer.models = {{"m", 3}};
+    view.update(newer);
+    EXPECT_EQ(view.weightsVersion("m"), 3U);
+    EXPECT_EQ(view.weightsVersion("other"), std::nullopt);
+}
+
+} // namespace almondmill::test
--- /dev/null
+++ b/tests/unit-endpointhealth.cpp
@@ -0,0 +1,72 @@
+#include "almondmill/forward/endpointhealth.h"
+#include "almondmill/forward/repeatbudgets.h"
+
+#include <gtest/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr SteadyTime Start{std::chrono::hours(1)};
+
+} // namespace
+
+TEST(EndpointHealth, SilenceIsAvoidedLongerEachTime)
+{
+    EndpointHealth health;
+    EXPECT_FALSE(health.isAvoided(Start));
+    health.silent(Start);
+    EXPECT_TRUE(health.isAvoided(Start + milliseconds(900)));
+    EXPECT_FALSE(health.isAvoided(Start + milliseconds(1100)));
+    health.silent(Start + seconds(2));
+    EXPECT_TRUE(health.isAvoided(Start + milliseconds(3900)));
+    health.succeeded(milliseconds(30), Start + seconds(5));
+    health.silent(Start + seconds(6));
+    EXPECT_FALSE(health.isAvoided(Start + milliseconds(7100)));
+}
+
+TEST(EndpointHealth, FailuresFadeWithoutRequests)
+{
+    EndpointHealth health;
+    for (int call = 0; call < 20; ++call)
+        health.failed(Start);
+    const double fresh = health.failureShare(Start);
+    EXPECT_GT(fresh, 0.9);
+    EXPECT_LT(health.failureShare(Start + seconds(20)), fresh / 8);
+}
+
+TEST(EndpointHealth, ABusyEndpointThatAnswersOthersIsHeard)
+{
+    EndpointHealth health;
+    EXPECT_FALSE(health.wasHeardSince(Start));
+    health.heard(Start + seconds(1));
+    EXPECT_TRUE(health.wasHeardSince(Start));
+    EXPECT_FALSE(health.wasHeardSince(Start + seconds(2)));
+}
+
+TEST(RepeatBudgets, AllRoutersTogetherKeepTheBound)
+{
+    RepeatBudgets::Options options;
+    options.share = 0.2;
+    options.always = 108;
+    options.window = seconds(10);
+    options.routers = 16;
+    RepeatBudgets budgets(options);
+    std::uint32_t repeats = 0;
+    std::uint32_t requests = 0;
+    for (int tenth = 0; tenth < 100; ++tenth) {
+        const SteadyTime now = Start + milliseconds(100) * tenth;
+        budgets.requestStarted("s", now);
+        ++requests;
+        while (budgets.take("s", now))
+            ++repeats;
+    }
+    EXPECT_LE(repeats * options.routers,
+              options.share * requests * options.routers + options.always);
+    EXPECT_GT(repeats, 0U);
+}
+
+} // namespace almondmill::test
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -180,4 +180,47 @@
     }
 }
 
+TEST(Lease, AHolderThatGivesItUpSaysWhenItOrderedLast)
+{
+    UnreliableStore store;
+    TestTime time;
+    Lease first(store, optionsOf("a"));
+    Lease second(store, optionsOf("b"));
+    first.setNote("left by a");
+    first.maintain(time.clock());
+    first.release(milliseconds(700));
+    const SteadyTime seen = time.now;
+    second.maintain(time.clock());
+    EXPECT_TRUE(second.mayOrder(time.now));
+    EXPECT_EQ(second.previousOrdersEnd(), seen - milliseconds(700));
+}
+
+TEST(Lease, ANoteOutlivesItsHolder)
+{
+    UnreliableStore store;
+    TestTime time;
+    Lease first(store, optionsOf("a"));
+    first.setNote("left by a");
+    first.maintain(time.clock());
+    Lease second(store, optionsOf("b"));
+    second.observe(time.clock());
+    EXPECT_EQ(second.lastSeenNote(), "left by a");
+    EXPECT_FALSE(second.mayOrder(time.now));
+}
+
+TEST(Lease, OrdersOfAHolderThatLapsedEndBeforeItsLease)
+{
+    UnreliableStore store;
+    TestTime time;
+    Lease first(store, optionsOf("a"));
+    first.maintain(time.clock());
+    Lease second(store, optionsOf("b"));
+    second.observe(time.clock());
+    const SteadyTime seen = time.now;
+    time.now += Duration + OrderTimeout;
+    second.maintain(time.clock());
+    EXPECT_TRUE(second.mayOrder(time.now));
+    EXPECT_EQ(second.previousOrdersEnd(), seen + Duration - OrderTimeout);
+}
+
 } // namespace almondmill::test
--- /dev/null
+++ b/tests/unit-partlocations.cpp
@@ -0,0 +1,74 @@
+#include "almondmill/forward/partlocations.h"
+#include "almondmill/forward/savebudget.h"
+
+#include <gtest/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+constexpr SteadyTime Start{std::chrono::hours(1)};
+
+} // namespace
+
+TEST(PartLocations, TheLastPlacementCounts)
+{
+    PartLocations locations;
+    locations.place({1, 10, true}, Start);
+    locations.learn({1, 20, false}, Start + std::chrono::seconds(1));
+    ASSERT_NE(locations.find(1), nullptr);
+    EXPECT_EQ(locations.find(1)->endpoint, 20U);
+    EXPECT_EQ(locations.find(1)->savedAt, Start);
+    EXPECT_EQ(locations.find(2), nullptr);
+}
+
+TEST(PartLocations, EachReaderIsToldOwnPlacementsOnce)
+{
+    PartLocations locations;
+    std::uint64_t first = 0;
+    std::uint64_t second = 0;
+    locations.place({1, 10, false}, Start);
+    EXPECT_EQ(locations.news(first).size(), 1U);
+    locations.place({2, 10, false}, Start);
+    locations.learn({3, 10, false}, Start);
+    EXPECT_EQ(locations.news(first).size(), 1U);
+    EXPECT_EQ(locations.news(second).size(), 2U);
+    EXPECT_TRUE(locations.news(first).empty());
+}
+
+TEST(PartLocations, AReaderThatIsFarBehindGetsTheLatest)
+{
+    PartLocations locations;
+    std::uint64_t reader = 0;
+    for (PartKey part = 0; part < 1000; ++part)
+        locations.place({part, 10, false}, Start);
+    const auto news = locations.news(reader);
+    ASSERT_FALSE(news.empty());
+    EXPECT_LT(news.size(), 1000U);
+    EXPECT_EQ(news.back().part, 999U);
+}
+
+TEST(PartLocations, ScopesAreApart)
+{
+    EXPECT_NE(partKey("w1", "a"), partKey("w2", "a"));
+    EXPECT_NE(partKey("w1", "a"), partKey("w1/x", "a"));
+    EXPECT_EQ(partKey("w1", "a"), partKey("w1", "a"));
+}
+
+TEST(SaveBudget, KeepsToItsShareOfTheLink)
+{
+    constexpr double BytesPerSecond = 1e9;
+    SaveBudget budget;
+    double saved = 0;
+    constexpr int Tenths = 600;
+    constexpr double Seconds = 60;
+    for (int tenth = 0; tenth < Tenths; ++tenth) {
+        const SteadyTime now = Start + std::chrono::milliseconds(100) * tenth;
+        while (budget.take(3e8, BytesPerSecond, now))
+            saved += 3e8;
+    }
+    EXPECT_LE(saved, (Seconds + 5) * BytesPerSecond);
+    EXPECT_GE(saved, (Seconds - 5) * BytesPerSecond);
+}
+
+} // namespace almondmill::test
--- /dev/null
+++ b/tests/unit-peers.cpp
@@ -0,0 +1,116 @@
+#include "almondmill/peers/peermessage.h"
+#include "almondmill/peers/peerviews.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr SteadyTime Start{std::chrono::hours(1)};
+
+PeerMessage messageOf(const std::string &sender, std::uint64_t sequence)
+{
+    PeerMessage message;
+    message.sender = sender;
+    message.incarnation = 1;
+    message.sequence = sequence;
+    return message;
+}
+
+} // namespace
+
+RC_GTEST_PROP(PeerMessage, SurvivesItsEncoding, ())
+{
+    PeerMessage message =
+            messageOf(*rc::gen::container<std::string>(rc::gen::inRange('!', '~')), 7);
+    message.leaving = *rc::gen::arbitrary<bool>();
+    message.configuration = *rc::gen::arbitrary<std::uint32_t>();
+    message.weights = {{{"m", *rc::gen::arbitrary<std::uint32_t>()}, milliseconds(1200)}};
+    message.loads = {{*rc::gen::arbitrary<std::uint32_t>(), {1.5, 20, 300}}};
+    message.loading = {{5, milliseconds(700)}};
+    message.placements = {{1, *rc::gen::arbitrary<std::uint32_t>(), true}, {2, 3, false}};
+    const auto decoded = decodePeerMessage(encodePeerMessage(message));
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded->sender == message.sender);
+    RC_ASSERT(decoded->leaving == message.leaving);
+    RC_ASSERT(decoded->weights.front().target.version == message.weights.front().target.version);
+    RC_ASSERT(decoded->weights.front().knownFor == milliseconds(1200));
+    RC_ASSERT(decoded->loads.front().endpoint == message.loads.front().endpoint);
+    RC_ASSERT(decoded->loads.front().load.openRequests == 1.5);
+    RC_ASSERT(decoded->loading.front().timeLeft == milliseconds(700));
+    RC_ASSERT(decoded->placements.size() == 2U);
+    RC_ASSERT(decoded->placements.front().endpoint == message.placements.front().endpoint);
+}
+
+RC_GTEST_PROP(PeerMessage, OtherBytesAreNoMessage, (const std::string &bytes))
+{
+    (void)decodePeerMessage(bytes); // Must not throw or crash.
+}
+
+TEST(PeerViews, SumsTheLoadOfAllOthers)
+{
+    PeerViews views;
+    auto first = messageOf("a", 1);
+    first.loads = {{9, {2, 100, 1000}}};
+    auto second = messageOf("b", 1);
+    second.loads = {{9, {3, 0, 500}}};
+    EXPECT_TRUE(views.learn(first, Start));
+    EXPECT_TRUE(views.learn(second, Start));
+    views.refresh(Start);
+    EXPECT_DOUBLE_EQ(views.loadOn(9).openRequests, 5);
+    EXPECT_DOUBLE_EQ(views.loadOn(9).heldTokens, 1500);
+    EXPECT_DOUBLE_EQ(views.loadOn(8).openRequests, 0);
+}
+
+TEST(PeerViews, AnOvertakenMessageTellsNothing)
+{
+    PeerViews views;
+    EXPECT_TRUE(views.learn(messageOf("a", 2), Start));
+    EXPECT_FALSE(views.learn(messageOf("a", 1), Start));
+    auto restarted = messageOf("a", 1);
+    restarted.incarnation = 2;
+    EXPECT_TRUE(views.learn(restarted, Start));
+}
+
+TEST(PeerViews, ALoadingEngineIsFreeAgainWhenItsHolderSaysSo)
+{
+    PeerViews views;
+    auto loading = messageOf("a", 1);
+    loading.loading = {{9, milliseconds(4000)}};
+    views.learn(loading, Start);
+    EXPECT_TRUE(views.isLoading(9, Start + seconds(3)));
+    EXPECT_FALSE(views.isLoading(9, Start + seconds(5)));
+    views.learn(messageOf("a", 2), Start + seconds(1));
+    EXPECT_FALSE(views.isLoading(9, Start + seconds(1)));
+}
+
+TEST(PeerViews, SilentAndLeavingRoutersAreForgotten)
+{
+    PeerViews views;
+    views.learn(messageOf("a", 1), Start);
+    views.learn(messageOf("b", 1), Start);
+    auto leaving = messageOf("b", 2);
+    leaving.leaving = true;
+    views.learn(leaving, Start);
+    EXPECT_EQ(views.liveCount(), 1U);
+    views.refresh(Start + seconds(10));
+    EXPECT_EQ(views.liveCount(), 0U);
+}
+
+TEST(PeerViews, AllRoutersSeeTheSameLine)
+{
+    PeerViews ofA;
+    PeerViews ofB;
+    for (const char *name : {"b", "c", "d"})
+        ofA.learn(messageOf(name, 1), Start);
+    for (const char *name : {"a", "c", "d"})
+        ofB.learn(messageOf(name, 1), Start);
+    EXPECT_EQ(ofA.firstInLine("a"), ofB.firstInLine("b"));
+}
+
+} // namespace almondmill::test
