--- a/include/almondmill/directory/storefollower.h
+++ b/include/almondmill/directory/storefollower.h
@@ -53,7 +53,6 @@
     boost::asio::awaitable<bool> list();
     boost::asio::awaitable<bool> hearChanges();
     boost::asio::awaitable<void> idle();
-    boost::asio::awaitable<void> sleep(std::chrono::milliseconds pause);
     void noteReached();
     void noteLost(const std::string &reason);
 
--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -3,6 +3,7 @@
 #include "almondmill/directory/endpointdirectory.h"
 #include "almondmill/forward/endpointviews.h"
 #include "almondmill/forward/forwardersettings.h"
+#include "almondmill/forward/forwardingmetrics.h"
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/forward/repeatbudgets.h"
 #include "almondmill/forward/weightstargets.h"
@@ -33,6 +34,7 @@
     const ForwarderSettings settings;
     const std::unique_ptr<PlatformAdapter> adapter;
     Metrics metrics;
+    ForwardingMetrics requestMetrics;
     RcuCell<RoutingTable> table; ///< Null until a configuration is in force.
     EndpointViews endpoints;
     EndpointDirectory directory;
--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -34,6 +34,7 @@
     void run();
 
 private:
+    void registerGauges();
     StatusServer::Reply ready(const std::string &path) const;
     StatusServer::Reply status(const std::string &path) const;
     std::string dump() const;
--- a/src/directory/storefollower.cpp
+++ b/src/directory/storefollower.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/directory/storefollower.h"
 
+#include "almondmill/http/asyncsleep.h"
 #include "almondmill/observe/eventline.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -63,9 +64,10 @@
             co_await idle();
         if (m_failures != 0) {
             const auto doublings = std::min(m_failures - 1, MostDoublings);
-            co_await sleep(jittered(std::min(FirstPause * (1U << doublings), LongestPause)));
+            co_await sleepFor(m_loop,
+                              jittered(std::min(FirstPause * (1U << doublings), LongestPause)));
         } else if (reached && m_options.pause.count() > 0) {
-            co_await sleep(m_options.pause);
+            co_await sleepFor(m_loop, m_options.pause);
         }
     }
 }
@@ -126,13 +128,6 @@
     co_return true;
 }
 
-asio::awaitable<void> StoreFollower::sleep(milliseconds pause)
-{
-    asio::steady_timer timer(m_loop, pause);
-    boost::system::error_code ignored; // Only the end of the loop cancels it.
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 void StoreFollower::noteReached()
 {
     if (m_failures == 0)
--- a/src/forward/callerlistener.cpp
+++ b/src/forward/callerlistener.cpp
@@ -3,12 +3,12 @@
 #include "almondmill/forward/callersession.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/socketaddress.h"
+#include "almondmill/http/asyncsleep.h"
 #include "almondmill/observe/eventline.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace almondmill {
@@ -65,8 +65,7 @@
         if (!m_acceptor.is_open())
             co_return;
         EventLine("listener.accept_failed").add("reason", error.message());
-        asio::steady_timer pause(m_context.loop, AcceptPause);
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        co_await sleepFor(m_context.loop, AcceptPause);
     }
 }
 
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -25,20 +25,12 @@
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned TooManyRequests = 429;
 constexpr unsigned ServerError = 500;
-constexpr unsigned BadGateway = 502;
 constexpr unsigned Unavailable503 = 503;
-constexpr unsigned GatewayTimeout = 504;
 
 /// A connection inside a region is made in a few milliseconds; a lost packet is sent again after a
 /// second, by which another endpoint has long answered.
 constexpr milliseconds ConnectTimeout{250};
 
-/// Time until a caller may return when no endpoint could take its request.
-constexpr milliseconds RetryAfterNoRoom{300};
-
-/// Time until a caller may return while the router has no configuration yet.
-constexpr milliseconds RetryAfterStart{500};
-
 /// Of the target latency: after that an unanswered request that may run again goes elsewhere.
 constexpr int PatienceInTargets = 2;
 
@@ -191,6 +183,7 @@
     exchange.finish(steadyNow());
     m_exchange = nullptr;
     if (end != End::Answered && end != End::CallerGone) {
+        m_context.requestMetrics.attemptFailed(m_lastReason);
         EventLine("request.attempt")
                 .add("id", m_request.id)
                 .add("endpoint", view->id())
@@ -215,6 +208,7 @@
     const SteadyTime now = steadyNow();
     const EndpointSend send = m_planner.planSend(placed(), view, timeUntil(m_deadline, now), now);
     ++m_sends;
+    m_context.requestMetrics.sent(m_sends > 1);
     logSend(send, view);
     if (m_request.prompt) {
         m_unread = m_request.prompt->promptTokens;
@@ -359,71 +353,4 @@
     m_unread = 0;
 }
 
-ForwardedRequest::Awaitable<bool> ForwardedRequest::answerAfterFailures()
-{
-    if (m_streamBegun) {
-        // What the caller has can't be taken back: an end without the last chunk is no full answer.
-        logEnd(m_lastReason, 0);
-        m_session.abort();
-        co_return false;
-    }
-    if (m_failure) {
-        const std::string head = m_context.adapter->codec().encodeAnswer(
-                m_failure->head, m_failure->body.size(), m_session.closesAfterAnswer());
-        logEnd(m_lastReason, m_failure->head.status);
-        co_return co_await m_session.send(head + m_failure->body);
-    }
-    if (!m_mayHaveRun)
-        co_return co_await answer({Unavailable503, m_lastReason});
-    const bool isLate = steadyNow() >= m_deadline;
-    co_return co_await answer({isLate ? GatewayTimeout : BadGateway, m_lastReason});
-}
-
-ForwardedRequest::Awaitable<bool> ForwardedRequest::answer(const Refusal &refusal)
-{
-    logEnd(refusal.reason, refusal.status);
-    std::optional<milliseconds> retryAfter;
-    if (refusal.status == Unavailable503)
-        retryAfter = m_table ? RetryAfterNoRoom : RetryAfterStart;
-    const std::string text = m_context.adapter->codec().encodeOwnAnswer(
-            refusal.status, m_request.id, retryAfter, refusal.reason,
-            m_session.closesAfterAnswer());
-    co_return co_await m_session.send(text);
-}
-
-void ForwardedRequest::logSend(const EndpointSend &send, const EndpointView &view) const
-{
-    EventLine line("request.send");
-    line.add("id", m_request.id).add("endpoint", view.id()).add("time_left", send.timeLeft);
-    if (!m_request.prompt)
-        return;
-    const auto &parts = m_request.prompt->parts;
-    line.add("scope", send.cacheScope)
-            .add("tokens", m_request.prompt->promptTokens)
-            .add("open", view.openRequests())
-            .add("fetch", !send.fetchFrom.empty())
-            .add("save", !send.saveTo.empty());
-    if (parts.size() > 1)
-        line.add("part", parts[parts.size() - 2].id)
-                .add("part_tokens", parts[parts.size() - 2].tokens);
-    if (parts.size() > 2)
-        line.add("first_part", parts[0].id).add("first_tokens", parts[0].tokens);
-}
-
-void ForwardedRequest::logEnd(std::string_view outcome, unsigned status) const
-{
-    const SteadyTime now = steadyNow();
-    EventLine line("request.done");
-    line.add("id", m_request.id).add("outcome", outcome).add("status", status);
-    if (m_route)
-        line.add("route", m_route->name);
-    line.add("configuration", m_table ? m_table->version() : 0);
-    if (!m_tried.empty())
-        line.add("endpoint", m_tried.back()->id());
-    line.add("sends", m_sends)
-            .add("ms", std::chrono::duration_cast<milliseconds>(now - m_startedAt));
-    if (m_firstByteAt != SteadyTime())
-        line.add("first_ms", std::chrono::duration_cast<milliseconds>(m_firstByteAt - m_startedAt));
-}
-
 } // namespace almondmill
--- a/src/forward/forwardingcontext.cpp
+++ b/src/forward/forwardingcontext.cpp
@@ -10,6 +10,7 @@
     : loop(eventLoop)
     , settings(std::move(forwarderSettings))
     , adapter(std::move(platformAdapter))
+    , requestMetrics(metrics)
     , table(nullptr)
     , directory([this](const RegistrationChange &change) { endpoints.changed(change); })
     , repeats({settings.retryShare, settings.retriesAlways, settings.retryWindow})
--- /dev/null
+++ b/src/forward/forwardingmetrics.cpp
@@ -0,0 +1,69 @@
+#include "almondmill/forward/forwardingmetrics.h"
+
+#include "almondmill/metrics/metrics.h"
+#include "almondmill/route/route.h"
+
+namespace almondmill {
+
+namespace {
+
+const char *nameOf(std::optional<Repetition> kind)
+{
+    if (!kind)
+        return "none";
+    switch (*kind) {
+    case Repetition::Repeatable:
+        return "repeatable";
+    case Repetition::AtMostOnce:
+        return "at_most_once";
+    case Repetition::Stream:
+        return "stream";
+    case Repetition::ResumableStream:
+        return "resumable_stream";
+    }
+    return "none";
+}
+
+std::string label(const std::string &name, std::string_view value)
+{
+    return name + "=\"" + std::string(value) + "\"";
+}
+
+std::chrono::microseconds inMicroseconds(ForwardingMetrics::Latency latency)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(latency);
+}
+
+} // namespace
+
+ForwardingMetrics::ForwardingMetrics(Metrics &metrics)
+    : m_metrics(metrics)
+    , m_sends(metrics.counter("almondmill_sends_total"))
+    , m_repeats(metrics.counter("almondmill_repeated_sends_total"))
+    , m_firstByte(metrics.histogram("almondmill_first_byte_seconds"))
+    , m_whole(metrics.histogram("almondmill_request_seconds"))
+{}
+
+void ForwardingMetrics::sent(bool repeated)
+{
+    m_sends.add();
+    if (repeated)
+        m_repeats.add();
+}
+
+void ForwardingMetrics::attemptFailed(std::string_view reason)
+{
+    m_metrics.counter("almondmill_failed_attempts_total", label("reason", reason)).add();
+}
+
+void ForwardingMetrics::ended(std::optional<Repetition> kind, std::string_view outcome,
+                              Latency whole, std::optional<Latency> first)
+{
+    const std::string labels = label("kind", nameOf(kind)) + "," + label("outcome", outcome);
+    m_metrics.counter("almondmill_requests_total", labels).add();
+    m_whole.add(inMicroseconds(whole));
+    if (first)
+        m_firstByte.add(inMicroseconds(*first));
+}
+
+} // namespace almondmill
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -4,16 +4,16 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/socketaddress.h"
+#include "almondmill/http/asyncsleep.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/observe/eventlog.h"
-#include "almondmill/store/asyncstore.h"
+#include "almondmill/store/countingstore.h"
 
 #include <nlohmann/json.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
@@ -45,13 +45,6 @@
 /// How often a draining router looks whether its requests are done.
 constexpr milliseconds DrainCheck{100};
 
-asio::awaitable<void> sleep(asio::io_context &loop, milliseconds pause)
-{
-    asio::steady_timer timer(loop, pause);
-    boost::system::error_code ignored; // Only the end of the loop cancels it.
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 ForwardingRouter::ForwardingRouter(asio::io_context &loop, const ForwarderSettings &settings,
@@ -59,7 +52,9 @@
     : m_loop(loop)
     , m_settingsFile(std::move(settingsFile))
     , m_context(loop, settings, PlatformAdapterRegistry::create(settings.adapter))
-    , m_store(m_context.adapter->makeStore(loop.get_executor(), parseSocketAddress(settings.store)))
+    , m_store(std::make_unique<CountingStore>(
+              m_context.adapter->makeStore(loop.get_executor(), parseSocketAddress(settings.store)),
+              m_context.metrics))
     , m_views(m_context, *m_store,
               [this](std::optional<StoreNews::Registrations> registrations) {
                   m_peers.publish(std::move(registrations));
@@ -75,6 +70,7 @@
     , m_readiness(loop, settings.readyListen,
                   [this](const std::string &path) { return ready(path); })
 {
+    registerGauges();
     if (!settings.operatorsListen.empty()) {
         m_operators = std::make_unique<StatusServer>(
                 loop, settings.operatorsListen,
@@ -84,6 +80,25 @@
 
 ForwardingRouter::~ForwardingRouter() = default;
 
+void ForwardingRouter::registerGauges()
+{
+    Metrics &metrics = m_context.metrics;
+    metrics.setGauge("almondmill_configuration_version", [this] {
+        const auto table = m_context.table.snapshot();
+        return table ? static_cast<double>(table->version()) : 0.0;
+    });
+    metrics.setGauge("almondmill_endpoints",
+                     [this] { return static_cast<double>(m_context.endpoints.all().size()); });
+    metrics.setGauge("almondmill_live_peers",
+                     [this] { return static_cast<double>(m_context.peers.liveCount()); });
+    metrics.setGauge("almondmill_sessions",
+                     [this] { return static_cast<double>(m_callers.openSessions()); });
+    metrics.setGauge("almondmill_holds_rollout_lease",
+                     [this] { return m_leader.holdsLease() ? 1.0 : 0.0; });
+    metrics.setGauge("almondmill_log_lines_dropped",
+                     [] { return static_cast<double>(eventLog().dropped()); });
+}
+
 void ForwardingRouter::run()
 {
     EventLine("router.start")
@@ -201,11 +216,11 @@
     m_context.draining = true;
     m_leader.resign();
     m_peers.announce();
-    co_await sleep(m_loop, BalancerNotice);
+    co_await sleepFor(m_loop, BalancerNotice);
     m_callers.stopAccepting();
     m_callers.closeIdle();
     while (m_callers.openSessions() != 0 && std::chrono::steady_clock::now() < end) {
-        co_await sleep(m_loop, DrainCheck);
+        co_await sleepFor(m_loop, DrainCheck);
         m_callers.closeIdle();
     }
 }
@@ -213,7 +228,7 @@
 asio::awaitable<void> ForwardingRouter::watchRollout()
 {
     for (;;) {
-        co_await sleep(m_loop, RolloutCheck);
+        co_await sleepFor(m_loop, RolloutCheck);
         const bool needed = m_rollout.check(std::chrono::steady_clock::now());
         m_leader.update(needed && !m_context.draining,
                         m_context.peers.firstInLine(m_context.settings.name),
@@ -224,7 +239,7 @@
 asio::awaitable<void> ForwardingRouter::maintain()
 {
     for (;;) {
-        co_await sleep(m_loop, MaintenanceInterval);
+        co_await sleepFor(m_loop, MaintenanceInterval);
         const auto now = std::chrono::steady_clock::now();
         for (const auto &[id, view] : m_context.endpoints.all())
             view->connections().closeExpired(now);
--- a/src/forward/storeviews.cpp
+++ b/src/forward/storeviews.cpp
@@ -3,14 +3,12 @@
 #include "almondmill/directory/storefollower.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
+#include "almondmill/http/asyncsleep.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/observe/eventline.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace almondmill {
 
@@ -85,9 +83,7 @@
 
 asio::awaitable<void> StoreViews::endKeeping()
 {
-    asio::steady_timer timer(m_context.loop, m_keepUntil);
-    boost::system::error_code ignored; // Only the end of the loop cancels it.
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await sleepFor(m_context.loop, LapsedEntryReturn);
     m_registrations->refresh();
 }
 
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -3,6 +3,7 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/socketaddress.h"
+#include "almondmill/http/asyncsleep.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
@@ -15,7 +16,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -51,13 +51,6 @@
 /// holds most of them.
 constexpr milliseconds RegistrationTime{1500};
 
-asio::awaitable<void> sleep(asio::io_context &loop, milliseconds pause)
-{
-    asio::steady_timer timer(loop, pause);
-    boost::system::error_code ignored; // Only the end of the loop cancels it.
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::ip::udp::endpoint parseDatagramAddress(const std::string &text)
 {
     const auto address = parseSocketAddress(text);
@@ -120,7 +113,7 @@
 
 asio::awaitable<void> PeerExchange::publishLater()
 {
-    co_await sleep(m_context.loop, PublishDelay);
+    co_await sleepFor(m_context.loop, PublishDelay);
     m_publishesSoon = false;
     publish(std::nullopt);
 }
@@ -128,8 +121,8 @@
 asio::awaitable<void> PeerExchange::findPeers()
 {
     while (!co_await registerSelf())
-        co_await sleep(m_context.loop, RetryPause);
-    co_await sleep(m_context.loop, RegistrationTime);
+        co_await sleepFor(m_context.loop, RetryPause);
+    co_await sleepFor(m_context.loop, RegistrationTime);
     for (;;) {
         const auto result = co_await m_store.list(ObjectKind::Routers,
                                                   std::chrono::steady_clock::now() + StoreTimeout);
@@ -144,7 +137,7 @@
             announce();
             co_return;
         }
-        co_await sleep(m_context.loop, RetryPause);
+        co_await sleepFor(m_context.loop, RetryPause);
     }
 }
 
@@ -183,7 +176,7 @@
 asio::awaitable<void> PeerExchange::tell()
 {
     for (;;) {
-        co_await sleep(m_context.loop, TellInterval);
+        co_await sleepFor(m_context.loop, TellInterval);
         const SteadyTime now = std::chrono::steady_clock::now();
         for (const auto &[id, view] : m_context.endpoints.all())
             view->averageLoad(now);
--- a/src/rollout/weightsrollout.cpp
+++ b/src/rollout/weightsrollout.cpp
@@ -3,6 +3,7 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
+#include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/httpclient.h"
 #include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/error.h"
@@ -12,8 +13,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace almondmill {
@@ -56,13 +55,6 @@
     return std::chrono::steady_clock::now();
 }
 
-asio::awaitable<void> sleep(asio::io_context &loop, milliseconds pause)
-{
-    asio::steady_timer timer(loop, pause);
-    boost::system::error_code ignored; // Only the end of the loop cancels it.
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 WeightsRollout::WeightsRollout(ForwardingContext &context, std::function<void()> announce)
@@ -143,7 +135,7 @@
             co_await awaitWeights(client, view, order);
     } else if (!before) {
         view->health().silent(steadyNow());
-        co_await sleep(m_context.loop, ReportInterval);
+        co_await sleepFor(m_context.loop, ReportInterval);
     } else if (before->isBusy) {
         co_await awaitWeights(client, view, order);
     }
@@ -195,7 +187,7 @@
 {
     const SteadyTime end = steadyNow() + LoadTimeout;
     while (steadyNow() < end && view->takesRequests()) {
-        co_await sleep(m_context.loop, ReportInterval);
+        co_await sleepFor(m_context.loop, ReportInterval);
         const auto current = co_await report(client);
         if (!current || learn(*view, *current, order) || !current->isBusy)
             co_return;
--- a/tests/failure-forwarding.cpp
+++ b/tests/failure-forwarding.cpp
@@ -345,6 +345,25 @@
     EXPECT_TRUE(waitUntil([&] { return closed.load(); }));
 }
 
+TEST(Forwarding, MetricsCountRequestsByKindAndOutcome)
+{
+    const RawEndpoint endpoint(answering("200 OK", "yes"));
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "any", endpoint.address());
+    ask(bench, requestText("GET", "/any/x"));
+    ask(bench, requestText("GET", "/none/x"));
+    std::string page;
+    bench.onLoop([&](ForwardingContext &context) { page = context.metrics.text(); });
+    EXPECT_NE(page.find("almondmill_requests_total{kind=\"repeatable\",outcome=\"answered\"} 1\n"),
+              std::string::npos)
+            << page;
+    EXPECT_NE(page.find("almondmill_requests_total{kind=\"none\",outcome=\"no_route\"} 1\n"),
+              std::string::npos);
+    EXPECT_NE(page.find("almondmill_first_byte_seconds_count 1\n"), std::string::npos);
+    EXPECT_NE(page.find("almondmill_sends_total 1\n"), std::string::npos);
+}
+
 TEST(Forwarding, ADrainingOrDepartedEndpointGetsNothing)
 {
     const RawEndpoint endpoint(answering("200 OK", "yes"));
