Use or drop every setting of the forwarding router

Cause: a read-through found settings that were checked and decided nothing (heartbeat, configuration and drain deadlines, reuse window, descriptors). Change: the drain deadline bounds how long a router stays quiet without news, the configuration deadline the watch, the reuse window the life of a part's location, the descriptors the callers' connections; the heartbeat is gone.

--- a/include/almondmill/forward/callerlistener.h
+++ b/include/almondmill/forward/callerlistener.h
@@ -33,6 +33,9 @@
 private:
     using Sessions = std::list<std::weak_ptr<CallerSession>>;
 
+    /// Connections that the process's descriptors allow.
+    std::size_t mostSessions() const;
+
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
--- a/include/almondmill/forward/forwardersettings.h
+++ b/include/almondmill/forward/forwardersettings.h
@@ -11,13 +11,13 @@
 {
     std::string name;
     std::string dataCentre;
-    std::string adapter;         ///< Name of a registered platform adapter.
-    std::string store;           ///< "IP:port" of the platform's object store.
-    std::string callersListen;   ///< "IP:port".
-    std::string readyListen;     ///< "IP:port" that the balancer asks for readiness.
-    std::string operatorsListen; ///< "IP:port" for metrics and dumps; empty for none.
-    std::string peersListen;     ///< "IP:port" (UDP) for other routers.
-    std::uint32_t maxDescriptors = 1024;
+    std::string adapter;                 ///< Name of a registered platform adapter.
+    std::string store;                   ///< "IP:port" of the platform's object store.
+    std::string callersListen;           ///< "IP:port".
+    std::string readyListen;             ///< "IP:port" that the balancer asks for readiness.
+    std::string operatorsListen;         ///< "IP:port" for metrics and dumps; empty for none.
+    std::string peersListen;             ///< "IP:port" (UDP) for other routers.
+    std::uint32_t maxDescriptors = 1024; ///< Of the process; bounds the callers' connections.
 
     std::chrono::milliseconds configurationDeadline{2000}; ///< From acknowledged to in force.
     std::chrono::milliseconds drainDeadline{2000};   ///< From deregistered to no more requests.
@@ -25,7 +25,6 @@
     std::chrono::milliseconds weightsDeadline{8000}; ///< From named to no request on older ones.
     std::chrono::milliseconds leaseTurn{3000};    ///< Least time between the orders of two holders.
     std::chrono::milliseconds reuseWindow{10000}; ///< For which a cached part is worth keeping.
-    std::chrono::milliseconds heartbeat{1200};    ///< Of registered endpoints.
     double retryShare = 0.2;                      ///< Repeats for each request, over all routers.
     std::uint32_t retriesAlways = 100;            ///< Repeats in a window beside the share.
     std::chrono::milliseconds retryWindow{10000};
--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -32,11 +32,11 @@
     bool isOpen() const { return m_socket.is_open() && m_ended == Ended::No; }
 
     /// Whether the peer closed an idle connection or sent bytes that nobody asked for.
-    bool spoiledWhileIdle() const;
+    bool spoiledWhileIdle();
 
     /// What can be read at once, without reading it.
     enum class Readable { Nothing, Bytes, End };
-    Readable readable() const;
+    Readable readable();
 
     /// Bytes received and not yet consumed.
     const std::string &input() const { return m_input; }
--- a/include/almondmill/peers/readerturn.h
+++ b/include/almondmill/peers/readerturn.h
@@ -14,7 +14,8 @@
 class ReaderTurn
 {
 public:
-    explicit ReaderTurn(const std::string &self);
+    /// `drainDeadline` is the time in which a router must know that an endpoint leaves.
+    ReaderTurn(const std::string &self, std::chrono::milliseconds drainDeadline);
 
     /// News came that `origin` read from the store.
     void heard(const std::string &origin, SteadyTime now);
--- a/src/forward/callerlistener.cpp
+++ b/src/forward/callerlistener.cpp
@@ -11,12 +11,20 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace almondmill {
 
 namespace asio = boost::asio;
 
 namespace {
 
+/// Descriptors for files, the store, peers and the balancer.
+constexpr std::uint32_t OtherDescriptors = 300;
+
+/// A caller's connection and one to an endpoint.
+constexpr std::uint32_t DescriptorsPerSession = 2;
+
 /// Time until accepting goes on after it failed, mostly for want of descriptors.
 constexpr std::chrono::milliseconds AcceptPause{50};
 
@@ -52,12 +60,22 @@
     }
 }
 
+std::size_t CallerListener::mostSessions() const
+{
+    const std::uint32_t descriptors = m_context.settings.maxDescriptors;
+    return (descriptors - std::min(descriptors, OtherDescriptors)) / DescriptorsPerSession;
+}
+
 asio::awaitable<void> CallerListener::accept()
 {
     while (m_acceptor.is_open()) {
         boost::system::error_code error;
         auto socket =
                 co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (!error && m_sessions.size() >= mostSessions()) {
+            EventLine("listener.full").add("sessions", std::uint64_t(m_sessions.size()));
+            continue; // The socket's end closes the connection; the caller tries another router.
+        }
         if (!error) {
             asio::co_spawn(m_context.loop, serve(std::move(socket)), asio::detached);
             continue;
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -49,11 +49,6 @@
 
 } // namespace
 
-std::string_view CallerRequest::path() const
-{
-    return std::string_view(target).substr(0, target.find('?'));
-}
-
 CallerSession::CallerSession(ForwardingContext &context, RequestForwarder &forwarder,
                              boost::asio::ip::tcp::socket socket)
     : m_context(context)
--- a/src/forward/forwardersettings.cpp
+++ b/src/forward/forwardersettings.cpp
@@ -46,7 +46,6 @@
     read("weights_deadline", settings.weightsDeadline);
     read("lease_turn", settings.leaseTurn);
     read("reuse_window", settings.reuseWindow);
-    read("heartbeat", settings.heartbeat);
     read("retry_window", settings.retryWindow);
     settings.retryShare = reader.fraction("retry_share", settings.retryShare, MostRetryShare);
     settings.retriesAlways =
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -33,8 +33,8 @@
 /// with all others when the store restarted.
 constexpr std::chrono::seconds SaveAgainAfter{30};
 
-/// An endpoint is taken to keep a part this long after the last request with it.
-constexpr std::chrono::seconds SourceLifetime{20};
+/// An endpoint is taken to keep a part for so many reuse windows after the last request with it.
+constexpr int SourceLifetimeInWindows = 2;
 
 /// Part of the link of the store of kept KV cache that saving may take; the rest is for fetching.
 constexpr double SavePart = 0.4;
@@ -210,6 +210,7 @@
                                   SteadyTime now) const
 {
     const PromptRequest &prompt = *placed.request.prompt;
+    const auto lifetime = m_context.settings.reuseWindow * SourceLifetimeInWindows;
     for (std::size_t part = prompt.parts.size() - 1; part-- > 0;) {
         const auto *known = m_context.parts.find(partKey(send.cacheScope, prompt.parts[part].id));
         if (!known)
@@ -217,8 +218,7 @@
         const auto view = m_context.endpoints.findShort(known->endpoint);
         const bool hasPart = view && view->id() != send.endpointId
                              && view->weightsVersion(prompt.model) == send.weightsVersion
-                             && view->health().isReachable(now)
-                             && now - known->since < SourceLifetime;
+                             && view->health().isReachable(now) && now - known->since < lifetime;
         if (hasPart)
             return view->registration().address;
     }
--- a/src/forward/storeviews.cpp
+++ b/src/forward/storeviews.cpp
@@ -18,8 +18,8 @@
 
 using std::chrono::milliseconds;
 
-/// Longest waits of the calls that hear changes: a connection that went silent is noticed by then.
-constexpr milliseconds RoutingWait{3000};
+/// Longest wait of a call that hears of named weights: a connection that went silent is noticed by
+/// then, and the first second and a half of a roll-out cost nothing.
 constexpr milliseconds WeightsWait{3000};
 
 /// A reader's calls for registrations: by their answers the other routers know that they are up to
@@ -57,7 +57,7 @@
     : m_context(context)
     , m_store(store)
     , m_publish(std::move(publish))
-    , m_turn(context.settings.name)
+    , m_turn(context.settings.name, context.settings.drainDeadline)
     , m_startedAt(std::chrono::steady_clock::now())
 {}
 
@@ -162,8 +162,8 @@
 
 void StoreViews::followRouting()
 {
-    StoreFollower::Options options{ObjectKind::RoutingConfiguration, "configuration", RoutingWait,
-                                   milliseconds(0)};
+    StoreFollower::Options options{ObjectKind::RoutingConfiguration, "configuration",
+                                   m_context.settings.configurationDeadline, milliseconds(0)};
     StoreFollower::Handlers handlers;
     handlers.listed = [this](const ObjectList &list) {
         for (const StoredObject &object : list.objects)
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -46,18 +46,17 @@
     , m_timer(m_socket.get_executor())
 {}
 
-bool TimedSocket::spoiledWhileIdle() const
+bool TimedSocket::spoiledWhileIdle()
 {
     return !isOpen() || !m_input.empty() || readable() != Readable::Nothing;
 }
 
-TimedSocket::Readable TimedSocket::readable() const
+TimedSocket::Readable TimedSocket::readable()
 {
     if (!isOpen())
         return Readable::End;
     char byte = 0;
-    auto &socket = const_cast<Socket &>(m_socket); // native_handle() isn't const.
-    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (got > 0)
         return Readable::Bytes;
     const bool wouldBlock = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
--- a/src/peers/readerturn.cpp
+++ b/src/peers/readerturn.cpp
@@ -13,9 +13,10 @@
 /// Readers at a time, so that the loss of one leaves no gap.
 constexpr std::ptrdiff_t Readers = 2;
 
-/// News of a reader come about every half second; two may be lost. With the time of a call and the
-/// way through the others this is within the two seconds in which an endpoint may leave.
-constexpr milliseconds LeastPatience{1100};
+/// News of a reader come about every half second, and one may be lost. Where an endpoint may leave
+/// in less than twice this time, half of that time counts; the rest is for a call of this router's
+/// own.
+constexpr milliseconds LongestPatience{1100};
 
 /// The first in order notice first, so that their news keep the rest from reading.
 constexpr std::uint64_t PatienceSpreadMs = 400;
@@ -25,9 +26,10 @@
 
 } // namespace
 
-ReaderTurn::ReaderTurn(const std::string &self)
+ReaderTurn::ReaderTurn(const std::string &self, milliseconds drainDeadline)
     : m_rank(hash64(self))
-    , m_patience(LeastPatience + milliseconds((m_rank >> 32U) * PatienceSpreadMs >> 32U))
+    , m_patience(std::min(LongestPatience, drainDeadline / 2)
+                 + milliseconds((m_rank >> 32U) * PatienceSpreadMs >> 32U))
 {}
 
 void ReaderTurn::heard(const std::string &origin, SteadyTime now)
--- a/tests/unit-storenews.cpp
+++ b/tests/unit-storenews.cpp
@@ -67,7 +67,7 @@
     const auto names = routers(30);
     std::vector<ReaderTurn> turns;
     for (const std::string &name : names)
-        turns.emplace_back(name);
+        turns.emplace_back(name, seconds(2));
     for (const auto &turn : turns)
         EXPECT_TRUE(turn.isReader(Start));
     std::set<std::size_t> readers;
@@ -88,10 +88,14 @@
 
 TEST(ReaderTurn, WhoHearsNothingReadsWithinTheTimeThatAnEndpointTakesToLeave)
 {
-    ReaderTurn turn("router-5");
+    ReaderTurn turn("router-5", seconds(2));
     for (const std::string &name : routers(30))
         turn.heard(name, Start);
     EXPECT_TRUE(turn.isReader(Start + milliseconds(1600)));
+    ReaderTurn hasty("router-5", milliseconds(800));
+    for (const std::string &name : routers(30))
+        hasty.heard(name, Start);
+    EXPECT_TRUE(hasty.isReader(Start + milliseconds(800)));
 }
 
 RC_GTEST_PROP(StoreNews, SurvivesItsEncoding, ())
