Count an engine's queue in the time that requests on old weights have

The holder of the lease had frozen and the next one was killed, so the roll-out stood still. Ruled out: a larger fixed margin (it would refuse on idle engines too). Change: an engine with old weights gets a request only if the prompts that wait there are read in time. Test: Forwarding.AnEngineWithOldWeightsGetsNothingThatItCannotBeginInTime.

--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -45,6 +45,17 @@
 /// it later: the part of this router's own change that each of the others is expected to make.
 constexpr double LikeChangePart = 0.25;
 
+/// Prompt tokens that an engine reads in a millisecond, as the deployments' sheets say.
+constexpr std::uint64_t TokensPerMs = 38;
+
+/// Time until an engine begins with a request that is sent now, by the prompts that wait there.
+std::chrono::milliseconds expectedWait(const ForwardingContext &context, const EndpointView &view)
+{
+    EndpointLoad load = view.load();
+    load += context.peers.loadOn(shortHash(view.id()));
+    return std::chrono::milliseconds(static_cast<std::uint64_t>(load.unreadTokens) / TokensPerMs);
+}
+
 std::uint64_t sharedPartHash(const PromptRequest &prompt)
 {
     if (prompt.parts.empty())
@@ -130,7 +141,8 @@
     if (!version)
         return false;
     const auto oldSince = m_context.weights.oldSince(placed.request.prompt->model, *version);
-    return !oldSince || now < *oldSince + m_context.settings.weightsDeadline - WeightsMargin;
+    const auto lastBegin = m_context.settings.weightsDeadline - WeightsMargin;
+    return !oldSince || now + expectedWait(m_context, view) < *oldSince + lastBegin;
 }
 
 EndpointCandidate SendPlanner::describe(const PlacedRequest &placed, const EndpointView &view,
--- a/tests/failure-forwarding.cpp
+++ b/tests/failure-forwarding.cpp
@@ -345,6 +345,26 @@
     EXPECT_TRUE(waitUntil([&] { return closed.load(); }));
 }
 
+TEST(Forwarding, AnEngineWithOldWeightsGetsNothingThatItCannotBeginInTime)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, streamHead(call) + chunk(event(1)) + LastChunk);
+    });
+    ForwardingBench bench;
+    bench.configure(oneRouteOfEachKind());
+    bench.addEndpoint("e1", "stream", endpoint.address(), 1);
+    bench.onLoop([](ForwardingContext &context) {
+        const auto longAgo = context.settings.weightsDeadline / 2;
+        context.weights.learn({"m", 2}, std::chrono::steady_clock::now() - longAgo);
+    });
+    EXPECT_TRUE(startsWithStatus(ask(bench, requestText("POST", "/stream/x", PromptHeaders)), 200));
+    bench.onLoop([](ForwardingContext &context) {
+        constexpr std::uint64_t TokensOfThreeSeconds = 120000;
+        context.endpoints.find("e1")->readingStarted(TokensOfThreeSeconds);
+    });
+    EXPECT_TRUE(startsWithStatus(ask(bench, requestText("POST", "/stream/x", PromptHeaders)), 503));
+}
+
 TEST(Forwarding, MetricsCountRequestsByKindAndOutcome)
 {
     const RawEndpoint endpoint(answering("200 OK", "yes"));
