Refuse old weights a second earlier

Ruled out: orders after the lease (those logged after a freeze were sent before it). Change: the margin before the bound is 2.5 s in place of 1.5.

--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -18,9 +18,10 @@
 /// The least urgent priority that engines know.
 constexpr std::uint32_t LastEnginePriority = 9;
 
-/// Engines behind on weights get no request in this last part of the bound: a request waits at the
-/// engine before it begins.
-constexpr std::chrono::milliseconds WeightsMargin{1500};
+/// Engines behind on weights get no request in this last part of the bound, beside the time in
+/// which they read what waits there: what other routers sent is known a second late, and requests
+/// also wait for others to end.
+constexpr std::chrono::milliseconds WeightsMargin{2500};
 
 /// Answers made with old weights keep their whole worth for 1.5 s after newer ones were named, less
 /// the time until a request begins.
