Go on with the lease after a restart on the same VM

Ruled out: shorter turns (the rule sets them between VMs; two processes of one VM are one holder). Change: the lease's incarnation is the same for every process of a VM. Test: Lease.AProcessThatFollowsAnotherOfTheSameHolderGoesOnAtOnce (fails for two incarnations, which wait; so it pins the rule that the roll-out now relies on).

--- a/src/rollout/rolloutleader.cpp
+++ b/src/rollout/rolloutleader.cpp
@@ -3,7 +3,6 @@
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/hash.h"
-#include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/rollout/namedweights.h"
 #include "almondmill/rollout/orderlimits.h"
@@ -24,6 +23,10 @@
 
 constexpr const char *LeaseObject = "weights-rollout";
 
+/// A VM runs one process at a time, and all of its orders count as one holder's: a process that
+/// comes after another on the same VM goes on with its lease.
+constexpr std::uint64_t OneProcessAVm = 1;
+
 constexpr milliseconds StoreTimeout{500};
 
 /// Between two rounds of a roll-out; engines take several times as long to load.
@@ -60,7 +63,7 @@
     LeaseOptions options;
     options.objectName = LeaseObject;
     options.holder = context.settings.name;
-    options.incarnation = randomIncarnation();
+    options.incarnation = OneProcessAVm;
     options.duration = OrderLeaseDuration;
     options.orderTimeout = OrderTimeout;
     options.storeTimeout = StoreTimeout;
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -223,4 +223,17 @@
     EXPECT_EQ(second.previousOrdersEnd(), seen + Duration - OrderTimeout);
 }
 
+TEST(Lease, AProcessThatFollowsAnotherOfTheSameHolderGoesOnAtOnce)
+{
+    UnreliableStore store;
+    TestTime time;
+    Lease killed(store, optionsOf("a"));
+    killed.maintain(time.clock());
+    Lease restarted(store, optionsOf("a"));
+    restarted.maintain(time.clock());
+    EXPECT_TRUE(restarted.mayOrder(time.now));
+    EXPECT_EQ(restarted.fencing(), killed.fencing());
+    EXPECT_EQ(restarted.previousOrdersEnd(), std::nullopt);
+}
+
 } // namespace almondmill::test
