--- a/include/almondmill/forward/storeviews.h
+++ b/include/almondmill/forward/storeviews.h
@@ -34,6 +34,9 @@
     /// Takes over what another router read.
     void learn(const StoreNews &news);
 
+    /// Takes over which versions of weights another router knows, and since when.
+    void learnWeights(const std::vector<PeerMessage::Weights> &weights, const std::string &peer);
+
     /// Takes over which configuration another router has in force.
     void learnConfigurationVersion(std::uint64_t version);
 
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -25,7 +25,7 @@
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned TooManyRequests = 429;
 constexpr unsigned ServerError = 500;
-constexpr unsigned Unavailable503 = 503;
+constexpr unsigned ServiceUnavailable = 503;
 
 /// A connection inside a region is made in a few milliseconds; a lost packet is sent again after a
 /// second, by which another endpoint has long answered.
@@ -57,7 +57,7 @@
 
 bool promisesNotRun(unsigned status)
 {
-    return status == RequestTimeout || status == TooManyRequests || status == Unavailable503;
+    return status == RequestTimeout || status == TooManyRequests || status == ServiceUnavailable;
 }
 
 } // namespace
@@ -90,7 +90,7 @@
 std::optional<ForwardedRequest::Refusal> ForwardedRequest::resolve()
 {
     if (!m_table)
-        return Refusal{Unavailable503, "no_configuration"};
+        return Refusal{ServiceUnavailable, "no_configuration"};
     m_route = m_table->match(m_request.host, m_request.path());
     if (!m_route)
         return Refusal{NotFound, "no_route"};
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -168,14 +168,7 @@
     for (const PartPlacement &placement : message.placements)
         m_context.parts.learn(placement, now);
     m_views.learnConfigurationVersion(message.configuration);
-    for (const PeerMessage::Weights &entry : message.weights) {
-        if (m_context.weights.learn(entry.target, now - entry.knownFor))
-            EventLine("weights.named")
-                    .add("model", entry.target.model)
-                    .add("version", entry.target.version)
-                    .add("known_for", entry.knownFor)
-                    .add("peer", message.sender);
-    }
+    m_views.learnWeights(message.weights, message.sender);
 }
 
 asio::awaitable<void> ForwardingRouter::awaitTermination()
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -16,7 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned BadGateway = 502;
-constexpr unsigned Unavailable503 = 503;
+constexpr unsigned ServiceUnavailable = 503;
 constexpr unsigned GatewayTimeout = 504;
 
 /// Time until a caller may return when no endpoint could take its request.
@@ -47,7 +47,7 @@
         co_return co_await m_session.send(head + m_failure->body);
     }
     if (!m_mayHaveRun)
-        co_return co_await answer({Unavailable503, m_lastReason});
+        co_return co_await answer({ServiceUnavailable, m_lastReason});
     const bool isLate = steadyNow() >= m_deadline;
     co_return co_await answer({isLate ? GatewayTimeout : BadGateway, m_lastReason});
 }
@@ -56,7 +56,7 @@
 {
     logEnd(refusal.reason, refusal.status);
     std::optional<milliseconds> retryAfter;
-    if (refusal.status == Unavailable503)
+    if (refusal.status == ServiceUnavailable)
         retryAfter = m_table ? RetryAfterNoRoom : RetryAfterStart;
     const std::string text = m_context.adapter->codec().encodeOwnAnswer(
             refusal.status, m_request.id, retryAfter, refusal.reason,
--- a/src/forward/storeviews.cpp
+++ b/src/forward/storeviews.cpp
@@ -103,19 +103,11 @@
 
 void StoreViews::learn(const StoreNews &news)
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
-    for (const PeerMessage::Weights &entry : news.weights) {
-        if (m_context.weights.learn(entry.target, now - entry.knownFor))
-            EventLine("weights.named")
-                    .add("model", entry.target.model)
-                    .add("version", entry.target.version)
-                    .add("known_for", entry.knownFor)
-                    .add("peer", news.origin);
-    }
+    learnWeights(news.weights, news.origin);
     learnConfigurationVersion(news.configuration);
     if (!news.registrations)
         return;
-    m_turn.heard(news.origin, now);
+    m_turn.heard(news.origin, std::chrono::steady_clock::now());
     EndpointDirectory &directory = m_context.directory;
     if (news.registrations->to <= directory.revision())
         return;
@@ -131,6 +123,20 @@
     m_registrations->advance(news.registrations->to);
 }
 
+void StoreViews::learnWeights(const std::vector<PeerMessage::Weights> &weights,
+                              const std::string &peer)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    for (const PeerMessage::Weights &entry : weights) {
+        if (m_context.weights.learn(entry.target, now - entry.knownFor))
+            EventLine("weights.named")
+                    .add("model", entry.target.model)
+                    .add("version", entry.target.version)
+                    .add("known_for", entry.knownFor)
+                    .add("peer", peer);
+    }
+}
+
 void StoreViews::learnConfigurationVersion(std::uint64_t version)
 {
     const auto table = m_context.table.snapshot();
--- a/tests/unit-storenews.cpp
+++ b/tests/unit-storenews.cpp
@@ -66,6 +66,7 @@
 {
     const auto names = routers(30);
     std::vector<ReaderTurn> turns;
+    turns.reserve(names.size());
     for (const std::string &name : names)
         turns.emplace_back(name, seconds(2));
     for (const auto &turn : turns)
