Fetch shared parts from who has read them, and from the store once engines have dropped them

Change: PartLocations keeps the last two holders of a part, with the time from which each has read it. PartSources picks where to fetch: a holder that has read the part and by the engines' turnover still keeps it, then the store; also for the engine that should have it. Prompts that are mostly their own are not saved. An engine that would read a part again costs the time and as much as an answer in the choice. Shares of links and memory count all routers that are known, not those heard lately.

The test of a full engine's parts says now that its parts can be fetched, which the choice took for granted before.

--- a/include/almondmill/forward/endpointcandidate.h
+++ b/include/almondmill/forward/endpointcandidate.h
@@ -20,6 +20,7 @@
     bool isLoading = false;               ///< Weights; it turns requests away meanwhile.
     bool isLocal = false;                 ///< In this router's data centre.
     bool hasSharedParts = false;          ///< The request's shared parts were sent there last.
+    bool canFetchParts = false;           ///< From where they are.
     bool hasOldWeights = false;           ///< So old that answers made with them are worth less.
 };
 
--- a/include/almondmill/forward/endpointchoice.h
+++ b/include/almondmill/forward/endpointchoice.h
@@ -18,8 +18,9 @@
 };
 
 /// Places prompts: where the first event is expected soonest, in parts of its target latency.
-/// Shared parts are cached where they were sent last; elsewhere they are fetched from there. Parts
-/// that are new go to the same engine from every router.
+/// Shared parts are cached where they were sent last; elsewhere they are fetched, if some engine or
+/// the store of kept KV cache has them by now. Parts that are new go to the same engine from every
+/// router.
 struct SoonestFirstEvent
 {
     std::uint64_t sharedPartHash = 0; ///< Of the longest shared prefix.
--- a/include/almondmill/forward/partlocations.h
+++ b/include/almondmill/forward/partlocations.h
@@ -4,6 +4,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -29,29 +30,37 @@
 class PartLocations
 {
 public:
-    struct Location
+    /// An engine that was asked to read or fetch the part.
+    struct Holder
     {
         std::uint32_t endpoint = 0;
-        SteadyTime since; ///< Of the last request that went there.
-        std::optional<SteadyTime>
-                savedAt; ///< Since when the part is in the store of kept KV cache.
+        SteadyTime readAt;   ///< From when on it has the part, as expected.
+        SteadyTime lastUsed; ///< By the last request that went there.
+    };
+
+    struct Location
+    {
+        Holder last;                       ///< Where the part was sent last.
+        std::optional<Holder> before;      ///< Where it was before; it may still be there.
+        std::optional<SteadyTime> savedAt; ///< Since when the store of kept KV cache has it.
     };
 
     /// Null when the part is not known.
     const Location *find(PartKey part) const;
 
-    /// Takes over a placement of this router, which is told to the others.
-    void place(const PartPlacement &placement, SteadyTime now);
+    /// Takes over a placement of this router, which is told to the others. The engine has read the
+    /// part after about `reading`, unless it had it before.
+    void place(const PartPlacement &placement, std::chrono::milliseconds reading, SteadyTime now);
 
     /// Takes over a placement of another router.
-    void learn(const PartPlacement &placement, SteadyTime now);
+    void learn(const PartPlacement &placement, std::chrono::milliseconds reading, SteadyTime now);
 
     /// This router's placements since the last call with that `reader`'s position, oldest first;
     /// the position moves to the end. Old ones are left out.
     std::vector<PartPlacement> news(std::uint64_t &position) const;
 
 private:
-    void set(const PartPlacement &placement, SteadyTime now);
+    void set(const PartPlacement &placement, std::chrono::milliseconds reading, SteadyTime now);
     void forgetOld(SteadyTime now);
 
     absl::flat_hash_map<PartKey, Location> m_locations;
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -2,6 +2,7 @@
 
 #include "almondmill/forward/endpointcandidate.h"
 #include "almondmill/forward/endpointsend.h"
+#include "almondmill/forward/partsources.h"
 #include "almondmill/forward/savebudget.h"
 #include "almondmill/kernel/time.h"
 
@@ -45,21 +46,34 @@
     EndpointSend planSend(const PlacedRequest &placed, const EndpointView &view,
                           std::chrono::milliseconds timeLeft, SteadyTime now);
 
+    /// Takes over where another router sent a prompt part.
+    void learn(const PartPlacement &placement, SteadyTime now);
+
 private:
+    /// What is known of a prompt's shared parts under one version of the weights.
+    struct VersionedParts
+    {
+        std::uint64_t weightsVersion = 0;
+        PartSources::Longest longest;
+    };
+
     bool isUsable(const PlacedRequest &placed, const EndpointView &view, SteadyTime now) const;
     EndpointCandidate describe(const PlacedRequest &placed, const EndpointView &view,
-                               SteadyTime now) const;
+                               std::vector<VersionedParts> &known, SteadyTime now) const;
+    const PartSources::Longest &longestPart(const PlacedRequest &placed,
+                                            std::uint64_t weightsVersion,
+                                            std::vector<VersionedParts> &known,
+                                            SteadyTime now) const;
 
     /// What the other routers added to an endpoint's load and have not told yet, going by this one.
     EndpointLoad expectedChange(const EndpointLoad &now, const EndpointLoad &told) const;
 
     void planCache(const PlacedRequest &placed, const EndpointView &view, EndpointSend &send,
                    SteadyTime now);
-    std::string sourceOf(const PlacedRequest &placed, const EndpointSend &send,
-                         SteadyTime now) const;
     bool maySave(const PlacedRequest &placed, const KeptCache &kept, SteadyTime now);
 
     ForwardingContext &m_context;
+    PartSources m_sources;
     SaveBudget m_saves;
 };
 
--- a/include/almondmill/peers/peerviews.h
+++ b/include/almondmill/peers/peerviews.h
@@ -33,10 +33,14 @@
     /// Routers heard of lately.
     std::size_t liveCount() const { return m_peers.size(); }
 
+    /// All routers, this one included, as of the last refresh.
+    std::size_t routerCount() const { return m_routers; }
+
     /// The two live routers, `self` included, that come first in an order that is the same at all.
     std::vector<std::string> firstInLine(const std::string &self) const;
 
-    /// Forgets routers that have been silent for long and sums up the rest, of `known` in all.
+    /// Forgets routers that have been silent for long and sums up the rest, of `known` others in
+    /// all.
     void refresh(SteadyTime now, std::size_t known);
 
 private:
@@ -48,6 +52,7 @@
 
     void gatherLoading();
 
+    std::size_t m_routers = 1;
     absl::flat_hash_map<std::string, Peer> m_peers;
     absl::flat_hash_map<std::uint32_t, EndpointLoad> m_loads; ///< Sums over all peers.
     absl::flat_hash_map<std::uint32_t, SteadyTime> m_loadingUntil;
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -38,10 +38,14 @@
 /// Part of the worth that an answer made with old weights loses.
 constexpr double OldWeightsCost = 0.2;
 
-/// Of a place other than where the parts are, in target latencies: what can't be fetched is read
-/// again, which costs more than the answer is worth.
+/// Of a place other than where the parts are, in target latencies: a transfer may fail, and what
+/// is not found is read.
 constexpr double AwayCost = 0.3;
 
+/// Of a place where shared parts are read that another engine reads or has: the time is taken from
+/// all that wait there, as much as the answer is worth.
+constexpr double ReadAgainCost = 1;
+
 /// Of a place for new parts other than the one that all routers choose, in target latencies: enough
 /// to keep two routers from reading the same part at two engines.
 constexpr double NotHomeCost = 0.05;
@@ -84,13 +88,15 @@
 }
 
 /// Where the shared parts of a prompt are.
-enum class Parts { Cached, Elsewhere, NewHome, New };
+enum class Parts { Cached, Fetched, ReadAgain, NewHome, New };
 
 double awayCost(Parts parts)
 {
     switch (parts) {
-    case Parts::Elsewhere:
+    case Parts::Fetched:
         return AwayCost;
+    case Parts::ReadAgain:
+        return ReadAgainCost;
     case Parts::New:
         return NotHomeCost;
     case Parts::Cached:
@@ -103,8 +109,10 @@
 /// Cost of placing a prompt, in target latencies.
 double promptCost(const EndpointCandidate &candidate, const SoonestFirstEvent &rule, Parts parts)
 {
-    const double unread = candidate.load.unreadTokens + rule.ownTokens;
-    const double fetch = parts == Parts::Elsewhere ? rule.sharedTokens / FetchedTokensPerMs : 0;
+    const bool readsShared = parts == Parts::ReadAgain;
+    const double unread =
+            candidate.load.unreadTokens + rule.ownTokens + (readsShared ? rule.sharedTokens : 0);
+    const double fetch = parts == Parts::Fetched ? rule.sharedTokens / FetchedTokensPerMs : 0;
     const double overSlots = std::max(0.0, candidate.load.openRequests + 1 - candidate.slots);
     const double firstEvent = unread / TokensPerMs + fetch + overSlots * WaitForSlotMs;
     const double targets = firstEvent / static_cast<double>(rule.targetLatency.count());
@@ -176,7 +184,8 @@
             const auto &candidate = candidates[ranked[rank]];
             if (rank >= ChoicesPerPart && !candidate.hasSharedParts)
                 continue;
-            const Parts known = candidate.hasSharedParts ? Parts::Cached : Parts::Elsewhere;
+            const Parts elsewhere = candidate.canFetchParts ? Parts::Fetched : Parts::ReadAgain;
+            const Parts known = candidate.hasSharedParts ? Parts::Cached : elsewhere;
             const Parts unknown = rank == 0 ? Parts::NewHome : Parts::New;
             const double cost = promptCost(candidate, rule, isNew ? unknown : known);
             if (cost >= bestCost)
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -166,7 +166,7 @@
 {
     const SteadyTime now = std::chrono::steady_clock::now();
     for (const PartPlacement &placement : message.placements)
-        m_context.parts.learn(placement, now);
+        m_planner.learn(placement, now);
     m_views.learnConfigurationVersion(message.configuration);
     m_views.learnWeights(message.weights, message.sender);
 }
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -9,6 +9,8 @@
 #include "almondmill/forward/wirecodec.h"
 #include "almondmill/observe/eventline.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace almondmill {
 
 namespace {
@@ -25,6 +27,17 @@
 /// Time until a caller may return while the router has no configuration yet.
 constexpr milliseconds RetryAfterStart{500};
 
+/// "ID:TOKENS" of each part that others may share, from the start of the prompt.
+std::string sharedPartsOf(const PromptRequest &prompt)
+{
+    std::string text;
+    for (std::size_t part = 0; part + 1 < prompt.parts.size(); ++part) {
+        const char *separator = text.empty() ? "" : ",";
+        absl::StrAppend(&text, separator, prompt.parts[part].id, ":", prompt.parts[part].tokens);
+    }
+    return text;
+}
+
 SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -70,17 +83,12 @@
     line.add("id", m_request.id).add("endpoint", view.id()).add("time_left", send.timeLeft);
     if (!m_request.prompt)
         return;
-    const auto &parts = m_request.prompt->parts;
     line.add("scope", send.cacheScope)
             .add("tokens", m_request.prompt->promptTokens)
             .add("open", view.openRequests())
-            .add("fetch", !send.fetchFrom.empty())
-            .add("save", !send.saveTo.empty());
-    if (parts.size() > 1)
-        line.add("part", parts[parts.size() - 2].id)
-                .add("part_tokens", parts[parts.size() - 2].tokens);
-    if (parts.size() > 2)
-        line.add("first_part", parts[0].id).add("first_tokens", parts[0].tokens);
+            .add("fetch", send.fetchFrom)
+            .add("save", !send.saveTo.empty())
+            .add("shared", sharedPartsOf(*m_request.prompt));
 }
 
 void ForwardedRequest::logEnd(std::string_view outcome, unsigned status) const
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -34,11 +34,8 @@
 /// with all others when the store restarted.
 constexpr std::chrono::seconds SaveAgainAfter{30};
 
-/// An endpoint is taken to keep a part for so many reuse windows after the last request with it.
-constexpr int SourceLifetimeInWindows = 2;
-
 /// Part of the link of the store of kept KV cache that saving may take; the rest is for fetching.
-constexpr double SavePart = 0.4;
+constexpr double SavePart = 0.6;
 
 constexpr double BytesPerMegabit = 125000;
 
@@ -49,12 +46,17 @@
 /// Prompt tokens that an engine reads in a millisecond, as the deployments' sheets say.
 constexpr std::uint64_t TokensPerMs = 38;
 
+std::chrono::milliseconds readingTime(std::uint64_t tokens)
+{
+    return std::chrono::milliseconds(tokens / TokensPerMs);
+}
+
 /// Time until an engine begins with a request that is sent now, by the prompts that wait there.
 std::chrono::milliseconds expectedWait(const ForwardingContext &context, const EndpointView &view)
 {
     EndpointLoad load = view.load();
     load += context.peers.loadOn(shortHash(view.id()));
-    return std::chrono::milliseconds(static_cast<std::uint64_t>(load.unreadTokens) / TokensPerMs);
+    return readingTime(static_cast<std::uint64_t>(load.unreadTokens));
 }
 
 std::uint64_t sharedPartHash(const PromptRequest &prompt)
@@ -79,6 +81,15 @@
     return rule;
 }
 
+/// The whole prompt is sent to the store, and only its shared parts are ever fetched from there.
+bool isWorthSaving(const PromptRequest &prompt)
+{
+    std::uint32_t shared = 0;
+    for (std::size_t part = 0; part + 1 < prompt.parts.size(); ++part)
+        shared += prompt.parts[part].tokens;
+    return 2 * shared >= prompt.promptTokens;
+}
+
 std::uint32_t priorityOf(const PlacedRequest &placed)
 {
     const std::uint32_t priority = placed.account && placed.account->priority
@@ -110,18 +121,27 @@
 
 SendPlanner::SendPlanner(ForwardingContext &context)
     : m_context(context)
+    , m_sources(context)
 {}
 
+void SendPlanner::learn(const PartPlacement &placement, SteadyTime now)
+{
+    const auto view = m_context.endpoints.findShort(placement.endpoint);
+    const auto reading = view ? expectedWait(m_context, *view) : std::chrono::milliseconds(0);
+    m_context.parts.learn(placement, reading, now);
+}
+
 SendPlanner::View SendPlanner::pick(const PlacedRequest &placed, const std::vector<View> &tried,
                                     SteadyTime now) const
 {
     std::vector<EndpointCandidate> candidates;
     std::vector<View> views;
+    std::vector<VersionedParts> known;
     for (const View &view : m_context.endpoints.ofService(placed.service)) {
         const bool again = std::find(tried.begin(), tried.end(), view) != tried.end();
         if (again || !isUsable(placed, *view, now))
             continue;
-        candidates.push_back(describe(placed, *view, now));
+        candidates.push_back(describe(placed, *view, known, now));
         views.push_back(view);
     }
     PlacementRule rule = LeastExpectedTime{hash64(placed.request.id)};
@@ -147,7 +167,7 @@
 }
 
 EndpointCandidate SendPlanner::describe(const PlacedRequest &placed, const EndpointView &view,
-                                        SteadyTime now) const
+                                        std::vector<VersionedParts> &known, SteadyTime now) const
 {
     const std::uint32_t name = shortHash(view.id());
     EndpointCandidate candidate;
@@ -169,15 +189,26 @@
     const auto version = view.weightsVersion(placed.request.prompt->model).value_or(0);
     const auto oldSince = m_context.weights.oldSince(placed.request.prompt->model, version);
     candidate.hasOldWeights = oldSince && now >= *oldSince + FullWorthOnOldWeights;
-    const auto &parts = placed.request.prompt->parts;
-    if (parts.size() > 1) {
-        const auto *known = m_context.parts.find(
-                partKey(cacheScope(placed, version), parts[parts.size() - 2].id));
-        candidate.hasSharedParts = known && known->endpoint == name;
-    }
+    const PartSources::Longest &longest = longestPart(placed, version, known, now);
+    candidate.hasSharedParts = longest.holder == name;
+    candidate.canFetchParts = longest.canFetch;
     return candidate;
 }
 
+const PartSources::Longest &SendPlanner::longestPart(const PlacedRequest &placed,
+                                                     std::uint64_t weightsVersion,
+                                                     std::vector<VersionedParts> &known,
+                                                     SteadyTime now) const
+{
+    for (const VersionedParts &entry : known) {
+        if (entry.weightsVersion == weightsVersion)
+            return entry.longest;
+    }
+    const std::string scope = cacheScope(placed, weightsVersion);
+    known.push_back({weightsVersion, m_sources.longest(placed, scope, weightsVersion, now)});
+    return known.back().longest;
+}
+
 EndpointSend SendPlanner::planSend(const PlacedRequest &placed, const EndpointView &view,
                                    std::chrono::milliseconds timeLeft, SteadyTime now)
 {
@@ -201,42 +232,26 @@
 void SendPlanner::planCache(const PlacedRequest &placed, const EndpointView &view,
                             EndpointSend &send, SteadyTime now)
 {
-    const auto &parts = placed.request.prompt->parts;
+    const PromptRequest &prompt = *placed.request.prompt;
+    const auto &parts = prompt.parts;
     if (parts.size() < 2)
         return;
     const std::uint32_t name = shortHash(view.id());
     const KeptCache *kept = placed.table.keptCache();
     const PartKey longest = partKey(send.cacheScope, parts[parts.size() - 2].id);
     const auto *known = m_context.parts.find(longest);
-    if (!known || known->endpoint != name)
-        send.fetchFrom = sourceOf(placed, send, now);
+    send.fetchFrom =
+            m_sources.addressFor(placed, send.cacheScope, *send.weightsVersion, view.id(), now);
     const bool isSaved = known && known->savedAt && now - *known->savedAt < SaveAgainAfter;
-    if (kept && !isSaved && maySave(placed, *kept, now))
+    if (kept && !isSaved && isWorthSaving(prompt) && maySave(placed, *kept, now))
         send.saveTo = kept->address;
+    m_sources.sent(placed, known && known->last.endpoint == name, now);
+    const auto reading = expectedWait(m_context, view) + readingTime(prompt.promptTokens);
+    const bool saves = !send.saveTo.empty();
     for (std::size_t part = 0; part + 2 < parts.size(); ++part)
-        m_context.parts.learn(
-                {partKey(send.cacheScope, parts[part].id), name, !send.saveTo.empty()}, now);
-    m_context.parts.place({longest, name, !send.saveTo.empty()}, now);
-}
-
-std::string SendPlanner::sourceOf(const PlacedRequest &placed, const EndpointSend &send,
-                                  SteadyTime now) const
-{
-    const PromptRequest &prompt = *placed.request.prompt;
-    const auto lifetime = m_context.settings.reuseWindow * SourceLifetimeInWindows;
-    for (std::size_t part = prompt.parts.size() - 1; part-- > 0;) {
-        const auto *known = m_context.parts.find(partKey(send.cacheScope, prompt.parts[part].id));
-        if (!known)
-            continue;
-        const auto view = m_context.endpoints.findShort(known->endpoint);
-        const bool hasPart = view && view->id() != send.endpointId
-                             && view->weightsVersion(prompt.model) == send.weightsVersion
-                             && view->health().isReachable(now) && now - known->since < lifetime;
-        if (hasPart)
-            return view->registration().address;
-    }
-    const KeptCache *kept = placed.table.keptCache();
-    return kept ? kept->address : std::string();
+        m_context.parts.learn({partKey(send.cacheScope, parts[part].id), name, saves}, reading,
+                              now);
+    m_context.parts.place({longest, name, saves}, reading, now);
 }
 
 bool SendPlanner::maySave(const PlacedRequest &placed, const KeptCache &kept, SteadyTime now)
@@ -246,7 +261,7 @@
         return false;
     const double bytes = static_cast<double>(placed.request.prompt->promptTokens)
                          * static_cast<double>(service->engine->bytesPerToken);
-    const double routers = 1 + static_cast<double>(m_context.peers.liveCount());
+    const auto routers = static_cast<double>(m_context.peers.routerCount());
     const double share = kept.linkMegabitsPerSecond * BytesPerMegabit * SavePart / routers;
     return m_saves.take(bytes, share, now);
 }
--- a/src/peers/peerviews.cpp
+++ b/src/peers/peerviews.cpp
@@ -79,6 +79,7 @@
     absl::erase_if(m_peers,
                    [&](const auto &entry) { return now - entry.second.heardAt > MessageLifetime; });
     gatherLoading();
+    m_routers = 1 + std::max(known, m_peers.size());
     m_loads.clear();
     const double heard = static_cast<double>(std::max<std::size_t>(m_peers.size(), 1));
     const double scale = std::max(1.0, static_cast<double>(known) / heard);
--- a/tests/unit-endpointchoice.cpp
+++ b/tests/unit-endpointchoice.cpp
@@ -27,6 +27,13 @@
     return candidates;
 }
 
+std::vector<EndpointCandidate> withFetchableParts(std::vector<EndpointCandidate> candidates)
+{
+    for (EndpointCandidate &candidate : candidates)
+        candidate.canFetchParts = true;
+    return candidates;
+}
+
 SoonestFirstEvent verdict(std::uint64_t part)
 {
     SoonestFirstEvent rule;
@@ -67,16 +74,33 @@
 
 TEST(EndpointChoice, PartsMoveAwayFromALongQueue)
 {
-    auto candidates = engines(18);
+    auto candidates = withFetchableParts(engines(18));
     candidates[3].hasSharedParts = true;
     candidates[3].load.unreadTokens = 40000;
     EXPECT_NE(chooseEndpoint(verdict(7), candidates), 3U);
 }
 
-TEST(EndpointChoice, PartsMoveAwayFromFullMemory)
+TEST(EndpointChoice, PartsThatAreStillBeingReadAreWaitedForInAShortQueue)
 {
     auto candidates = engines(18);
     candidates[3].hasSharedParts = true;
+    candidates[3].load.unreadTokens = 20000;
+    EXPECT_EQ(chooseEndpoint(verdict(7), candidates), 3U);
+    EXPECT_NE(chooseEndpoint(verdict(7), withFetchableParts(candidates)), 3U);
+}
+
+TEST(EndpointChoice, PartsThatAreStillBeingReadAreReadAgainWhenTheQueueMakesTheAnswerLate)
+{
+    auto candidates = engines(18);
+    candidates[3].hasSharedParts = true;
+    candidates[3].load.unreadTokens = 60000;
+    EXPECT_NE(chooseEndpoint(verdict(7), candidates), 3U);
+}
+
+TEST(EndpointChoice, PartsMoveAwayFromFullMemory)
+{
+    auto candidates = withFetchableParts(engines(18));
+    candidates[3].hasSharedParts = true;
     candidates[3].load.heldTokens = 98000;
     EXPECT_NE(chooseEndpoint(verdict(7), candidates), 3U);
 }
--- /dev/null
+++ b/tests/unit-partsources.cpp
@@ -0,0 +1,157 @@
+// From where the shared parts of a prompt are fetched.
+
+#include "almondmill/forward/partsources.h"
+
+#include "almondmill/forward/callerrequest.h"
+#include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/platformadapter.h"
+#include "almondmill/forward/sendplanner.h"
+#include "almondmill/kernel/hash.h"
+#include "support/forwardingbench.h"
+
+#include <gtest/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr SteadyTime Start{std::chrono::hours(1)};
+constexpr milliseconds Reading{200};
+constexpr const char *Scope = "w1";
+constexpr const char *KeptAddress = "127.0.0.9:9";
+
+/// Engines "e1" to "e3", a store of kept KV cache, and a prompt whose shared parts are "a1", "b2".
+class PartSourcesTest : public testing::Test
+{
+protected:
+    PartSourcesTest()
+        : context(loop, ForwarderSettings(), PlatformAdapterRegistry::create("rietwerk"))
+        , table(configuration())
+        , sources(context)
+    {
+        for (const char *id : {"e1", "e2", "e3"})
+            addEngine(id);
+        PromptRequest prompt;
+        prompt.model = "m";
+        prompt.promptTokens = 9000;
+        prompt.parts = {{"a1", 2500}, {"b2", 3700}, {"c3", 2800}};
+        request.prompt = prompt;
+    }
+
+    static RoutingConfiguration configuration()
+    {
+        RoutingConfiguration configuration = oneRouteOfEachKind();
+        RoutedService &engines = configuration.services[2];
+        engines.engine = EngineTraits{48, 100000, 163840, 1100000, 12};
+        RoutedService keep;
+        keep.name = "keep";
+        keep.keptCache = KeptCache{KeptAddress, "dc-1", 1600000, 280000};
+        configuration.services.push_back(keep);
+        return configuration;
+    }
+
+    void addEngine(const std::string &id)
+    {
+        Registration entry;
+        entry.id = id;
+        entry.service = "stream";
+        entry.address = addressOf(id);
+        entry.slots = 48;
+        entry.models = {{"m", 1}};
+        context.directory.put(entry);
+    }
+
+    static std::string addressOf(const std::string &id) { return "127.0.0.1:80" + id.substr(1); }
+
+    PlacedRequest placed() const
+    {
+        return {request, table, table.configuration().routes[2], nullptr, service};
+    }
+
+    void place(const char *part, const char *engine, bool saved, SteadyTime now)
+    {
+        context.parts.place({partKey(Scope, part), shortHash(engine), saved}, Reading, now);
+    }
+
+    std::string addressFor(const char *engine, SteadyTime now) const
+    {
+        return sources.addressFor(placed(), Scope, 1, engine, now);
+    }
+
+    bool canFetch(SteadyTime now) const
+    {
+        return sources.longest(placed(), Scope, 1, now).canFetch;
+    }
+
+    boost::asio::io_context loop;
+    ForwardingContext context;
+    RoutingTable table;
+    PartSources sources;
+    CallerRequest request;
+    std::string service = "stream";
+};
+
+} // namespace
+
+TEST_F(PartSourcesTest, UnknownPartsMayBeInTheStore)
+{
+    EXPECT_FALSE(canFetch(Start));
+    EXPECT_EQ(addressFor("e1", Start), KeptAddress);
+}
+
+TEST_F(PartSourcesTest, AnEngineGivesWhatItHasRead)
+{
+    place("b2", "e1", false, Start);
+    EXPECT_FALSE(canFetch(Start + Reading / 2));
+    EXPECT_TRUE(canFetch(Start + Reading));
+    EXPECT_EQ(addressFor("e2", Start + Reading), addressOf("e1"));
+}
+
+TEST_F(PartSourcesTest, WhileOneEngineReadsTheOneBeforeGives)
+{
+    place("b2", "e1", false, Start);
+    place("b2", "e2", false, Start + seconds(1));
+    EXPECT_EQ(addressFor("e3", Start + seconds(1)), addressOf("e1"));
+    EXPECT_EQ(addressFor("e3", Start + seconds(1) + Reading), addressOf("e2"));
+}
+
+TEST_F(PartSourcesTest, TheStoreGivesWhatEnginesHaveDropped)
+{
+    place("b2", "e1", true, Start);
+    for (int send = 0; send < 400; ++send)
+        sources.sent(placed(), false, Start + milliseconds(25) * send);
+    const SteadyTime later = Start + seconds(10);
+    EXPECT_TRUE(canFetch(later));
+    EXPECT_EQ(addressFor("e2", later), KeptAddress);
+    EXPECT_EQ(addressFor("e1", later), KeptAddress);
+}
+
+TEST_F(PartSourcesTest, TheEngineThatShouldHaveThePartHasTheStoreBehindIt)
+{
+    place("b2", "e1", true, Start);
+    EXPECT_EQ(addressFor("e1", Start + seconds(1)), KeptAddress);
+}
+
+TEST_F(PartSourcesTest, AShorterPartIsBetterThanNone)
+{
+    place("a1", "e3", false, Start);
+    EXPECT_FALSE(canFetch(Start + seconds(1)));
+    EXPECT_EQ(addressFor("e1", Start + seconds(1)), addressOf("e3"));
+}
+
+TEST_F(PartSourcesTest, EnginesOfOtherWeightsAndSilentOnesGiveNothing)
+{
+    place("b2", "e1", false, Start);
+    context.endpoints.find("e1")->setWeightsVersion("m", 2);
+    EXPECT_FALSE(canFetch(Start + seconds(1)));
+    context.endpoints.find("e1")->setWeightsVersion("m", 1);
+    EXPECT_TRUE(canFetch(Start + seconds(1)));
+    context.endpoints.find("e1")->health().silent(Start + seconds(1));
+    EXPECT_FALSE(canFetch(Start + seconds(1)));
+}
+
+} // namespace almondmill::test
