A fault soak of router processes, with stand-ins of the platform

almondmill-soak runs routers as processes of their own, with settings from the deployment's template, against stand-ins that this repository writes: the metadata store (objects, conditional changes, watches, a history that can go, entries that lapse), endpoints that register themselves (services and engines that take orders), and TCP proxies between routers and store, callers and routers, routers and endpoints. A seed gives the faults: kills, shutdowns, pauses, reloads, links reset, delayed, cut one way or both, a store that is busy, silent, slow, loses answers or its history, endpoints that crash, leave, come back under the same id or hand their address to another service, answers lost and cut, configurations and weights that change, in series and overlapping. Callers keep connections as long as they can. What callers and endpoints saw is checked: at most one run, true refusals, own answers, events in order, unchanged requests, and at routers and endpoints that nothing disturbed the time bounds of configuration, draining, weights, orders, shutdown and answers.

Seed 309 showed "router-3 ended with code -1": SIGTERM came 100 ms after its start, before main had run; it had accepted nobody.

--- /dev/null
+++ b/soak/faultinjector.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "faultplan.h"
+#include "soakhistory.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <vector>
+
+namespace almondmill::standin {
+class FaultProxy;
+namespace rietwerk {
+class MetadataServer;
+}
+} // namespace almondmill::standin
+
+namespace almondmill::soak {
+
+class EndpointGroup;
+class RouterGroup;
+class SiteOperator;
+
+/// Carries out the faults of a plan from outside of the routers. Belongs to the event loop and must
+/// outlive its run.
+class FaultInjector
+{
+public:
+    FaultInjector(boost::asio::io_context &loop, SoakHistory &history, RouterGroup &routers,
+                  EndpointGroup &endpoints, standin::rietwerk::MetadataServer &store,
+                  SiteOperator &siteOperator);
+
+    /// Carries out each fault at its time; returns when the last one is over.
+    boost::asio::awaitable<void> run(std::vector<PlannedFault> plan);
+
+private:
+    using Awaitable = boost::asio::awaitable<void>;
+    struct Visitor;
+
+    Awaitable carryOut(Fault fault);
+    Awaitable disturb(standin::FaultProxy &link, LinkFault fault, std::chrono::milliseconds lasts,
+                      Disturbance::What what, std::string name);
+    Awaitable disturbStore(DisturbStore fault);
+    Awaitable killAll(KillAllRouters fault);
+
+    boost::asio::io_context &m_loop;
+    SoakHistory &m_history;
+    RouterGroup &m_routers;
+    EndpointGroup &m_endpoints;
+    standin::rietwerk::MetadataServer &m_store;
+    SiteOperator &m_operator;
+    std::size_t m_active = 0;
+};
+
+} // namespace almondmill::soak
--- /dev/null
+++ b/soak/faultplan.cpp
@@ -0,0 +1,272 @@
+#include "faultplan.h"
+
+#include "soakhistory.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace almondmill::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Mean pause between faults; each lasts a few seconds, so that several overlap.
+constexpr double MeanPauseMs = 700;
+
+/// Part of the faults that come as a series of the same kind, one soon after the other.
+constexpr double SeriesShare = 0.25;
+constexpr int MostInSeries = 4;
+constexpr milliseconds SeriesPause{250};
+
+class Planner
+{
+public:
+    Planner(std::uint64_t seed, const SoakSize &size)
+        : m_random(seed)
+        , m_size(size)
+    {}
+
+    std::vector<PlannedFault> plan(milliseconds length)
+    {
+        std::vector<PlannedFault> faults;
+        milliseconds at(0);
+        std::exponential_distribution<double> pause(1 / MeanPauseMs);
+        for (;;) {
+            at += milliseconds(static_cast<std::int64_t>(pause(m_random)));
+            if (at >= length)
+                break;
+            const std::size_t kind = pick(Kinds);
+            const int times =
+                    chance(SeriesShare) ? 2 + static_cast<int>(pick(MostInSeries - 1)) : 1;
+            for (int time = 0; time < times && at + time * SeriesPause < length; ++time)
+                faults.push_back({at + time * SeriesPause, make(kind)});
+        }
+        std::stable_sort(faults.begin(), faults.end(),
+                         [](const PlannedFault &first, const PlannedFault &second) {
+                             return first.at < second.at;
+                         });
+        return faults;
+    }
+
+private:
+    static constexpr std::size_t Kinds = 20;
+
+    std::size_t pick(std::size_t count)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
+    }
+
+    bool chance(double share)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+    }
+
+    milliseconds between(int least, int most)
+    {
+        return milliseconds(std::uniform_int_distribution<int>(least, most)(m_random));
+    }
+
+    std::size_t router() { return pick(m_size.routers); }
+    std::size_t endpoint() { return pick(m_size.endpoints); }
+
+    LinkFault linkFault()
+    {
+        constexpr std::array Faults{LinkFault::Reset, LinkFault::Delay, LinkFault::SilentToTarget,
+                                    LinkFault::SilentToCaller, LinkFault::SilentBoth};
+        return Faults[pick(Faults.size())];
+    }
+
+    StoreFault storeFault()
+    {
+        constexpr std::array Faults{StoreFault::Busy, StoreFault::Silent, StoreFault::Slow,
+                                    StoreFault::LoseAnswer, StoreFault::ForgetHistory};
+        return Faults[pick(Faults.size())];
+    }
+
+    ConfigurationStep configurationStep()
+    {
+        constexpr std::array Steps{ConfigurationStep::AddRoute, ConfigurationStep::RemoveRoute,
+                                   ConfigurationStep::MoveService, ConfigurationStep::AddKey,
+                                   ConfigurationStep::RemoveKey};
+        return Steps[pick(Steps.size())];
+    }
+
+    Fault make(std::size_t kind)
+    {
+        switch (kind) {
+        case 0:
+        case 1:
+            return KillRouter{router(), between(100, 1500)};
+        case 2:
+        case 3:
+            return StopRouter{router()};
+        case 4:
+        case 5:
+            return PauseRouter{router(), between(200, 4500)};
+        case 6:
+            return chance(0.3) ? Fault(KillAllRouters{between(100, 800)})
+                               : Fault(ReloadRouter{router()});
+        case 7:
+        case 8:
+            return DisturbStoreLink{router(), linkFault(), between(300, 5000)};
+        case 9:
+            return DisturbCallers{router(), linkFault(), between(200, 2000)};
+        case 10:
+        case 11:
+            return DisturbEndpoint{endpoint(), linkFault(), between(200, 4000)};
+        case 12:
+            return DisturbStore{storeFault(), between(300, 4500)};
+        case 13:
+        case 14:
+            return CrashEndpoint{endpoint(), between(200, 4000), chance(0.3), chance(0.3)};
+        case 15:
+            return ReplaceEndpoint{endpoint(), between(0, 3000)};
+        case 16:
+            return SpoilEndpoint{endpoint(), 0.1 + 0.1 * static_cast<double>(pick(5)),
+                                 between(500, 4000)};
+        case 17:
+        case 18:
+            return ChangeConfiguration{configurationStep()};
+        default:
+            return NameWeights{};
+        }
+    }
+
+    std::mt19937_64 m_random;
+    SoakSize m_size;
+};
+
+const char *nameOf(LinkFault fault)
+{
+    switch (fault) {
+    case LinkFault::Reset:
+        return "reset";
+    case LinkFault::Delay:
+        return "delayed";
+    case LinkFault::SilentToTarget:
+        return "silent to the target";
+    case LinkFault::SilentToCaller:
+        return "silent to the caller";
+    case LinkFault::SilentBoth:
+        return "silent both ways";
+    }
+    return "";
+}
+
+const char *nameOf(StoreFault fault)
+{
+    switch (fault) {
+    case StoreFault::Busy:
+        return "busy";
+    case StoreFault::Silent:
+        return "silent";
+    case StoreFault::Slow:
+        return "slow";
+    case StoreFault::LoseAnswer:
+        return "losing answers to changes";
+    case StoreFault::ForgetHistory:
+        return "forgetting its history";
+    }
+    return "";
+}
+
+const char *nameOf(ConfigurationStep step)
+{
+    switch (step) {
+    case ConfigurationStep::AddRoute:
+        return "adds a route";
+    case ConfigurationStep::RemoveRoute:
+        return "removes a route";
+    case ConfigurationStep::MoveService:
+        return "moves the plain routes to the other service";
+    case ConfigurationStep::AddKey:
+        return "adds a key";
+    case ConfigurationStep::RemoveKey:
+        return "removes a key";
+    }
+    return "";
+}
+
+struct Describer
+{
+    std::string operator()(const KillRouter &fault) const
+    {
+        return absl::StrCat("kill ", routerName(fault.router), ", down for ", fault.downFor.count(),
+                            " ms");
+    }
+    std::string operator()(const StopRouter &fault) const
+    {
+        return absl::StrCat("terminate ", routerName(fault.router));
+    }
+    std::string operator()(const PauseRouter &fault) const
+    {
+        return absl::StrCat("pause ", routerName(fault.router), " for ", fault.lasts.count(),
+                            " ms");
+    }
+    std::string operator()(const ReloadRouter &fault) const
+    {
+        return absl::StrCat("reload ", routerName(fault.router));
+    }
+    std::string operator()(const KillAllRouters &fault) const
+    {
+        return absl::StrCat("kill all routers, down for ", fault.downFor.count(), " ms");
+    }
+    std::string operator()(const DisturbStoreLink &fault) const
+    {
+        return absl::StrCat("store link of ", routerName(fault.router), " ", nameOf(fault.fault),
+                            " for ", fault.lasts.count(), " ms");
+    }
+    std::string operator()(const DisturbCallers &fault) const
+    {
+        return absl::StrCat("callers' link of ", routerName(fault.router), " ", nameOf(fault.fault),
+                            " for ", fault.lasts.count(), " ms");
+    }
+    std::string operator()(const DisturbEndpoint &fault) const
+    {
+        return absl::StrCat("link of endpoint ", fault.endpoint + 1, " ", nameOf(fault.fault),
+                            " for ", fault.lasts.count(), " ms");
+    }
+    std::string operator()(const DisturbStore &fault) const
+    {
+        return absl::StrCat("store ", nameOf(fault.fault), " for ", fault.lasts.count(), " ms");
+    }
+    std::string operator()(const CrashEndpoint &fault) const
+    {
+        return absl::StrCat("crash endpoint ", fault.endpoint + 1, ", back after ",
+                            fault.downFor.count(), " ms", fault.sameId ? " with the same id" : "",
+                            fault.otherService ? " for the other service" : "");
+    }
+    std::string operator()(const ReplaceEndpoint &fault) const
+    {
+        return absl::StrCat("replace endpoint ", fault.endpoint + 1, ", serving on for ",
+                            fault.servesOn.count(), " ms");
+    }
+    std::string operator()(const SpoilEndpoint &fault) const
+    {
+        return absl::StrCat("endpoint ", fault.endpoint + 1, " fails ", fault.share, " for ",
+                            fault.lasts.count(), " ms");
+    }
+    std::string operator()(const ChangeConfiguration &fault) const
+    {
+        return absl::StrCat("the operator ", nameOf(fault.step));
+    }
+    std::string operator()(const NameWeights &) const { return "new weights are named"; }
+};
+
+} // namespace
+
+std::vector<PlannedFault> planFaults(std::uint64_t seed, milliseconds length, const SoakSize &size)
+{
+    return Planner(seed, size).plan(length);
+}
+
+std::string describe(const Fault &fault)
+{
+    return std::visit(Describer{}, fault);
+}
+
+} // namespace almondmill::soak
--- /dev/null
+++ b/soak/routergroup.cpp
@@ -0,0 +1,261 @@
+#include "routergroup.h"
+
+#include "settingstemplate.h"
+
+#include "almondmill/config/textfile.h"
+#include "almondmill/forward/socketaddress.h"
+#include "almondmill/http/asyncsleep.h"
+#include "almondmill/http/httpclient.h"
+#include "standins/faultproxy.h"
+#include "support/loopback.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+
+namespace almondmill::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int CallersPort = 8100;
+constexpr int ReadyPort = 8101;
+constexpr int OperatorsPort = 8102;
+constexpr int PeersPort = 8103;
+constexpr int StoreLinkPort = 8104;
+constexpr int CallersLinkPort = 8105;
+
+/// From SIGTERM to the end of a process, as the settings say, and time for the end to be seen.
+constexpr std::chrono::seconds GraceTime{8};
+constexpr milliseconds GraceSlack{500};
+
+/// A process that gets a signal this soon after its start may not have taken charge of it: it ends
+/// as by the signal's default. It has accepted nobody then.
+constexpr milliseconds SignalsTaken{1000};
+
+constexpr milliseconds EndCheck{20};
+constexpr milliseconds ReadyCheck{50};
+constexpr milliseconds ReadyTimeout{300};
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// What the platform fills into the settings template.
+nlohmann::json platformFields(const std::string &name, const std::string &ip,
+                              const std::string &store)
+{
+    const auto at = [&](int port) { return absl::StrCat(ip, ":", port); };
+    return {{"node_name", name},
+            {"zone", "dc-1"},
+            {"ip", ip},
+            {"platform", {{"address", store}}},
+            {"listen",
+             {{"front", at(CallersPort)},
+              {"ready", at(ReadyPort)},
+              {"control", at(OperatorsPort)}}},
+            {"internal_ports", {PeersPort, PeersPort}},
+            {"limits", {{"max_fds", 2000}}},
+            {"bounds",
+             {{"config_apply_ms", 2000},
+              {"drain_ms", 2000},
+              {"grace_s", GraceTime.count()},
+              {"version_ms", 8000},
+              {"lease_ms", 3000},
+              {"reuse_window_s", 10},
+              {"retry_budget_ratio", 0.2},
+              {"budget_min_retries", 100},
+              {"budget_window_s", 10}}}};
+}
+
+} // namespace
+
+struct RouterGroup::Router
+{
+    std::string name;
+    std::string ip;
+    std::string settingsFile;
+    std::string logFile;
+    std::unique_ptr<standin::FaultProxy> storeLink;
+    std::unique_ptr<standin::FaultProxy> callersLink;
+    std::unique_ptr<test::ChildProcess> process; ///< Null while it is down on purpose.
+    SteadyTime launchedAt;
+};
+
+RouterGroup::RouterGroup(boost::asio::io_context &loop, SoakHistory &history, std::string folder)
+    : m_loop(loop)
+    , m_history(history)
+    , m_folder(std::move(folder))
+{}
+
+RouterGroup::~RouterGroup() = default;
+
+void RouterGroup::start(std::size_t routers, const std::string &store)
+{
+    const std::string source = readTextFile(ALMONDMILL_SOURCE_DIR "/deploy/router.toml.template");
+    for (std::size_t index = 0; index < routers; ++index) {
+        auto router = std::make_unique<Router>();
+        router->name = routerName(index);
+        router->ip = test::nextLoopbackAddress();
+        router->settingsFile = absl::StrCat(m_folder, "/", router->name, ".toml");
+        router->logFile = absl::StrCat(m_folder, "/", router->name, ".log");
+        router->storeLink = std::make_unique<standin::FaultProxy>(
+                m_loop, absl::StrCat(router->ip, ":", StoreLinkPort), store);
+        router->callersLink = std::make_unique<standin::FaultProxy>(
+                m_loop, absl::StrCat(router->ip, ":", CallersLinkPort),
+                absl::StrCat(router->ip, ":", CallersPort));
+        std::ofstream(router->settingsFile) << fillTemplate(
+                source, platformFields(router->name, router->ip, router->storeLink->address()));
+        launch(*router);
+        m_routers.push_back(std::move(router));
+    }
+}
+
+standin::FaultProxy &RouterGroup::storeLink(std::size_t router)
+{
+    return *m_routers[router]->storeLink;
+}
+
+standin::FaultProxy &RouterGroup::callersLink(std::size_t router)
+{
+    return *m_routers[router]->callersLink;
+}
+
+std::vector<std::string> RouterGroup::callersAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &router : m_routers)
+        addresses.push_back(router->callersLink->address());
+    return addresses;
+}
+
+boost::asio::awaitable<void> RouterGroup::kill(std::size_t index, milliseconds downFor)
+{
+    Router &router = *m_routers[index];
+    if (!router.process)
+        co_return;
+    const auto disturbance =
+            m_history.beginDisturbance(Disturbance::What::Router, router.name, steadyNow());
+    router.process.reset();
+    co_await sleepFor(m_loop, downFor);
+    launch(router);
+    m_history.endDisturbance(disturbance, steadyNow());
+}
+
+boost::asio::awaitable<void> RouterGroup::stop(std::size_t index)
+{
+    Router &router = *m_routers[index];
+    if (!router.process)
+        co_return;
+    const SteadyTime begun = steadyNow();
+    const auto disturbance =
+            m_history.beginDisturbance(Disturbance::What::Router, router.name, begun, true);
+    const auto process = std::move(router.process);
+    process->signal(SIGTERM);
+    const SteadyTime until = begun + GraceTime + GraceSlack;
+    while (!process->hasEnded() && steadyNow() < until)
+        co_await sleepFor(m_loop, EndCheck);
+    const bool ended = process->hasEnded();
+    const bool wasCalm = m_history.isRouterCalm(index, begun, steadyNow(), GraceTime, false);
+    if (!ended && wasCalm)
+        m_history.seen.push_back({"shutdown", router.name + " outlived its grace time"});
+    const bool wasUp = begun - router.launchedAt > SignalsTaken;
+    if (ended && wasUp && process->exitCode() != 0)
+        m_history.seen.push_back(
+                {"shutdown", absl::StrCat(router.name, " ended with code ", process->exitCode())});
+    process->kill();
+    launch(router);
+    m_history.endDisturbance(disturbance, steadyNow());
+}
+
+boost::asio::awaitable<void> RouterGroup::pause(std::size_t index, milliseconds lasts)
+{
+    Router &router = *m_routers[index];
+    if (!router.process)
+        co_return;
+    const auto disturbance =
+            m_history.beginDisturbance(Disturbance::What::Router, router.name, steadyNow());
+    const pid_t paused = router.process->pid();
+    router.process->signal(SIGSTOP);
+    co_await sleepFor(m_loop, lasts);
+    if (router.process && router.process->pid() == paused)
+        router.process->signal(SIGCONT);
+    m_history.endDisturbance(disturbance, steadyNow());
+}
+
+void RouterGroup::reload(std::size_t index)
+{
+    const Router &router = *m_routers[index];
+    if (router.process && steadyNow() - router.launchedAt > SignalsTaken)
+        router.process->signal(SIGHUP);
+}
+
+void RouterGroup::check(SteadyTime now)
+{
+    for (const auto &router : m_routers) {
+        if (!router->process || !router->process->hasEnded())
+            continue;
+        m_history.seen.push_back(
+                {"keeps-running", absl::StrCat(router->name, " ended by itself, code ",
+                                               router->process->exitCode())});
+        const auto disturbance =
+                m_history.beginDisturbance(Disturbance::What::Router, router->name, now);
+        launch(*router);
+        m_history.endDisturbance(disturbance, now);
+    }
+}
+
+boost::asio::awaitable<void> RouterGroup::stopAll()
+{
+    std::vector<std::unique_ptr<test::ChildProcess>> processes;
+    for (const auto &router : m_routers) {
+        if (!router->process)
+            continue;
+        router->process->signal(SIGTERM);
+        processes.push_back(std::move(router->process));
+    }
+    const SteadyTime until = steadyNow() + GraceTime + GraceSlack;
+    for (const auto &process : processes) {
+        while (!process->hasEnded() && steadyNow() < until)
+            co_await sleepFor(m_loop, EndCheck);
+        if (!process->hasEnded())
+            m_history.seen.push_back({"shutdown", "a router outlived its grace time at the end"});
+    }
+}
+
+boost::asio::awaitable<bool> RouterGroup::waitUntilReady(SteadyTime until)
+{
+    for (const auto &router : m_routers) {
+        while (!co_await isReady(*router)) {
+            if (steadyNow() >= until)
+                co_return false;
+            co_await sleepFor(m_loop, ReadyCheck);
+        }
+    }
+    co_return true;
+}
+
+boost::asio::awaitable<bool> RouterGroup::isReady(const Router &router)
+{
+    HttpClient client(m_loop.get_executor(),
+                      parseSocketAddress(absl::StrCat(router.ip, ":", ReadyPort)));
+    const auto outcome =
+            co_await client.call("GET", "/v1/ready", "", "", steadyNow() + ReadyTimeout);
+    const auto *reply = std::get_if<HttpReply>(&outcome);
+    co_return reply && reply->head.status == 200;
+}
+
+void RouterGroup::launch(Router &router)
+{
+    router.launchedAt = steadyNow();
+    router.process = std::make_unique<test::ChildProcess>(
+            "almondmilld", std::vector<std::string>{"--config", router.settingsFile},
+            router.logFile);
+}
+
+} // namespace almondmill::soak
--- /dev/null
+++ b/standins/rietwerk/registeredendpoint.cpp
@@ -0,0 +1,291 @@
+#include "registeredendpoint.h"
+
+#include "../spawn.h"
+
+#include "answertext.h"
+
+#include "almondmill/forward/platformadapter.h"
+#include "almondmill/forward/socketaddress.h"
+#include "almondmill/http/asyncsleep.h"
+#include "almondmill/http/httphead.h"
+#include "almondmill/kernel/hash.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <nlohmann/json.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace almondmill::standin::rietwerk {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Requests that wait for a slot, in slots; beyond them the endpoint is full.
+constexpr std::uint32_t QueueInSlots = 3;
+
+/// Time of one write of the entry.
+constexpr milliseconds WriteTimeout{1000};
+
+/// Pause after a write that failed.
+constexpr milliseconds WriteAgainAfter{300};
+
+constexpr unsigned OtherEndpoint = 421;
+
+std::string chunk(const std::string &text)
+{
+    return absl::StrCat(absl::Hex(text.size()), "\r\n", text, "\r\n");
+}
+
+} // namespace
+
+RegisteredEndpoint::RegisteredEndpoint(asio::io_context &loop, EndpointPlan plan,
+                                       const std::string &store, EndpointObserver &observer)
+    : m_loop(loop)
+    , m_plan(std::move(plan))
+    , m_observer(observer)
+    , m_adapter(PlatformAdapterRegistry::create("rietwerk"))
+    , m_store(m_adapter->makeStore(loop.get_executor(), parseSocketAddress(store)))
+    , m_nextBeat(loop)
+    , m_random(hash64(m_plan.id))
+    , m_startedAt(std::chrono::duration_cast<milliseconds>(
+              std::chrono::system_clock::now().time_since_epoch()))
+    , m_weightsVersion(m_plan.model.empty() ? 0 : m_plan.weightsVersion)
+    , m_listener(loop, m_plan.listen,
+                 [this](const HttpRequest &request, HttpConnection &connection) {
+                     return handle(request, connection);
+                 })
+{
+    if (m_plan.announced.empty())
+        m_plan.announced = m_listener.address();
+    spawn(m_loop, keepRegistered());
+}
+
+RegisteredEndpoint::~RegisteredEndpoint() = default;
+
+void RegisteredEndpoint::drain()
+{
+    m_draining = true;
+    m_nextBeat.cancel();
+}
+
+void RegisteredEndpoint::crash()
+{
+    m_alive = false;
+    m_beating = false;
+    m_listener.crash();
+}
+
+RegisteredEndpoint::Awaitable<bool> RegisteredEndpoint::handle(const HttpRequest &request,
+                                                               HttpConnection &connection)
+{
+    const std::string expected = headerOf(request, "Expect-Instance");
+    if (!expected.empty() && expected != m_plan.id)
+        co_return co_await connection.send(refusal(OtherEndpoint, request));
+    if (!m_plan.model.empty() && request.target() == "/v1/report")
+        co_return co_await connection.send(report());
+    if (!m_plan.model.empty() && request.target() == "/v1/order")
+        co_return co_await takeOrder(request, connection);
+    const auto weights = parseNumber(headerOf(request, "Expect-Version"));
+    if (weights && *weights != m_weightsVersion)
+        co_return co_await connection.send(refusal(OtherEndpoint, request));
+    const bool isFull = m_running >= m_plan.slots * (1 + QueueInSlots);
+    if (m_loading || isFull) {
+        HttpAnswer answer = refusal(unsigned(http::status::service_unavailable), request);
+        answer.set("Not-Executed", "1");
+        co_return co_await connection.send(std::move(answer));
+    }
+    ++m_running;
+    m_observer.requestBegan(m_plan, request, m_weightsVersion);
+    const bool keep = co_await run(request, connection);
+    --m_running;
+    m_observer.requestEnded(m_plan, request);
+    co_return keep;
+}
+
+RegisteredEndpoint::Awaitable<bool> RegisteredEndpoint::run(const HttpRequest &request,
+                                                            HttpConnection &connection)
+{
+    const std::uint32_t waves = (m_running + m_plan.slots - 1) / m_plan.slots;
+    co_await sleepFor(m_loop, m_plan.work * waves);
+    if (!m_alive || connection.callerLeft())
+        co_return false;
+    if (happens(m_faults.lostAnswer)) {
+        connection.reset();
+        co_return false;
+    }
+    if (happens(m_faults.failed)) {
+        HttpAnswer answer = refusal(unsigned(http::status::internal_server_error), request);
+        answer.set("Server-Signature", signatureOf(m_plan.id, headerOf(request, "Request-Id")));
+        co_return co_await connection.send(std::move(answer));
+    }
+    if (m_plan.model.empty())
+        co_return co_await sendWhole(request, connection);
+    co_return co_await sendStream(request, connection);
+}
+
+RegisteredEndpoint::Awaitable<bool> RegisteredEndpoint::sendWhole(const HttpRequest &request,
+                                                                  HttpConnection &connection)
+{
+    const std::string requestId = headerOf(request, "Request-Id");
+    HttpAnswer answer(http::status::ok, 11);
+    answer.set("Request-Id", requestId);
+    answer.set("Server-Signature", signatureOf(m_plan.id, requestId));
+    answer.body() = bodyFor(request);
+    if (happens(m_faults.cutAnswer)) {
+        const std::string head =
+                absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", requestId,
+                             "\r\nServer-Signature: ", signatureOf(m_plan.id, requestId),
+                             "\r\nContent-Length: ", answer.body().size(), "\r\n\r\n");
+        co_await connection.write(head + answer.body().substr(0, answer.body().size() / 2));
+        connection.reset();
+        co_return false;
+    }
+    co_return co_await connection.send(std::move(answer));
+}
+
+RegisteredEndpoint::Awaitable<bool> RegisteredEndpoint::sendStream(const HttpRequest &request,
+                                                                   HttpConnection &connection)
+{
+    const std::string requestId = headerOf(request, "Request-Id");
+    const std::uint64_t last = eventsAskedFor(request);
+    const std::uint64_t cutAfter = happens(m_faults.cutAnswer) ? last / 2 : last;
+    std::uint64_t version = m_weightsVersion;
+    const std::string head = absl::StrCat(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: ", requestId,
+            "\r\nServer-Signature: ", signatureOf(m_plan.id, requestId),
+            "\r\nWeight-Versions: ", version, "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (!co_await connection.write(head))
+        co_return false;
+    const auto done = parseNumber(headerOf(request, "Last-Event-Id")).value_or(0);
+    for (std::uint64_t number = done + 1; number <= last; ++number) {
+        if (!m_alive || connection.callerLeft())
+            co_return false;
+        if (number > cutAfter) {
+            connection.reset();
+            co_return false;
+        }
+        std::string event = eventFor(requestId, number);
+        if (version != m_weightsVersion) {
+            version = m_weightsVersion;
+            event = absl::StrCat("weight-versions: ", version, "\n", event);
+        }
+        if (!co_await connection.write(chunk(event)))
+            co_return false;
+        co_await sleepFor(m_loop, m_plan.eventGap);
+    }
+    co_return co_await connection.write("0\r\n\r\n");
+}
+
+RegisteredEndpoint::Awaitable<bool> RegisteredEndpoint::takeOrder(const HttpRequest &request,
+                                                                  HttpConnection &connection)
+{
+    const json body = json::parse(request.body(), nullptr, false);
+    const bool isOrder = body.is_object() && body.value("operation", "") == "version"
+                         && body.contains("holder") && body.contains("fencing_token")
+                         && body.value("model", "") == m_plan.model;
+    if (!isOrder)
+        co_return co_await connection.send(refusal(unsigned(http::status::bad_request), request));
+    const auto version = body.value("version", std::uint64_t(0));
+    if (version == m_weightsVersion && !m_loading)
+        co_return co_await connection.send(refusal(unsigned(http::status::ok), request));
+    if (m_loading || body.value("expected", m_orders) != m_orders)
+        co_return co_await connection.send(refusal(unsigned(http::status::conflict), request));
+    ++m_orders;
+    m_loading = true;
+    m_observer.orderTaken(m_plan, {body["holder"], body["fencing_token"], version});
+    spawn(m_loop, load(version));
+    co_return co_await connection.send(refusal(unsigned(http::status::accepted), request));
+}
+
+RegisteredEndpoint::Awaitable<void> RegisteredEndpoint::load(std::uint64_t version)
+{
+    co_await sleepFor(m_loop, m_plan.loadTime);
+    m_weightsVersion = version;
+    m_loading = false;
+    m_nextBeat.cancel();
+}
+
+RegisteredEndpoint::Awaitable<void> RegisteredEndpoint::keepRegistered()
+{
+    while (m_beating) {
+        co_await writeEntry();
+        m_nextBeat.expires_after(m_entryVersion == 0 ? WriteAgainAfter : m_plan.heartbeat);
+        boost::system::error_code ignored; // News cancel the wait.
+        co_await m_nextBeat.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+RegisteredEndpoint::Awaitable<void> RegisteredEndpoint::writeEntry()
+{
+    const auto deadline = std::chrono::steady_clock::now() + WriteTimeout;
+    UpdateResult result;
+    if (m_entryVersion == 0)
+        result = co_await m_store->create(ObjectKind::Registrations, m_plan.id, entry(), deadline);
+    else
+        result = co_await m_store->update(ObjectKind::Registrations, m_plan.id, entry(),
+                                          m_entryVersion, deadline);
+    if (const auto *applied = std::get_if<Applied>(&result))
+        m_entryVersion = applied->version;
+    else if (const auto *conflict = std::get_if<Conflict>(&result))
+        m_entryVersion = conflict->current ? conflict->current->version : 0;
+}
+
+std::string RegisteredEndpoint::entry()
+{
+    json models = json::array();
+    if (!m_plan.model.empty())
+        models.push_back({{"name", m_plan.model},
+                          {"version", m_weightsVersion},
+                          {"adapters", json::array()}});
+    return json{{"service", m_plan.service},
+                {"address", m_plan.announced},
+                {"zone", m_plan.dataCentre},
+                {"version", "standin-1"},
+                {"slots", m_plan.slots},
+                {"state", m_draining ? "draining" : "ready"},
+                {"cold_remaining_ms", 0},
+                {"sequence", ++m_beats},
+                {"born", m_startedAt.count()},
+                {"stage", "colocated"},
+                {"models", models}}
+            .dump();
+}
+
+HttpAnswer RegisteredEndpoint::refusal(unsigned status, const HttpRequest &request) const
+{
+    HttpAnswer answer(http::int_to_status(status), 11);
+    answer.set("Request-Id", headerOf(request, "Request-Id"));
+    answer.set("Instance-Id", m_plan.id);
+    return answer;
+}
+
+HttpAnswer RegisteredEndpoint::report() const
+{
+    HttpAnswer answer(http::status::ok, 11);
+    answer.set(http::field::content_type, "application/json");
+    answer.body() = json{
+            {"stage", "colocated"},
+            {"models", json::array({{{"name", m_plan.model},
+                                     {"version", m_weightsVersion},
+                                     {"adapters", json::array()}}})},
+            {"busy", m_loading},
+            {"sequence", m_orders},
+            {"queued", 0},
+            {"running",
+             m_running}}.dump();
+    return answer;
+}
+
+bool RegisteredEndpoint::happens(double share)
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
+} // namespace almondmill::standin::rietwerk
--- /dev/null
+++ b/tests/failure-soak.cpp
@@ -0,0 +1,39 @@
+// A short fault soak with fixed seeds: whatever is disturbed, each request runs as often as it may
+// and each answer is the caller's own. Time bounds are checked by almondmill-soak, not here.
+
+#include "soak/soak.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+
+namespace almondmill::soak {
+
+namespace {
+
+class ShortSoak : public testing::TestWithParam<std::uint64_t>
+{};
+
+} // namespace
+
+TEST_P(ShortSoak, RequestsAndAnswersStayTrue)
+{
+    SoakOptions options;
+    options.seed = GetParam();
+    options.faultsFor = std::chrono::seconds(6);
+    options.recovery = std::chrono::milliseconds(0);
+    options.routers = 3;
+    options.callers = 12;
+    const auto folder = std::filesystem::temp_directory_path()
+                        / ("almondmill-short-soak-" + std::to_string(options.seed));
+    std::filesystem::create_directories(folder);
+    options.folder = folder;
+    const SoakReport report = runSoak(options);
+    for (const Violation &violation : report.requestViolations)
+        ADD_FAILURE() << violation.check << ": " << violation.text;
+    EXPECT_GT(report.runs, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ShortSoak, testing::Values(1, 2));
+
+} // namespace almondmill::soak
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -1,5 +1,6 @@
 #include "support/childprocess.h"
 
+#include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -9,7 +10,23 @@
 
 namespace almondmill::test {
 
-ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
+namespace {
+
+/// Lets the standard output and error of this process go to the file.
+void redirectOutput(const std::string &file)
+{
+    constexpr mode_t Mode = 0644;
+    const int descriptor = ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND, Mode);
+    if (descriptor < 0)
+        return;
+    dup2(descriptor, STDOUT_FILENO);
+    dup2(descriptor, STDERR_FILENO);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
+                           const std::string &output)
 {
     const std::string path = std::string(ALMONDMILL_BIN_DIR) + "/" + program;
     std::vector<char *> argv{const_cast<char *>(path.c_str())};
@@ -24,6 +41,10 @@
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (getppid() != parent)
             _exit(127);
+        if (!output.empty())
+            redirectOutput(output);
+        // Sockets of this process would outlive their close in the child.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execv(path.c_str(), argv.data());
         _exit(127);
     }
@@ -54,12 +75,29 @@
     return wait();
 }
 
+bool ChildProcess::hasEnded()
+{
+    if (m_pid <= 0)
+        return true;
+    int status = 0;
+    if (waitpid(m_pid, &status, WNOHANG) != m_pid)
+        return false;
+    ended(status);
+    return true;
+}
+
 int ChildProcess::wait()
 {
     int status = 0;
     waitpid(m_pid, &status, 0);
+    ended(status);
+    return m_exitCode;
+}
+
+void ChildProcess::ended(int status)
+{
     m_pid = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
 } // namespace almondmill::test
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -11,8 +11,10 @@
 class ChildProcess
 {
 public:
-    /// Starts `program` from the build folder. Its output goes to the test's.
-    ChildProcess(const std::string &program, const std::vector<std::string> &arguments);
+    /// Starts `program` from the build folder. Its output goes to the test's, or is added to the
+    /// file `output`.
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
+                 const std::string &output = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
@@ -22,6 +24,12 @@
     /// Sends a signal, such as SIGSTOP.
     void signal(int number) const;
 
+    /// Whether it has ended, by itself or by a signal. Does not wait.
+    bool hasEnded();
+
+    /// Exit code after the end; -1 when a signal ended it.
+    int exitCode() const { return m_exitCode; }
+
     /// Kills at once and waits.
     void kill();
 
@@ -30,8 +38,10 @@
 
 private:
     int wait();
+    void ended(int status);
 
     pid_t m_pid = -1;
+    int m_exitCode = 0;
 };
 
 } // namespace almondmill::test
--- /dev/null
+++ b/tests/unit-metadatastore.cpp
@@ -0,0 +1,160 @@
+// The stand-in of the platform's metadata store, and the adapter's client against it.
+
+#include "standins/rietwerk/metadataserver.h"
+#include "standins/spawn.h"
+#include "support/loopback.h"
+
+#include "almondmill/forward/platformadapter.h"
+#include "almondmill/forward/socketaddress.h"
+#include "almondmill/store/asyncstore.h"
+
+#include <gtest/gtest.h>
+
+namespace almondmill::test {
+
+namespace {
+
+using namespace standin::rietwerk;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr MetadataStore::Time Start{std::chrono::hours(1)};
+using Result = MetadataStore::Result;
+
+/// The adapter's client and the stand-in on one event loop.
+class StoreClientTest : public testing::Test
+{
+protected:
+    StoreClientTest()
+        : server(loop, nextLoopbackAddress() + ":8200")
+        , adapter(PlatformAdapterRegistry::create("rietwerk"))
+        , client(adapter->makeStore(loop.get_executor(), parseSocketAddress(server.address())))
+    {}
+
+    template<typename T>
+    T wait(boost::asio::awaitable<T> call)
+    {
+        std::optional<T> result;
+        standin::spawn(loop, store(std::move(call), result));
+        while (!result)
+            loop.run_one();
+        return std::move(*result);
+    }
+
+    static SteadyTime soon() { return std::chrono::steady_clock::now() + seconds(5); }
+
+    boost::asio::io_context loop;
+    MetadataServer server;
+    std::unique_ptr<PlatformAdapter> adapter;
+    std::unique_ptr<AsyncStore> client;
+
+private:
+    template<typename T>
+    static boost::asio::awaitable<void> store(boost::asio::awaitable<T> call,
+                                              std::optional<T> &result)
+    {
+        result = co_await std::move(call);
+    }
+};
+
+} // namespace
+
+TEST(MetadataStore, ChangesAreConditional)
+{
+    MetadataStore store;
+    const auto created = store.create("k", "a", {{"x", 1}}, Start);
+    EXPECT_EQ(created.result, Result::Done);
+    EXPECT_EQ(store.create("k", "a", {}, Start).result, Result::Exists);
+    EXPECT_EQ(store.replace("k", "b", {}, std::nullopt, Start).result, Result::Missing);
+    EXPECT_EQ(store.replace("k", "a", {}, created.object->revision + 1, Start).result,
+              Result::OtherRevision);
+    EXPECT_EQ(store.replace("k", "a", {{"x", 2}}, created.object->revision, Start).result,
+              Result::Done);
+    EXPECT_EQ(store.remove("k", "a", created.object->revision).result, Result::OtherRevision);
+    EXPECT_EQ(store.remove("k", "a", std::nullopt).result, Result::Done);
+    EXPECT_EQ(store.find("k", "a"), std::nullopt);
+}
+
+TEST(MetadataStore, AWriteWithoutADifferenceIsNoChange)
+{
+    MetadataStore store;
+    store.create("k", "a", {{"x", 1}}, Start);
+    const auto before = store.revision();
+    store.replace("k", "a", {{"x", 1}}, std::nullopt, Start);
+    EXPECT_EQ(store.revision(), before);
+    EXPECT_TRUE(store.eventsAfter("k", before)->empty());
+}
+
+TEST(MetadataStore, EventsAreOfOneKindAndHistoryCanBeGone)
+{
+    MetadataStore store;
+    const auto before = store.revision();
+    store.create("k", "a", {{"x", 1}}, Start);
+    store.create("other", "a", {{"x", 1}}, Start);
+    store.remove("k", "a", std::nullopt);
+    const auto events = store.eventsAfter("k", before);
+    ASSERT_EQ(events->size(), 2U);
+    EXPECT_FALSE(events->front().deleted);
+    EXPECT_TRUE(events->back().deleted);
+    store.forgetHistory();
+    EXPECT_EQ(store.eventsAfter("k", before), std::nullopt);
+    EXPECT_TRUE(store.eventsAfter("k", store.revision())->empty());
+}
+
+TEST(MetadataStore, SilentEntriesExpire)
+{
+    MetadataStore store;
+    store.create("k", "a", {{"x", 1}}, Start);
+    store.create("k", "b", {{"x", 1}}, Start);
+    store.replace("k", "b", {{"x", 1}}, std::nullopt, Start + seconds(2));
+    store.expire("k", Start + seconds(1));
+    EXPECT_EQ(store.find("k", "a"), std::nullopt);
+    EXPECT_TRUE(store.find("k", "b").has_value());
+}
+
+TEST_F(StoreClientTest, CreatesReadsAndUpdates)
+{
+    const auto created = wait(client->create(ObjectKind::Leases, "l", R"({"x":1})", soon()));
+    ASSERT_TRUE(std::holds_alternative<Applied>(created));
+    const auto again = wait(client->create(ObjectKind::Leases, "l", R"({"x":2})", soon()));
+    ASSERT_TRUE(std::holds_alternative<Conflict>(again));
+    EXPECT_EQ(std::get<Conflict>(again).current->value, R"({"x":1})");
+    const auto version = std::get<Applied>(created).version;
+    const auto updated =
+            wait(client->update(ObjectKind::Leases, "l", R"({"x":3})", version, soon()));
+    ASSERT_TRUE(std::holds_alternative<Applied>(updated));
+    const auto late = wait(client->update(ObjectKind::Leases, "l", R"({"x":4})", version, soon()));
+    EXPECT_TRUE(std::holds_alternative<Conflict>(late));
+    const auto read = wait(client->read(ObjectKind::Leases, "l", soon()));
+    EXPECT_EQ(std::get<StoredObject>(read).value, R"({"x":3})");
+    EXPECT_TRUE(
+            std::holds_alternative<Absent>(wait(client->read(ObjectKind::Leases, "m", soon()))));
+}
+
+TEST_F(StoreClientTest, WatchesReturnChangesAndSayWhenHistoryIsGone)
+{
+    const auto list = wait(client->list(ObjectKind::Leases, soon()));
+    const auto revision = std::get<ObjectList>(list).revision;
+    server.store().create("almondmill-leases", "l", {{"x", 1}}, std::chrono::steady_clock::now());
+    const auto events =
+            wait(client->events(ObjectKind::Leases, revision, milliseconds(100), soon()));
+    ASSERT_EQ(std::get<ObjectEvents>(events).events.size(), 1U);
+    EXPECT_EQ(std::get<ObjectEvents>(events).events.front().object.name, "l");
+    server.store().forgetHistory();
+    EXPECT_TRUE(std::holds_alternative<HistoryGone>(
+            wait(client->events(ObjectKind::Leases, revision, milliseconds(100), soon()))));
+}
+
+TEST_F(StoreClientTest, ABusyStoreChangesNothingAndALostAnswerIsUnknown)
+{
+    server.setFault(MetadataServer::Fault::Busy);
+    EXPECT_TRUE(std::holds_alternative<NotApplied>(
+            wait(client->create(ObjectKind::Leases, "l", R"({"x":1})", soon()))));
+    server.setFault(MetadataServer::Fault::LoseAnswer);
+    EXPECT_TRUE(std::holds_alternative<OutcomeUnknown>(
+            wait(client->create(ObjectKind::Leases, "l", R"({"x":1})", soon()))));
+    server.setFault(MetadataServer::Fault::None);
+    EXPECT_TRUE(server.store().find("almondmill-leases", "l").has_value());
+}
+
+} // namespace almondmill::test
