Relay where prompt parts are to all routers within a second or two

Ruled out: sending each router's own placements to all (58,000 datagrams a second in the fleet), and epidemic forwarding (each placement six to nine times to everybody, 8 KB a second a router).

Change: routers stand in a ring; a placement goes once in each direction of 1, 2, 4, ... places, and whoever gets it has only the directions left that its sender had. Every router hears of it once or twice, over at most seven hops at 121 routers, in one datagram of a router in 100 ms. Only the longest shared part is told, from 300 tokens on.

--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -10,6 +10,7 @@
 #include "almondmill/kernel/rcucell.h"
 #include "almondmill/metrics/metrics.h"
 #include "almondmill/peers/peerviews.h"
+#include "almondmill/peers/placementrelay.h"
 #include "almondmill/route/routingtable.h"
 
 #include <boost/asio/io_context.hpp>
@@ -41,6 +42,7 @@
     WeightsTargets weights;
     PeerViews peers;
     PartLocations parts;
+    PlacementRelay placements; ///< Of parts, on their way to the other routers.
     RepeatBudgets repeats;
     bool draining = false; ///< SIGTERM came: not ready, and connections close after their answer.
 };
--- a/include/almondmill/forward/partlocations.h
+++ b/include/almondmill/forward/partlocations.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
-#include <vector>
 
 namespace almondmill {
 
@@ -48,24 +47,14 @@
     /// Null when the part is not known.
     const Location *find(PartKey part) const;
 
-    /// Takes over a placement of this router, which is told to the others. The engine has read the
-    /// part after about `reading`, unless it had it before.
+    /// Takes over that a part was sent to an engine, which has read it after about `reading`,
+    /// unless it had it before.
     void place(const PartPlacement &placement, std::chrono::milliseconds reading, SteadyTime now);
 
-    /// Takes over a placement of another router.
-    void learn(const PartPlacement &placement, std::chrono::milliseconds reading, SteadyTime now);
-
-    /// This router's placements since the last call with that `reader`'s position, oldest first;
-    /// the position moves to the end. Old ones are left out.
-    std::vector<PartPlacement> news(std::uint64_t &position) const;
-
 private:
-    void set(const PartPlacement &placement, std::chrono::milliseconds reading, SteadyTime now);
     void forgetOld(SteadyTime now);
 
     absl::flat_hash_map<PartKey, Location> m_locations;
-    std::vector<PartPlacement> m_recent; ///< A ring of this router's placements.
-    std::uint64_t m_placed = 0;          ///< How many there were in all.
 };
 
 } // namespace almondmill
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/forward/partlocations.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/peers/peermessage.h"
 #include "almondmill/peers/storenews.h"
@@ -19,6 +20,7 @@
 class AsyncStore;
 class Counter;
 struct ForwardingContext;
+struct RelayedPlacement;
 
 /// Tells the other routers what this one knows, and hears them, by datagrams. Routers find each
 /// other through the platform's store: each leaves its address there and reads the others' once;
@@ -26,12 +28,13 @@
 class PeerExchange
 {
 public:
-    /// `learned` and `newsLearned` are called for each message that brought something new.
+    /// The functions are called for each message that brought something new.
     using Learned = std::function<void(const PeerMessage &)>;
     using NewsLearned = std::function<void(const StoreNews &)>;
+    using PlacementLearned = std::function<void(const PartPlacement &)>;
 
     PeerExchange(ForwardingContext &context, AsyncStore &store, Learned learned,
-                 NewsLearned newsLearned);
+                 NewsLearned newsLearned, PlacementLearned placementLearned);
 
     void start();
 
@@ -48,12 +51,6 @@
 private:
     using Address = boost::asio::ip::udp::endpoint;
 
-    struct Peer
-    {
-        Address address;
-        std::uint64_t toldPlacements = 0; ///< Position up to which it was told.
-    };
-
     struct NewsPosition
     {
         std::uint64_t incarnation = 0;
@@ -64,21 +61,24 @@
     boost::asio::awaitable<bool> registerSelf();
     boost::asio::awaitable<void> receive();
     boost::asio::awaitable<void> tell();
+    boost::asio::awaitable<void> relayPlacements();
+    void relayInDirection(unsigned direction);
     boost::asio::awaitable<void> publishLater();
     void take(std::string_view bytes, const Address &from);
     void takeNews(const StoreNews &news, std::string_view bytes);
+    void takePlacements(const std::vector<RelayedPlacement> &placements);
     void passOn(const std::string &origin, std::string_view bytes);
     std::vector<PeerMessage::Weights> describeWeights(SteadyTime now) const;
     std::vector<PeerMessage::Loading> describeLoading(SteadyTime now) const;
     void sendTo(const Address &address, std::string_view bytes);
     void addPeer(const std::string &name, const Address &address);
-    void tellPeer(Peer &peer, PeerMessage message);
     PeerMessage describe(SteadyTime now);
 
     ForwardingContext &m_context;
     AsyncStore &m_store;
     Learned m_learned;
     NewsLearned m_newsLearned;
+    PlacementLearned m_placementLearned;
     boost::asio::ip::udp::socket m_socket;
     const std::uint64_t m_incarnation;
     Counter &m_bytesSent;
@@ -87,7 +87,8 @@
     absl::flat_hash_map<std::string, NewsPosition> m_news; ///< Last of each origin.
     std::vector<std::string> m_order; ///< Names of peers in the order of telling.
     std::size_t m_next = 0;           ///< In that order.
-    absl::flat_hash_map<std::string, Peer> m_peers;
+    absl::flat_hash_map<std::string, Address> m_peers;
+    std::vector<std::string> m_ring; ///< Names of all routers in order, this one included.
 };
 
 } // namespace almondmill
--- a/include/almondmill/peers/peermessage.h
+++ b/include/almondmill/peers/peermessage.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "almondmill/directory/weightstarget.h"
-#include "almondmill/forward/partlocations.h"
 #include "almondmill/peers/endpointload.h"
 
 #include <chrono>
@@ -13,8 +12,8 @@
 
 namespace almondmill {
 
-/// What one router tells others of itself. All but the placements is whole in each message, so that
-/// a lost one is made good by the next.
+/// What one router tells others of itself. All of it is in each message, so that a lost one is made
+/// good by the next.
 struct PeerMessage
 {
     /// Load on one endpoint.
@@ -46,7 +45,6 @@
     std::vector<Weights> weights;
     std::vector<Load> loads;
     std::vector<Loading> loading;
-    std::vector<PartPlacement> placements; ///< Since the last message to the same router.
 };
 
 /// Short name of an endpoint in messages.
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -61,7 +61,10 @@
               })
     , m_peers(
               m_context, *m_store, [this](const PeerMessage &message) { learn(message); },
-              [this](const StoreNews &news) { m_views.learn(news); })
+              [this](const StoreNews &news) { m_views.learn(news); },
+              [this](const PartPlacement &placement) {
+                  m_planner.learn(placement, std::chrono::steady_clock::now());
+              })
     , m_rollout(m_context, [this] { m_peers.publishSoon(); })
     , m_leader(m_context, *m_store, m_rollout)
     , m_planner(m_context)
@@ -164,9 +167,6 @@
 
 void ForwardingRouter::learn(const PeerMessage &message)
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
-    for (const PartPlacement &placement : message.placements)
-        m_planner.learn(placement, now);
     m_views.learnConfigurationVersion(message.configuration);
     m_views.learnWeights(message.weights, message.sender);
 }
--- a/src/forward/partlocations.cpp
+++ b/src/forward/partlocations.cpp
@@ -17,9 +17,6 @@
 /// Parts remembered, at some 50 bytes each.
 constexpr std::size_t MostLocations = 20000;
 
-/// Placements kept for telling: a second of a busy router, and what fits one datagram.
-constexpr std::size_t RecentPlacements = 48;
-
 } // namespace
 
 PartKey partKey(std::string_view cacheScope, std::string_view partId)
@@ -35,31 +32,6 @@
 
 void PartLocations::place(const PartPlacement &placement, std::chrono::milliseconds reading,
                           SteadyTime now)
-{
-    set(placement, reading, now);
-    m_recent.resize(RecentPlacements);
-    m_recent[m_placed % RecentPlacements] = placement;
-    ++m_placed;
-}
-
-void PartLocations::learn(const PartPlacement &placement, std::chrono::milliseconds reading,
-                          SteadyTime now)
-{
-    set(placement, reading, now);
-}
-
-std::vector<PartPlacement> PartLocations::news(std::uint64_t &position) const
-{
-    const std::uint64_t oldest = m_placed - std::min<std::uint64_t>(m_placed, RecentPlacements);
-    std::vector<PartPlacement> placements;
-    for (std::uint64_t at = std::max(position, oldest); at < m_placed; ++at)
-        placements.push_back(m_recent[at % RecentPlacements]);
-    position = m_placed;
-    return placements;
-}
-
-void PartLocations::set(const PartPlacement &placement, std::chrono::milliseconds reading,
-                        SteadyTime now)
 {
     if (m_locations.size() >= MostLocations)
         forgetOld(now);
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -37,6 +37,9 @@
 /// Part of the link of the store of kept KV cache that saving may take; the rest is for fetching.
 constexpr double SavePart = 0.6;
 
+/// Shorter parts are not told to the other routers: reading one again takes less than 10 ms.
+constexpr std::uint32_t LeastToldTokens = 300;
+
 constexpr double BytesPerMegabit = 125000;
 
 /// Routers that decide alike from the same news change the load of an endpoint alike, and tell of
@@ -128,7 +131,7 @@
 {
     const auto view = m_context.endpoints.findShort(placement.endpoint);
     const auto reading = view ? expectedWait(m_context, *view) : std::chrono::milliseconds(0);
-    m_context.parts.learn(placement, reading, now);
+    m_context.parts.place(placement, reading, now);
 }
 
 SendPlanner::View SendPlanner::pick(const PlacedRequest &placed, const std::vector<View> &tried,
@@ -248,10 +251,13 @@
     m_sources.sent(placed, known && known->last.endpoint == name, now);
     const auto reading = expectedWait(m_context, view) + readingTime(prompt.promptTokens);
     const bool saves = !send.saveTo.empty();
-    for (std::size_t part = 0; part + 2 < parts.size(); ++part)
-        m_context.parts.learn({partKey(send.cacheScope, parts[part].id), name, saves}, reading,
-                              now);
-    m_context.parts.place({longest, name, saves}, reading, now);
+    for (std::size_t part = 0; part + 1 < parts.size(); ++part) {
+        const PartPlacement placement{partKey(send.cacheScope, parts[part].id), name, saves};
+        m_context.parts.place(placement, reading, now);
+        const bool isLongest = part + 2 == parts.size();
+        if (isLongest && parts[part].tokens >= LeastToldTokens)
+            m_context.placements.add(placement, m_context.peers.routerCount());
+    }
 }
 
 bool SendPlanner::maySave(const PlacedRequest &placed, const KeptCache &kept, SteadyTime now)
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -8,6 +8,7 @@
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/newstree.h"
+#include "almondmill/peers/placementrelay.h"
 #include "almondmill/store/asyncstore.h"
 
 #include <nlohmann/json.hpp>
@@ -36,6 +37,13 @@
 /// within the 2 KB a second that a router may spend on its own control traffic.
 constexpr std::size_t PeersPerRound = 3;
 
+/// Between two turns of relaying placements. A fleet of 121 has seven directions, so that all know
+/// of a placement after 0.7 to 1.4 s.
+constexpr milliseconds RelayInterval{100};
+
+/// At some 13 bytes each they fit one datagram.
+constexpr std::size_t PlacementsPerMessage = 80;
+
 /// Changes within this time go out together.
 constexpr milliseconds PublishDelay{40};
 
@@ -60,14 +68,16 @@
 } // namespace
 
 PeerExchange::PeerExchange(ForwardingContext &context, AsyncStore &store, Learned learned,
-                           NewsLearned newsLearned)
+                           NewsLearned newsLearned, PlacementLearned placementLearned)
     : m_context(context)
     , m_store(store)
     , m_learned(std::move(learned))
     , m_newsLearned(std::move(newsLearned))
+    , m_placementLearned(std::move(placementLearned))
     , m_socket(context.loop)
     , m_incarnation(randomIncarnation())
     , m_bytesSent(context.metrics.counter("almondmill_peer_bytes_sent_total"))
+    , m_ring{context.settings.name}
 {}
 
 void PeerExchange::start()
@@ -79,13 +89,14 @@
     asio::co_spawn(m_context.loop, findPeers(), asio::detached);
     asio::co_spawn(m_context.loop, receive(), asio::detached);
     asio::co_spawn(m_context.loop, tell(), asio::detached);
+    asio::co_spawn(m_context.loop, relayPlacements(), asio::detached);
 }
 
 void PeerExchange::announce()
 {
-    const PeerMessage message = describe(std::chrono::steady_clock::now());
-    for (auto &[name, peer] : m_peers)
-        tellPeer(peer, message);
+    const std::string bytes = encodePeerMessage(describe(std::chrono::steady_clock::now()));
+    for (const auto &[name, address] : m_peers)
+        sendTo(address, bytes);
 }
 
 void PeerExchange::publish(std::optional<StoreNews::Registrations> registrations)
@@ -184,14 +195,40 @@
         m_context.repeats.setRouters(static_cast<std::uint32_t>(m_peers.size() + 1));
         if (m_order.empty())
             continue;
-        const PeerMessage message = describe(now);
+        const std::string bytes = encodePeerMessage(describe(now));
         for (std::size_t sent = 0; sent < std::min(PeersPerRound, m_order.size()); ++sent) {
             m_next = (m_next + 1) % m_order.size();
-            tellPeer(m_peers[m_order[m_next]], message);
+            sendTo(m_peers[m_order[m_next]], bytes);
         }
     }
 }
 
+asio::awaitable<void> PeerExchange::relayPlacements()
+{
+    unsigned direction = 0;
+    for (;;) {
+        co_await sleepFor(m_context.loop, RelayInterval);
+        const unsigned directions = PlacementRelay::directionCount(m_ring.size());
+        if (directions == 0)
+            continue;
+        direction = (direction + 1) % directions;
+        relayInDirection(direction);
+    }
+}
+
+void PeerExchange::relayInDirection(unsigned direction)
+{
+    const auto placements = m_context.placements.take(direction, PlacementsPerMessage);
+    if (placements.empty())
+        return;
+    const auto self = std::lower_bound(m_ring.begin(), m_ring.end(), m_context.settings.name);
+    const auto place = static_cast<std::size_t>(self - m_ring.begin());
+    const std::string &target = m_ring[PlacementRelay::target(place, direction, m_ring.size())];
+    const auto peer = m_peers.find(target);
+    if (peer != m_peers.end())
+        sendTo(peer->second, encodePlacements(placements));
+}
+
 void PeerExchange::take(std::string_view bytes, const Address &from)
 {
     const auto message = decodePeerMessage(bytes);
@@ -200,6 +237,10 @@
             takeNews(*news, bytes);
             return;
         }
+        if (const auto placements = decodePlacements(bytes)) {
+            takePlacements(*placements);
+            return;
+        }
         m_context.metrics.counter("almondmill_peer_messages_unreadable_total").add();
         return;
     }
@@ -220,12 +261,20 @@
     m_newsLearned(news);
 }
 
+void PeerExchange::takePlacements(const std::vector<RelayedPlacement> &placements)
+{
+    for (const RelayedPlacement &relayed : placements) {
+        m_context.placements.relay(relayed);
+        m_placementLearned(relayed.placement);
+    }
+}
+
 void PeerExchange::passOn(const std::string &origin, std::string_view bytes)
 {
     for (const std::string &child : newsChildren(origin, m_context.settings.name, m_order)) {
         const auto peer = m_peers.find(child);
         if (peer != m_peers.end())
-            sendTo(peer->second.address, bytes);
+            sendTo(peer->second, bytes);
     }
 }
 
@@ -234,15 +283,11 @@
     if (name == m_context.settings.name)
         return;
     const auto [place, isNew] = m_peers.try_emplace(name);
-    place->second.address = address;
-    if (isNew)
-        m_order.push_back(name);
-}
-
-void PeerExchange::tellPeer(Peer &peer, PeerMessage message)
-{
-    message.placements = m_context.parts.news(peer.toldPlacements);
-    sendTo(peer.address, encodePeerMessage(message));
+    place->second = address;
+    if (!isNew)
+        return;
+    m_order.push_back(name);
+    m_ring.insert(std::lower_bound(m_ring.begin(), m_ring.end(), name), name);
 }
 
 void PeerExchange::sendTo(const Address &address, std::string_view bytes)
--- a/src/peers/peermessage.cpp
+++ b/src/peers/peermessage.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 /// Of the layout; messages of another one are ignored, so that versions can be mixed.
-constexpr std::uint32_t LayoutVersion = 2;
+constexpr std::uint32_t LayoutVersion = 3;
 
 constexpr double TenthsInOne = 10;
 
@@ -58,28 +58,6 @@
     return loads;
 }
 
-json encodePlacements(const std::vector<PartPlacement> &placements)
-{
-    json array = json::array();
-    for (const PartPlacement &placement : placements) {
-        array.push_back(placement.part);
-        array.push_back(placement.endpoint);
-        array.push_back(placement.saved);
-    }
-    return array;
-}
-
-constexpr std::size_t FieldsPerPlacement = 3;
-
-std::vector<PartPlacement> decodePlacements(const json &array)
-{
-    std::vector<PartPlacement> placements;
-    for (std::size_t at = 0; at + FieldsPerPlacement <= array.size(); at += FieldsPerPlacement)
-        placements.push_back({array.at(at).get<PartKey>(), array.at(at + 1).get<std::uint32_t>(),
-                              array.at(at + 2).get<bool>()});
-    return placements;
-}
-
 PeerMessage decodeFields(const json &fields)
 {
     PeerMessage message;
@@ -91,7 +69,6 @@
     message.weights = decodeWeights(fields.at(6));
     message.loads = decodeLoads(fields.at(7));
     message.loading = decodeLoading(fields.at(8));
-    message.placements = decodePlacements(fields.at(9));
     return message;
 }
 
@@ -104,10 +81,10 @@
 
 std::string encodePeerMessage(const PeerMessage &message)
 {
-    const json fields = json::array(
-            {LayoutVersion, message.sender, message.incarnation, message.sequence, message.leaving,
-             message.configuration, encodeWeights(message.weights), encodeLoads(message.loads),
-             encodeLoading(message.loading), encodePlacements(message.placements)});
+    const json fields =
+            json::array({LayoutVersion, message.sender, message.incarnation, message.sequence,
+                         message.leaving, message.configuration, encodeWeights(message.weights),
+                         encodeLoads(message.loads), encodeLoading(message.loading)});
     std::string bytes;
     json::to_cbor(fields, bytes);
     return bytes;
