--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -10,6 +10,8 @@
 #include "almondmill/rollout/rolloutleader.h"
 #include "almondmill/rollout/weightsrollout.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -38,6 +40,7 @@
     StatusServer::Reply ready(const std::string &path) const;
     StatusServer::Reply status(const std::string &path) const;
     std::string dump() const;
+    nlohmann::json describeConfiguration() const;
     void learn(const PeerMessage &message);
     boost::asio::awaitable<void> awaitTermination();
     boost::asio::awaitable<void> awaitReloads();
--- a/include/almondmill/forward/storeviews.h
+++ b/include/almondmill/forward/storeviews.h
@@ -6,9 +6,11 @@
 #include "almondmill/peers/storenews.h"
 #include "almondmill/store/readresult.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace almondmill {
 
@@ -28,6 +30,12 @@
     StoreViews(ForwardingContext &context, AsyncStore &store, Publish publish);
     ~StoreViews();
 
+    /// For how long the configuration has been in force; zero while there is none.
+    std::chrono::milliseconds configurationAge(SteadyTime now) const;
+
+    /// Why the newest configuration that was read is not in force; empty when it is.
+    const std::string &unreadableConfiguration() const { return m_unreadable; }
+
     /// Follows the store from now on.
     void start();
 
@@ -63,6 +71,8 @@
     Publish m_publish;
     ReaderTurn m_turn;
     SteadyTime m_startedAt;
+    std::optional<SteadyTime> m_configurationSince;
+    std::string m_unreadable;
     SteadyTime m_keepUntil; ///< Entries that are missing are kept before.
     std::shared_ptr<StoreFollower> m_routing;
     std::shared_ptr<StoreFollower> m_registrations;
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/kernel/hash.h"
+#include "almondmill/kernel/steadynow.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -59,11 +60,6 @@
         "Hold: forged\r\nTenant: forged\r\nKv-From: forged\r\nKv-Backup: forged\r\n"
         "Cache-Salt: forged\r\nKv-Fetch-From: forged\r\nPin-Ms: 4000\r\n";
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 Callers::Callers(asio::io_context &loop, std::vector<std::string> routers, SoakHistory &history,
--- a/soak/endpointgroup.cpp
+++ b/soak/endpointgroup.cpp
@@ -1,6 +1,7 @@
 #include "endpointgroup.h"
 
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/kernel/steadynow.h"
 #include "standins/faultproxy.h"
 #include "standins/rietwerk/answertext.h"
 #include "standins/rietwerk/metadatastore.h"
@@ -41,11 +42,6 @@
                                    "Kv-Backup",  "Cache-Salt", "Kv-Fetch-From",
                                    "Kv-Save-To", "Pin-Ms",     "Authorization"};
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// Whether something came through from the caller that only the router may set.
 bool hasForeignHeaders(const standin::HttpRequest &request)
 {
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -7,6 +7,7 @@
 #include "siteoperator.h"
 
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/kernel/steadynow.h"
 #include "standins/faultproxy.h"
 #include "standins/rietwerk/metadataserver.h"
 
@@ -28,11 +29,6 @@
 
 constexpr milliseconds EndCheck{20};
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 void apply(FaultProxy &link, LinkFault fault)
 {
     switch (fault) {
--- a/soak/routergroup.cpp
+++ b/soak/routergroup.cpp
@@ -6,6 +6,7 @@
 #include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/httpclient.h"
+#include "almondmill/kernel/steadynow.h"
 #include "standins/faultproxy.h"
 #include "support/loopback.h"
 
@@ -41,11 +42,6 @@
 constexpr milliseconds ReadyCheck{50};
 constexpr milliseconds ReadyTimeout{300};
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// What the platform fills into the settings template.
 nlohmann::json platformFields(const std::string &name, const std::string &ip,
                               const std::string &store)
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -9,6 +9,7 @@
 #include "siteoperator.h"
 
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/kernel/steadynow.h"
 #include "standins/rietwerk/metadataserver.h"
 #include "support/loopback.h"
 
@@ -41,11 +42,6 @@
 constexpr std::size_t PlainEndpoints = 3;
 constexpr std::size_t Engines = 4;
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::string storeAddress()
 {
     return test::nextLoopbackAddress() + ":8200";
--- a/src/admission/loadcontrol.cpp
+++ b/src/admission/loadcontrol.cpp
@@ -4,6 +4,7 @@
 #include "almondmill/config/clientaccount.h"
 #include "almondmill/config/model.h"
 #include "almondmill/kernel/hash.h"
+#include "almondmill/kernel/steadynow.h"
 #include "almondmill/metrics/metrics.h"
 
 namespace almondmill {
@@ -12,11 +13,6 @@
 
 constexpr const char *DroppedMetric = "almondmill_queue_dropped_total";
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 LoadControl::LoadControl(const Options &options, Metrics &metrics)
--- a/src/config/configurationkeeper.cpp
+++ b/src/config/configurationkeeper.cpp
@@ -1,18 +1,10 @@
 #include "almondmill/config/configurationkeeper.h"
 
 #include "almondmill/kernel/node.h"
+#include "almondmill/kernel/steadynow.h"
 
 namespace almondmill {
 
-namespace {
-
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 ConfigurationKeeper::ConfigurationKeeper(Node &node)
     : m_sync(node, node.incarnation)
 {
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -8,6 +8,7 @@
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/wirecodec.h"
 #include "almondmill/kernel/abslview.h"
+#include "almondmill/kernel/steadynow.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -20,11 +21,6 @@
 
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 void appendChunk(std::string &text, std::string_view bytes)
 {
     absl::StrAppend(&text, absl::Hex(bytes.size()), "\r\n", abslView(bytes), "\r\n");
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -6,6 +6,7 @@
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/wirecodec.h"
 #include "almondmill/kernel/hash.h"
+#include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
 
 #include <absl/strings/str_cat.h>
@@ -50,11 +51,6 @@
     return std::max(std::chrono::duration_cast<milliseconds>(deadline - now), milliseconds(1));
 }
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 bool promisesNotRun(unsigned status)
 {
     return status == RequestTimeout || status == TooManyRequests || status == ServiceUnavailable;
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -142,6 +142,18 @@
     return {NotFound, ""};
 }
 
+nlohmann::json ForwardingRouter::describeConfiguration() const
+{
+    const std::string &unreadable = m_views.unreadableConfiguration();
+    nlohmann::json refused;
+    if (!unreadable.empty())
+        refused = {{"version", 0}, {"findings", nlohmann::json::array({unreadable})}};
+    const bool isInForce = m_context.table.snapshot() != nullptr;
+    return {{"age_ms", m_views.configurationAge(std::chrono::steady_clock::now()).count()},
+            {"platform_answer", isInForce ? "read" : "none read yet"},
+            {"refused", refused}};
+}
+
 std::string ForwardingRouter::dump() const
 {
     const auto table = m_context.table.snapshot();
@@ -157,7 +169,8 @@
         weights[target.model] = target.version;
     const nlohmann::json state{{"name", m_context.settings.name},
                                {"draining", m_context.draining},
-                               {"configuration", table ? table->version() : 0},
+                               {"config_version", table ? table->version() : 0},
+                               {"parts", {{"configuration", describeConfiguration()}}},
                                {"registrations_revision", m_context.directory.revision()},
                                {"sessions", m_callers.openSessions()},
                                {"weights", std::move(weights)},
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -7,6 +7,7 @@
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/wirecodec.h"
+#include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
 
 #include <absl/strings/str_cat.h>
@@ -38,11 +39,6 @@
     return text;
 }
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 ForwardedRequest::Awaitable<bool> ForwardedRequest::answerAfterFailures()
--- a/src/forward/storeviews.cpp
+++ b/src/forward/storeviews.cpp
@@ -230,6 +230,13 @@
     m_weights = follow(std::move(options), std::move(handlers));
 }
 
+std::chrono::milliseconds StoreViews::configurationAge(SteadyTime now) const
+{
+    if (!m_configurationSince)
+        return std::chrono::milliseconds(0);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_configurationSince);
+}
+
 void StoreViews::applyRouting(const StoredObject &object)
 {
     if (object.name != m_context.adapter->routingObject())
@@ -241,12 +248,15 @@
             return;
         const std::uint64_t version = configuration.version;
         m_context.table.publish(std::make_shared<const RoutingTable>(std::move(configuration)));
+        m_configurationSince = std::chrono::steady_clock::now();
+        m_unreadable.clear();
         EventLine("configuration.in_force")
                 .add("version", version)
                 .add("before", current ? current->version() : 0)
                 .add("revision", object.version);
     } catch (const Error &error) {
         m_context.metrics.counter("almondmill_configuration_unreadable_total").add();
+        m_unreadable = error.what();
         EventLine("configuration.unreadable")
                 .add("revision", object.version)
                 .add("reason", error.what());
--- a/src/request/streamrelay.cpp
+++ b/src/request/streamrelay.cpp
@@ -1,3 +1,4 @@
+#include "almondmill/kernel/steadynow.h"
 #include "almondmill/request/streamrelay.h"
 
 #include "almondmill/admission/loadcontrol.h"
@@ -27,11 +28,6 @@
 constexpr std::chrono::milliseconds CallerCheckInterval{200};
 constexpr const char *LastEventIdHeader = "Last-Event-ID";
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::chrono::microseconds sinceArrival(const RequestContext &context)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(steadyNow() - context.arrived);
--- a/src/rollout/weightsrollout.cpp
+++ b/src/rollout/weightsrollout.cpp
@@ -1,4 +1,5 @@
 #include "almondmill/rollout/weightsrollout.h"
+#include "almondmill/kernel/steadynow.h"
 
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
@@ -50,11 +51,6 @@
     return "unknown";
 }
 
-SteadyTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 WeightsRollout::WeightsRollout(ForwardingContext &context, std::function<void()> announce)
