Loopback addresses for long runs of one process

Cause: after 85 repeats of a test in one process each run failed: the last octet of its loopback addresses passed 255.

Change: a process goes on in nets that no process begins with.

--- a/tests/support/loopback.cpp
+++ b/tests/support/loopback.cpp
@@ -9,11 +9,19 @@
 std::string nextLoopbackAddress()
 {
     static std::atomic<unsigned> count{0};
+    constexpr unsigned Octet = 256;
     constexpr unsigned Groups = 120;
+    constexpr unsigned HostsPerNet = 250;
+    constexpr unsigned MoreNets = 130;
     const auto process = static_cast<unsigned>(getpid());
-    const unsigned host = ++count;
-    return "127." + std::to_string(2 + process / 256 % Groups) + "." + std::to_string(process % 256)
-           + "." + std::to_string(host);
+    const unsigned number = count++;
+    const unsigned net = number / HostsPerNet;
+    // A process that needs more than one net goes on in those that no process begins with.
+    const unsigned second =
+            net == 0 ? 2 + process / Octet % Groups : 2 + Groups + (net - 1) % MoreNets;
+    const unsigned host = 1 + number % HostsPerNet;
+    return "127." + std::to_string(second) + "." + std::to_string(process % Octet) + "."
+           + std::to_string(host);
 }
 
 } // namespace almondmill::test
