--- a/soak/boundchecks.cpp
+++ b/soak/boundchecks.cpp
@@ -15,7 +15,6 @@
 using std::chrono::milliseconds;
 using Runs = std::vector<const RequestRun *>;
 
-constexpr unsigned Ok = 200;
 constexpr unsigned Unauthorized = 401;
 constexpr unsigned NotFound = 404;
 
--- a/src/request/streamrelay.cpp
+++ b/src/request/streamrelay.cpp
@@ -1,5 +1,5 @@
-#include "almondmill/kernel/steadynow.h"
 #include "almondmill/request/streamrelay.h"
+#include "almondmill/kernel/steadynow.h"
 
 #include "almondmill/admission/loadcontrol.h"
 #include "almondmill/config/clientaccount.h"
