--- a/soak/endpointgroup.cpp
+++ b/soak/endpointgroup.cpp
@@ -179,19 +179,9 @@
     run.hasForeignHeaders = hasForeignHeaders(request);
     run.weightsVersion = weightsVersion;
     run.beganAt = steadyNow();
-    m_lastRuns[endpoint.id + "/" + run.requestId] = m_history.runs.size();
     m_history.runs.push_back(std::move(run));
 }
 
-void EndpointGroup::requestEnded(const rietwerk::EndpointPlan &endpoint,
-                                 const standin::HttpRequest &request)
-{
-    const auto found =
-            m_lastRuns.find(endpoint.id + "/" + rietwerk::headerOf(request, "Request-Id"));
-    if (found != m_lastRuns.end())
-        m_history.runs[found->second].endedAt = steadyNow();
-}
-
 void EndpointGroup::orderTaken(const rietwerk::EndpointPlan &endpoint,
                                const rietwerk::TakenOrder &order)
 {
--- a/soak/endpointgroup.h
+++ b/soak/endpointgroup.h
@@ -10,7 +10,6 @@
 
 #include <chrono>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -64,8 +63,6 @@
 
     void requestBegan(const standin::rietwerk::EndpointPlan &endpoint,
                       const standin::HttpRequest &request, std::uint64_t weightsVersion) override;
-    void requestEnded(const standin::rietwerk::EndpointPlan &endpoint,
-                      const standin::HttpRequest &request) override;
     void orderTaken(const standin::rietwerk::EndpointPlan &endpoint,
                     const standin::rietwerk::TakenOrder &order) override;
 
@@ -79,7 +76,6 @@
     std::uint64_t m_weightsVersion = 1;
     std::vector<std::unique_ptr<Place>> m_places;
     std::vector<std::unique_ptr<Lifetime>> m_lifetimes; ///< Ended ones too.
-    std::map<std::string, std::size_t> m_lastRuns;      ///< By endpoint and request.
 };
 
 } // namespace almondmill::soak
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -5,7 +5,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <array>
+#include <initializer_list>
 #include <random>
 
 namespace almondmill::soak {
@@ -73,26 +73,29 @@
     std::size_t router() { return pick(m_size.routers); }
     std::size_t endpoint() { return pick(m_size.endpoints); }
 
+    template<typename Kind>
+    Kind oneOf(std::initializer_list<Kind> kinds)
+    {
+        return kinds.begin()[pick(kinds.size())];
+    }
+
     LinkFault linkFault()
     {
-        constexpr std::array Faults{LinkFault::Reset, LinkFault::Delay, LinkFault::SilentToTarget,
-                                    LinkFault::SilentToCaller, LinkFault::SilentBoth};
-        return Faults[pick(Faults.size())];
+        return oneOf({LinkFault::Reset, LinkFault::Delay, LinkFault::SilentToTarget,
+                      LinkFault::SilentToCaller, LinkFault::SilentBoth});
     }
 
     StoreFault storeFault()
     {
-        constexpr std::array Faults{StoreFault::Busy, StoreFault::Silent, StoreFault::Slow,
-                                    StoreFault::LoseAnswer, StoreFault::ForgetHistory};
-        return Faults[pick(Faults.size())];
+        return oneOf({StoreFault::Busy, StoreFault::Silent, StoreFault::Slow,
+                      StoreFault::LoseAnswer, StoreFault::ForgetHistory});
     }
 
     ConfigurationStep configurationStep()
     {
-        constexpr std::array Steps{ConfigurationStep::AddRoute, ConfigurationStep::RemoveRoute,
-                                   ConfigurationStep::MoveService, ConfigurationStep::AddKey,
-                                   ConfigurationStep::RemoveKey};
-        return Steps[pick(Steps.size())];
+        return oneOf({ConfigurationStep::AddRoute, ConfigurationStep::RemoveRoute,
+                      ConfigurationStep::MoveService, ConfigurationStep::AddKey,
+                      ConfigurationStep::RemoveKey});
     }
 
     Fault make(std::size_t kind)
--- a/soak/records.h
+++ b/soak/records.h
@@ -45,7 +45,6 @@
             false; ///< Something that only the router may set came from the caller.
     std::uint64_t weightsVersion = 0;
     SteadyTime beganAt;
-    std::optional<SteadyTime> endedAt;
 };
 
 /// The store acknowledged a configuration.
@@ -97,4 +96,7 @@
     std::string text;
 };
 
+/// A check did not hold for that request.
+Violation violationOf(const std::string &check, const Attempt &attempt, const std::string &text);
+
 } // namespace almondmill::soak
--- a/soak/routergroup.cpp
+++ b/soak/routergroup.cpp
@@ -154,9 +154,7 @@
     const auto process = std::move(router.process);
     process->signal(SIGTERM);
     const SteadyTime until = begun + GraceTime + GraceSlack;
-    while (!process->hasEnded() && steadyNow() < until)
-        co_await sleepFor(m_loop, EndCheck);
-    const bool ended = process->hasEnded();
+    const bool ended = co_await waitForEnd(*process, until);
     const bool wasCalm = m_history.isRouterCalm(index, begun, steadyNow(), GraceTime, false);
     if (!ended && wasCalm)
         m_history.seen.push_back({"shutdown", router.name + " outlived its grace time"});
@@ -217,13 +215,18 @@
     }
     const SteadyTime until = steadyNow() + GraceTime + GraceSlack;
     for (const auto &process : processes) {
-        while (!process->hasEnded() && steadyNow() < until)
-            co_await sleepFor(m_loop, EndCheck);
-        if (!process->hasEnded())
+        if (!co_await waitForEnd(*process, until))
             m_history.seen.push_back({"shutdown", "a router outlived its grace time at the end"});
     }
 }
 
+boost::asio::awaitable<bool> RouterGroup::waitForEnd(test::ChildProcess &process, SteadyTime until)
+{
+    while (!process.hasEnded() && steadyNow() < until)
+        co_await sleepFor(m_loop, EndCheck);
+    co_return process.hasEnded();
+}
+
 boost::asio::awaitable<bool> RouterGroup::waitUntilReady(SteadyTime until)
 {
     for (const auto &router : m_routers) {
--- a/soak/routergroup.h
+++ b/soak/routergroup.h
@@ -61,6 +61,9 @@
     struct Router;
 
     void launch(Router &router);
+
+    /// Returns whether the process ended by `until`.
+    boost::asio::awaitable<bool> waitForEnd(test::ChildProcess &process, SteadyTime until);
     boost::asio::awaitable<bool> isReady(const Router &router);
 
     boost::asio::io_context &m_loop;
--- a/soak/soakhistory.cpp
+++ b/soak/soakhistory.cpp
@@ -1,5 +1,7 @@
 #include "soakhistory.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace almondmill::soak {
@@ -30,6 +32,12 @@
     return "router-" + std::to_string(router + 1);
 }
 
+Violation violationOf(const std::string &check, const Attempt &attempt, const std::string &text)
+{
+    return {check, absl::StrCat("request ", attempt.id, " ", attempt.path, " at ",
+                                routerName(attempt.router), ": ", text)};
+}
+
 std::string placeOf(const std::string &endpoint)
 {
     return endpoint.substr(0, endpoint.find('.'));
--- a/standins/programs/standin-endpoint.cpp
+++ b/standins/programs/standin-endpoint.cpp
@@ -28,8 +28,6 @@
                   << std::endl;
     }
 
-    void requestEnded(const EndpointPlan &, const HttpRequest &) override {}
-
     void orderTaken(const EndpointPlan &endpoint, const TakenOrder &order) override
     {
         std::cout << "endpoint=" << endpoint.id << " loads=" << order.version
--- a/standins/rietwerk/endpointobserver.h
+++ b/standins/rietwerk/endpointobserver.h
@@ -27,9 +27,6 @@
     virtual void requestBegan(const EndpointPlan &endpoint, const HttpRequest &request,
                               std::uint64_t weightsVersion) = 0;
 
-    /// It no longer runs, whatever became of its answer.
-    virtual void requestEnded(const EndpointPlan &endpoint, const HttpRequest &request) = 0;
-
     virtual void orderTaken(const EndpointPlan &endpoint, const TakenOrder &order) = 0;
 };
 
--- a/standins/rietwerk/registeredendpoint.cpp
+++ b/standins/rietwerk/registeredendpoint.cpp
@@ -105,7 +105,6 @@
     m_observer.requestBegan(m_plan, request, m_weightsVersion);
     const bool keep = co_await run(request, connection);
     --m_running;
-    m_observer.requestEnded(m_plan, request);
     co_return keep;
 }
 
