Numbers in settings and documents: any written form is sound, limits are rounded down

Cause: a bound that a template writes with a fraction (retries_always = 33.157894) was config.203 and kept every process of a deployment from starting; on the small twins of the large site nothing was served. Durations such as 8.0s were refused in the same way. In the platform's documents numbers were rounded to the nearest, 32-bit fields were cut off at 2^32, and 1e300 or 2^64 milliseconds overflowed the points in time that they were added to. NaN passed the check of a fraction's range.

Change: numbers and durations are read as decimals and a fraction is dropped; NaN, infinity, negative numbers, other types and a duration over a year are findings with their place. Numbers of documents and header fields that are too large are read as the largest.

Ruled out: an own rule for the one field. Tests: property-numbers.

--- a/include/almondmill/config/tablereader.h
+++ b/include/almondmill/config/tablereader.h
@@ -33,7 +33,8 @@
     std::vector<std::string> strings(const std::string &key);
     bool boolean(const std::string &key, bool fallback);
 
-    /// Reads an integer in the range `minimum` to `maximum`.
+    /// Reads a number in the range `minimum` to `maximum`. A fraction is dropped, so that a limit
+    /// never becomes higher than it was written.
     std::uint32_t number(const std::string &key, std::uint32_t fallback, std::uint32_t minimum,
                          std::uint32_t maximum);
 
--- a/include/almondmill/forward/answermetadata.h
+++ b/include/almondmill/forward/answermetadata.h
@@ -11,9 +11,11 @@
 struct AnswerMetadata
 {
     unsigned status = 0;
-    std::string requestId;    ///< Request that this answers; empty when the answer names none.
-    std::string endpointId;   ///< Endpoint that answered; empty when it does not identify itself.
-    bool isSigned = false;    ///< The answer carries the endpoint's signature.
+    std::string requestId;  ///< Request that this answers; empty when the answer names none.
+    std::string endpointId; ///< Endpoint that answered; empty when it does not identify itself.
+    bool isSigned = false;  ///< The answer carries the endpoint's signature.
+    /// The head names several requests or signatures, as when two answers run into each other.
+    bool isAmbiguous = false;
     bool notExecuted = false; ///< The endpoint states that it did not run the request.
     /// The endpoint refused because its incarnation or weights version is not the expected one.
     bool isMisdirected = false;
--- a/src/config/tablereader.cpp
+++ b/src/config/tablereader.cpp
@@ -3,6 +3,8 @@
 #include "almondmill/config/duration.h"
 #include "almondmill/kernel/findings.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace almondmill {
 
 namespace {
@@ -89,15 +91,16 @@
     const toml::node *node = find(key);
     if (!node)
         return fallback;
-    const auto value = node->value_exact<std::int64_t>();
-    if (!value) {
-        report(WrongType, key, "must be an integer");
+    const auto value = node->value<double>();
+    if (!value || !node->is_number()) {
+        report(WrongType, key, "must be a number");
         return fallback;
     }
-    if (*value < minimum || *value > maximum) {
+    const bool isInRange = *value >= minimum && *value <= maximum; // False for NaN.
+    if (!isInRange) {
         report(OutOfRange, key,
                "must be from " + std::to_string(minimum) + " to " + std::to_string(maximum)
-                       + ", got " + std::to_string(*value));
+                       + ", got " + absl::StrCat(*value));
         return fallback;
     }
     return static_cast<std::uint32_t>(*value);
@@ -109,11 +112,12 @@
     if (!node)
         return fallback;
     const auto value = node->value<double>();
-    if (!value) {
+    if (!value || !node->is_number()) {
         report(WrongType, key, "must be a number");
         return fallback;
     }
-    if (*value < 0 || *value > maximum) {
+    const bool isInRange = *value >= 0 && *value <= maximum; // False for NaN.
+    if (!isInRange) {
         report(OutOfRange, key,
                "must be from 0 to " + std::to_string(maximum) + ", got " + std::to_string(*value));
         return fallback;
@@ -135,7 +139,8 @@
     const auto parsed = parseDuration(*text);
     if (!parsed)
         report(WrongUnit, key,
-               "must be an integer with the unit ms, s, m or h, got '" + *text + "'");
+               "must be a number with the unit ms, s, m or h, of at most a year, got '" + *text
+                       + "'");
     return parsed.value_or(fallback);
 }
 
--- a/src/rollout/namedweights.cpp
+++ b/src/rollout/namedweights.cpp
@@ -14,6 +14,9 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+/// Older versions have no deadline left; also bounds what a malformed record may say.
+constexpr std::chrono::hours MaxAge{24};
+
 milliseconds unixTime()
 {
     return std::chrono::duration_cast<milliseconds>(
@@ -45,7 +48,8 @@
             const WeightsTarget target{entry.at(0).get<std::string>(),
                                        entry.at(1).get<std::uint64_t>()};
             const auto age = unixTime() - milliseconds(entry.at(2).get<std::int64_t>());
-            targets.learn(target, now - std::max(age, milliseconds(0)));
+            const auto limited = std::clamp(age, milliseconds(0), milliseconds(MaxAge));
+            targets.learn(target, now - limited);
         }
     } catch (const json::exception &error) {
         EventLine("weights.note_unreadable").add("reason", error.what());
