Bytes without end, answers that run into each other, planned stops, stalled streams

Now unparsed input is bounded by 256 KB, trailers by 64 KB (and dropped), skipped answers by 16, an event by 1 MB, a whole answer by 4 MB; a stream has no bound in total, as its bytes are passed on. - A copy of an answer that breaks off in its head made the next head carry two signatures, and the caller got the older one. Such a head is no answer. Idle reads are now cancelled instead of closing the socket, and the waiting connections are accepted first. - A comment or a part of an event now and then kept a stalled resumable stream open until the route's timeout. Progress is counted by events.

Ruled out: pausing reads of sockets for back pressure; the relay already waits for the caller.

--- a/include/almondmill/forward/callerlistener.h
+++ b/include/almondmill/forward/callerlistener.h
@@ -22,7 +22,7 @@
     /// Binds `ForwarderSettings::callersListen` and starts accepting connections.
     void start();
 
-    /// Stops accepting connections; open sessions continue.
+    /// Accepts the connections that already wait for it and then no more; open sessions continue.
     void stopAccepting();
 
     /// Closes connections that have no request in flight.
@@ -37,6 +37,7 @@
     std::size_t maxSessions() const;
 
     boost::asio::awaitable<void> accept();
+    void serveUnlessFull(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
     ForwardingContext &m_context;
--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -18,6 +18,8 @@
 class WireCodec;
 struct CallerRequest;
 struct AttemptParameters;
+template<bool IsRequest>
+class MessageReader;
 
 /// Why an exchange failed, and whether the endpoint may have run the request.
 enum class ExchangeError {
@@ -64,6 +66,9 @@
     /// request's id, such as a late answer to an earlier request on the same connection.
     Awaitable<ExchangeError> readHead(const std::string &requestId, SteadyTime deadline);
 
+    /// Lifts the limit of the body's size, for an answer whose bytes are consumed as they arrive.
+    void expectStream();
+
     /// Reads until more body bytes have arrived or the answer is complete.
     Awaitable<ExchangeError> readBodySome(SteadyTime deadline);
     Awaitable<ExchangeError> readBody(SteadyTime deadline);
@@ -76,6 +81,7 @@
     void cancel();
 
 private:
+    Awaitable<boost::system::error_code> skipBody(MessageReader<false> &reader);
     ExchangeError errorOf(const boost::system::error_code &error) const;
 
     std::shared_ptr<EndpointView> m_endpoint;
--- a/include/almondmill/http/messageparser.h
+++ b/include/almondmill/http/messageparser.h
@@ -37,12 +37,18 @@
         m_head.status = static_cast<unsigned>(status);
     }
 
-    void on_field_impl(boost::beast::http::field, View name, View value, ErrorCode &) override
+    void on_field_impl(boost::beast::http::field, View name, View value, ErrorCode &error) override
     {
-        m_head.fields.add({name.data(), name.size()}, {value.data(), value.size()});
+        if (!m_isHeadComplete) {
+            m_head.fields.add({name.data(), name.size()}, {value.data(), value.size()});
+            return;
+        }
+        m_trailerBytes += name.size() + value.size();
+        if (m_trailerBytes > MaxTrailerBytes)
+            error = boost::beast::http::error::header_limit;
     }
 
-    void on_header_impl(ErrorCode &) override {}
+    void on_header_impl(ErrorCode &) override { m_isHeadComplete = true; }
     void on_body_init_impl(const BodyLength &, ErrorCode &) override {}
 
     std::size_t on_body_impl(View bytes, ErrorCode &) override
@@ -61,8 +67,13 @@
 
     void on_finish_impl(ErrorCode &) override {}
 
+    /// Trailers are dropped, as routers and engines send none; this bounds the time to read them.
+    static constexpr std::size_t MaxTrailerBytes = std::size_t(64) << 10U;
+
     HttpHead m_head;
     std::string m_body;
+    bool m_isHeadComplete = false;
+    std::size_t m_trailerBytes = 0;
 };
 
 using RequestParser = MessageParser<true>;
--- a/include/almondmill/http/messagereader.h
+++ b/include/almondmill/http/messagereader.h
@@ -30,6 +30,8 @@
             const ErrorCode parsed = parseHead();
             if (parsed || m_parser.is_header_done())
                 co_return parsed;
+            if (hasExcessInput())
+                co_return boost::beast::http::error::buffer_overflow;
             const ErrorCode received = co_await m_socket.readSome();
             if (received)
                 co_return received;
@@ -45,6 +47,8 @@
             const ErrorCode parsed = parseAll();
             if (parsed || m_parser.is_done() || m_parser.body().size() > before)
                 co_return parsed;
+            if (hasExcessInput())
+                co_return boost::beast::http::error::buffer_overflow;
             const ErrorCode received = co_await m_socket.readSome();
             if (received == boost::asio::error::eof && m_parser.need_eof()) {
                 ErrorCode ended;
@@ -68,6 +72,12 @@
     }
 
 private:
+    /// Bytes that may wait for the end of one element of the message. A chunk header or a trailer
+    /// without end would otherwise fill the memory.
+    static constexpr std::size_t MaxUnparsedBytes = std::size_t(256) << 10U;
+
+    bool hasExcessInput() const { return m_socket.input().size() > MaxUnparsedBytes; }
+
     ErrorCode parseHead()
     {
         while (!m_parser.is_header_done() && !m_socket.input().empty()) {
--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -35,6 +35,12 @@
     /// unsolicited bytes.
     bool isStale();
 
+    /// Whether bytes have arrived that were not consumed yet.
+    bool hasInput();
+
+    /// Ends a pending `readSome` with an error, unless it has already received bytes.
+    void cancelRead();
+
     /// What a non-blocking read would return, determined without consuming input.
     enum class PeekResult { Nothing, Bytes, End };
     PeekResult peek();
--- a/src/forward/callerlistener.cpp
+++ b/src/forward/callerlistener.cpp
@@ -4,6 +4,7 @@
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/http/supervisedtask.h"
 #include "almondmill/observe/eventline.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -43,13 +44,30 @@
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
     m_acceptor.bind(address);
     m_acceptor.listen();
-    asio::co_spawn(m_context.loop, accept(), asio::detached);
+    startSupervised(m_context.loop, "callers.accept", [this] { return accept(); });
 }
 
 void CallerListener::stopAccepting()
 {
-    boost::system::error_code ignored; // The acceptor may be closed already.
-    m_acceptor.close(ignored);
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    // Connections that wait to be accepted would be reset, with the requests sent on them.
+    while (!error) {
+        asio::ip::tcp::socket socket(m_context.loop);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            serveUnlessFull(std::move(socket));
+    }
+    m_acceptor.close(error); // It may be closed already.
+}
+
+void CallerListener::serveUnlessFull(asio::ip::tcp::socket socket)
+{
+    if (m_sessions.size() >= maxSessions()) {
+        EventLine("listener.full").add("sessions", std::uint64_t(m_sessions.size()));
+        return; // Destroying the socket closes it, so that the caller tries another router.
+    }
+    asio::co_spawn(m_context.loop, serve(std::move(socket)), asio::detached);
 }
 
 void CallerListener::closeIdle()
@@ -72,13 +90,8 @@
         boost::system::error_code error;
         auto socket =
                 co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (!error && m_sessions.size() >= maxSessions()) {
-            EventLine("listener.full").add("sessions", std::uint64_t(m_sessions.size()));
-            // Destroying the socket closes the connection, so that the caller tries another router.
-            continue;
-        }
         if (!error) {
-            asio::co_spawn(m_context.loop, serve(std::move(socket)), asio::detached);
+            serveUnlessFull(std::move(socket));
             continue;
         }
         if (!m_acceptor.is_open())
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -70,7 +70,6 @@
         const Next next = co_await readRequest(request);
         if (next == Next::Close)
             break;
-        m_idle = false;
         const bool keepOpen = co_await m_forwarder.serve(request, *this);
         m_socket->stopWatching();
         if (!keepOpen || closesAfterAnswer())
@@ -113,8 +112,10 @@
 
 void CallerSession::closeIfIdle()
 {
-    if (m_idle && m_socket->input().empty())
-        m_socket->abort();
+    // Ends the pending read. Bytes that it has already taken are still delivered, so that a request
+    // which arrives at this moment is served.
+    if (m_idle)
+        m_socket->cancelRead();
 }
 
 CallerBounds CallerSession::bounds() const
@@ -130,9 +131,10 @@
     if (m_socket->input().empty()) {
         m_socket->setDeadline(now() + limits.idleTimeout);
         const auto error = co_await m_socket->readSome();
-        if (error)
+        if (error && !m_socket->hasInput())
             co_return Next::Close;
     }
+    m_idle = false;
     RequestParser parser;
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -22,8 +22,11 @@
 /// just as the endpoint closes the connection.
 constexpr double KeepAliveReuseRatio = 0.7;
 
-/// Largest accepted body of an answer, because an answer may be buffered completely.
-constexpr std::uint64_t MaxAnswerBytes = 16U << 20U;
+/// Largest accepted body of an answer that is buffered completely, on VMs with little memory.
+constexpr std::uint64_t MaxAnswerBytes = 4U << 20U;
+
+/// Informational answers, and answers to other requests, that are skipped before the answer.
+constexpr int MaxSkippedAnswers = 16;
 
 std::chrono::milliseconds usableFor(const AnswerMetadata &metadata)
 {
@@ -83,7 +86,7 @@
                                                                       SteadyTime deadline)
 {
     m_socket->setDeadline(deadline);
-    for (;;) {
+    for (int skipped = 0; skipped < MaxSkippedAnswers; ++skipped) {
         m_parser.emplace();
         m_parser->body_limit(MaxAnswerBytes);
         MessageReader<false> reader(*m_socket, *m_parser);
@@ -91,14 +94,34 @@
         if (error)
             co_return errorOf(error);
         m_metadata = m_codec.decodeAnswer(m_parser->head());
+        if (m_metadata.isAmbiguous)
+            co_return ExchangeError::ConnectionBroken;
         const bool isInformational = m_metadata.status < 200;
         const bool isForeign = !m_metadata.requestId.empty() && m_metadata.requestId != requestId;
         if (!isInformational && !isForeign)
             co_return ExchangeError::None;
-        const auto rest = co_await reader.readBody();
+        const auto rest = co_await skipBody(reader);
         if (rest)
             co_return errorOf(rest);
     }
+    co_return ExchangeError::ConnectionBroken;
+}
+
+EndpointExchange::Awaitable<boost::system::error_code>
+EndpointExchange::skipBody(MessageReader<false> &reader)
+{
+    while (!m_parser->is_done()) {
+        const auto error = co_await reader.readBodySome();
+        if (error)
+            co_return error;
+        m_parser->body().clear();
+    }
+    co_return boost::system::error_code();
+}
+
+void EndpointExchange::expectStream()
+{
+    m_parser->body_limit(boost::none);
 }
 
 EndpointExchange::Awaitable<ExchangeError> EndpointExchange::readBodySome(SteadyTime deadline)
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -20,6 +20,9 @@
 /// events is resumed at another endpoint.
 constexpr int StallTimeoutFactor = 3;
 
+/// Largest event, as an incomplete event is kept in memory.
+constexpr std::size_t MaxEventBytes = std::size_t(1) << 20U;
+
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 
 void appendChunk(std::string &text, std::string_view bytes)
@@ -33,22 +36,28 @@
 ForwardedRequest::relayEvents(EndpointExchange &exchange)
 {
     m_splitter = EventSplitter();
+    exchange.expectStream();
     const bool resumable = m_route->retrySafety == RetrySafety::ResumableStream;
     const auto stallTimeout = m_route->targetEventGap * StallTimeoutFactor;
+    SteadyTime lastEventAt = steadyNow();
     for (;;) {
-        const SteadyTime readStartedAt = steadyNow();
         const bool canResume = resumable && hasAttemptsLeft() && stallTimeout.count() > 0;
         const auto error = co_await exchange.readBodySome(
-                canResume ? attemptDeadline(stallTimeout, readStartedAt) : m_deadline);
+                canResume ? attemptDeadline(stallTimeout, lastEventAt) : m_deadline);
         const SteadyTime now = steadyNow();
         if (!exchange.body().empty())
             exchange.endpoint().health().recordActivity(now);
         if (m_prefillTokens != 0 && !exchange.body().empty())
             recordFirstByte(exchange, now);
+        const auto before = m_request.resumeAfter;
         if (!co_await relayReceivedEvents(exchange))
             co_return AttemptOutcome::CallerDisconnected;
+        if (m_request.resumeAfter != before)
+            lastEventAt = now; // Comments and parts of events do not count as progress.
         if (error != ExchangeError::None)
             co_return handleExchangeError(error, exchange, now);
+        if (m_splitter.rest().size() > MaxEventBytes)
+            co_return handleExchangeError(ExchangeError::ConnectionBroken, exchange, now);
         if (exchange.isComplete())
             co_return co_await finishStream(exchange) ? AttemptOutcome::Answered
                                                       : AttemptOutcome::CallerDisconnected;
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -56,6 +56,17 @@
     return !isOpen() || !m_input.empty() || peek() != PeekResult::Nothing;
 }
 
+bool TimedSocket::hasInput()
+{
+    return !m_input.empty() || peek() == PeekResult::Bytes;
+}
+
+void TimedSocket::cancelRead()
+{
+    ErrorCode ignored; // On a closed socket there is nothing to cancel.
+    m_socket.cancel(ignored);
+}
+
 TimedSocket::PeekResult TimedSocket::peek()
 {
     if (!isOpen())
@@ -167,8 +178,7 @@
 {
     ++m_watchGeneration;
     m_onClose = nullptr;
-    ErrorCode ignored; // On a closed socket there is nothing to cancel.
-    m_socket.cancel(ignored);
+    cancelRead();
 }
 
 void TimedSocket::abort()
--- a/tests/support/forwardingharness.cpp
+++ b/tests/support/forwardingharness.cpp
@@ -81,6 +81,20 @@
     onLoop([&](ForwardingContext &context) { context.directory.put(entry); });
 }
 
+void ForwardingHarness::beginDraining()
+{
+    onLoop([](ForwardingContext &context) { context.draining = true; });
+}
+
+void ForwardingHarness::stopListening(const std::function<void()> &meanwhile)
+{
+    onLoop([&](ForwardingContext &) {
+        meanwhile();
+        m_listener.stopAccepting();
+        m_listener.closeIdle();
+    });
+}
+
 void ForwardingHarness::onLoop(const std::function<void(ForwardingContext &)> &task)
 {
     std::promise<void> done;
--- a/tests/support/forwardingharness.h
+++ b/tests/support/forwardingharness.h
@@ -36,6 +36,13 @@
     void addEndpoint(const std::string &id, const std::string &service, const std::string &address,
                      std::uint64_t weightsVersion = 0);
 
+    /// Begins a planned stop: answers close their connections from now on.
+    void beginDraining();
+
+    /// Closes the listening socket and the idle connections, as the end of a planned stop does.
+    /// Before that, the event loop is kept busy while `meanwhile` runs.
+    void stopListening(const std::function<void()> &meanwhile = [] {});
+
     /// Runs a task on the router's event loop and waits until it is done.
     void onLoop(const std::function<void(ForwardingContext &)> &task);
 
--- a/tests/support/rawendpoint.h
+++ b/tests/support/rawendpoint.h
@@ -30,6 +30,9 @@
     /// Returns false if the peer has closed the connection.
     static bool write(int socket, const std::string &bytes);
 
+    /// Reads a request's head and a body of `Content-Length` bytes, or less if the connection ends.
+    static std::string readCall(int socket);
+
     /// Makes closing the socket send a TCP reset.
     static void resetOnClose(int socket);
 
@@ -37,9 +40,6 @@
     static void waitForClose(int socket);
 
 private:
-    /// Reads the head and a body of `Content-Length` bytes, or less if the connection ends.
-    static std::string readCall(int socket);
-
     void accept();
     void serve(int socket);
 
