Large fleets: one KV cache store a data centre, unreported load, stale reads; tasks that go on

Engines now save to the one of their data centre; a location records which one has it. - With 295 routers each hears from a peer every 24 s, so a seventh of them had reported within the last seconds and each report was multiplied by seven: single requests of the reporting peers decided where all others went, and parts were spread over four engines. Reports now count as they are, and the load of the silent peers is spread evenly over a service. - Lists at the start and after lost updates, and the configuration that a peer reports, are read stale first and current only where the answer lacks what is needed. A router reads the lease at its start instead of requesting it.

Tasks: an exception in a task of the event loop ended that task silently (a router that no longer hears its peers or the store), one in a posted handler or in the lease's thread the process. Tasks are started again, handlers and steps end alone, each with a line in the log. Nine bytes (0xbb and a length) from any program were enough: the CBOR parser throws for such a size although exceptions are off, found by the property test once in 520 inputs. Loads that are no counts, and times without bound in messages, are rejected or limited. GCC 12 generates wrong code for co_await in the condition of a loop; such loops are written out.

--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -25,6 +25,8 @@
         std::string label;                     ///< Name of the kind in log events.
         std::chrono::milliseconds wait{10000}; ///< Long-polling timeout of one call.
         std::chrono::milliseconds pause{0}; ///< Delay between calls, so that changes are batched.
+        /// Whether the first list may be stale; what it lacks must come from another source.
+        Freshness firstList = Freshness::Current;
     };
 
     /// Whether this router is an active reader of the store. An empty function means always.
@@ -32,7 +34,7 @@
 
     struct Handlers
     {
-        std::function<void(const ObjectList &)> listed;
+        std::function<void(const ObjectList &, Freshness)> listed;
         std::function<void(const ObjectEvents &)> changed;
         std::function<void()> recovered; ///< First answer after failures; may be empty.
     };
@@ -46,11 +48,16 @@
     /// Lists the objects as soon as possible, even when this router is not a reader.
     void refresh();
 
+    /// Like `refresh`, when the answer must contain the changes up to `revision`. A stale read is
+    /// tried first.
+    void refreshUpTo(std::uint64_t revision);
+
     /// Skips changes up to `revision`, which are known from another source.
     void advance(std::uint64_t revision);
 
 private:
     boost::asio::awaitable<bool> list();
+    void applyList(const ObjectList &objects, Freshness freshness);
     boost::asio::awaitable<bool> waitForChanges();
     boost::asio::awaitable<void> idle();
     void recordSuccess();
@@ -63,6 +70,8 @@
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0; ///< Consecutive failures.
     bool m_listPending = true;
+    Freshness m_listFreshness;
+    std::uint64_t m_listUpTo = 0; ///< Revision that a stale list must have reached.
     std::shared_ptr<boost::asio::steady_timer> m_idle; ///< Cancelled by `refresh`.
 };
 
--- a/include/almondmill/forward/endpointview.h
+++ b/include/almondmill/forward/endpointview.h
@@ -62,6 +62,10 @@
     /// Result of the last call of `averageLoad`.
     const EndpointLoad &lastAverage() const { return m_average; }
 
+    /// Load that the other routers place on the endpoint, as last estimated.
+    const EndpointLoad &peerLoad() const { return m_peerLoad; }
+    void setPeerLoad(const EndpointLoad &load) { m_peerLoad = load; }
+
     /// Until then no requests should be sent, as the endpoint loads weights on this router's order.
     SteadyTime loadingUntil() const { return m_loadingUntil; }
     void setLoadingUntil(SteadyTime until) { m_loadingUntil = until; }
@@ -80,6 +84,7 @@
     std::uint64_t m_pendingPrefillTokens = 0;
     std::uint64_t m_heldTokens = 0;
     EndpointLoad m_average;
+    EndpointLoad m_peerLoad;
     SteadyTime m_averagedAt;
     SteadyTime m_loadingUntil;
     EndpointHealth m_health;
--- a/include/almondmill/forward/endpointviews.h
+++ b/include/almondmill/forward/endpointviews.h
@@ -27,6 +27,12 @@
 
     const absl::flat_hash_map<std::string, View> &all() const { return m_byId; }
 
+    /// The endpoints of each service, including draining ones.
+    const absl::flat_hash_map<std::string, std::vector<View>> &byService() const
+    {
+        return m_byService;
+    }
+
     /// Null when no endpoint has that id.
     View find(std::string_view id) const;
 
--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -36,11 +36,13 @@
     /// nearly over.
     void run();
 
+    /// The router's state as JSON text. Must be called on the event loop.
+    std::string dump() const;
+
 private:
     void registerGauges();
     StatusServer::Reply readinessReply(const std::string &path) const;
     StatusServer::Reply operatorsReply(const std::string &path) const;
-    std::string dump() const;
     nlohmann::json describeConfiguration() const;
     void applyPeerMessage(const PeerMessage &message);
     boost::asio::awaitable<void> awaitTermination();
--- a/include/almondmill/forward/partlocations.h
+++ b/include/almondmill/forward/partlocations.h
@@ -37,20 +37,28 @@
         SteadyTime lastUsedAt;  ///< When the last request with the part was sent there.
     };
 
+    /// A copy in a KV cache store.
+    struct SavedCopy
+    {
+        std::uint32_t store = 0; ///< Short hash of the store's address.
+        SteadyTime availableAt;  ///< Expected time from which the store has the part.
+    };
+
     struct Location
     {
-        Holder current;                    ///< Where the part was last sent.
-        std::optional<Holder> previous;    ///< Where it was before; may still be cached there.
-        std::optional<SteadyTime> savedAt; ///< Expected time from which the KV cache store has it.
+        Holder current;                 ///< Where the part was last sent.
+        std::optional<Holder> previous; ///< Where it was before; may still be cached there.
+        std::optional<SavedCopy> saved;
     };
 
     /// Null when the location of the part is unknown.
     const Location *find(PartKey part) const;
 
     /// Records that a part was sent to an engine. `prefillTime` is the expected time until the
-    /// engine has computed the part, unless it was cached there already.
-    void recordPlacement(const PartPlacement &placement, std::chrono::milliseconds prefillTime,
-                         SteadyTime now);
+    /// engine has computed the part, unless it was cached there already. `store` is the short hash
+    /// of the address of the KV cache store that the engine saves to.
+    void recordPlacement(const PartPlacement &placement, std::uint32_t store,
+                         std::chrono::milliseconds prefillTime, SteadyTime now);
 
 private:
     void evictOld(SteadyTime now);
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -17,7 +17,6 @@
 class RoutingTable;
 struct CallerRequest;
 struct ForwardingContext;
-struct KvCacheStore;
 struct KeyedAccount;
 struct Route;
 
@@ -75,7 +74,7 @@
     /// Whether a request with the part was placed within the re-announcement interval.
     bool wasUsedRecently(PartKey part, SteadyTime now) const;
     /// Takes the prompt's size out of the save budget; false when the budget is exhausted.
-    bool takeSaveBudget(const RoutedRequest &placed, const KvCacheStore &kept, SteadyTime now);
+    bool takeSaveBudget(const RoutedRequest &placed, SteadyTime now);
 
     ForwardingContext &m_context;
     PartSources m_sources;
--- a/include/almondmill/forward/storestatesync.h
+++ b/include/almondmill/forward/storestatesync.h
@@ -49,6 +49,8 @@
 
 private:
     void applyRouting(const StoredObject &object);
+    /// Reads the configuration once more when a stale list lacks the version that was reported.
+    void checkReportedConfiguration(Freshness freshness);
     void applyRegistrations(const ObjectList &list);
     void applyRegistrationEvents(const ObjectEvents &events);
     void applyWeightsTarget(const StoredObject &object, SteadyTime since);
@@ -75,7 +77,9 @@
     SteadyTime m_startedAt;
     std::optional<SteadyTime> m_configurationSince;
     std::string m_configurationError;
-    SteadyTime m_retainMissingUntil; ///< Until then missing entries are retained.
+    std::uint64_t m_reportedConfiguration = 0; ///< Newest version that another router reported.
+    std::uint64_t m_missingConfiguration = 0;  ///< Reported version that the store does not have.
+    SteadyTime m_retainMissingUntil;           ///< Until then missing entries are retained.
     std::shared_ptr<StoreWatcher> m_routing;
     std::shared_ptr<StoreWatcher> m_registrations;
     std::shared_ptr<StoreWatcher> m_weights;
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -62,6 +62,10 @@
     };
 
     boost::asio::awaitable<void> discoverPeers();
+    /// Adds the routers that are registered in the store. Returns false when it gave no answer.
+    boost::asio::awaitable<bool> listPeers();
+    boost::asio::awaitable<void> registerUntilAnswered();
+    boost::asio::awaitable<void> listPeersUntilAnswered();
     boost::asio::awaitable<bool> registerSelf();
     boost::asio::awaitable<void> receive();
     boost::asio::awaitable<void> sendState();
--- a/include/almondmill/peers/peermessage.h
+++ b/include/almondmill/peers/peermessage.h
@@ -47,9 +47,6 @@
     std::vector<LoadingEngine> loading;
 };
 
-/// Hash that identifies an endpoint in messages.
-std::uint32_t shortHash(std::string_view endpointId);
-
 /// Serializes a message to CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
 
--- a/include/almondmill/peers/peerviews.h
+++ b/include/almondmill/peers/peerviews.h
@@ -24,9 +24,11 @@
     void applyLoading(const std::string &sender,
                       const std::vector<PeerMessage::LoadingEngine> &loading, SteadyTime now);
 
-    /// Load that the other routers place on an endpoint. When only some of the known routers have
-    /// sent a message recently, their sum is extrapolated to all of them.
-    EndpointLoad loadOn(std::uint32_t endpoint) const;
+    /// Load that the live peers place on an endpoint, as of the last refresh.
+    EndpointLoad reportedLoadOn(std::uint32_t endpoint) const;
+
+    /// Number of known peers without a recent message for each one with it, as of the last refresh.
+    double silentPeersPerReporter() const { return m_silentPeersPerReporter; }
 
     /// Whether a router has reported that the endpoint is loading weights at `now`.
     bool isLoading(std::uint32_t endpoint, SteadyTime now) const;
@@ -55,8 +57,9 @@
     void rebuildLoadingDeadlines();
 
     std::size_t m_routers = 1;
+    double m_silentPeersPerReporter = 0;
     absl::flat_hash_map<std::string, Peer> m_peers;
-    absl::flat_hash_map<std::uint32_t, EndpointLoad> m_loads; ///< Extrapolated sums over all peers.
+    absl::flat_hash_map<std::uint32_t, EndpointLoad> m_loads; ///< Sums over the live peers.
     absl::flat_hash_map<std::uint32_t, SteadyTime> m_loadingUntil;
 };
 
--- a/include/almondmill/rollout/rolloutleader.h
+++ b/include/almondmill/rollout/rolloutleader.h
@@ -50,12 +50,16 @@
 
 private:
     void run();
+    /// Runs one step of the thread; logs an exception, which ends that step only.
+    static void guarded(const std::function<void()> &step);
     bool waitForWork();
     bool isFirstCandidate() const;
     void runOnce();
     bool shouldRequestLease(SteadyTime now);
     void releaseLease();
-    void readNote();
+    /// Restores what the lease's record says of named weights, and continues the lease if a
+    /// previous process of this VM held it.
+    void readRecordAtStart();
     void writeNote();
 
     /// Runs a short task on the event loop; returns nullopt when it does not finish in time, as
@@ -71,6 +75,7 @@
     ForwardingContext &m_context;
     WeightsRollout &m_rollout;
     std::unique_ptr<BlockingStore> m_store;
+    std::unique_ptr<BlockingStore> m_staleStore; ///< Reads that cost less and may be outdated.
     Lease m_lease;
     const std::uint64_t m_ownHash; ///< Seeds the jitter of this router's delays.
     std::atomic<bool> m_holds{false};
--- a/include/almondmill/route/routingtable.h
+++ b/include/almondmill/route/routingtable.h
@@ -4,6 +4,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -30,8 +31,16 @@
     /// The service of that name, or null when there is none.
     const RoutedService *service(std::string_view name) const;
 
-    /// The first configured external KV cache store, or null when there is none.
-    const KvCacheStore *kvCacheStore() const;
+    /// The external KV cache store that engines of a data centre save to: one in the same data
+    /// centre, as transfers within it take half as long, else one that depends on the data centre
+    /// only. Null when there is none.
+    const KvCacheStore *kvCacheStoreFor(std::string_view dataCentre) const;
+
+    /// The KV cache store with that hash of its address, or null when there is none.
+    const KvCacheStore *kvCacheStoreByHash(std::uint32_t addressHash) const;
+
+    /// Capacity of the links of all KV cache stores together.
+    double kvCacheMegabitsPerSecond() const;
 
     /// Selects the service for a request of `route`, in proportion to the weights of its shares.
     /// The same `requestHash` always selects the same service. The route must have at least one
@@ -43,6 +52,7 @@
     absl::flat_hash_map<std::string, std::vector<const Route *>> m_routesByHost;
     absl::flat_hash_map<std::string, const KeyedAccount *> m_accountsByKey;
     absl::flat_hash_map<std::string, const RoutedService *> m_servicesByName;
+    std::vector<const KvCacheStore *> m_kvCacheStores;
 };
 
 } // namespace almondmill
--- a/include/almondmill/store/asyncstore.h
+++ b/include/almondmill/store/asyncstore.h
@@ -23,6 +23,12 @@
     Routers,              ///< Written by the routers: one object per router process.
 };
 
+/// How current the answer to a read must be.
+enum class Freshness {
+    Current,    ///< As of the call.
+    MayBeStale, ///< May be seconds old; costs the store a fraction of a current read.
+};
+
 /// Creation, update or deletion of one object.
 struct ObjectEvent
 {
@@ -55,10 +61,12 @@
 
     virtual ~AsyncStore() = default;
 
-    virtual Awaitable<ReadResult> read(ObjectKind kind, std::string name, SteadyTime deadline) = 0;
+    virtual Awaitable<ReadResult> read(ObjectKind kind, std::string name, Freshness freshness,
+                                       SteadyTime deadline) = 0;
 
     /// Returns all objects of the kind.
-    virtual Awaitable<ListResult> list(ObjectKind kind, SteadyTime deadline) = 0;
+    virtual Awaitable<ListResult> list(ObjectKind kind, Freshness freshness,
+                                       SteadyTime deadline) = 0;
 
     /// Waits at most `wait` for changes after `revision`.
     virtual Awaitable<EventsResult> events(ObjectKind kind, std::uint64_t revision,
--- a/include/almondmill/store/blockingstore.h
+++ b/include/almondmill/store/blockingstore.h
@@ -7,6 +7,7 @@
 namespace almondmill {
 
 class AsyncStore;
+enum class Freshness;
 enum class ObjectKind;
 
 /// Blocking access to the objects of one kind in an AsyncStore, for threads other than the event
@@ -14,7 +15,8 @@
 class BlockingStore : public ConditionalStore
 {
 public:
-    BlockingStore(boost::asio::io_context &loop, AsyncStore &store, ObjectKind kind);
+    BlockingStore(boost::asio::io_context &loop, AsyncStore &store, ObjectKind kind,
+                  Freshness freshness);
 
     ReadResult read(const std::string &name, std::chrono::milliseconds timeout) override;
     UpdateResult createIfAbsent(const std::string &name, const std::string &value,
@@ -26,6 +28,7 @@
     boost::asio::io_context &m_loop;
     AsyncStore &m_store;
     ObjectKind m_kind;
+    Freshness m_freshness; ///< Of all reads.
 };
 
 } // namespace almondmill
--- a/include/almondmill/store/countingstore.h
+++ b/include/almondmill/store/countingstore.h
@@ -14,8 +14,9 @@
 public:
     CountingStore(std::unique_ptr<AsyncStore> store, Metrics &metrics);
 
-    Awaitable<ReadResult> read(ObjectKind kind, std::string name, SteadyTime deadline) override;
-    Awaitable<ListResult> list(ObjectKind kind, SteadyTime deadline) override;
+    Awaitable<ReadResult> read(ObjectKind kind, std::string name, Freshness freshness,
+                               SteadyTime deadline) override;
+    Awaitable<ListResult> list(ObjectKind kind, Freshness freshness, SteadyTime deadline) override;
     Awaitable<EventsResult> events(ObjectKind kind, std::uint64_t revision,
                                    std::chrono::milliseconds wait, SteadyTime deadline) override;
     Awaitable<UpdateResult> create(ObjectKind kind, std::string name, std::string value,
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -50,6 +50,7 @@
     , m_store(store)
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
+    , m_listFreshness(m_options.firstList)
     , m_idle(std::make_shared<asio::steady_timer>(loop))
 {}
 
@@ -76,6 +77,17 @@
 void StoreWatcher::refresh()
 {
     m_listPending = true;
+    m_listFreshness = Freshness::Current;
+    m_idle->cancel();
+}
+
+void StoreWatcher::refreshUpTo(std::uint64_t revision)
+{
+    m_listUpTo = std::max(m_listUpTo, revision);
+    if (m_listPending)
+        return;
+    m_listPending = true;
+    m_listFreshness = Freshness::MayBeStale;
     m_idle->cancel();
 }
 
@@ -93,18 +105,32 @@
 
 asio::awaitable<bool> StoreWatcher::list()
 {
-    const auto result =
-            co_await m_store.list(m_options.kind, std::chrono::steady_clock::now() + ListTimeout);
+    const Freshness freshness = m_listFreshness;
+    const auto result = co_await m_store.list(m_options.kind, freshness,
+                                              std::chrono::steady_clock::now() + ListTimeout);
     if (const auto *missing = std::get_if<Unavailable>(&result)) {
         recordFailure(missing->reason);
+        m_listFreshness = Freshness::Current;
         co_return false;
     }
     recordSuccess();
     const auto &objects = std::get<ObjectList>(result);
+    const bool isTooOld = freshness == Freshness::MayBeStale
+                          && objects.revision < std::max(m_listUpTo, m_revision);
+    if (isTooOld || m_listFreshness != freshness) {
+        m_listFreshness = Freshness::Current;
+        co_return true;
+    }
+    applyList(objects, freshness);
+    co_return true;
+}
+
+void StoreWatcher::applyList(const ObjectList &objects, Freshness freshness)
+{
     m_listPending = false;
+    m_listFreshness = Freshness::Current;
     m_revision = std::max(m_revision, objects.revision);
-    m_handlers.listed(objects);
-    co_return true;
+    m_handlers.listed(objects, freshness);
 }
 
 asio::awaitable<bool> StoreWatcher::waitForChanges()
--- a/src/forward/endpointviews.cpp
+++ b/src/forward/endpointviews.cpp
@@ -2,6 +2,7 @@
 
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/kernel/abslview.h"
+#include "almondmill/kernel/hash.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/peermessage.h"
 
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/http/supervisedtask.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/observe/eventlog.h"
@@ -12,8 +13,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
@@ -117,12 +116,12 @@
     m_readiness.start();
     if (m_operators)
         m_operators->start();
-    asio::co_spawn(m_loop, awaitTermination(), asio::detached);
-    asio::co_spawn(m_loop, awaitReloads(), asio::detached);
-    asio::co_spawn(m_loop, maintain(), asio::detached);
-    asio::co_spawn(m_loop, watchRollout(), asio::detached);
+    startSupervised(m_loop, "router.termination", [this] { return awaitTermination(); });
+    startSupervised(m_loop, "router.reload", [this] { return awaitReloads(); });
+    startSupervised(m_loop, "router.maintenance", [this] { return maintain(); });
+    startSupervised(m_loop, "router.rollout", [this] { return watchRollout(); });
     m_leader.start();
-    m_loop.run();
+    runSupervised(m_loop);
     m_leader.stop();
     EventLine("router.stop").add("name", m_context.settings.name);
     eventLog().flush();
@@ -176,6 +175,7 @@
                                {"parts", {{"configuration", describeConfiguration()}}},
                                {"registrations_revision", m_context.directory.revision()},
                                {"sessions", m_callers.openSessions()},
+                               {"live_peers", m_context.peers.liveCount()},
                                {"weights", std::move(weights)},
                                {"endpoints", std::move(endpoints)}};
     return state.dump(2) + "\n";
--- a/src/forward/partlocations.cpp
+++ b/src/forward/partlocations.cpp
@@ -31,7 +31,7 @@
     return found == m_locations.end() ? nullptr : &found->second;
 }
 
-void PartLocations::recordPlacement(const PartPlacement &placement,
+void PartLocations::recordPlacement(const PartPlacement &placement, std::uint32_t store,
                                     std::chrono::milliseconds prefillTime, SteadyTime now)
 {
     if (m_locations.size() >= MaxLocations)
@@ -47,7 +47,7 @@
     }
     location.current.lastUsedAt = now;
     if (placement.saved)
-        location.savedAt = now + prefillTime + SaveDuration;
+        location.saved = {store, now + prefillTime + SaveDuration};
 }
 
 void PartLocations::evictOld(SteadyTime now)
--- a/src/forward/partsources.cpp
+++ b/src/forward/partsources.cpp
@@ -60,8 +60,10 @@
         unlikelyAddress = assignedEngineAddress(placed, weightsVersion, endpointId, now);
     if (!unlikelyAddress.empty())
         return unlikelyAddress;
-    const KvCacheStore *kept = placed.table.kvCacheStore();
-    return kept ? kept->address : std::string();
+    const auto engine = m_context.endpoints.find(endpointId);
+    const KvCacheStore *store = placed.table.kvCacheStoreFor(
+            engine ? engine->registration().dataCentre : std::string_view());
+    return store ? store->address : std::string();
 }
 
 void PartSources::recordPromptSent(const RoutedRequest &placed, bool hasSharedParts, SteadyTime now)
@@ -93,11 +95,12 @@
         if (staleAddress.empty())
             staleAddress = std::move(address);
     }
-    const KvCacheStore *kept = placed.table.kvCacheStore();
-    const bool isKept = kept && location.savedAt && now >= *location.savedAt
-                        && now - *location.savedAt < StoreRetention;
-    if (isKept)
-        return {kept->address, true};
+    const auto &saved = location.saved;
+    const KvCacheStore *store = saved ? placed.table.kvCacheStoreByHash(saved->store) : nullptr;
+    const bool isStored =
+            store && now >= saved->availableAt && now - saved->availableAt < StoreRetention;
+    if (isStored)
+        return {store->address, true};
     return {std::move(staleAddress), false};
 }
 
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -34,7 +34,7 @@
 /// recently used, or lost it in a restart.
 constexpr std::chrono::seconds SaveInterval{30};
 
-/// Share of the KV cache store's link that saves may use; the rest is for fetches.
+/// Share of the KV cache stores' links that saves may use; the rest is for fetches.
 constexpr double SaveLinkRatio = 0.6;
 
 /// Shorter parts are not announced to the other routers: computing one takes less than 10 ms.
@@ -60,13 +60,22 @@
 }
 
 /// Time until an engine starts a request that is sent now, from the prompts that wait there.
-std::chrono::milliseconds expectedWait(const ForwardingContext &context, const EndpointView &view)
+std::chrono::milliseconds expectedWait(const EndpointView &view)
 {
     EndpointLoad load = view.load();
-    load += context.peers.loadOn(shortHash(view.id()));
+    load += view.peerLoad();
     return prefillTime(static_cast<std::uint64_t>(load.pendingPrefillTokens));
 }
 
+/// Short hash of the address of the KV cache store that the engine saves to; 0 when there is none.
+std::uint32_t storeHash(const ForwardingContext &context, const EndpointView &view)
+{
+    const auto table = context.table.snapshot();
+    const KvCacheStore *store =
+            table ? table->kvCacheStoreFor(view.registration().dataCentre) : nullptr;
+    return store ? shortHash(store->address) : 0;
+}
+
 SoonestFirstEvent promptRule(const RoutedRequest &placed)
 {
     const PromptRequest &prompt = *placed.request.prompt;
@@ -129,8 +138,9 @@
 void SendPlanner::learn(const PartPlacement &placement, SteadyTime now)
 {
     const auto view = m_context.endpoints.findByShortHash(placement.endpoint);
-    const auto prefillEndsIn = view ? expectedWait(m_context, *view) : std::chrono::milliseconds(0);
-    m_context.partLocations.recordPlacement(placement, prefillEndsIn, now);
+    const auto prefillEndsIn = view ? expectedWait(*view) : std::chrono::milliseconds(0);
+    const std::uint32_t store = view ? storeHash(m_context, *view) : 0;
+    m_context.partLocations.recordPlacement(placement, store, prefillEndsIn, now);
 }
 
 SendPlanner::View SendPlanner::pick(const RoutedRequest &placed, const std::vector<View> &tried,
@@ -166,7 +176,7 @@
     const auto outdatedSince =
             m_context.weights.outdatedSince(placed.request.prompt->model, *version);
     const auto lastStart = m_context.settings.weightsDeadline - WeightsDeadlineMargin;
-    return !outdatedSince || now + expectedWait(m_context, view) < *outdatedSince + lastStart;
+    return !outdatedSince || now + expectedWait(view) < *outdatedSince + lastStart;
 }
 
 EndpointCandidate SendPlanner::makeCandidate(const RoutedRequest &placed, const EndpointView &view,
@@ -178,7 +188,7 @@
     candidate.idHash = hash64(view.id());
     candidate.slots = std::max(view.registration().slots, 1U);
     candidate.load = view.load();
-    candidate.load += m_context.peers.loadOn(endpointHash);
+    candidate.load += view.peerLoad();
     candidate.load += expectedPeerLoadChange(view.load(), view.lastAverage());
     candidate.latency = view.health().latency();
     candidate.failureShare = view.health().failureShare(now);
@@ -248,30 +258,30 @@
     if (parts.size() < 2)
         return;
     const std::uint32_t endpointHash = shortHash(view.id());
-    const KvCacheStore *kept = placed.table.kvCacheStore();
+    const KvCacheStore *store = placed.table.kvCacheStoreFor(view.registration().dataCentre);
     const PartKey longest = partKey(send.cacheScope, parts[parts.size() - 2].id);
     const auto *known = m_context.partLocations.find(longest);
     send.fetchFrom =
             m_sources.addressFor(placed, send.cacheScope, *send.weightsVersion, view.id(), now);
-    const bool isSaved = known && known->savedAt && now - *known->savedAt < SaveInterval;
-    if (kept && !isSaved && isWorthSaving(prompt) && takeSaveBudget(placed, *kept, now))
-        send.saveTo = kept->address;
+    const bool isSaved = known && known->saved && now - known->saved->availableAt < SaveInterval;
+    if (store && !isSaved && isWorthSaving(prompt) && takeSaveBudget(placed, now))
+        send.saveTo = store->address;
     m_sources.recordPromptSent(placed, known && known->current.endpoint == endpointHash, now);
-    const auto prefillEndsIn = expectedWait(m_context, view) + prefillTime(prompt.promptTokens);
+    const auto prefillEndsIn = expectedWait(view) + prefillTime(prompt.promptTokens);
     const bool saves = !send.saveTo.empty();
     for (std::size_t part = 0; part + 1 < parts.size(); ++part) {
         const PartPlacement placement{partKey(send.cacheScope, parts[part].id), endpointHash,
                                       saves};
         const bool isLongest = part + 2 == parts.size();
         const bool isAnnounced = isLongest || !wasUsedRecently(placement.part, now);
-        m_context.partLocations.recordPlacement(placement, prefillEndsIn, now);
+        m_context.partLocations.recordPlacement(placement, store ? shortHash(store->address) : 0,
+                                                prefillEndsIn, now);
         if (isAnnounced && parts[part].tokens >= MinAnnouncedTokens)
             m_context.placements.add(placement, m_context.peers.routerCount());
     }
 }
 
-bool SendPlanner::takeSaveBudget(const RoutedRequest &placed, const KvCacheStore &kept,
-                                 SteadyTime now)
+bool SendPlanner::takeSaveBudget(const RoutedRequest &placed, SteadyTime now)
 {
     const RoutedService *service = placed.table.service(placed.service);
     if (!service || !service->engine)
@@ -279,7 +289,8 @@
     const double bytes = static_cast<double>(placed.request.prompt->promptTokens)
                          * static_cast<double>(service->engine->bytesPerToken);
     const auto routers = static_cast<double>(m_context.peers.routerCount());
-    const double share = kept.linkMegabitsPerSecond * BytesPerMegabit * SaveLinkRatio / routers;
+    const double share =
+            placed.table.kvCacheMegabitsPerSecond() * BytesPerMegabit * SaveLinkRatio / routers;
     return m_saveBudget.take(bytes, share, now);
 }
 
--- a/src/forward/statusserver.cpp
+++ b/src/forward/statusserver.cpp
@@ -1,7 +1,9 @@
 #include "almondmill/forward/statusserver.h"
 
 #include "almondmill/forward/socketaddress.h"
+#include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/messagereader.h"
+#include "almondmill/http/supervisedtask.h"
 #include "almondmill/observe/eventline.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,6 +23,9 @@
 /// every second.
 constexpr std::chrono::seconds IdleTimeout{10};
 
+/// Delay before accepting again after an error, which is usually a lack of file descriptors.
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
+
 } // namespace
 
 StatusServer::StatusServer(asio::io_context &loop, std::string address, Handler handler)
@@ -37,7 +42,7 @@
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
     m_acceptor.bind(address);
     m_acceptor.listen();
-    asio::co_spawn(m_loop, accept(), asio::detached);
+    startSupervised(m_loop, "status.accept", [this] { return accept(); });
 }
 
 void StatusServer::stop()
@@ -52,10 +57,14 @@
         boost::system::error_code error;
         auto socket =
                 co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            EventLine("status.accept_failed").add("reason", error.message());
-        else
+        if (!error) {
             asio::co_spawn(m_loop, serve(std::move(socket)), asio::detached);
+            continue;
+        }
+        if (!m_acceptor.is_open())
+            co_return;
+        EventLine("status.accept_failed").add("reason", error.message());
+        co_await sleepFor(m_loop, AcceptRetryDelay);
     }
 }
 
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -4,12 +4,15 @@
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/http/supervisedtask.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/observe/eventline.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <utility>
+
 namespace almondmill {
 
 namespace asio = boost::asio;
@@ -93,12 +96,8 @@
 {
     auto watcher = std::make_shared<StoreWatcher>(m_context.loop, m_store, std::move(options),
                                                   std::move(handlers));
-    asio::co_spawn(
-            m_context.loop,
-            [this, watcher]() -> asio::awaitable<void> {
-                co_await watcher->run([this] { return isReader(); });
-            },
-            asio::detached);
+    startSupervised(m_context.loop, "store.watch",
+                    [this, watcher] { return watcher->run([this] { return isReader(); }); });
     return watcher;
 }
 
@@ -113,7 +112,7 @@
     if (update.registrations->to <= directory.revision())
         return;
     if (update.registrations->from > directory.revision()) {
-        m_registrations->refresh(); // Updates in between were lost.
+        m_registrations->refreshUpTo(update.registrations->to); // Updates in between were lost.
         return;
     }
     for (const Registration &entry : update.registrations->changed)
@@ -141,8 +140,25 @@
 void StoreStateSync::learnConfigurationVersion(std::uint64_t version)
 {
     const auto table = m_context.table.snapshot();
-    if (version > (table ? table->version() : 0))
+    const std::uint64_t inForce = table ? table->version() : 0;
+    if (version <= inForce || version == m_missingConfiguration)
+        return;
+    m_reportedConfiguration = std::max(m_reportedConfiguration, version);
+    // A stale read is much cheaper and usually contains the reported version already.
+    m_routing->refreshUpTo(0);
+}
+
+void StoreStateSync::checkReportedConfiguration(Freshness freshness)
+{
+    const auto table = m_context.table.snapshot();
+    if (m_reportedConfiguration <= (table ? table->version() : 0))
+        return;
+    if (freshness == Freshness::MayBeStale) {
         m_routing->refresh();
+        return;
+    }
+    EventLine("configuration.missing").add("version", m_reportedConfiguration);
+    m_missingConfiguration = std::exchange(m_reportedConfiguration, 0);
 }
 
 void StoreStateSync::publishEvents(const ObjectEvents &events, std::uint64_t from)
@@ -172,9 +188,10 @@
     StoreWatcher::Options options{ObjectKind::RoutingConfiguration, "configuration",
                                   m_context.settings.configurationDeadline, milliseconds(0)};
     StoreWatcher::Handlers handlers;
-    handlers.listed = [this](const ObjectList &list) {
+    handlers.listed = [this](const ObjectList &list, Freshness freshness) {
         for (const StoredObject &object : list.objects)
             applyRouting(object);
+        checkReportedConfiguration(freshness);
     };
     handlers.changed = [this](const ObjectEvents &events) {
         for (const ObjectEvent &event : events.events) {
@@ -190,13 +207,13 @@
 void StoreStateSync::followRegistrations()
 {
     StoreWatcher::Options options{ObjectKind::Registrations, "registrations", RegistrationsWait,
-                                  RegistrationsPause};
+                                  RegistrationsPause, Freshness::MayBeStale};
     StoreWatcher::Handlers handlers;
     handlers.recovered = [this] {
         m_retainMissingUntil = std::chrono::steady_clock::now() + EntryRenewalTime;
         asio::co_spawn(m_context.loop, refreshAfterRetention(), asio::detached);
     };
-    handlers.listed = [this](const ObjectList &list) {
+    handlers.listed = [this](const ObjectList &list, Freshness) {
         applyRegistrations(list);
         if (isReader())
             publishEvents({{}, list.revision}, list.revision);
@@ -212,9 +229,9 @@
 void StoreStateSync::followWeights()
 {
     StoreWatcher::Options options{ObjectKind::WeightsTargets, "weights", WeightsWait,
-                                  milliseconds(0)};
+                                  milliseconds(0), Freshness::MayBeStale};
     StoreWatcher::Handlers handlers;
-    handlers.listed = [this](const ObjectList &list) {
+    handlers.listed = [this](const ObjectList &list, Freshness) {
         // A list does not contain the time at which a version was named.
         const auto since = std::chrono::steady_clock::now() - AssumedListedAge;
         for (const StoredObject &object : list.objects)
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -2,9 +2,12 @@
 
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/peerloads.h"
 #include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/http/supervisedtask.h"
 #include "almondmill/kernel/error.h"
+#include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/broadcasttree.h"
@@ -59,12 +62,37 @@
 /// includes most of the routers that start at the same time.
 constexpr milliseconds RegistrationWindow{1500};
 
+/// Delay until they are listed once more: the first list may be stale by seconds, and lacks routers
+/// that started later and whose datagrams were lost.
+constexpr milliseconds SecondListDelay{4000};
+
 asio::ip::udp::endpoint parseDatagramAddress(const std::string &text)
 {
     const auto address = parseSocketAddress(text);
     return {address.address(), address.port()};
 }
 
+/// The entry that a router stores of itself.
+std::string entryOf(const std::string &address)
+{
+    return nlohmann::json{{"address", address}}.dump();
+}
+
+/// Address in a router's stored entry; logs an event and returns nothing when it is malformed.
+std::optional<asio::ip::udp::endpoint> registeredAddress(const StoredObject &object)
+{
+    try {
+        const auto entry = nlohmann::json::parse(object.value);
+        return parseDatagramAddress(entry.at("address").get<std::string>());
+    } catch (const std::exception &error) {
+        EventLine("peer.entry_unreadable")
+                .add("name", object.name)
+                .add("revision", object.version)
+                .add("reason", error.what());
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 PeerExchange::PeerExchange(ForwardingContext &context, AsyncStore &store, MessageHandler onMessage,
@@ -86,10 +114,10 @@
     m_socket.open(own.protocol());
     m_socket.bind(own);
     m_socket.non_blocking(true);
-    asio::co_spawn(m_context.loop, discoverPeers(), asio::detached);
-    asio::co_spawn(m_context.loop, receive(), asio::detached);
-    asio::co_spawn(m_context.loop, sendState(), asio::detached);
-    asio::co_spawn(m_context.loop, forwardPlacements(), asio::detached);
+    startSupervised(m_context.loop, "peers.discover", [this] { return discoverPeers(); });
+    startSupervised(m_context.loop, "peers.receive", [this] { return receive(); });
+    startSupervised(m_context.loop, "peers.state", [this] { return sendState(); });
+    startSupervised(m_context.loop, "peers.placements", [this] { return forwardPlacements(); });
 }
 
 void PeerExchange::announce()
@@ -131,30 +159,55 @@
 
 asio::awaitable<void> PeerExchange::discoverPeers()
 {
-    while (!co_await registerSelf())
-        co_await sleepFor(m_context.loop, RetryDelay);
+    co_await registerUntilAnswered();
     co_await sleepFor(m_context.loop, RegistrationWindow);
+    co_await listPeersUntilAnswered();
+    co_await sleepFor(m_context.loop, SecondListDelay);
+    co_await listPeersUntilAnswered();
+}
+
+// The loops below keep `co_await` out of their conditions, where GCC 12 generates wrong code.
+asio::awaitable<void> PeerExchange::registerUntilAnswered()
+{
     for (;;) {
-        const auto result = co_await m_store.list(ObjectKind::Routers,
-                                                  std::chrono::steady_clock::now() + StoreTimeout);
-        if (const auto *list = std::get_if<ObjectList>(&result)) {
-            for (const StoredObject &object : list->objects) {
-                const auto value = nlohmann::json::parse(object.value, nullptr, false);
-                if (value.is_object() && value.contains("address"))
-                    addPeer(object.name,
-                            parseDatagramAddress(value.at("address").get<std::string>()));
-            }
-            EventLine("peers.found").add("routers", m_peers.size());
-            announce();
+        const bool isRegistered = co_await registerSelf();
+        if (isRegistered)
             co_return;
-        }
         co_await sleepFor(m_context.loop, RetryDelay);
     }
 }
 
+asio::awaitable<void> PeerExchange::listPeersUntilAnswered()
+{
+    for (;;) {
+        const bool isListed = co_await listPeers();
+        if (isListed)
+            co_return;
+        co_await sleepFor(m_context.loop, RetryDelay);
+    }
+}
+
+asio::awaitable<bool> PeerExchange::listPeers()
+{
+    const auto result = co_await m_store.list(ObjectKind::Routers, Freshness::MayBeStale,
+                                              std::chrono::steady_clock::now() + StoreTimeout);
+    const auto *list = std::get_if<ObjectList>(&result);
+    if (!list)
+        co_return false;
+    const std::size_t before = m_peers.size();
+    for (const StoredObject &object : list->objects) {
+        if (const auto address = registeredAddress(object))
+            addPeer(object.name, *address);
+    }
+    EventLine("peers.found").add("routers", m_peers.size()).add("before", before);
+    if (m_peers.size() > before)
+        announce();
+    co_return true;
+}
+
 asio::awaitable<bool> PeerExchange::registerSelf()
 {
-    const std::string value = nlohmann::json{{"address", m_context.settings.peersListen}}.dump();
+    const std::string value = entryOf(m_context.settings.peersListen);
     const auto deadline = [] { return std::chrono::steady_clock::now() + StoreTimeout; };
     const auto created = co_await m_store.create(ObjectKind::Routers, m_context.settings.name,
                                                  value, deadline());
@@ -193,6 +246,7 @@
         for (const auto &[id, view] : m_context.endpoints.all())
             view->averageLoad(now);
         m_context.peers.refresh(now, m_peers.size());
+        estimatePeerLoads(m_context.endpoints, m_context.peers);
         m_context.retryBudgets.setRouters(static_cast<std::uint32_t>(m_peers.size() + 1));
         if (m_roundRobin.empty())
             continue;
--- a/src/peers/peermessage.cpp
+++ b/src/peers/peermessage.cpp
@@ -2,8 +2,6 @@
 
 #include "peerfields.h"
 
-#include "almondmill/kernel/hash.h"
-
 #include <nlohmann/json.hpp>
 
 #include <cmath>
@@ -45,6 +43,12 @@
 
 constexpr std::size_t FieldsPerLoad = 4;
 
+/// A count of tokens; rejects what is no number that loads can be added up from.
+double decodeTokens(const json &value)
+{
+    return static_cast<double>(value.get_ref<const json::number_unsigned_t &>());
+}
+
 std::vector<PeerMessage::Load> decodeLoads(const json &array)
 {
     std::vector<PeerMessage::Load> loads;
@@ -52,8 +56,8 @@
         PeerMessage::Load entry;
         entry.endpoint = array.at(at).get<std::uint32_t>();
         entry.load.openRequests = fromTenths(array.at(at + 1));
-        entry.load.pendingPrefillTokens = array.at(at + 2).get<double>();
-        entry.load.heldTokens = array.at(at + 3).get<double>();
+        entry.load.pendingPrefillTokens = decodeTokens(array.at(at + 2));
+        entry.load.heldTokens = decodeTokens(array.at(at + 3));
         loads.push_back(entry);
     }
     return loads;
@@ -75,11 +79,6 @@
 
 } // namespace
 
-std::uint32_t shortHash(std::string_view endpointId)
-{
-    return static_cast<std::uint32_t>(hash64(endpointId));
-}
-
 std::string encodePeerMessage(const PeerMessage &message)
 {
     const json fields =
@@ -93,9 +92,10 @@
 
 std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
 {
-    const json fields = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (!fields.is_array() || fields.empty() || fields.front() != LayoutVersion)
+    const auto decoded = decodeLayout(bytes, LayoutVersion);
+    if (!decoded)
         return std::nullopt;
+    const json &fields = *decoded;
     try {
         return decodeFields(fields);
     } catch (const json::exception &) {
--- a/src/peers/peerviews.cpp
+++ b/src/peers/peerviews.cpp
@@ -48,7 +48,7 @@
     }
 }
 
-EndpointLoad PeerViews::loadOn(std::uint32_t endpoint) const
+EndpointLoad PeerViews::reportedLoadOn(std::uint32_t endpoint) const
 {
     const auto found = m_loads.find(endpoint);
     return found == m_loads.end() ? EndpointLoad() : found->second;
@@ -84,10 +84,10 @@
     m_routers = 1 + std::max(known, m_peers.size());
     m_loads.clear();
     const double live = static_cast<double>(std::max<std::size_t>(m_peers.size(), 1));
-    const double scale = std::max(1.0, static_cast<double>(known) / live);
+    m_silentPeersPerReporter = std::max(0.0, static_cast<double>(known) / live - 1);
     for (const auto &[name, peer] : m_peers) {
         for (const PeerMessage::Load &entry : peer.message.loads)
-            m_loads[entry.endpoint] += entry.load * scale;
+            m_loads[entry.endpoint] += entry.load;
     }
 }
 
--- a/src/peers/placementbroadcastqueue.cpp
+++ b/src/peers/placementbroadcastqueue.cpp
@@ -1,5 +1,7 @@
 #include "almondmill/peers/placementbroadcastqueue.h"
 
+#include "peerfields.h"
+
 #include <nlohmann/json.hpp>
 
 #include <bit>
@@ -90,9 +92,10 @@
 
 std::optional<std::vector<BroadcastPlacement>> decodePlacements(std::string_view bytes)
 {
-    const json fields = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (!fields.is_array() || fields.empty() || fields.front() != LayoutVersion)
+    const auto decoded = decodeLayout(bytes, LayoutVersion);
+    if (!decoded)
         return std::nullopt;
+    const json &fields = *decoded;
     std::vector<BroadcastPlacement> placements;
     try {
         for (std::size_t at = 1; at + FieldsPerPlacement <= fields.size(); at += FieldsPerPlacement)
--- a/src/peers/storeupdate.cpp
+++ b/src/peers/storeupdate.cpp
@@ -82,9 +82,10 @@
 
 std::optional<StoreUpdate> decodeStoreUpdate(std::string_view bytes)
 {
-    const json fields = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (!fields.is_array() || fields.empty() || fields.front() != LayoutVersion)
+    const auto decoded = decodeLayout(bytes, LayoutVersion);
+    if (!decoded)
         return std::nullopt;
+    const json &fields = *decoded;
     try {
         StoreUpdate update;
         update.origin = fields.at(1).get<std::string>();
--- a/src/rollout/rolloutleader.cpp
+++ b/src/rollout/rolloutleader.cpp
@@ -4,6 +4,7 @@
 #include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/observe/eventline.h"
+#include "almondmill/orders/leaserecord.h"
 #include "almondmill/rollout/namedweights.h"
 #include "almondmill/rollout/orderlimits.h"
 #include "almondmill/rollout/weightsrollout.h"
@@ -59,7 +60,7 @@
 /// orders.
 constexpr milliseconds HandoverMargin{100};
 
-/// Routers that start at the same time spread their first lease requests over this time.
+/// Routers that start at the same time spread their first reads of the lease over this time.
 constexpr std::uint64_t StartJitterMs = 1500;
 
 LeaseOptions leaseOptions(const ForwardingContext &context)
@@ -79,7 +80,10 @@
 RolloutLeader::RolloutLeader(ForwardingContext &context, AsyncStore &store, WeightsRollout &rollout)
     : m_context(context)
     , m_rollout(rollout)
-    , m_store(std::make_unique<BlockingStore>(context.loop, store, ObjectKind::Leases))
+    , m_store(std::make_unique<BlockingStore>(context.loop, store, ObjectKind::Leases,
+                                              Freshness::Current))
+    , m_staleStore(std::make_unique<BlockingStore>(context.loop, store, ObjectKind::Leases,
+                                                   Freshness::MayBeStale))
     , m_lease(*m_store, leaseOptions(context))
     , m_ownHash(hash64(context.settings.name))
 {}
@@ -130,18 +134,25 @@
 
 void RolloutLeader::run()
 {
-    // When all routers start together, the first one to request the lease becomes its holder.
     if (!pause(milliseconds(m_ownHash % StartJitterMs)))
         return;
-    m_lease.maintain(bootTime);
-    logHolderChange();
-    readNote();
+    guarded([this] { readRecordAtStart(); });
     while (waitForWork()) {
-        runOnce();
+        guarded([this] { runOnce(); });
         if (!pause(m_holds ? RoundInterval : StandbyInterval))
             break;
     }
-    releaseLease();
+    guarded([this] { releaseLease(); });
+}
+
+void RolloutLeader::guarded(const std::function<void()> &step)
+{
+    try {
+        step();
+    } catch (const std::exception &error) {
+        // A lease record that this release can't read; another router may hold the lease.
+        EventLine("lease.step_failed").add("reason", error.what());
+    }
 }
 
 void RolloutLeader::releaseLease()
@@ -168,11 +179,19 @@
     return done.get();
 }
 
-void RolloutLeader::readNote()
+void RolloutLeader::readRecordAtStart()
 {
-    const std::string note = m_lease.lastSeenNote();
+    const auto result = m_staleStore->read(LeaseObject, StoreTimeout);
+    const auto *object = std::get_if<StoredObject>(&result);
+    if (!object)
+        return;
+    const LeaseRecord record = decodeLease(object->value);
     boost::asio::post(m_context.loop,
-                      [this, note] { restoreNamedWeights(m_context.weights, note); });
+                      [this, note = record.note] { restoreNamedWeights(m_context.weights, note); });
+    if (record.holder != m_context.settings.name)
+        return;
+    m_lease.maintain(bootTime); // This VM's previous process held the lease.
+    logHolderChange();
 }
 
 void RolloutLeader::writeNote()
@@ -194,7 +213,7 @@
         if (!isFirstCandidate())
             continue;
         lock.unlock();
-        m_lease.observe(bootTime);
+        guarded([this] { m_lease.observe(bootTime); });
         lock.lock();
     }
     return !m_resigning && !m_stopping;
--- a/src/rollout/weightsrollout.cpp
+++ b/src/rollout/weightsrollout.cpp
@@ -8,6 +8,7 @@
 #include "almondmill/http/httpclient.h"
 #include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/error.h"
+#include "almondmill/kernel/hash.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/rollout/orderlimits.h"
 #include "almondmill/rollout/rolloutplan.h"
@@ -103,7 +104,7 @@
             continue;
         views.push_back(view);
         EndpointLoad load = view->load();
-        load += m_context.peers.loadOn(shortHash(id));
+        load += view->peerLoad();
         engines.push_back({*current, m_ordered.contains(id), load.openRequests});
     }
     const auto chosen = planRollout(engines, version);
--- a/src/route/routingtable.cpp
+++ b/src/route/routingtable.cpp
@@ -1,7 +1,10 @@
 #include "almondmill/route/routingtable.h"
+
 #include "almondmill/kernel/abslview.h"
+#include "almondmill/kernel/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondmill {
 
@@ -30,8 +33,11 @@
         for (const std::string &key : account.keys)
             m_accountsByKey[key] = &account;
     }
-    for (const RoutedService &service : m_configuration.services)
+    for (const RoutedService &service : m_configuration.services) {
         m_servicesByName[service.name] = &service;
+        if (service.kvCacheStore)
+            m_kvCacheStores.push_back(&*service.kvCacheStore);
+    }
 }
 
 const Route *RoutingTable::match(std::string_view host, std::string_view path) const
@@ -58,15 +64,37 @@
     return found == m_servicesByName.end() ? nullptr : found->second;
 }
 
-const KvCacheStore *RoutingTable::kvCacheStore() const
+const KvCacheStore *RoutingTable::kvCacheStoreFor(std::string_view dataCentre) const
 {
-    for (const RoutedService &service : m_configuration.services) {
-        if (service.kvCacheStore)
-            return &*service.kvCacheStore;
+    const std::uint64_t place = hash64(dataCentre);
+    const auto rank = [&](const KvCacheStore *store) {
+        return std::pair(store->dataCentre != dataCentre, mixHash(place, hash64(store->address)));
+    };
+    const auto nearest =
+            std::min_element(m_kvCacheStores.begin(), m_kvCacheStores.end(),
+                             [&](const KvCacheStore *first, const KvCacheStore *second) {
+                                 return rank(first) < rank(second);
+                             });
+    return nearest == m_kvCacheStores.end() ? nullptr : *nearest;
+}
+
+const KvCacheStore *RoutingTable::kvCacheStoreByHash(std::uint32_t addressHash) const
+{
+    for (const KvCacheStore *store : m_kvCacheStores) {
+        if (shortHash(store->address) == addressHash)
+            return store;
     }
     return nullptr;
 }
 
+double RoutingTable::kvCacheMegabitsPerSecond() const
+{
+    double sum = 0;
+    for (const KvCacheStore *store : m_kvCacheStores)
+        sum += store->linkMegabitsPerSecond;
+    return sum;
+}
+
 const std::string &RoutingTable::serviceFor(const Route &route, std::uint64_t requestHash)
 {
     std::uint64_t total = 0;
--- a/src/store/blockingstore.cpp
+++ b/src/store/blockingstore.cpp
@@ -32,16 +32,19 @@
 
 } // namespace
 
-BlockingStore::BlockingStore(asio::io_context &loop, AsyncStore &store, ObjectKind kind)
+BlockingStore::BlockingStore(asio::io_context &loop, AsyncStore &store, ObjectKind kind,
+                             Freshness freshness)
     : m_loop(loop)
     , m_store(store)
     , m_kind(kind)
+    , m_freshness(freshness)
 {}
 
 ReadResult BlockingStore::read(const std::string &name, std::chrono::milliseconds timeout)
 {
-    auto future = asio::co_spawn(m_loop, m_store.read(m_kind, name, deadlineAfter(timeout)),
-                                 asio::use_future);
+    auto future =
+            asio::co_spawn(m_loop, m_store.read(m_kind, name, m_freshness, deadlineAfter(timeout)),
+                           asio::use_future);
     return waitForResult(future, timeout).value_or(Unavailable{LoopStoppedReason});
 }
 
--- a/src/store/countingstore.cpp
+++ b/src/store/countingstore.cpp
@@ -32,17 +32,18 @@
 }
 
 AsyncStore::Awaitable<ReadResult> CountingStore::read(ObjectKind kind, std::string name,
-                                                      SteadyTime deadline)
+                                                      Freshness freshness, SteadyTime deadline)
 {
-    auto result = co_await m_store->read(kind, std::move(name), deadline);
-    count("read", isAnswered(result));
+    auto result = co_await m_store->read(kind, std::move(name), freshness, deadline);
+    count(freshness == Freshness::Current ? "read" : "stale_read", isAnswered(result));
     co_return result;
 }
 
-AsyncStore::Awaitable<ListResult> CountingStore::list(ObjectKind kind, SteadyTime deadline)
+AsyncStore::Awaitable<ListResult> CountingStore::list(ObjectKind kind, Freshness freshness,
+                                                      SteadyTime deadline)
 {
-    auto result = co_await m_store->list(kind, deadline);
-    count("list", isAnswered(result));
+    auto result = co_await m_store->list(kind, freshness, deadline);
+    count(freshness == Freshness::Current ? "list" : "stale_list", isAnswered(result));
     co_return result;
 }
 
--- a/tests/unit-routingtable.cpp
+++ b/tests/unit-routingtable.cpp
@@ -1,5 +1,7 @@
 #include "almondmill/route/routingtable.h"
 
+#include "almondmill/kernel/hash.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -68,4 +70,41 @@
     EXPECT_EQ(RoutingTable::serviceFor(route, 5), "x");
 }
 
+namespace {
+
+RoutingConfiguration withCacheStores(std::initializer_list<KvCacheStore> stores)
+{
+    RoutingConfiguration configuration;
+    for (const KvCacheStore &store : stores) {
+        RoutedService service;
+        service.name = store.address;
+        service.kvCacheStore = store;
+        configuration.services.push_back(service);
+    }
+    return configuration;
+}
+
+} // namespace
+
+TEST(RoutingTable, EnginesSaveToTheCacheStoreOfTheirDataCentre)
+{
+    const RoutingTable table(withCacheStores({{"10.0.0.1:1", "a", 100, 1000},
+                                              {"10.0.0.2:1", "b", 100, 2000},
+                                              {"10.0.0.3:1", "c", 100, 3000}}));
+    EXPECT_EQ(table.kvCacheStoreFor("a")->address, "10.0.0.1:1");
+    EXPECT_EQ(table.kvCacheStoreFor("b")->address, "10.0.0.2:1");
+    ASSERT_NE(table.kvCacheStoreFor("elsewhere"), nullptr);
+    EXPECT_EQ(table.kvCacheStoreFor("elsewhere"), table.kvCacheStoreFor("elsewhere"));
+    EXPECT_EQ(table.kvCacheStoreByHash(shortHash("10.0.0.3:1"))->dataCentre, "c");
+    EXPECT_EQ(table.kvCacheStoreByHash(shortHash("10.0.0.4:1")), nullptr);
+    EXPECT_DOUBLE_EQ(table.kvCacheMegabitsPerSecond(), 6000);
+}
+
+TEST(RoutingTable, WithoutCacheStoresThereIsNoneForAnyDataCentre)
+{
+    const RoutingTable table(withCacheStores({}));
+    EXPECT_EQ(table.kvCacheStoreFor("a"), nullptr);
+    EXPECT_DOUBLE_EQ(table.kvCacheMegabitsPerSecond(), 0);
+}
+
 } // namespace almondmill::test
