--- a/tests/support/rawendpoint.cpp
+++ b/tests/support/rawendpoint.cpp
@@ -7,7 +7,8 @@
 #include <unistd.h>
 
 #include <array>
-#include <stdexcept>
+#include <cerrno>
+#include <system_error>
 
 namespace almondmill::test {
 
@@ -26,18 +27,24 @@
 } // namespace
 
 RawEndpoint::RawEndpoint(Behaviour behaviour)
+    : RawEndpoint(nextLoopbackAddress(), std::move(behaviour))
+{}
+
+RawEndpoint::RawEndpoint(const std::string &host, Behaviour behaviour)
     : m_behaviour(std::move(behaviour))
+    , m_address(host + ":" + std::to_string(Port))
 {
-    const std::string host = nextLoopbackAddress();
-    m_address = host + ":" + std::to_string(Port);
     m_listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int yes = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(Port);
     inet_pton(AF_INET, host.c_str(), &address.sin_addr);
     if (bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0
         || listen(m_listener, Backlog) != 0)
-        throw std::runtime_error("cannot bind and listen on " + m_address);
+        throw std::system_error(errno, std::generic_category(),
+                                "cannot bind and listen on " + m_address);
     m_acceptor = std::thread([this] { accept(); });
 }
 
--- a/tests/support/rawendpoint.h
+++ b/tests/support/rawendpoint.h
@@ -20,6 +20,11 @@
     using Behaviour = std::function<void(int socket, const std::string &call, unsigned before)>;
 
     explicit RawEndpoint(Behaviour behaviour);
+
+    /// Listens on the loopback address `host`, which may have been used before. Throws
+    /// std::system_error if that fails.
+    RawEndpoint(const std::string &host, Behaviour behaviour);
+
     ~RawEndpoint();
     RawEndpoint(const RawEndpoint &) = delete;
     RawEndpoint &operator=(const RawEndpoint &) = delete;
