Keep reports of loading engines apart from the views of peers

Cause: PeerViews::applyLoading made an entry for the sender of a store update. A router that had left became live again without load, and one that had sent no message here counted as a reporter of no load, so that the load of silent peers was estimated too low; its report also ended with its view after 3.5 s, however long the engine had still to load.

Ruled out: dropping reports of routers that are not live. In a fleet of 295 most leaders are heard only through updates.

Change: reports of loading engines have their own map.

--- a/include/almondmill/peers/peerviews.h
+++ b/include/almondmill/peers/peerviews.h
@@ -54,11 +54,20 @@
         SteadyTime receivedAt;
     };
 
+    /// Which engines load weights on a router's orders. It is kept apart from the router's view,
+    /// because updates carry it also from routers that have left or sent no message here.
+    struct LoadingReport
+    {
+        std::vector<PeerMessage::LoadingEngine> engines;
+        SteadyTime receivedAt;
+    };
+
     void rebuildLoadingDeadlines();
 
     std::size_t m_routers = 1;
     double m_silentPeersPerReporter = 0;
     absl::flat_hash_map<std::string, Peer> m_peers;
+    absl::flat_hash_map<std::string, LoadingReport> m_loadingReports;
     absl::flat_hash_map<std::uint32_t, EndpointLoad> m_loads; ///< Sums over the live peers.
     absl::flat_hash_map<std::uint32_t, SteadyTime> m_loadingUntil;
 };
--- a/src/peers/peerviews.cpp
+++ b/src/peers/peerviews.cpp
@@ -22,28 +22,26 @@
         return false;
     peer.message = message;
     peer.receivedAt = now;
+    applyLoading(message.sender, message.loading, now);
     if (message.leaving)
         m_peers.erase(message.sender);
-    rebuildLoadingDeadlines();
     return true;
 }
 
 void PeerViews::applyLoading(const std::string &sender,
                              const std::vector<PeerMessage::LoadingEngine> &loading, SteadyTime now)
 {
-    Peer &peer = m_peers[sender];
-    peer.message.loading = loading;
-    peer.receivedAt = now;
+    m_loadingReports[sender] = {loading, now};
     rebuildLoadingDeadlines();
 }
 
 void PeerViews::rebuildLoadingDeadlines()
 {
     m_loadingUntil.clear();
-    for (const auto &[name, peer] : m_peers) {
-        for (const PeerMessage::LoadingEngine &entry : peer.message.loading) {
+    for (const auto &[name, report] : m_loadingReports) {
+        for (const PeerMessage::LoadingEngine &entry : report.engines) {
             SteadyTime &until = m_loadingUntil[entry.endpoint];
-            until = std::max(until, peer.receivedAt + entry.timeLeft);
+            until = std::max(until, report.receivedAt + entry.timeLeft);
         }
     }
 }
@@ -80,7 +78,6 @@
     absl::erase_if(m_peers, [&](const auto &entry) {
         return now - entry.second.receivedAt > MessageTimeout;
     });
-    rebuildLoadingDeadlines();
     m_routers = 1 + std::max(known, m_peers.size());
     m_loads.clear();
     const double live = static_cast<double>(std::max<std::size_t>(m_peers.size(), 1));
--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -101,6 +101,27 @@
     EXPECT_EQ(views.liveCount(), 0U);
 }
 
+TEST(PeerViews, AnUpdateOfADepartedPeerDoesNotMakeItLive)
+{
+    PeerViews views;
+    views.applyMessage(messageOf("a", 1), Start);
+    auto leaving = messageOf("a", 2);
+    leaving.leaving = true;
+    views.applyMessage(leaving, Start);
+    views.applyLoading("a", {{9, milliseconds(4000)}}, Start);
+    EXPECT_EQ(views.liveCount(), 0U);
+    EXPECT_TRUE(views.isLoading(9, Start + seconds(3)));
+}
+
+TEST(PeerViews, LoadingEnginesOutlastTheReportingPeersView)
+{
+    PeerViews views;
+    views.applyLoading("a", {{9, milliseconds(8000)}}, Start);
+    views.refresh(Start + seconds(5), 1);
+    EXPECT_TRUE(views.isLoading(9, Start + seconds(6)));
+    EXPECT_FALSE(views.isLoading(9, Start + seconds(9)));
+}
+
 TEST(PeerViews, AllRoutersComputeTheSameCandidates)
 {
     PeerViews ofA;
