Keep the locations of session parts at two owners in large fleets

Cause: every placement was broadcast to all routers. Nearly all placements are of parts that only one session uses.

Ruled out: announcing nothing. Packing the messages would at best halve them.

Change: above 128 routers, a prompt's longest shared part has two owners by rendezvous over the routers. A placement is reported to both, and a router asks one of them before it places a prompt, for 40 ms at most. An owner that doesn't answer is passed over for 3 s. Shorter parts, which many sessions share and which seldom move, are broadcast as before. State messages go to one peer a round there, not three.

A location is now known at once, not after 0.7 to 1.4 s.

--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -9,6 +9,7 @@
 #include "almondmill/forward/weightstargets.h"
 #include "almondmill/kernel/rcucell.h"
 #include "almondmill/metrics/metrics.h"
+#include "almondmill/peers/partlookups.h"
 #include "almondmill/peers/peerviews.h"
 #include "almondmill/peers/placementbroadcastqueue.h"
 #include "almondmill/route/routingtable.h"
@@ -44,6 +45,7 @@
     PartLocations partLocations;
     PlacementBroadcastQueue
             placements; ///< Placements of prompt parts to be sent to the other routers.
+    PartLookups partLookups;
     ServiceRetryBudgets retryBudgets;
 
     /// Set on SIGTERM: the router is not ready, and connections close after the current answer.
--- a/include/almondmill/forward/partlocations.h
+++ b/include/almondmill/forward/partlocations.h
@@ -60,6 +60,10 @@
     void recordPlacement(const PartPlacement &placement, std::uint32_t store,
                          std::chrono::milliseconds prefillTime, SteadyTime now);
 
+    /// Applies what another router knows of a part's location, unless this router knows of a later
+    /// use.
+    void recordReported(PartKey part, const Location &reported, SteadyTime now);
+
 private:
     void evictOld(SteadyTime now);
 
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,10 @@
 
     explicit SendPlanner(ForwardingContext &context);
 
+    /// The part whose location is to be looked up before the request is placed; empty when the
+    /// prompt shares none or its location is known here.
+    std::optional<PartKey> partToLookUp(const RoutedRequest &placed, SteadyTime now) const;
+
     /// The endpoint for the next attempt, other than those in `tried`; null when there is none.
     View pick(const RoutedRequest &placed, const std::vector<View> &tried, SteadyTime now) const;
 
@@ -69,10 +74,16 @@
     EndpointLoad expectedPeerLoadChange(const EndpointLoad &now,
                                         const EndpointLoad &reported) const;
 
+    /// The version of the model's weights that most endpoints of the service have; zero when none
+    /// has the model.
+    std::uint64_t commonWeightsVersion(const RoutedRequest &placed) const;
+
     void planCache(const RoutedRequest &placed, const EndpointView &view, AttemptParameters &send,
                    SteadyTime now);
     /// Whether a request with the part was placed within the re-announcement interval.
     bool wasUsedRecently(PartKey part, SteadyTime now) const;
+    /// Lets the other routers know where a part was sent.
+    void announce(const PartPlacement &placement, bool isLongest);
     /// Takes the prompt's size out of the save budget; false when the budget is exhausted.
     bool takeSaveBudget(const RoutedRequest &placed, SteadyTime now);
 
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -73,12 +73,14 @@
     void forwardInDirection(unsigned direction);
     boost::asio::awaitable<void> publishAfterDelay();
     void handleDatagram(std::string_view bytes, const Address &from);
-    void handleStoreUpdate(const StoreUpdate &update, std::string_view bytes);
+    void handleMessage(const PeerMessage &message, const Address &from, SteadyTime now);
+    void handleStoreUpdate(const StoreUpdate &update, std::string_view bytes, SteadyTime now);
     void handlePlacements(const std::vector<BroadcastPlacement> &placements);
     void forwardToChildren(const std::string &origin, std::string_view bytes);
     std::vector<PeerMessage::Weights> describeWeights(SteadyTime now) const;
     std::vector<PeerMessage::LoadingEngine> describeLoading(SteadyTime now) const;
     void sendTo(const Address &address, std::string_view bytes);
+    void sendTo(const std::string &router, std::string_view bytes);
     void addPeer(const std::string &name, const Address &address);
     PeerMessage describeState(SteadyTime now);
 
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -82,6 +82,9 @@
         if (m_exchange)
             m_exchange->cancel();
     });
+    const auto part = m_planner.partToLookUp(placed(), m_startedAt);
+    if (part)
+        co_await m_context.partLookups.lookUp(*part);
     co_return co_await tryEndpoints();
 }
 
--- a/src/forward/partlocations.cpp
+++ b/src/forward/partlocations.cpp
@@ -50,6 +50,15 @@
         location.saved = {store, now + prefillTime + SaveDuration};
 }
 
+void PartLocations::recordReported(PartKey part, const Location &reported, SteadyTime now)
+{
+    if (m_locations.size() >= MaxLocations)
+        evictOld(now);
+    Location &location = m_locations[part];
+    if (reported.current.lastUsedAt >= location.current.lastUsedAt)
+        location = reported;
+}
+
 void PartLocations::evictOld(SteadyTime now)
 {
     absl::erase_if(m_locations, [&](const auto &entry) {
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -11,6 +11,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <map>
 
 namespace almondmill {
 
@@ -146,6 +147,34 @@
     m_context.partLocations.recordPlacement(placement, store, prefillEndsIn, now);
 }
 
+std::optional<PartKey> SendPlanner::partToLookUp(const RoutedRequest &placed, SteadyTime now) const
+{
+    if (!m_context.partLookups.usesOwners() || !placed.request.prompt)
+        return std::nullopt;
+    const auto &parts = placed.request.prompt->parts;
+    if (parts.size() < 2 || parts[parts.size() - 2].tokens < MinAnnouncedTokens)
+        return std::nullopt;
+    const std::string scope = cacheScope(placed, commonWeightsVersion(placed));
+    const PartKey part = partKey(scope, parts[parts.size() - 2].id);
+    if (wasUsedRecently(part, now))
+        return std::nullopt;
+    return part;
+}
+
+std::uint64_t SendPlanner::commonWeightsVersion(const RoutedRequest &placed) const
+{
+    std::map<std::uint64_t, std::size_t> counts;
+    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+        const auto version = view->weightsVersion(placed.request.prompt->model);
+        if (version)
+            ++counts[*version];
+    }
+    const auto common = std::max_element(
+            counts.begin(), counts.end(),
+            [](const auto &first, const auto &second) { return first.second < second.second; });
+    return common == counts.end() ? 0 : common->first;
+}
+
 SendPlanner::View SendPlanner::pick(const RoutedRequest &placed, const std::vector<View> &tried,
                                     SteadyTime now) const
 {
@@ -280,10 +309,18 @@
         m_context.partLocations.recordPlacement(placement, store ? shortHash(store->address) : 0,
                                                 prefillEndsIn, now);
         if (isAnnounced && parts[part].tokens >= MinAnnouncedTokens)
-            m_context.placements.add(placement, m_context.peers.routerCount());
+            announce(placement, isLongest);
     }
 }
 
+void SendPlanner::announce(const PartPlacement &placement, bool isLongest)
+{
+    if (isLongest && m_context.partLookups.usesOwners())
+        m_context.partLookups.report(placement);
+    else
+        m_context.placements.add(placement, m_context.peers.routerCount());
+}
+
 bool SendPlanner::takeSaveBudget(const RoutedRequest &placed, SteadyTime now)
 {
     const RoutedService *service = placed.table.service(placed.service);
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -11,6 +11,7 @@
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/broadcasttree.h"
+#include "almondmill/peers/partlookupmessages.h"
 #include "almondmill/peers/placementbroadcastqueue.h"
 #include "almondmill/store/asyncstore.h"
 
@@ -36,9 +37,10 @@
 /// Interval between two rounds of state messages.
 constexpr milliseconds StateInterval{250};
 
-/// Peers that receive a state message in one round. Messages of about 200 bytes, with about as much
-/// for headers, stay within the 2 KB per second that a router may use for control traffic.
+/// Peers that receive a state message in one round. In a large fleet, one keeps messages of about
+/// 200 bytes at half of the 2 KB per second that a router may use for control traffic.
 constexpr std::size_t PeersPerRound = 3;
+constexpr std::size_t PeersPerRoundInLargeFleet = 1;
 
 /// Interval between two sends of placements, each in the next direction of the ring. A fleet of 121
 /// routers has seven directions, so a placement reaches all of them within 0.7 to 1.4 s.
@@ -114,6 +116,9 @@
     m_socket.open(own.protocol());
     m_socket.bind(own);
     m_socket.non_blocking(true);
+    m_context.partLookups.start(
+            m_context.settings.name,
+            [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); });
     startSupervised(m_context.loop, "peers.discover", [this] { return discoverPeers(); });
     startSupervised(m_context.loop, "peers.receive", [this] { return receive(); });
     startSupervised(m_context.loop, "peers.state", [this] { return sendState(); });
@@ -251,7 +256,9 @@
         if (m_roundRobin.empty())
             continue;
         const std::string bytes = encodePeerMessage(describeState(now));
-        for (std::size_t sent = 0; sent < std::min(PeersPerRound, m_roundRobin.size()); ++sent) {
+        const std::size_t receivers =
+                m_context.partLookups.usesOwners() ? PeersPerRoundInLargeFleet : PeersPerRound;
+        for (std::size_t sent = 0; sent < std::min(receivers, m_roundRobin.size()); ++sent) {
             m_nextPeer = (m_nextPeer + 1) % m_roundRobin.size();
             sendTo(m_peers[m_roundRobin[m_nextPeer]], bytes);
         }
@@ -280,32 +287,35 @@
     const auto position = static_cast<std::size_t>(self - m_ring.begin());
     const std::string &target =
             m_ring[PlacementBroadcastQueue::target(position, direction, m_ring.size())];
-    const auto peer = m_peers.find(target);
-    if (peer != m_peers.end())
-        sendTo(peer->second, encodePlacements(placements));
+    sendTo(target, encodePlacements(placements));
 }
 
 void PeerExchange::handleDatagram(std::string_view bytes, const Address &from)
 {
-    const auto message = decodePeerMessage(bytes);
-    if (!message) {
-        if (const auto update = decodeStoreUpdate(bytes)) {
-            handleStoreUpdate(*update, bytes);
-            return;
-        }
-        if (const auto placements = decodePlacements(bytes)) {
-            handlePlacements(*placements);
-            return;
-        }
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (const auto message = decodePeerMessage(bytes))
+        handleMessage(*message, from, now);
+    else if (const auto update = decodeStoreUpdate(bytes))
+        handleStoreUpdate(*update, bytes, now);
+    else if (const auto placements = decodePlacements(bytes))
+        handlePlacements(*placements);
+    else if (const auto request = decodePartLookupRequest(bytes))
+        sendTo(from, encodePartLookup(m_context.partLookups.answer(*request), now));
+    else if (const auto reply = decodePartLookupReply(bytes, now))
+        m_context.partLookups.handleReply(*reply, now);
+    else
         m_context.metrics.counter("almondmill_peer_messages_unreadable_total").add();
-        return;
-    }
-    addPeer(message->sender, from);
-    if (m_context.peers.applyMessage(*message, std::chrono::steady_clock::now()))
-        m_onMessage(*message);
 }
 
-void PeerExchange::handleStoreUpdate(const StoreUpdate &update, std::string_view bytes)
+void PeerExchange::handleMessage(const PeerMessage &message, const Address &from, SteadyTime now)
+{
+    addPeer(message.sender, from);
+    if (m_context.peers.applyMessage(message, now))
+        m_onMessage(message);
+}
+
+void PeerExchange::handleStoreUpdate(const StoreUpdate &update, std::string_view bytes,
+                                     SteadyTime now)
 {
     UpdatePosition &last = m_lastUpdates[update.origin];
     const bool sameIncarnation = last.incarnation == update.incarnation;
@@ -314,7 +324,7 @@
         return;
     last = {update.incarnation, update.sequence};
     forwardToChildren(update.origin, bytes);
-    m_context.peers.applyLoading(update.origin, update.loading, std::chrono::steady_clock::now());
+    m_context.peers.applyLoading(update.origin, update.loading, now);
     m_onStoreUpdate(update);
 }
 
@@ -329,11 +339,8 @@
 void PeerExchange::forwardToChildren(const std::string &origin, std::string_view bytes)
 {
     for (const std::string &child :
-         broadcastTreeChildren(origin, m_context.settings.name, m_roundRobin)) {
-        const auto peer = m_peers.find(child);
-        if (peer != m_peers.end())
-            sendTo(peer->second, bytes);
-    }
+         broadcastTreeChildren(origin, m_context.settings.name, m_roundRobin))
+        sendTo(child, bytes);
 }
 
 void PeerExchange::addPeer(const std::string &name, const Address &address)
@@ -346,6 +353,14 @@
         return;
     m_roundRobin.push_back(name);
     m_ring.insert(std::lower_bound(m_ring.begin(), m_ring.end(), name), name);
+    m_context.partLookups.addRouter(name);
+}
+
+void PeerExchange::sendTo(const std::string &router, std::string_view bytes)
+{
+    const auto peer = m_peers.find(router);
+    if (peer != m_peers.end())
+        sendTo(peer->second, bytes);
 }
 
 void PeerExchange::sendTo(const Address &address, std::string_view bytes)
