Count senders of store updates as candidates for the lease

Ruled out: the reads of the holder (one a second); restarts.

Change: candidates are the live peers and the senders of recent updates, unless they announced that they leave. Test: PeerViews.SendersOfUpdatesAreLeaderCandidatesUntilTheyLeave.

--- a/include/almondmill/peers/peerviews.h
+++ b/include/almondmill/peers/peerviews.h
@@ -5,6 +5,7 @@
 #include "almondmill/peers/peermessage.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <string>
@@ -39,8 +40,9 @@
     /// Number of all routers, including this one, as of the last refresh.
     std::size_t routerCount() const { return m_routers; }
 
-    /// The two live routers, possibly including `self`, with the lowest name hashes. All routers
-    /// that see the same peers get the same result.
+    /// The two live routers, possibly including `self`, with the lowest name hashes. Routers that
+    /// sent a recent store update count as live too: in a large fleet they are the ones that every
+    /// router hears, so all routers get the same result.
     std::vector<std::string> leaderCandidates(const std::string &self) const;
 
     /// Drops peers whose last message has expired and recomputes the load sums; `known` is the
@@ -68,6 +70,8 @@
     double m_silentPeersPerReporter = 0;
     absl::flat_hash_map<std::string, Peer> m_peers;
     absl::flat_hash_map<std::string, LoadingReport> m_loadingReports;
+    absl::flat_hash_set<std::string> m_departed; ///< Peers that announced that they leave.
+    SteadyTime m_refreshedAt;
     absl::flat_hash_map<std::uint32_t, EndpointLoad> m_loads; ///< Sums over the live peers.
     absl::flat_hash_map<std::uint32_t, SteadyTime> m_loadingUntil;
 };
--- a/src/peers/peerviews.cpp
+++ b/src/peers/peerviews.cpp
@@ -23,8 +23,12 @@
     peer.message = message;
     peer.receivedAt = now;
     applyLoading(message.sender, message.loading, now);
-    if (message.leaving)
+    if (message.leaving) {
+        m_departed.insert(message.sender);
         m_peers.erase(message.sender);
+    } else {
+        m_departed.erase(message.sender);
+    }
     return true;
 }
 
@@ -64,6 +68,11 @@
     std::vector<std::string> names{self};
     for (const auto &[name, peer] : m_peers)
         names.push_back(name);
+    for (const auto &[name, report] : m_loadingReports) {
+        const bool isRecent = m_refreshedAt - report.receivedAt <= MessageTimeout;
+        if (isRecent && !m_departed.contains(name) && !m_peers.contains(name))
+            names.push_back(name);
+    }
     const std::size_t length = std::min(MaxCandidates, names.size());
     std::partial_sort(names.begin(), names.begin() + static_cast<std::ptrdiff_t>(length),
                       names.end(), [](const std::string &first, const std::string &second) {
@@ -75,6 +84,7 @@
 
 void PeerViews::refresh(SteadyTime now, std::size_t known)
 {
+    m_refreshedAt = now;
     absl::erase_if(m_peers, [&](const auto &entry) {
         return now - entry.second.receivedAt > MessageTimeout;
     });
--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -113,6 +113,34 @@
     EXPECT_TRUE(views.isLoading(9, Start + seconds(3)));
 }
 
+// In a fleet of 295, a router hears messages of few peers, but updates of the lowest ranks. If it
+// took itself for the first candidate for want of messages, dozens of routers would read the lease.
+TEST(PeerViews, SendersOfUpdatesAreLeaderCandidatesUntilTheyLeave)
+{
+    PeerViews unheard;
+    const auto lowest = unheard.leaderCandidates("a").front();
+    PeerViews views;
+    for (const char *name : {"b", "c", "d", "e"})
+        views.applyLoading(name, {}, Start);
+    views.refresh(Start + seconds(1), 4);
+    EXPECT_EQ(lowest, "a");
+    PeerViews live;
+    for (const char *name : {"b", "c", "d", "e"})
+        live.applyMessage(messageOf(name, 1), Start);
+    EXPECT_EQ(views.leaderCandidates("a"), live.leaderCandidates("a"));
+
+    const std::string first = views.leaderCandidates("a").front();
+    ASSERT_NE(first, "a");
+    auto leaving = messageOf(first, 2);
+    leaving.leaving = true;
+    views.applyMessage(leaving, Start + seconds(1));
+    views.applyLoading(first, {}, Start + seconds(1));
+    views.refresh(Start + seconds(1), 4);
+    EXPECT_NE(views.leaderCandidates("a").front(), first);
+    views.refresh(Start + seconds(10), 4);
+    EXPECT_EQ(views.leaderCandidates("a"), std::vector<std::string>{"a"});
+}
+
 TEST(PeerViews, LoadingEnginesOutlastTheReportingPeersView)
 {
     PeerViews views;
