--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -69,9 +69,6 @@
     Handlers m_handlers;
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0; ///< Consecutive failures.
-    /// Whether the store, after failures, has answered a probe. Probes are stale reads, which cost
-    /// a tenth, since all routers probe during an outage.
-    bool m_probeAnswered = false;
     bool m_listPending = true;
     Freshness m_listFreshness;
     std::uint64_t m_listUpTo = 0; ///< Revision that a stale list must have reached.
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -64,7 +64,7 @@
             reached = co_await waitForChanges();
         else
             co_await idle();
-        if (m_failures != 0 && !m_probeAnswered) {
+        if (m_failures != 0) {
             const auto doublings = std::min(m_failures - 1, MaxDoublings);
             co_await sleepFor(m_loop,
                               withJitter(std::min(InitialBackoff * (1U << doublings), MaxBackoff)));
@@ -105,9 +105,7 @@
 
 asio::awaitable<bool> StoreWatcher::list()
 {
-    const bool isProbe = m_failures != 0 && !m_probeAnswered;
-    m_probeAnswered = false;
-    const Freshness freshness = isProbe ? Freshness::MayBeStale : m_listFreshness;
+    const Freshness freshness = m_listFreshness;
     const auto result = co_await m_store.list(m_options.kind, freshness,
                                               std::chrono::steady_clock::now() + ListTimeout);
     if (const auto *missing = std::get_if<Unavailable>(&result)) {
@@ -115,10 +113,6 @@
         m_listFreshness = Freshness::Current;
         co_return false;
     }
-    if (isProbe) {
-        m_probeAnswered = true; // The list that is needed follows.
-        co_return true;
-    }
     recordSuccess();
     const auto &objects = std::get<ObjectList>(result);
     const bool isTooOld = freshness == Freshness::MayBeStale
