Check permissions and deadlines after a connection was opened, not before

WeightsRollout checked the lease, then opened a connection to the engine, then sent the order; a pause in between left the check behind, since after it the event loop completes the connection before it runs the expired timer. ForwardedRequest likewise sent a request whose deadline had passed while its connection was opened: it ran for a caller that had given up.

Forwarding.ARequestIsNotSentWhenIts- DeadlinePassesDuringAPause got a 200 from an endpoint that should have had no request.

Change: HttpClient::connect opens the connection, the lease is checked after it, and the call then writes at once. A request is not sent after its deadline; the caller is told that it did not run.

Ruled out: the step from the lease's thread to the loop and the next engine's turn (both check again); writes to the store carry the revision that they expect.

A lost answer to a request that may have run is no fault of the router; the test's endpoint now says that it closes.

--- a/include/almondmill/http/httpclient.h
+++ b/include/almondmill/http/httpclient.h
@@ -38,6 +38,11 @@
 public:
     HttpClient(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server);
 
+    /// Opens a connection for the next call, unless an idle one can be reused. A caller whose
+    /// permission to send may run out checks it between this and the call, which then sends at
+    /// once. Returns false when no connection was established before `deadline`.
+    boost::asio::awaitable<bool> connect(SteadyTime deadline);
+
     /// Sends one request. `headers` are complete header lines, each ending with CRLF; they follow
     /// the request line and the Host field.
     boost::asio::awaitable<HttpOutcome> call(std::string method, std::string target,
@@ -45,6 +50,14 @@
                                              SteadyTime deadline);
 
 private:
+    /// A connection, or the error of the attempt to open one.
+    struct Connection
+    {
+        std::shared_ptr<TimedSocket> socket;
+        boost::system::error_code error;
+    };
+
+    boost::asio::awaitable<Connection> idleOrNewConnection(SteadyTime deadline);
     std::shared_ptr<TimedSocket> takeIdleConnection();
     boost::asio::awaitable<HttpOutcome> exchange(std::shared_ptr<TimedSocket> socket,
                                                  std::string request);
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -209,6 +209,10 @@
         co_return AttemptOutcome::NotSent;
     }
     const SteadyTime now = steadyNow();
+    if (now >= m_deadline) {
+        m_lastReason = "timeout"; // This VM may have been paused while the connection was opened.
+        co_return AttemptOutcome::NotSent;
+    }
     const AttemptParameters parameters =
             m_planner.planAttempt(placed(), view, timeUntil(m_deadline, now), now);
     ++m_sendCount;
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -30,6 +30,29 @@
     , m_host(boost::lexical_cast<std::string>(m_server))
 {}
 
+asio::awaitable<bool> HttpClient::connect(SteadyTime deadline)
+{
+    Connection connection = co_await idleOrNewConnection(deadline);
+    if (connection.error)
+        co_return false;
+    returnToPool(std::move(connection.socket));
+    co_return true;
+}
+
+asio::awaitable<HttpClient::Connection> HttpClient::idleOrNewConnection(SteadyTime deadline)
+{
+    Connection connection;
+    connection.socket = takeIdleConnection();
+    if (connection.socket)
+        co_return connection;
+    connection.socket = std::make_shared<TimedSocket>(asio::ip::tcp::socket(m_executor));
+    connection.socket->setDeadline(deadline);
+    connection.error = co_await connection.socket->connect(m_server);
+    if (!connection.error)
+        connection.socket->enableDeadPeerDetection(UnacknowledgedDataTimeout);
+    co_return connection;
+}
+
 asio::awaitable<HttpOutcome> HttpClient::call(std::string method, std::string target,
                                               std::string headers, std::string body,
                                               SteadyTime deadline)
@@ -39,17 +62,11 @@
         request += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     request += "\r\n" + body;
 
-    auto socket = takeIdleConnection();
-    if (!socket) {
-        socket = std::make_shared<TimedSocket>(asio::ip::tcp::socket(m_executor));
-        socket->setDeadline(deadline);
-        const auto error = co_await socket->connect(m_server);
-        if (error)
-            co_return HttpFailure{"connect: " + error.message(), false};
-        socket->enableDeadPeerDetection(UnacknowledgedDataTimeout);
-    }
-    socket->setDeadline(deadline);
-    co_return co_await exchange(std::move(socket), std::move(request));
+    Connection connection = co_await idleOrNewConnection(deadline);
+    if (connection.error)
+        co_return HttpFailure{"connect: " + connection.error.message(), false};
+    connection.socket->setDeadline(deadline);
+    co_return co_await exchange(std::move(connection.socket), std::move(request));
 }
 
 asio::awaitable<HttpOutcome> HttpClient::exchange(std::shared_ptr<TimedSocket> socket,
--- a/src/rollout/weightsrollout.cpp
+++ b/src/rollout/weightsrollout.cpp
@@ -156,7 +156,10 @@
 
 asio::awaitable<bool> WeightsRollout::sendOrder(HttpClient &client, WeightsOrder order)
 {
-    if (!mayOrder() || order.fencing != m_grant.fencing)
+    // Connecting may take long, for example while this VM is paused, so the permission is checked
+    // after it.
+    const bool isConnected = co_await client.connect(steadyNow() + OrderTimeout);
+    if (!isConnected || !mayOrder() || order.fencing != m_grant.fencing)
         co_return false;
     m_lastOrderAt = bootTime();
     const auto outcome = co_await client.call(
--- a/tests/failure-forwarding.cpp
+++ b/tests/failure-forwarding.cpp
@@ -8,10 +8,14 @@
 
 #include "almondmill/forward/endpointview.h"
 
+#include <boost/asio/post.hpp>
+
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <mutex>
+#include <thread>
 
 namespace almondmill::test {
 
@@ -27,11 +31,11 @@
     };
 }
 
-std::string streamHead(const std::string &call)
+std::string streamHead(const std::string &call, const std::string &headers = {})
 {
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(call, "Request-Id")
-           + "\r\nServer-Signature: s1\r\nContent-Type: text/event-stream\r\n"
-             "Transfer-Encoding: chunked\r\n\r\n";
+           + "\r\nServer-Signature: s1\r\nContent-Type: text/event-stream\r\n" + headers
+           + "Transfer-Encoding: chunked\r\n\r\n";
 }
 
 std::string chunk(const std::string &bytes)
@@ -109,7 +113,8 @@
     std::string received;
     const RawEndpoint endpoint([&](int socket, const std::string &call, unsigned) {
         received = call;
-        RawEndpoint::write(socket, streamHead(call) + chunk(event(1)) + LastChunk);
+        RawEndpoint::write(socket,
+                           streamHead(call, "Connection: close\r\n") + chunk(event(1)) + LastChunk);
     });
     ForwardingHarness harness;
     harness.configure(oneRouteOfEachKind());
@@ -195,6 +200,39 @@
     }
 }
 
+// The event loop is held for longer than the caller waits, between any two of its steps: a
+// connection to the endpoint is established only after the deadline.
+TEST(Forwarding, ARequestIsNotSentWhenItsDeadlinePassesDuringAPause)
+{
+    constexpr std::chrono::milliseconds Pause{150};
+    std::atomic<unsigned> requests{0};
+    const RawEndpoint endpoint([&](int socket, const std::string &call, unsigned before) {
+        if (call.empty())
+            return; // The connection was closed unused.
+        ++requests;
+        answering("200 OK", "done")(socket, call, before);
+    });
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("e1", "once", endpoint.address());
+    std::atomic<bool> isDone{false};
+    std::function<void()> hold;
+    harness.onLoop([&](ForwardingContext &context) {
+        hold = [&] {
+            std::this_thread::sleep_for(Pause);
+            if (!isDone)
+                boost::asio::post(context.loop, hold);
+        };
+        boost::asio::post(context.loop, hold);
+    });
+    const auto answer =
+            sendRequest(harness, requestText("POST", "/once/x", "Deadline-Ms: 100\r\n", "body"));
+    isDone = true;
+    harness.onLoop([](ForwardingContext &) {}); // Waits until the loop is no longer held.
+    EXPECT_EQ(requests, 0U);
+    EXPECT_TRUE(startsWithStatus(answer, 503)) << answer;
+}
+
 TEST(Forwarding, AnErrorAnswerIsRelayedWithStatusAndSignature)
 {
     const RawEndpoint endpoint(answering("500 Internal Server Error", "broken"));
