Let one watcher of a router probe a store that is down

The readers fail, no updates come, all 295 routers become readers, and the three watchers of each call the store every 0.4 to 0.8 s: 1,587 failed lists in 33 logged routers, some 14,000 in the fleet.

Change: the watchers of a router share a StoreOutage. After a failure the first one that has waited calls the store, the others wait until it is answered.

Test: StoreWatcherTest.OneWatcherOfARouterProbesAnOutage; it was written with the change and not run without it.

--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -14,6 +14,8 @@
 
 namespace almondmill {
 
+class StoreOutage;
+
 /// Watches the store's objects of one kind: lists them, then waits for changes with long polling.
 /// Lists them again when a call fails or the store no longer has the history of changes.
 class StoreWatcher
@@ -39,8 +41,9 @@
         std::function<void()> recovered; ///< First answer after failures; may be empty.
     };
 
+    /// `outage` is shared by the watchers of a router; without it, this watcher probes by itself.
     StoreWatcher(boost::asio::io_context &loop, AsyncStore &store, Options options,
-                 Handlers handlers);
+                 Handlers handlers, std::shared_ptr<StoreOutage> outage = nullptr);
 
     /// Watches until the event loop ends, whenever `isReader` returns true.
     boost::asio::awaitable<void> run(IsReader isReader);
@@ -56,6 +59,7 @@
     void advance(std::uint64_t revision);
 
 private:
+    boost::asio::awaitable<void> backOff();
     boost::asio::awaitable<bool> list();
     void applyList(const ObjectList &objects, Freshness freshness);
     boost::asio::awaitable<bool> waitForChanges();
@@ -67,6 +71,7 @@
     AsyncStore &m_store;
     Options m_options;
     Handlers m_handlers;
+    std::shared_ptr<StoreOutage> m_outage;
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0; ///< Consecutive failures.
     bool m_listPending = true;
--- a/include/almondmill/forward/storestatesync.h
+++ b/include/almondmill/forward/storestatesync.h
@@ -16,6 +16,7 @@
 namespace almondmill {
 
 class AsyncStore;
+class StoreOutage;
 struct ForwardingContext;
 struct ObjectEvents;
 
@@ -79,6 +80,7 @@
     AsyncStore &m_store;
     Publish m_publish;
     ReaderElection m_readerElection;
+    std::shared_ptr<StoreOutage> m_outage; ///< Shared by the watchers.
     RefreshLimiter m_configurationReads;
     SteadyTime m_startedAt;
     std::optional<SteadyTime> m_configurationSince;
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/directory/storewatcher.h"
 
+#include "almondmill/directory/storeoutage.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/observe/eventline.h"
 
@@ -33,6 +34,9 @@
 /// Interval at which a router that is not a reader checks whether it has become one.
 constexpr milliseconds ReaderCheckInterval{200};
 
+/// Interval at which a watcher checks whether another one's probe was answered.
+constexpr milliseconds OutageCheckInterval{50};
+
 /// A random duration between half of `delay` and `delay`, so that routers do not call at the same
 /// time.
 milliseconds withJitter(milliseconds delay)
@@ -45,11 +49,12 @@
 } // namespace
 
 StoreWatcher::StoreWatcher(asio::io_context &loop, AsyncStore &store, Options options,
-                           Handlers handlers)
+                           Handlers handlers, std::shared_ptr<StoreOutage> outage)
     : m_loop(loop)
     , m_store(store)
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
+    , m_outage(outage ? std::move(outage) : std::make_shared<StoreOutage>())
     , m_listFreshness(m_options.firstList)
     , m_idle(std::make_shared<asio::steady_timer>(loop))
 {}
@@ -65,15 +70,24 @@
         else
             co_await idle();
         if (m_failures != 0) {
-            const auto doublings = std::min(m_failures - 1, MaxDoublings);
-            co_await sleepFor(m_loop,
-                              withJitter(std::min(InitialBackoff * (1U << doublings), MaxBackoff)));
+            co_await backOff();
         } else if (reached && m_options.pause.count() > 0) {
             co_await sleepFor(m_loop, m_options.pause);
         }
     }
 }
 
+asio::awaitable<void> StoreWatcher::backOff()
+{
+    const auto doublings = std::min(m_failures - 1, MaxDoublings);
+    co_await sleepFor(m_loop, withJitter(std::min(InitialBackoff * (1U << doublings), MaxBackoff)));
+    for (;;) {
+        if (m_outage->mayProbe(*this))
+            co_return;
+        co_await sleepFor(m_loop, OutageCheckInterval);
+    }
+}
+
 void StoreWatcher::refresh()
 {
     m_listPending = true;
@@ -157,6 +171,7 @@
 
 void StoreWatcher::recordSuccess()
 {
+    m_outage->end();
     if (m_failures == 0)
         return;
     EventLine("store.regained").add("kind", m_options.label).add("failures", m_failures);
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/forward/storestatesync.h"
 
+#include "almondmill/directory/storeoutage.h"
 #include "almondmill/directory/storewatcher.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
@@ -66,6 +67,7 @@
     , m_store(store)
     , m_publish(std::move(publish))
     , m_readerElection(context.settings.name, context.settings.drainDeadline)
+    , m_outage(std::make_shared<StoreOutage>())
     , m_configurationReads(context.settings.configurationDeadline / ConfigurationReadsPerDeadline)
     , m_startedAt(std::chrono::steady_clock::now())
 {}
@@ -100,7 +102,7 @@
                                                      StoreWatcher::Handlers handlers)
 {
     auto watcher = std::make_shared<StoreWatcher>(m_context.loop, m_store, std::move(options),
-                                                  std::move(handlers));
+                                                  std::move(handlers), m_outage);
     startSupervised(m_context.loop, "store.watch",
                     [this, watcher] { return watcher->run([this] { return isReader(); }); });
     return watcher;
--- a/tests/unit-storewatcher.cpp
+++ b/tests/unit-storewatcher.cpp
@@ -1,6 +1,7 @@
 // Lists of the store that may be stale: they are used only when they contain what a peer's update
 // showed, and are followed by a current list otherwise.
 
+#include "almondmill/directory/storeoutage.h"
 #include "almondmill/directory/storewatcher.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,10 +22,13 @@
     std::vector<Freshness> lists;
     std::uint64_t staleRevision = 5;
     std::uint64_t currentRevision = 10;
+    bool isDown = false;
 
     Awaitable<ListResult> list(ObjectKind, Freshness freshness, SteadyTime) override
     {
         lists.push_back(freshness);
+        if (isDown)
+            co_return Unavailable{"down"};
         ObjectList objects;
         objects.revision = freshness == Freshness::Current ? currentRevision : staleRevision;
         co_return objects;
@@ -103,6 +107,33 @@
     EXPECT_EQ(listed, (std::vector<std::uint64_t>{5, 9}));
 }
 
+// While the store is down, each of 295 routers calls it with three watchers: some 14,000 calls in 8
+// s.
+TEST_F(StoreWatcherTest, OneWatcherOfARouterProbesAnOutage)
+{
+    const auto outage = std::make_shared<StoreOutage>();
+    std::vector<std::unique_ptr<StoreWatcher>> watchers;
+    std::size_t lists = 0;
+    StoreWatcher::Handlers handlers;
+    handlers.listed = [&](const ObjectList &, Freshness) { ++lists; };
+    store.isDown = true;
+    store.lists.clear();
+    for (int i = 0; i < 3; ++i) {
+        watchers.push_back(
+                std::make_unique<StoreWatcher>(loop, store, options(), handlers, outage));
+        boost::asio::co_spawn(loop, watchers.back()->run([] { return false; }),
+                              boost::asio::detached);
+    }
+    loop.run_for(milliseconds(3000));
+    // Three first calls, then those of one watcher: after 0.1 s, 0.2 s, 0.4 s, then every 0.8 s,
+    // and after at least half of these times.
+    EXPECT_LE(store.lists.size(), 3U + 3U + 7U);
+    EXPECT_EQ(lists, 0U);
+    store.isDown = false;
+    loop.run_for(milliseconds(1200));
+    EXPECT_EQ(lists, 3U);
+}
+
 TEST_F(StoreWatcherTest, AListOnRequestIsCurrent)
 {
     watcher.refresh();
