--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -171,7 +171,8 @@
     co_await listPeersUntilAnswered();
 }
 
-// The loops below keep `co_await` out of their conditions, where GCC 12 generates wrong code.
+// The loops below keep `co_await` out of their conditions: with it there, programs built with GCC
+// 12 crashed, for a cause that is not known.
 asio::awaitable<void> PeerExchange::registerUntilAnswered()
 {
     for (;;) {
