--- a/tests/unit-partlookups.cpp
+++ b/tests/unit-partlookups.cpp
@@ -151,13 +151,14 @@
 TEST(PartOwners, PartsAreSpreadOverTheFleet)
 {
     constexpr PartKey Parts = 32000;
+    constexpr std::size_t Share = Parts / FleetSize;
     const PartOwners owners = ownersInFleet(FleetSize);
     std::map<std::string, std::size_t> counts;
     for (PartKey part = 0; part < Parts; ++part)
         ++counts[owners.ownersOf(part).front()];
     EXPECT_EQ(counts.size(), FleetSize);
     for (const auto &[name, count] : counts)
-        EXPECT_LT(count, 2 * Parts / FleetSize) << name;
+        EXPECT_LT(count, 2 * Share) << name;
 }
 
 TEST(PartOwners, AnOwnerThatDoesNotAnswerIsPassedOverForAWhile)
--- a/tests/unit-refreshlimiter.cpp
+++ b/tests/unit-refreshlimiter.cpp
@@ -41,9 +41,11 @@
 
 TEST(RefreshLimiter, AStormOfVersionsCausesOneReadAnInterval)
 {
-    std::vector<milliseconds> reports;
-    for (int version = 0; version < 27; ++version)
-        reports.emplace_back(version * 220);
+    constexpr std::size_t Versions = 27;
+    constexpr milliseconds VersionInterval{220};
+    std::vector<milliseconds> reports(Versions);
+    for (std::size_t version = 0; version < Versions; ++version)
+        reports[version] = VersionInterval * version;
     const auto reads = readsFor(reports);
     EXPECT_LE(reads.size(), 7U);
     EXPECT_GE(reads.back(), reports.back());
