Send no request for a caller that left during a lookup; log the new decisions

A caller that leaves cancels the exchange with an endpoint; during the lookup of a prompt's part there is none yet, so the request was sent afterwards. Forwarding.ACallerThatLeavesDuringALookupCausesNoRequest got one request on the code before, none now.

Also: request.lookup, part.lookup_unanswered, weights.order_withheld and configuration.read are logged, which had no line.

--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -83,8 +83,17 @@
             m_exchange->cancel();
     });
     const auto part = m_planner.partToLookUp(placed(), m_startedAt);
-    if (part)
+    if (part) {
         co_await m_context.partLookups.lookUp(*part);
+        EventLine("request.lookup")
+                .add("id", m_request.id)
+                .add("part", *part)
+                .add("found", m_context.partLocations.find(*part) != nullptr);
+        if (m_session.hasDisconnected()) {
+            logEnd("caller_left", 0);
+            co_return false;
+        }
+    }
     co_return co_await tryEndpoints();
 }
 
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -150,8 +150,10 @@
         return;
     m_reportedConfiguration = std::max(m_reportedConfiguration, version);
     const auto delay = m_configurationReads.reported(std::chrono::steady_clock::now());
-    if (delay)
-        asio::co_spawn(m_context.loop, readConfigurationAfter(*delay), asio::detached);
+    if (!delay)
+        return;
+    EventLine("configuration.read").add("reported", version).add("in", *delay);
+    asio::co_spawn(m_context.loop, readConfigurationAfter(*delay), asio::detached);
 }
 
 asio::awaitable<void> StoreStateSync::readConfigurationAfter(milliseconds delay)
--- a/src/peers/partlookups.cpp
+++ b/src/peers/partlookups.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/peers/partlookups.h"
 
 #include "almondmill/metrics/metrics.h"
+#include "almondmill/observe/eventline.h"
 #include "almondmill/peers/partlookupmessages.h"
 #include "almondmill/peers/placementbroadcastqueue.h"
 
@@ -60,6 +61,7 @@
         co_return;
     }
     m_unanswered.add();
+    EventLine("part.lookup_unanswered").add("part", part).add("owner", *asked);
     m_owners.recordUnanswered(*asked, std::chrono::steady_clock::now());
 }
 
--- a/src/rollout/weightsrollout.cpp
+++ b/src/rollout/weightsrollout.cpp
@@ -159,8 +159,16 @@
     // Connecting may take long, for example while this VM is paused, so the permission is checked
     // after it.
     const bool isConnected = co_await client.connect(steadyNow() + OrderTimeout);
-    if (!isConnected || !mayOrder() || order.fencing != m_grant.fencing)
+    if (!isConnected || !mayOrder() || order.fencing != m_grant.fencing) {
+        EventLine("weights.order_withheld")
+                .add("endpoint", order.endpointId)
+                .add("model", order.model)
+                .add("version", order.version)
+                .add("fencing", order.fencing)
+                .add("connected", isConnected)
+                .add("permitted", mayOrder());
         co_return false;
+    }
     m_lastOrderAt = bootTime();
     const auto outcome = co_await client.call(
             "POST", m_context.adapter->orderPath(), m_context.adapter->encodeOrderHeaders(order),
--- a/tests/failure-forwarding.cpp
+++ b/tests/failure-forwarding.cpp
@@ -387,6 +387,38 @@
     EXPECT_TRUE(waitUntil([&] { return closed.load(); }));
 }
 
+// In a large fleet the router first asks another router where the prompt's shared part is. Here no
+// router answers, so the caller has left before an endpoint is chosen.
+TEST(Forwarding, ACallerThatLeavesDuringALookupCausesNoRequest)
+{
+    constexpr unsigned Routers = 200;
+    constexpr std::chrono::milliseconds LongerThanALookup{300};
+    const char *sharedPart =
+            "Model: m\r\nToken-Usage: 415,5\r\nPrompt-Prefix: a1:10,b2:400,c3:5\r\n";
+    std::atomic<unsigned> requests{0};
+    const RawEndpoint endpoint([&](int, const std::string &call, unsigned) {
+        if (!call.empty())
+            ++requests;
+    });
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("e1", "resume", endpoint.address(), 1);
+    std::atomic<bool> isAsked{false};
+    harness.onLoop([&](ForwardingContext &context) {
+        context.partLookups.start("router-1",
+                                  [&](const std::string &, std::string_view) { isAsked = true; });
+        for (unsigned router = 2; router <= Routers; ++router)
+            context.partLookups.addRouter("router-" + std::to_string(router));
+    });
+    {
+        const RawCaller caller(harness.url());
+        caller.send(requestText("POST", "/resume/x", sharedPart));
+        ASSERT_TRUE(waitUntil([&] { return isAsked.load(); }));
+    }
+    std::this_thread::sleep_for(LongerThanALookup);
+    EXPECT_EQ(requests, 0U);
+}
+
 TEST(Forwarding, AnEngineWithOutdatedWeightsGetsNoRequestThatItCannotStartInTime)
 {
     const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
--- a/tests/unit-partlookups.cpp
+++ b/tests/unit-partlookups.cpp
@@ -1,5 +1,5 @@
 // Guards the sharing of prompt part locations in a large fleet against messages that grow with the
-// fleet: a broadcast of each placement takes 4 KB per second and router at 295 routers.
+// fleet, as those of a broadcast do.
 
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/metrics/metrics.h"
--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -113,7 +113,7 @@
     EXPECT_TRUE(views.isLoading(9, Start + seconds(3)));
 }
 
-// In a fleet of 295, a router hears messages of few peers, but updates of the lowest ranks. If it
+// In a large fleet, a router hears messages of few peers, but updates of the lowest ranks. If it
 // took itself for the first candidate for want of messages, dozens of routers would read the lease.
 TEST(PeerViews, SendersOfUpdatesAreLeaderCandidatesUntilTheyLeave)
 {
