Split a part's lookup and the record of its placement into functions of one job

PartLookups::lookUp chose the owner, sent, waited and counted in one function; SendPlanner::planCache decided on fetching and saving and recorded the placements as well.

--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -78,8 +78,12 @@
     /// has the model.
     std::uint64_t commonWeightsVersion(const RoutedRequest &placed) const;
 
+    /// Decides where the engine fetches the shared parts from and where it saves them to.
     void planCache(const RoutedRequest &placed, const EndpointView &view, AttemptParameters &send,
                    SteadyTime now);
+    /// Records that the endpoint gets the shared parts, and announces the longer ones.
+    void recordPlacements(const RoutedRequest &placed, const EndpointView &view,
+                          const AttemptParameters &send, SteadyTime now);
     /// Whether a request with the part was placed within the re-announcement interval.
     bool wasUsedRecently(PartKey part, SteadyTime now) const;
     /// Lets the other routers know where a part was sent.
--- a/include/almondmill/peers/partlookups.h
+++ b/include/almondmill/peers/partlookups.h
@@ -59,6 +59,12 @@
     /// Up to this number of routers, a broadcast costs less than 2 KB per second and router.
     static constexpr std::size_t MaxBroadcastRouters = 128;
 
+    /// The owner to ask for the part; nothing when this router knows as much as an owner would.
+    std::optional<std::string> ownerToAsk(PartKey part, SteadyTime now) const;
+
+    /// Sends the question and waits for a bounded time. Returns whether the owner answered.
+    boost::asio::awaitable<bool> askOwner(const std::string &owner, PartKey part);
+
     boost::asio::io_context &m_loop;
     PartLocations &m_locations;
     Counter &m_answered;
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -299,15 +299,25 @@
     if (store && !isSaved && isWorthSaving(prompt) && takeSaveBudget(placed, now))
         send.saveTo = store->address;
     m_sources.recordPromptSent(placed, known && known->current.endpoint == endpointHash, now);
-    const auto prefillEndsIn = expectedWait(view) + prefillTime(prompt.promptTokens);
+    recordPlacements(placed, view, send, now);
+}
+
+void SendPlanner::recordPlacements(const RoutedRequest &placed, const EndpointView &view,
+                                   const AttemptParameters &send, SteadyTime now)
+{
+    const auto &parts = placed.request.prompt->parts;
+    const std::uint32_t endpointHash = shortHash(view.id());
+    const KvCacheStore *store = placed.table.kvCacheStoreFor(view.registration().dataCentre);
+    const std::uint32_t savedTo = store ? shortHash(store->address) : 0;
+    const auto prefillEndsIn =
+            expectedWait(view) + prefillTime(placed.request.prompt->promptTokens);
     const bool saves = !send.saveTo.empty();
     for (std::size_t part = 0; part + 1 < parts.size(); ++part) {
         const PartPlacement placement{partKey(send.cacheScope, parts[part].id), endpointHash,
                                       saves};
         const bool isLongest = part + 2 == parts.size();
         const bool isAnnounced = isLongest || !wasUsedRecently(placement.part, now);
-        m_context.partLocations.recordPlacement(placement, store ? shortHash(store->address) : 0,
-                                                prefillEndsIn, now);
+        m_context.partLocations.recordPlacement(placement, savedTo, prefillEndsIn, now);
         if (isAnnounced && parts[part].tokens >= MinAnnouncedTokens)
             announce(placement, isLongest);
     }
--- a/src/peers/partlookups.cpp
+++ b/src/peers/partlookups.cpp
@@ -43,26 +43,39 @@
 }
 
 asio::awaitable<void> PartLookups::lookUp(PartKey part)
+{
+    const auto owner = ownerToAsk(part, std::chrono::steady_clock::now());
+    if (!owner)
+        co_return;
+    const bool isAnswered = co_await askOwner(*owner, part);
+    if (isAnswered) {
+        m_answered.add();
+        co_return;
+    }
+    m_unanswered.add();
+    EventLine("part.lookup_unanswered").add("part", part).add("owner", *owner);
+    m_owners.recordUnanswered(*owner, std::chrono::steady_clock::now());
+}
+
+std::optional<std::string> PartLookups::ownerToAsk(PartKey part, SteadyTime now) const
 {
     const auto owners = m_owners.ownersOf(part);
     const bool isOwner = std::find(owners.begin(), owners.end(), m_self) != owners.end();
-    const auto asked = m_owners.ownerToAsk(part, std::chrono::steady_clock::now());
-    if (!m_send || isOwner || !asked)
-        co_return;
+    if (!m_send || isOwner)
+        return std::nullopt;
+    return m_owners.ownerToAsk(part, now);
+}
+
+asio::awaitable<bool> PartLookups::askOwner(const std::string &owner, PartKey part)
+{
     const std::uint32_t id = ++m_lastId;
     asio::steady_timer timer(m_loop, LookupTimeout);
     m_waiting[id] = &timer;
-    m_send(*asked, encodePartLookup(PartLookupRequest{id, part}));
+    m_send(owner, encodePartLookup(PartLookupRequest{id, part}));
     boost::system::error_code ignored; // A reply ends the wait by cancelling the timer.
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    const bool isUnanswered = m_waiting.erase(id) != 0;
-    if (!isUnanswered) {
-        m_answered.add();
-        co_return;
-    }
-    m_unanswered.add();
-    EventLine("part.lookup_unanswered").add("part", part).add("owner", *asked);
-    m_owners.recordUnanswered(*asked, std::chrono::steady_clock::now());
+    // A reply has removed the entry; one that arrives later finds none.
+    co_return m_waiting.erase(id) == 0;
 }
 
 void PartLookups::report(const PartPlacement &placement)
