Give a silent endpoint up only for another one that was secured

What callers saw: streams that had begun were cut, and repeatable requests got 502 or 504, although their endpoint would have answered. A stream that was silent for three of its route's longest pauses, and a repeatable request without an answer after the attempt timeout, had its connection closed first; only then the router asked for attempts, retry budget and another endpoint. Where one of them was missing, the caller's answer was lost. A refusal by the next endpoint (not run, full) used an attempt up and ended a stream that had begun.

Change: the silence is noticed without closing the connection (TimedSocket::checkForStallAt). The endpoint is given up only when an attempt, retry budget and another endpoint are there and taken; else the router looks again every 100 ms and takes the late answer if it comes. A refusal doesn't count as an attempt once an endpoint may have run the request, and a stream that has begun looks for an endpoint until its deadline, within the retry budget. A request that nobody has run is still refused after as many refusals as before, so that overload does not cause more sends. The previous connection is closed before the next attempt, as before, so that two endpoints are never at work for one request.

A stream that cannot be completed is no longer ended with a reset, which could destroy events that the caller had not read yet.

--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,7 @@
     ConnectFailed,    ///< No connection could be made; nothing was sent.
     ConnectionBroken, ///< The connection closed or the answer could not be parsed; it may have run.
     DeadlineExceeded, ///< The deadline passed; it may have run.
+    GivenUp,          ///< The stall check gave the endpoint up; it may have run.
     Cancelled,        ///< `cancel` was called; it may have run.
 };
 
@@ -73,6 +75,14 @@
     Awaitable<ExchangeError> readBodySome(SteadyTime deadline);
     Awaitable<ExchangeError> readBody(SteadyTime deadline);
 
+    /// Decides, while the endpoint is silent, whether to give it up. Until then the connection stays
+    /// open, so that a late answer is still received.
+    void onSilence(std::function<bool()> mayGiveUp) { m_mayGiveUp = std::move(mayGiveUp); }
+
+    /// Asks that function when the endpoint has sent nothing until `at`, and from then on at short
+    /// intervals. Each call replaces the previous time; SteadyTime::max() means never.
+    void expectBytesBy(SteadyTime at);
+
     /// Returns the connection to the pool if the answer is complete and the connection can be
     /// reused; otherwise closes it.
     void finish(SteadyTime now);
@@ -82,6 +92,7 @@
 
 private:
     Awaitable<boost::system::error_code> skipBody(MessageReader<false> &reader);
+    SteadyTime checkSilence();
     ExchangeError errorOf(const boost::system::error_code &error) const;
 
     std::shared_ptr<EndpointView> m_endpoint;
@@ -89,8 +100,10 @@
     std::shared_ptr<TimedSocket> m_socket;
     std::optional<AnswerParser> m_parser;
     AnswerMetadata m_metadata;
+    std::function<bool()> m_mayGiveUp;
     bool m_sent = false;
     bool m_cancelled = false;
+    bool m_givenUp = false;
 };
 
 } // namespace almondmill
--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -52,6 +52,14 @@
     /// Closes the connection at `deadline`. Each call replaces the previous deadline.
     void setDeadline(SteadyTime deadline);
 
+    /// Decides about a peer that is silent; returns when to check again. May abort the connection.
+    using StallCheck = std::function<SteadyTime()>;
+    void setStallCheck(StallCheck check) { m_stallCheck = std::move(check); }
+
+    /// Runs the stall check at `at`. Each call replaces the previous time; SteadyTime::max() means
+    /// never. Unlike the deadline, this leaves the connection open.
+    void checkForStallAt(SteadyTime at);
+
     /// Sets the socket options that detect an unresponsive peer, such as a VM without power.
     /// `unacknowledged` bounds the time that sent data may remain unacknowledged. Also disables
     /// Nagle's algorithm.
@@ -77,13 +85,16 @@
 
 private:
     void arm();
+    void onTimer();
     void close(CloseReason reason);
     void waitForClose(std::uint64_t generation);
 
     Socket m_socket;
     boost::asio::steady_timer m_timer;
     SteadyTime m_deadline = SteadyTime::max();
+    SteadyTime m_stallCheckAt = SteadyTime::max();
     SteadyTime m_armedFor = SteadyTime::max();
+    StallCheck m_stallCheck;
     CloseReason m_closeReason = CloseReason::None;
     std::string m_input;
     std::function<void()> m_onClose;
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -28,6 +28,9 @@
 /// Informational answers, and answers to other requests, that are skipped before the answer.
 constexpr int MaxSkippedAnswers = 16;
 
+/// How often another endpoint is looked for while the current one is silent.
+constexpr std::chrono::milliseconds SilenceCheckInterval{100};
+
 std::chrono::milliseconds usableFor(const AnswerMetadata &metadata)
 {
     const auto stated = metadata.keepAlive.value_or(DefaultKeepAlive);
@@ -45,8 +48,10 @@
 
 EndpointExchange::~EndpointExchange()
 {
-    if (m_socket)
-        m_socket->abort();
+    if (!m_socket)
+        return;
+    expectBytesBy(SteadyTime::max());
+    m_socket->abort();
 }
 
 EndpointExchange::Awaitable<ExchangeError>
@@ -142,8 +147,29 @@
     co_return ExchangeError::None;
 }
 
+void EndpointExchange::expectBytesBy(SteadyTime at)
+{
+    const bool isNever = at == SteadyTime::max();
+    m_socket->setStallCheck(isNever ? TimedSocket::StallCheck() : [this] { return checkSilence(); });
+    m_socket->checkForStallAt(at);
+}
+
+SteadyTime EndpointExchange::checkSilence()
+{
+    // Bytes or an end that have arrived are read next, for example after a pause of this VM.
+    const bool isSilent = m_socket->peek() == TimedSocket::PeekResult::Nothing;
+    if (isSilent && m_mayGiveUp && m_mayGiveUp()) {
+        m_givenUp = true;
+        m_socket->abort();
+        return SteadyTime::max();
+    }
+    return std::chrono::steady_clock::now() + SilenceCheckInterval;
+}
+
 void EndpointExchange::finish(SteadyTime now)
 {
+    if (m_socket)
+        expectBytesBy(SteadyTime::max());
     const auto socket = std::move(m_socket);
     m_socket = nullptr;
     if (!socket)
@@ -168,6 +194,8 @@
 {
     if (m_cancelled)
         return ExchangeError::Cancelled;
+    if (m_givenUp)
+        return ExchangeError::GivenUp;
     if (m_socket->closeReason() == TimedSocket::CloseReason::Deadline)
         return ExchangeError::DeadlineExceeded;
     return ExchangeError::ConnectionBroken;
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// A resumable stream that sends nothing for this multiple of the route's longest pause between
-/// events is resumed at another endpoint.
+/// events is resumed at another endpoint, if there is one.
 constexpr int StallTimeoutFactor = 3;
 
 /// Largest event, as an incomplete event is kept in memory.
@@ -40,9 +40,10 @@
     const bool resumable = m_route->retrySafety == RetrySafety::ResumableStream;
     const auto stallTimeout = m_route->targetEventGap * StallTimeoutFactor;
     for (;;) {
-        const bool canResume = resumable && hasAttemptsLeft() && stallTimeout.count() > 0;
-        const auto error = co_await exchange.readBodySome(
-                canResume ? attemptDeadline(stallTimeout, steadyNow()) : m_deadline);
+        const bool canResume = resumable && stallTimeout.count() > 0;
+        exchange.expectBytesBy(canResume ? steadyNow() + stallTimeout : SteadyTime::max());
+        const auto error = co_await exchange.readBodySome(m_deadline);
+        exchange.expectBytesBy(SteadyTime::max());
         const SteadyTime now = steadyNow();
         if (!exchange.body().empty())
             exchange.endpoint().health().recordActivity(now);
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -127,9 +127,11 @@
 ForwardedRequest::Awaitable<bool> ForwardedRequest::tryEndpoints()
 {
     for (;;) {
-        const SteadyTime now = steadyNow();
-        const auto view =
-                now < m_deadline ? m_planner.pick(placed(), m_triedEndpoints, now) : nullptr;
+        const auto view = co_await nextEndpoint();
+        if (m_session.hasDisconnected()) {
+            logEnd("caller_left", 0);
+            co_return false;
+        }
         if (!view)
             co_return co_await answerAfterFailures();
         const AttemptOutcome outcome = co_await attempt(view);
@@ -141,28 +143,11 @@
             logEnd("caller_left", 0);
             co_return false;
         }
-        if (!mayRetry(outcome, steadyNow()))
+        if (!mayRetry(outcome))
             co_return co_await answerAfterFailures();
     }
 }
 
-bool ForwardedRequest::mayRetry(AttemptOutcome outcome, SteadyTime now)
-{
-    if (outcome == AttemptOutcome::NotSent)
-        return true;
-    if (outcome == AttemptOutcome::Failed) {
-        m_mayHaveRun = true;
-        if (!mayRunAgain(m_route->retrySafety))
-            return false;
-    }
-    if (!hasAttemptsLeft())
-        return false;
-    if (m_context.retryBudgets.take(m_service, now))
-        return true;
-    m_lastReason = "retry_budget";
-    return false;
-}
-
 std::uint64_t ForwardedRequest::heldTokens() const
 {
     if (!m_request.prompt)
@@ -170,11 +155,6 @@
     return std::uint64_t(m_request.prompt->promptTokens) + m_request.prompt->maxOutputTokens;
 }
 
-bool ForwardedRequest::hasAttemptsLeft() const
-{
-    return m_sendCount < m_route->maxAttempts;
-}
-
 RoutedRequest ForwardedRequest::placed() const
 {
     return {m_request, *m_table, *m_route, m_account, m_service};
@@ -185,7 +165,9 @@
 {
     m_triedEndpoints.push_back(view);
     m_attemptStartedAt = steadyNow();
+    m_silenceRecorded = false;
     EndpointExchange exchange(view, m_context.adapter->codec());
+    exchange.onSilence([this] { return secureReplacement(steadyNow()); });
     m_exchange = &exchange;
     const std::uint64_t tokens = heldTokens();
     view->requestOpened(tokens);
@@ -240,13 +222,13 @@
 ForwardedRequest::Awaitable<ForwardedRequest::AttemptOutcome>
 ForwardedRequest::receiveAnswer(EndpointExchange &exchange)
 {
-    const bool canRetry = mayRunAgain(m_route->retrySafety) && hasAttemptsLeft();
+    const bool canRetry = mayRunAgain(m_route->retrySafety);
     const auto timeout = m_route->targetLatency
                          * (m_request.prompt ? PromptAttemptTimeoutFactor : AttemptTimeoutFactor);
-    const auto deadline = canRetry && timeout.count() > 0
-                                  ? attemptDeadline(timeout, m_attemptStartedAt)
-                                  : m_deadline;
-    const auto error = co_await exchange.readHead(m_request.id, deadline);
+    if (canRetry && timeout.count() > 0)
+        exchange.expectBytesBy(m_attemptStartedAt + timeout);
+    const auto error = co_await exchange.readHead(m_request.id, m_deadline);
+    exchange.expectBytesBy(SteadyTime::max());
     if (error != ExchangeError::None)
         co_return handleExchangeError(error, exchange, steadyNow());
     exchange.endpoint().health().recordActivity(steadyNow());
@@ -280,6 +262,7 @@
         --m_sendCount;
         view.health().recordRefusal(now, MismatchBackoff);
     } else {
+        ++m_refusals;
         m_lastReason = "endpoint_full";
         view.health().recordRefusal(now, FullEndpointBackoff);
     }
@@ -340,12 +323,12 @@
         m_lastReason = "no_connection";
         health.recordNoAnswer(now);
         return AttemptOutcome::NotSent;
+    case ExchangeError::GivenUp:
+        m_lastReason = "timeout";
+        return AttemptOutcome::Failed; // Its health was recorded when it fell silent.
     case ExchangeError::DeadlineExceeded:
         m_lastReason = "timeout";
-        // An endpoint that has answered other requests since this attempt started is busy, not
-        // unresponsive; avoiding it would only move its load elsewhere.
-        if (!health.wasActiveSince(m_attemptStartedAt))
-            health.recordNoAnswer(now);
+        recordSilence(health, now);
         return AttemptOutcome::Failed;
     case ExchangeError::ConnectionBroken:
     case ExchangeError::None:
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -18,6 +18,7 @@
 namespace almondmill {
 
 class CallerSession;
+class EndpointHealth;
 struct ForwardingContext;
 
 /// A request being forwarded: its attempts and what has been sent to the caller so far.
@@ -75,7 +76,11 @@
 
     AttemptOutcome handleExchangeError(ExchangeError error, EndpointExchange &exchange,
                                        SteadyTime now);
-    bool mayRetry(AttemptOutcome outcome, SteadyTime now);
+    bool mayRetry(AttemptOutcome outcome);
+    Awaitable<SendPlanner::View> nextEndpoint();
+    SendPlanner::View takeEndpoint(const std::vector<SendPlanner::View> &excluded, SteadyTime now);
+    bool secureReplacement(SteadyTime now);
+    void recordSilence(EndpointHealth &health, SteadyTime now);
     std::uint64_t heldTokens() const;
     bool hasAttemptsLeft() const;
     bool isUsableSuccess(const EndpointExchange &exchange) const;
@@ -100,7 +105,11 @@
 
     std::vector<SendPlanner::View> m_triedEndpoints;
     std::uint32_t m_sendCount = 0; ///< Attempts sent, except those answered with "other endpoint".
+    std::uint32_t m_refusals = 0;  ///< Attempts sent that the endpoint refused for lack of capacity.
     bool m_mayHaveRun = false;
+    bool m_needsRetryBudget = false; ///< The next attempt repeats one that was sent.
+    bool m_silenceRecorded = false;  ///< For the current attempt.
+    SendPlanner::View m_replacement; ///< Endpoint of the next attempt, with its retry budget taken.
     const char *m_lastReason = "no_endpoint";
     std::optional<EndpointFailure> m_failure;
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -47,7 +47,6 @@
         // Part of the answer has been sent already. Closing the connection without the final chunk
         // shows the caller that the stream is incomplete.
         logEnd(m_lastReason, 0);
-        m_session.abort();
         co_return false;
     }
     if (m_failure) {
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 
 namespace almondmill {
@@ -86,22 +87,39 @@
         arm();
 }
 
+void TimedSocket::checkForStallAt(SteadyTime at)
+{
+    m_stallCheckAt = at;
+    if (m_stallCheckAt < m_armedFor)
+        arm();
+}
+
 void TimedSocket::arm()
 {
-    m_armedFor = m_deadline;
+    m_armedFor = std::min(m_deadline, m_stallCheckAt);
     m_timer.expires_at(m_armedFor);
     m_timer.async_wait([weak = weak_from_this()](const ErrorCode &error) {
         const auto self = weak.lock();
         if (error || !self)
             return;
-        self->m_armedFor = SteadyTime::max();
-        if (std::chrono::steady_clock::now() >= self->m_deadline)
-            self->close(CloseReason::Deadline);
-        else if (self->m_deadline != SteadyTime::max())
-            self->arm();
+        self->onTimer();
     });
 }
 
+void TimedSocket::onTimer()
+{
+    m_armedFor = SteadyTime::max();
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (now >= m_deadline) {
+        close(CloseReason::Deadline);
+        return;
+    }
+    if (now >= m_stallCheckAt && m_stallCheck)
+        m_stallCheckAt = m_stallCheck();
+    if (isOpen() && std::min(m_deadline, m_stallCheckAt) != SteadyTime::max())
+        arm();
+}
+
 void TimedSocket::enableDeadPeerDetection(std::chrono::milliseconds unacknowledged)
 {
     const int descriptor = m_socket.native_handle();
--- /dev/null
+++ b/tests/failure-lostanswers.cpp
@@ -0,0 +1,168 @@
+// Guards against answers that are lost on the way to the caller although the endpoint would have
+// given them, and against connections that close without a word.
+
+#include "support/caller.h"
+#include "support/forwardingharness.h"
+#include "support/rawendpoint.h"
+
+#include "almondmill/kernel/steadynow.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+namespace almondmill::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *StreamEnd = "\r\n0\r\n\r\n";
+
+/// Longer than the pause after which another endpoint is looked for.
+constexpr milliseconds Silence{900};
+
+std::string streamHead(const std::string &call)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(call, "Request-Id")
+           + "\r\nServer-Signature: s1\r\nContent-Type: text/event-stream\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string eventChunk(int id)
+{
+    return "12\r\nid: " + std::to_string(id) + "\ndata: part\n\n\r\n";
+}
+
+constexpr const char *LastChunk = "0\r\n\r\n";
+
+/// Routes as in `oneRouteOfEachKind`, with short limits for silent endpoints.
+RoutingConfiguration withShortLimits()
+{
+    RoutingConfiguration configuration = oneRouteOfEachKind();
+    for (Route &route : configuration.routes) {
+        route.targetEventGap = milliseconds(100);
+        route.targetLatency = milliseconds(100);
+        route.timeout = milliseconds(4000);
+    }
+    return configuration;
+}
+
+std::string ask(const ForwardingHarness &harness, const std::string &target)
+{
+    return sendRequest(harness, requestText("POST", target, {}, "body"));
+}
+
+/// Sends one event, is silent for `Silence`, and completes the stream.
+void streamWithSilence(int socket, const std::string &call, unsigned)
+{
+    RawEndpoint::write(socket, streamHead(call) + eventChunk(1));
+    std::this_thread::sleep_for(Silence);
+    RawEndpoint::write(socket, eventChunk(2) + LastChunk);
+}
+
+void exhaustRetryBudget(ForwardingHarness &harness, const std::string &service)
+{
+    harness.onLoop([&](ForwardingContext &context) {
+        while (context.retryBudgets.take(service, steadyNow()))
+            continue;
+    });
+}
+
+void expectCompleteStream(const std::string &answer, std::size_t events)
+{
+    EXPECT_TRUE(answer.ends_with(StreamEnd)) << answer;
+    EXPECT_EQ(eventCount(answer), events) << answer;
+}
+
+} // namespace
+
+// Guards against a cut stream when its endpoint is silent for a while and no other one is left.
+TEST(LostAnswers, ASilentStreamIsCompletedWhenThereIsNoOtherEndpoint)
+{
+    const RawEndpoint endpoint(streamWithSilence);
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", endpoint.address());
+    expectCompleteStream(ask(harness, "/resume/x"), 2);
+    EXPECT_EQ(endpoint.calls(), 1U);
+}
+
+// Guards against a cut stream when its endpoint is silent for a while and no retry is allowed.
+TEST(LostAnswers, ASilentStreamIsCompletedWhenTheRetryBudgetIsExhausted)
+{
+    const RawEndpoint first(streamWithSilence);
+    const RawEndpoint second(streamWithSilence);
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", first.address());
+    harness.addEndpoint("e2", "resume", second.address());
+    exhaustRetryBudget(harness, "resume");
+    expectCompleteStream(ask(harness, "/resume/x"), 2);
+    EXPECT_EQ(first.calls() + second.calls(), 1U);
+}
+
+// Guards against a 502 for a request whose endpoint answers late, when no other endpoint is left.
+TEST(LostAnswers, ALateAnswerIsDeliveredWhenThereIsNoOtherEndpoint)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
+        std::this_thread::sleep_for(Silence);
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", "late", "Connection: close\r\n"));
+    });
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "any", endpoint.address());
+    const std::string answer = ask(harness, "/any/x");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    EXPECT_TRUE(answer.ends_with("late")) << answer;
+    EXPECT_EQ(endpoint.calls(), 1U);
+}
+
+// Guards against a cut stream when the endpoint that was to continue it is full at first.
+TEST(LostAnswers, AStreamWhoseNextEndpointIsFullGoesOnThereLater)
+{
+    std::atomic<int> calls{0};
+    const RawEndpoint::Behaviour behave = [&](int socket, const std::string &call, unsigned) {
+        const int before = calls++;
+        if (before == 0)
+            RawEndpoint::write(socket, streamHead(call) + eventChunk(1));
+        else if (before == 1)
+            RawEndpoint::write(socket, signedAnswer(call, "503 Service Unavailable", "full",
+                                                    "Not-Executed: 1\r\nConnection: close\r\n"));
+        else
+            RawEndpoint::write(socket, streamHead(call) + eventChunk(2) + LastChunk);
+    };
+    const RawEndpoint first(behave);
+    const RawEndpoint second(behave);
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", first.address());
+    harness.addEndpoint("e2", "resume", second.address());
+    expectCompleteStream(ask(harness, "/resume/x"), 2);
+    EXPECT_EQ(calls, 3);
+}
+
+// Guards against a stream that waits for its silent endpoint although another one has come.
+TEST(LostAnswers, ASilentStreamIsResumedAtAnEndpointThatComesLater)
+{
+    const RawEndpoint silent([](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, streamHead(call) + eventChunk(1));
+        RawEndpoint::waitForClose(socket);
+    });
+    const RawEndpoint sound([](int socket, const std::string &call, unsigned) {
+        EXPECT_EQ(headerOf(call, "Last-Event-Id"), "1");
+        RawEndpoint::write(socket, streamHead(call) + eventChunk(2) + LastChunk);
+    });
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", silent.address());
+    std::string answer;
+    std::thread caller([&] { answer = ask(harness, "/resume/x"); });
+    std::this_thread::sleep_for(Silence);
+    harness.addEndpoint("e2", "resume", sound.address());
+    caller.join();
+    expectCompleteStream(answer, 2);
+}
+
+} // namespace almondmill::test
