A stream that ends inside an event has been broken off

What callers saw: a stream whose endpoint closed its connection (or sent its last chunk, or reached its length) in the middle of an event reached the caller with the incomplete event and the final chunk, so that it looked complete. A resumable stream was not resumed. A 200 head without framing after which the endpoint closed became a complete, empty stream.

Cause: finishStream passed the rest of the last event on and ended the caller's stream whatever the rest was; only an error of the connection counted as broken off.

Change: at its end a stream is checked; if it ends inside an event, or without any event and without framing, the attempt has failed. A resumable stream then goes on elsewhere, any other ends without the final chunk, or with 502 when nothing was sent. Complete comments and empty lines after the last event belong to no event. An answer on a streaming route whose content type is another one has no events; it is relayed whole, like any plain answer.

Ruled out: an answer that stops at any byte of its head, of a chunk's size, before the final chunk, in trailers or in a body with a length never looked complete, whether closed or reset; the test AnAnswerThatStopsAtAnyByteNeverLooksComplete stays.

--- a/include/almondmill/forward/answermetadata.h
+++ b/include/almondmill/forward/answermetadata.h
@@ -20,6 +20,7 @@
     /// The endpoint refused because its incarnation or weights version is not the expected one.
     bool isMisdirected = false;
     bool closesConnection = false; ///< The endpoint closes the connection after this answer.
+    bool mayBeEventStream = true;  ///< The content type is that of an event stream, or missing.
     std::optional<std::chrono::milliseconds> keepAlive; ///< The endpoint's idle timeout.
     std::optional<std::uint64_t> weightsVersion;
 };
--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -53,6 +53,10 @@
     std::string &body() { return m_parser->body(); }
     bool isComplete() { return m_parser->is_done(); }
 
+    /// Whether the answer has neither a length nor chunks, so that only the end of its connection
+    /// ends it.
+    bool endsWithConnection() const { return m_parser->need_eof(); }
+
     /// Whether sending started, so that the endpoint may have received the request.
     bool wasSent() const { return m_sent; }
 
--- a/include/almondmill/request/eventsplitter.h
+++ b/include/almondmill/request/eventsplitter.h
@@ -23,6 +23,10 @@
     /// Whether an incomplete event exceeds MaxEventBytes.
     bool overflowed() const { return m_rest.size() > MaxEventBytes; }
 
+    /// Whether the bytes so far end inside an event. Complete comments and empty lines belong to no
+    /// event.
+    bool isInsideEvent() const;
+
     /// Bytes of the incomplete event at the end.
     const std::string &rest() const { return m_rest; }
 
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -36,6 +36,7 @@
 ForwardedRequest::relayEvents(EndpointExchange &exchange)
 {
     m_splitter = EventSplitter();
+    m_attemptSentData = false;
     exchange.expectStream();
     const bool resumable = m_route->retrySafety == RetrySafety::ResumableStream;
     const auto stallTimeout = m_route->targetEventGap * StallTimeoutFactor;
@@ -55,8 +56,7 @@
         if (m_splitter.rest().size() > MaxEventBytes)
             co_return handleExchangeError(ExchangeError::ConnectionBroken, exchange, now);
         if (exchange.isComplete())
-            co_return co_await finishStream(exchange) ? AttemptOutcome::Answered
-                                                      : AttemptOutcome::CallerDisconnected;
+            co_return co_await finishStream(exchange);
     }
 }
 
@@ -67,6 +67,7 @@
     std::string events;
     for (const StreamEvent &event : m_splitter.feed(bytes)) {
         events += event.bytes;
+        m_attemptSentData = m_attemptSentData || event.hasData;
         if (event.id)
             m_request.resumeAfter = event.id;
     }
@@ -82,8 +83,22 @@
     co_return co_await m_session.send(text);
 }
 
-ForwardedRequest::Awaitable<bool> ForwardedRequest::finishStream(EndpointExchange &exchange)
+bool ForwardedRequest::isStreamTruncated(EndpointExchange &exchange) const
 {
+    // Without framing, the end of a connection that carried no event says nothing.
+    const bool isEmpty = !m_attemptSentData && exchange.endsWithConnection();
+    return isEmpty || m_splitter.isInsideEvent();
+}
+
+ForwardedRequest::Awaitable<ForwardedRequest::AttemptOutcome>
+ForwardedRequest::finishStream(EndpointExchange &exchange)
+{
+    if (isStreamTruncated(exchange)) {
+        const auto outcome =
+                handleExchangeError(ExchangeError::ConnectionBroken, exchange, steadyNow());
+        m_lastReason = "stream_truncated";
+        co_return outcome;
+    }
     std::string text;
     if (!m_streamStarted) {
         m_streamStarted = true;
@@ -93,7 +108,8 @@
     if (!m_splitter.rest().empty())
         appendChunk(text, m_splitter.rest());
     text.append(LastChunk);
-    co_return co_await m_session.send(text);
+    co_return co_await m_session.send(text) ? AttemptOutcome::Answered
+                                            : AttemptOutcome::CallerDisconnected;
 }
 
 } // namespace almondmill
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -257,7 +257,7 @@
         co_return co_await handleRefusal(exchange);
     if (!isUsableSuccess(exchange))
         co_return co_await handleFailure(exchange);
-    if (isStream(m_route->retrySafety))
+    if (isStream(m_route->retrySafety) && (m_streamStarted || metadata.mayBeEventStream))
         co_return co_await relayEvents(exchange);
     co_return co_await relayCompleteResponse(exchange);
 }
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -69,7 +69,8 @@
     Awaitable<AttemptOutcome> relayCompleteResponse(EndpointExchange &exchange);
     Awaitable<AttemptOutcome> relayEvents(EndpointExchange &exchange);
     Awaitable<bool> relayReceivedEvents(EndpointExchange &exchange);
-    Awaitable<bool> finishStream(EndpointExchange &exchange);
+    Awaitable<AttemptOutcome> finishStream(EndpointExchange &exchange);
+    bool isStreamTruncated(EndpointExchange &exchange) const;
     Awaitable<bool> answerAfterFailures();
     Awaitable<bool> answer(const Refusal &refusal);
 
@@ -107,7 +108,8 @@
     std::uint64_t m_prefillTokens = 0; ///< Prompt tokens counted as unread at the current endpoint.
 
     EventSplitter m_splitter;
-    bool m_streamStarted = false; ///< The head, and possibly events, were sent to the caller.
+    bool m_attemptSentData = false; ///< The current attempt's stream contained an event with data.
+    bool m_streamStarted = false;   ///< The head, and possibly events, were sent to the caller.
     SteadyTime m_firstByteAt;
 };
 
--- a/src/request/eventsplitter.cpp
+++ b/src/request/eventsplitter.cpp
@@ -24,8 +24,25 @@
     return std::string_view::npos;
 }
 
+bool isCommentOrEmpty(std::string_view line)
+{
+    return line.empty() || line == "\r" || line.starts_with(':');
+}
+
 } // namespace
 
+bool EventSplitter::isInsideEvent() const
+{
+    std::string_view rest = m_rest;
+    while (!rest.empty()) {
+        const auto end = rest.find('\n');
+        if (end == std::string_view::npos || !isCommentOrEmpty(rest.substr(0, end)))
+            return true;
+        rest.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
 {
     m_rest.append(bytes);
--- a/tests/support/rawendpoint.cpp
+++ b/tests/support/rawendpoint.cpp
@@ -90,6 +90,18 @@
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
 }
 
+void RawEndpoint::reset(int socket)
+{
+    const sockaddr none{AF_UNSPEC, {}};
+    connect(socket, &none, sizeof none);
+}
+
+void RawEndpoint::waitForBytes(int socket)
+{
+    char byte = 0;
+    (void)recv(socket, &byte, 1, MSG_PEEK);
+}
+
 void RawEndpoint::waitForClose(int socket)
 {
     std::array<char, 4096> buffer{};
--- a/tests/support/rawendpoint.h
+++ b/tests/support/rawendpoint.h
@@ -41,6 +41,12 @@
     /// Makes closing the socket send a TCP reset.
     static void resetOnClose(int socket);
 
+    /// Sends a TCP reset now.
+    static void reset(int socket);
+
+    /// Blocks until bytes can be read, and leaves them unread.
+    static void waitForBytes(int socket);
+
     /// Blocks until the peer closes the connection.
     static void waitForClose(int socket);
 
