A reset that another operation has reported is not the end of an answer

What callers saw: an answer without a length, cut short by a reset, was delivered as a complete 200.

Cause: the kernel reports a reset to one operation only; the next read sees a regular end. Two operations took the report and dropped it: the read that empties the socket after one that filled its buffer exactly (2,048 bytes), and the write of a request whose endpoint answered early and reset the connection while the body was still being sent.

How the tests failed before: AResetThatArrivesTogetherWithTheAnswerIsNoEnd got a 200 at 2,048 bytes; AResetWhileTheRequestIsSentIsNoEnd got a 200 with "a part of the ans" as its whole body.

Change: the socket keeps the first failure that any of its operations reported, and a later read returns it instead of the end. A broken pipe is no such failure: it also follows a regular close, and an endpoint may answer completely and close before it has read the whole request.

--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -60,7 +60,7 @@
     boost::asio::awaitable<ErrorCode> connect(const boost::asio::ip::tcp::endpoint &peer);
 
     /// Appends received bytes to the input. The error is `eof` when the peer has closed its sending
-    /// side.
+    /// side in order; after a failure of the connection, such as a reset, it is never `eof`.
     boost::asio::awaitable<ErrorCode> readSome();
     boost::asio::awaitable<ErrorCode> write(std::string_view bytes);
 
@@ -76,6 +76,8 @@
     void shutdownSending();
 
 private:
+    void recordError(const ErrorCode &error);
+    void drainInput();
     void arm();
     void close(CloseReason reason);
     void waitForClose(std::uint64_t generation);
@@ -86,6 +88,7 @@
     SteadyTime m_armedFor = SteadyTime::max();
     CloseReason m_closeReason = CloseReason::None;
     std::string m_input;
+    ErrorCode m_failure; ///< First failure of the connection that an operation reported.
     std::function<void()> m_onClose;
     std::uint64_t m_watchGeneration = 0;
 };
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -27,16 +27,6 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2; ///< A single lost probe must not close the connection.
 
-/// Appends the remaining available data to `input` without blocking. An error is left to the next
-/// read.
-void drainInto(std::string &input, int descriptor)
-{
-    static thread_local std::array<char, DrainBufferBytes> bytes;
-    const auto got = ::recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
-    if (got > 0)
-        input.append(bytes.data(), static_cast<std::size_t>(got));
-}
-
 template<typename Value>
 void setOption(int descriptor, int level, int name, Value value)
 {
@@ -44,6 +34,20 @@
     (void)::setsockopt(descriptor, level, name, &value, sizeof(value));
 }
 
+/// Whether the error is a failure of the connection. A broken pipe isn't: it also follows a regular
+/// close by the peer.
+bool isConnectionFailure(const TimedSocket::ErrorCode &error)
+{
+    return error && error != asio::error::eof && error != asio::error::broken_pipe
+           && error != asio::error::operation_aborted && error != asio::error::would_block
+           && error != asio::error::interrupted;
+}
+
+TimedSocket::ErrorCode lastSystemError()
+{
+    return {errno, boost::system::system_category()};
+}
+
 } // namespace
 
 TimedSocket::TimedSocket(Socket socket)
@@ -76,6 +80,8 @@
     if (got > 0)
         return PeekResult::Bytes;
     const bool wouldBlock = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (got < 0)
+        recordError(lastSystemError());
     return wouldBlock ? PeekResult::Nothing : PeekResult::End;
 }
 
@@ -130,9 +136,27 @@
     const std::size_t got = co_await m_socket.async_read_some(
             asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
     m_input.append(bytes.data(), got);
+    recordError(error);
     if (got == bytes.size() && isOpen())
-        drainInto(m_input, m_socket.native_handle());
-    co_return error;
+        drainInput();
+    co_return error == asio::error::eof &&m_failure ? m_failure : error;
+}
+
+void TimedSocket::drainInput()
+{
+    static thread_local std::array<char, DrainBufferBytes> bytes;
+    const auto got = ::recv(m_socket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (got > 0)
+        m_input.append(bytes.data(), static_cast<std::size_t>(got));
+    if (got < 0)
+        recordError(lastSystemError());
+}
+
+void TimedSocket::recordError(const ErrorCode &error)
+{
+    // The kernel reports a failure to one operation only; later reads would see a regular end.
+    if (!m_failure && isConnectionFailure(error))
+        m_failure = error;
 }
 
 asio::awaitable<TimedSocket::ErrorCode> TimedSocket::write(std::string_view bytes)
@@ -141,6 +165,7 @@
     ErrorCode error;
     co_await asio::async_write(m_socket, asio::buffer(bytes.data(), bytes.size()),
                                asio::redirect_error(asio::use_awaitable, error));
+    recordError(error);
     co_return error;
 }
 
--- a/tests/failure-answerframing.cpp
+++ b/tests/failure-answerframing.cpp
@@ -187,6 +187,49 @@
     EXPECT_FALSE(endsWithLastChunk(reset)) << reset;
 }
 
+// A read that filled its buffer was followed by one whose error was dropped; after a reset the next
+// read then reported a regular end.
+TEST_F(AnswerFraming, AResetThatArrivesTogetherWithTheAnswerIsNoEnd)
+{
+    constexpr std::size_t ReadBytes = 2048;
+    std::atomic<std::size_t> size{0};
+    serveRaw("once", [&](int socket, const std::string &call, unsigned) {
+        const std::string head = signedHead(call, {});
+        harness().onLoop([&](ForwardingContext &) {
+            RawEndpoint::write(socket, head + std::string(size - head.size(), 'x'));
+            RawEndpoint::reset(socket);
+        });
+    });
+    for (const std::size_t reads : {1, 2, 33}) {
+        for (const int more : {-1, 0, 1}) {
+            size = reads * ReadBytes + more;
+            const std::string answer = ask("GET", "once");
+            EXPECT_TRUE(hasStatus(answer, 502)) << size << answer.substr(0, 200);
+        }
+    }
+}
+
+// The write of the request took the error of a reset; the next read then reported a regular end.
+TEST_F(AnswerFraming, AResetWhileTheRequestIsSentIsNoEnd)
+{
+    constexpr std::size_t LargerThanTheSocketBuffers = std::size_t(16) << 20U;
+    RoutingConfiguration configuration = oneRouteOfEachKind();
+    configuration.bounds.maxBodyBytes = LargerThanTheSocketBuffers;
+    harness().configure(configuration);
+    serveRaw("once", [](int socket, const std::string &first, unsigned) {
+        RawEndpoint::write(socket, signedAnswer(first, "200 OK", "done"));
+        RawEndpoint::waitForBytes(socket);
+        RawEndpoint::write(socket, signedHead(first, {}) + "a part of the ans");
+        std::this_thread::sleep_for(milliseconds(50));
+        RawEndpoint::reset(socket);
+    });
+    EXPECT_TRUE(hasStatus(ask("POST", "once"), 200));
+    const std::string answer =
+            sendRequest(harness(), requestText("POST", "/once/x", {},
+                                               std::string(LargerThanTheSocketBuffers, 'b')));
+    EXPECT_TRUE(hasStatus(answer, 502)) << answer;
+}
+
 TEST_F(AnswerFraming, AnAnswerWithoutLengthIsCompleteOnlyWhenItsConnectionIsClosed)
 {
     const auto answer = [](const std::string &call) { return signedHead(call, {}) + "whole"; };
