Answers to HEAD and answers 204 and 304 have no body

What callers saw: a HEAD request whose answer stated a length or chunks got 504 at its deadline. On a streaming route the final chunk of an empty stream followed a head without a body, and the text of the router's own errors followed the head of an answer to HEAD; the caller's connection was out of step from there on, so the next answer could not be read.

Cause: neither the reading of endpoints' answers nor the writing of answers knew that some answers end with their head.

How the test failed before: AnAnswerWithoutBodyLeavesTheCallersConnectionInOrder got 504 for "HEAD, 200 OK, Content-Length: 5", then the text "no_route" after the second head, which has none.

Change: the exchange remembers that it asked for the head only; such answers, and 204 and 304, are relayed as plain answers without a body. HEAD keeps the length that the endpoint stated; 204 and 304 carry no framing fields. Own errors to HEAD end with their head.

Test endpoints that close their connection after a framed answer now say so. Once, in a run beside a build, AStreamThatEndsInsideAnEventLooksIncompleteToTheCaller got 502 (connection_broken): the next request had been written to a kept connection that the test's endpoint was closing without notice. The answer was right, the test's endpoint wasn't what the test is about.

--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -70,6 +70,13 @@
     /// request's id, such as a late answer to an earlier request on the same connection.
     Awaitable<ExchangeError> readHead(const std::string &requestId, SteadyTime deadline);
 
+    /// Whether the answer has no body, because of the request's method or the answer's status.
+    bool isWithoutBody() const;
+
+    /// Length of the body as the relayed head states it: that of the bytes that were read or, for
+    /// an answer to HEAD, the one that the endpoint stated.
+    std::optional<std::size_t> relayedLength();
+
     /// Lifts the limit of the body's size, for an answer whose bytes are consumed as they arrive.
     void expectStream();
 
@@ -94,6 +101,7 @@
     std::optional<AnswerParser> m_parser;
     AnswerMetadata m_metadata;
     bool m_sent = false;
+    bool m_asksForHeadOnly = false; ///< The request's method is HEAD.
     bool m_cancelled = false;
 };
 
--- a/include/almondmill/forward/wirecodec.h
+++ b/include/almondmill/forward/wirecodec.h
@@ -31,7 +31,7 @@
     virtual AnswerMetadata decodeAnswer(const HttpHead &head) const = 0;
 
     /// The head of an endpoint's answer as it is relayed to the caller. Without `bodyBytes` the
-    /// body follows in chunked transfer encoding.
+    /// body follows in chunked transfer encoding, unless answers with this status have no body.
     virtual std::string encodeAnswer(const HttpHead &head, std::optional<std::size_t> bodyBytes,
                                      bool closes) const = 0;
 
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -28,6 +28,9 @@
 /// Informational answers, and answers to other requests, that are skipped before the answer.
 constexpr int MaxSkippedAnswers = 16;
 
+constexpr unsigned NoContent = 204;
+constexpr unsigned NotModified = 304;
+
 std::chrono::milliseconds usableFor(const AnswerMetadata &metadata)
 {
     const auto stated = metadata.keepAlive.value_or(DefaultKeepAlive);
@@ -72,6 +75,7 @@
 {
     m_socket->setDeadline(deadline);
     m_sent = true;
+    m_asksForHeadOnly = request.method == "HEAD";
     std::string message = m_codec.encodeRequest(request, send);
     message += request.body;
     const auto error = co_await m_socket->write(message);
@@ -89,6 +93,7 @@
     for (int skipped = 0; skipped < MaxSkippedAnswers; ++skipped) {
         m_parser.emplace();
         m_parser->body_limit(MaxAnswerBytes);
+        m_parser->skip(m_asksForHeadOnly);
         MessageReader<false> reader(*m_socket, *m_parser);
         const auto error = co_await reader.readHead();
         if (error)
@@ -119,6 +124,19 @@
     co_return boost::system::error_code();
 }
 
+bool EndpointExchange::isWithoutBody() const
+{
+    return m_asksForHeadOnly || m_metadata.status == NoContent || m_metadata.status == NotModified;
+}
+
+std::optional<std::size_t> EndpointExchange::relayedLength()
+{
+    if (!m_asksForHeadOnly)
+        return m_parser->body().size();
+    const auto stated = m_parser->content_length();
+    return stated ? std::optional<std::size_t>(*stated) : std::nullopt;
+}
+
 void EndpointExchange::expectStream()
 {
     m_parser->body_limit(boost::none);
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -257,7 +257,8 @@
         co_return co_await handleRefusal(exchange);
     if (!isUsableSuccess(exchange))
         co_return co_await handleFailure(exchange);
-    if (isStream(m_route->retrySafety) && (m_streamStarted || metadata.mayBeEventStream))
+    const bool hasEvents = metadata.mayBeEventStream && !exchange.isWithoutBody();
+    if (isStream(m_route->retrySafety) && (m_streamStarted || hasEvents))
         co_return co_await relayEvents(exchange);
     co_return co_await relayCompleteResponse(exchange);
 }
@@ -303,10 +304,10 @@
         co_return AttemptOutcome::CallerDisconnected;
     if (error != ExchangeError::None || isSuccess || impliesNotRun(metadata.status))
         co_return AttemptOutcome::Failed;
-    m_failure = EndpointFailure{exchange.head(), exchange.body()};
+    m_failure = EndpointFailure{exchange.head(), exchange.relayedLength(), exchange.body()};
     if (metadata.status < ServerError) {
         const std::string head = m_context.adapter->codec().encodeAnswer(
-                m_failure->head, m_failure->body.size(), m_session.closesAfterAnswer());
+                m_failure->head, m_failure->bodyBytes, m_session.closesAfterAnswer());
         co_return co_await m_session.send(head + m_failure->body)
                 ? AttemptOutcome::Answered
                 : AttemptOutcome::CallerDisconnected;
@@ -323,7 +324,7 @@
         co_return handleExchangeError(error, exchange, now);
     recordFirstByte(exchange, now);
     const std::string head = m_context.adapter->codec().encodeAnswer(
-            exchange.head(), exchange.body().size(), m_session.closesAfterAnswer());
+            exchange.head(), exchange.relayedLength(), m_session.closesAfterAnswer());
     co_return co_await m_session.send(head + exchange.body()) ? AttemptOutcome::Answered
                                                               : AttemptOutcome::CallerDisconnected;
 }
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -48,6 +48,7 @@
     struct EndpointFailure
     {
         HttpHead head;
+        std::optional<std::size_t> bodyBytes; ///< As the relayed head states it.
         std::string body;
     };
 
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -22,6 +22,8 @@
 constexpr unsigned ServiceUnavailable = 503;
 constexpr unsigned GatewayTimeout = 504;
 
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
 /// Retry-After when no endpoint could take the request.
 constexpr milliseconds RetryAfterNoCapacity{300};
 
@@ -52,7 +54,7 @@
     }
     if (m_failure) {
         const std::string head = m_context.adapter->codec().encodeAnswer(
-                m_failure->head, m_failure->body.size(), m_session.closesAfterAnswer());
+                m_failure->head, m_failure->bodyBytes, m_session.closesAfterAnswer());
         logEnd(m_lastReason, m_failure->head.status);
         co_return co_await m_session.send(head + m_failure->body);
     }
@@ -68,9 +70,11 @@
     std::optional<milliseconds> retryAfter;
     if (refusal.status == ServiceUnavailable)
         retryAfter = m_table ? RetryAfterNoCapacity : RetryAfterNoConfiguration;
-    const std::string text = m_context.adapter->codec().encodeOwnAnswer(
-            refusal.status, m_request.id, retryAfter, refusal.reason,
-            m_session.closesAfterAnswer());
+    std::string text = m_context.adapter->codec().encodeOwnAnswer(refusal.status, m_request.id,
+                                                                  retryAfter, refusal.reason,
+                                                                  m_session.closesAfterAnswer());
+    if (m_request.method == "HEAD")
+        text.resize(text.find(HeadEnd) + HeadEnd.size());
     co_return co_await m_session.send(text);
 }
 
--- a/tests/failure-answerframing.cpp
+++ b/tests/failure-answerframing.cpp
@@ -274,12 +274,58 @@
     EXPECT_TRUE(hasStatus(reset, 502)) << reset;
 }
 
+// The body that a HEAD answer only announces was awaited until the deadline; a stream's last chunk
+// and an error's text followed heads that have no body.
+TEST_F(AnswerFraming, AnAnswerWithoutBodyLeavesTheCallersConnectionInOrder)
+{
+    struct Case
+    {
+        const char *method;
+        const char *statusLine;
+        const char *moreHeaders;
+    };
+    const Case cases[] = {{"HEAD", "200 OK", "Content-Length: 5\r\n"},
+                          {"HEAD", "200 OK", "Transfer-Encoding: chunked\r\n"},
+                          {"HEAD", "404 Not Found", "Content-Length: 5\r\n"},
+                          {"GET", "204 No Content", ""},
+                          {"GET", "304 Not Modified", "Content-Length: 5\r\n"},
+                          {"GET", "404 Not Found", "Content-Length: 0\r\n"}};
+    for (const char *route : {"once", "stream"}) {
+        for (const Case &each : cases) {
+            ForwardingHarness router;
+            router.configure(oneRouteOfEachKind());
+            const RawEndpoint endpoint([&](int socket, const std::string &, unsigned) {
+                RawEndpoint::write(socket,
+                                   std::string("HTTP/1.1 ") + each.statusLine
+                                           + "\r\nRequest-Id: r1\r\nServer-Signature: s1\r\n"
+                                           + each.moreHeaders + "\r\n");
+                RawEndpoint::waitForClose(socket);
+            });
+            router.addEndpoint("e1", route, endpoint.address(), 1);
+            const RawCaller caller(router.url());
+            const std::string target = std::string("/") + route + "/x";
+            caller.send(std::string(each.method) + " " + target
+                        + " HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 2000\r\n"
+                          "Authorization: Bearer k1\r\n\r\n"
+                        + "HEAD /nowhere HTTP/1.1\r\nHost: h\r\n\r\n"
+                          "GET /nowhere HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            const std::string answers = caller.readToEnd();
+            EXPECT_TRUE(answers.starts_with(std::string("HTTP/1.1 ") + each.statusLine))
+                    << each.method << each.statusLine << answers;
+            const auto second = answers.find("\r\n\r\n") + 4;
+            EXPECT_TRUE(answers.substr(second).starts_with("HTTP/1.1 404 ")) << answers;
+            const auto third = answers.find("\r\n\r\n", second) + 4;
+            EXPECT_TRUE(answers.substr(third).starts_with("HTTP/1.1 404 ")) << answers;
+        }
+    }
+}
+
 // An answer on a streaming route that is no event stream is complete where its framing ends.
 TEST_F(AnswerFraming, AnAnswerThatIsNoStreamIsRelayedWholeOnAStreamingRoute)
 {
     for (const Framing framing : AllFramings) {
         const std::string text = "{\"text\":\"whole\"}";
-        const std::string type = "Content-Type: application/json\r\n";
+        const std::string type = "Content-Type: application/json\r\nConnection: close\r\n";
         const auto answer = [=](const std::string &call) {
             if (framing == Framing::Chunked)
                 return signedHead(call, type + "Transfer-Encoding: chunked\r\n") + chunkText(text)
--- a/tests/support/answertexts.cpp
+++ b/tests/support/answertexts.cpp
@@ -27,7 +27,7 @@
 
 std::string streamAnswer(const std::string &call, const std::string &body, Framing framing)
 {
-    const std::string type = "Content-Type: text/event-stream\r\n";
+    const std::string type = "Content-Type: text/event-stream\r\nConnection: close\r\n";
     switch (framing) {
     case Framing::Chunked:
         return signedHead(call, type + "Transfer-Encoding: chunked\r\n") + chunkText(body)
--- a/tests/support/answertexts.h
+++ b/tests/support/answertexts.h
@@ -19,8 +19,8 @@
 /// The signed head of a 200 answer to the request `call`. `moreHeaders` are complete lines.
 std::string signedHead(const std::string &call, const std::string &moreHeaders);
 
-/// A signed and complete event stream whose body is `body`, in that framing. With
-/// `Framing::UntilClose` the connection has to be closed after it.
+/// A signed event stream whose body is `body`, in that framing, after which the endpoint closes the
+/// connection.
 std::string streamAnswer(const std::string &call, const std::string &body, Framing framing);
 
 /// Whether the message begins with this status.
