--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -68,7 +68,7 @@
     boost::asio::awaitable<ErrorCode> connect(const boost::asio::ip::tcp::endpoint &peer);
 
     /// Appends received bytes to the input. The error is `eof` when the peer has closed its sending
-    /// side.
+    /// side in order; after a failure of the connection, such as a reset, it is never `eof`.
     boost::asio::awaitable<ErrorCode> readSome();
     boost::asio::awaitable<ErrorCode> write(std::string_view bytes);
 
@@ -84,6 +84,8 @@
     void shutdownSending();
 
 private:
+    void recordError(const ErrorCode &error);
+    void drainInput();
     void arm();
     void onTimer();
     void close(CloseReason reason);
@@ -97,6 +99,7 @@
     StallCheck m_stallCheck;
     CloseReason m_closeReason = CloseReason::None;
     std::string m_input;
+    ErrorCode m_failure; ///< First failure of the connection that an operation reported.
     std::function<void()> m_onClose;
     std::uint64_t m_watchGeneration = 0;
 };
--- a/tests/failure-answerframing.cpp
+++ b/tests/failure-answerframing.cpp
@@ -191,6 +191,49 @@
     EXPECT_FALSE(endsWithLastChunk(reset)) << reset;
 }
 
+// A read that filled its buffer was followed by one whose error was dropped; after a reset the next
+// read then reported a regular end.
+TEST_F(AnswerFraming, AResetThatArrivesTogetherWithTheAnswerIsNoEnd)
+{
+    constexpr std::size_t ReadBytes = 2048;
+    std::atomic<std::size_t> size{0};
+    serveRaw("once", [&](int socket, const std::string &call, unsigned) {
+        const std::string head = signedHead(call, {});
+        harness().onLoop([&](ForwardingContext &) {
+            RawEndpoint::write(socket, head + std::string(size - head.size(), 'x'));
+            RawEndpoint::reset(socket);
+        });
+    });
+    for (const std::size_t reads : {1, 2, 33}) {
+        for (const int more : {-1, 0, 1}) {
+            size = reads * ReadBytes + more;
+            const std::string answer = ask("GET", "once");
+            EXPECT_TRUE(hasStatus(answer, 502)) << size << answer.substr(0, 200);
+        }
+    }
+}
+
+// The write of the request took the error of a reset; the next read then reported a regular end.
+TEST_F(AnswerFraming, AResetWhileTheRequestIsSentIsNoEnd)
+{
+    constexpr std::size_t LargerThanTheSocketBuffers = std::size_t(16) << 20U;
+    RoutingConfiguration configuration = oneRouteOfEachKind();
+    configuration.bounds.maxBodyBytes = LargerThanTheSocketBuffers;
+    harness().configure(configuration);
+    serveRaw("once", [](int socket, const std::string &first, unsigned) {
+        RawEndpoint::write(socket, signedAnswer(first, "200 OK", "done"));
+        RawEndpoint::waitForBytes(socket);
+        RawEndpoint::write(socket, signedHead(first, {}) + "a part of the ans");
+        std::this_thread::sleep_for(milliseconds(50));
+        RawEndpoint::reset(socket);
+    });
+    EXPECT_TRUE(hasStatus(ask("POST", "once"), 200));
+    const std::string answer =
+            sendRequest(harness(), requestText("POST", "/once/x", {},
+                                               std::string(LargerThanTheSocketBuffers, 'b')));
+    EXPECT_TRUE(hasStatus(answer, 502)) << answer;
+}
+
 TEST_F(AnswerFraming, AnAnswerWithoutLengthIsCompleteOnlyWhenItsConnectionIsClosed)
 {
     const auto answer = [](const std::string &call) { return signedHead(call, {}) + "whole"; };
@@ -235,12 +278,58 @@
     EXPECT_TRUE(hasStatus(reset, 502)) << reset;
 }
 
+// The body that a HEAD answer only announces was awaited until the deadline; a stream's last chunk
+// and an error's text followed heads that have no body.
+TEST_F(AnswerFraming, AnAnswerWithoutBodyLeavesTheCallersConnectionInOrder)
+{
+    struct Case
+    {
+        const char *method;
+        const char *statusLine;
+        const char *moreHeaders;
+    };
+    const Case cases[] = {{"HEAD", "200 OK", "Content-Length: 5\r\n"},
+                          {"HEAD", "200 OK", "Transfer-Encoding: chunked\r\n"},
+                          {"HEAD", "404 Not Found", "Content-Length: 5\r\n"},
+                          {"GET", "204 No Content", ""},
+                          {"GET", "304 Not Modified", "Content-Length: 5\r\n"},
+                          {"GET", "404 Not Found", "Content-Length: 0\r\n"}};
+    for (const char *route : {"once", "stream"}) {
+        for (const Case &each : cases) {
+            ForwardingHarness router;
+            router.configure(oneRouteOfEachKind());
+            const RawEndpoint endpoint([&](int socket, const std::string &, unsigned) {
+                RawEndpoint::write(socket,
+                                   std::string("HTTP/1.1 ") + each.statusLine
+                                           + "\r\nRequest-Id: r1\r\nServer-Signature: s1\r\n"
+                                           + each.moreHeaders + "\r\n");
+                RawEndpoint::waitForClose(socket);
+            });
+            router.addEndpoint("e1", route, endpoint.address(), 1);
+            const RawCaller caller(router.url());
+            const std::string target = std::string("/") + route + "/x";
+            caller.send(std::string(each.method) + " " + target
+                        + " HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 2000\r\n"
+                          "Authorization: Bearer k1\r\n\r\n"
+                        + "HEAD /nowhere HTTP/1.1\r\nHost: h\r\n\r\n"
+                          "GET /nowhere HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            const std::string answers = caller.readToEnd();
+            EXPECT_TRUE(answers.starts_with(std::string("HTTP/1.1 ") + each.statusLine))
+                    << each.method << each.statusLine << answers;
+            const auto second = answers.find("\r\n\r\n") + 4;
+            EXPECT_TRUE(answers.substr(second).starts_with("HTTP/1.1 404 ")) << answers;
+            const auto third = answers.find("\r\n\r\n", second) + 4;
+            EXPECT_TRUE(answers.substr(third).starts_with("HTTP/1.1 404 ")) << answers;
+        }
+    }
+}
+
 // An answer on a streaming route that is no event stream is complete where its framing ends.
 TEST_F(AnswerFraming, AnAnswerThatIsNoStreamIsRelayedWholeOnAStreamingRoute)
 {
     for (const Framing framing : AllFramings) {
         const std::string text = "{\"text\":\"whole\"}";
-        const std::string type = "Content-Type: application/json\r\n";
+        const std::string type = "Content-Type: application/json\r\nConnection: close\r\n";
         const auto answer = [=](const std::string &call) {
             if (framing == Framing::Chunked)
                 return signedHead(call, type + "Transfer-Encoding: chunked\r\n") + chunkText(text)
