Refuse prompt parts that crash engines, at all routers

Cause: routers have no memory across requests. A request that broke with its engine was sent to the next one, and the next request with the same part too. No router sees enough of the crashes: each of the first five in the log was seen by one router, twice by the same one because of its own retry. Ruled out: overload by retries, since at each of the 32 logged crashes a request with the part broke before its first event.

Change: PartBreakers keeps, for each shared part of a prompt, the engine incarnations that ended while a request with it waited for the start of its answer, and the start of the latest sound answer since. A part with three such crashes is open: its requests get a 503 with the remaining hold as Retry-After, at once and again right before each send. A request whose part was at two crashes is not retried. An end of the process is told from a reset connection by a new connection, which is refused; a running engine's new connection goes to the pool. Engines that end together (30 ms) count as one crash. The state follows from the evidence alone, which routers merge in any order, so that they agree: new evidence goes through the broadcast tree after 20 ms, answers that clear a part within 250 ms, and the most suspected parts are repeated in the state rounds, for lost datagrams and routers that just started. The hold is 20 s and doubles with each crash; after it one router, later more, tests the part with one request.

Before the change the two tests of crashing parts failed: ten engines crashed instead of at most five (streams that may run once), and 502 "retry_budget" instead of 503 (resumable streams). The property test of bounded sends found that crashes in quick succession never opened a part, since the table forgot the first of them; six crashes open it at once.

--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -4,6 +4,7 @@
 #include "almondmill/forward/endpointviews.h"
 #include "almondmill/forward/forwardersettings.h"
 #include "almondmill/forward/forwardingmetrics.h"
+#include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/forward/serviceretrybudgets.h"
 #include "almondmill/forward/weightstargets.h"
@@ -43,6 +44,7 @@
     WeightsTargets weights;
     PeerViews peers;
     PartLocations partLocations;
+    PartBreakers partBreakers;
     PlacementBroadcastQueue
             placements; ///< Placements of prompt parts to be sent to the other routers.
     PartLookups partLookups;
--- /dev/null
+++ b/include/almondmill/forward/partbreakers.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "almondmill/forward/partevidence.h"
+#include "almondmill/kernel/time.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace almondmill {
+
+class Counter;
+class Metrics;
+
+/// Circuit breakers for prompt parts. A part that waited at several engines when they crashed, and
+/// has not been answered since, is open: requests with it are refused. The state follows from the
+/// evidence alone, so routers that know the same evidence open and close the same parts. Evidence
+/// may be merged in any order and repeatedly. Must be used on the event loop only.
+class PartBreakers
+{
+public:
+    using Parts = std::vector<PartHash>;
+
+    /// A part whose requests are refused.
+    struct OpenPart
+    {
+        PartHash part = 0;
+        std::size_t crashes = 0;
+        std::chrono::milliseconds retryAfter{0}; ///< Time until a request is let through as a test.
+    };
+
+    PartBreakers(const std::string &self, Metrics &metrics);
+
+    /// Calls `onCrash` whenever a crash was recorded.
+    void start(std::function<void()> onCrash) { m_onCrash = std::move(onCrash); }
+
+    /// Adds a router that may let requests through open parts.
+    void addRouter(const std::string &name);
+
+    /// The first of the parts that is open for this router; nothing when the request may be sent.
+    std::optional<OpenPart> findOpen(const Parts &parts, SteadyTime now) const;
+
+    /// Like findOpen. A request that may be sent takes this router's test of its half-open parts.
+    std::optional<OpenPart> admit(const Parts &parts, SteadyTime now);
+
+    /// Whether a request that was at an engine's crash may be sent to another engine.
+    bool mayRetry(const Parts &parts) const;
+
+    /// Most crashes of one of the parts since it was last answered.
+    std::size_t crashesOf(const Parts &parts) const;
+
+    /// Whether it is known that the engine crashed.
+    bool hasCrashed(std::uint64_t engine) const;
+
+    /// Records that an engine crashed while a request with these parts waited there.
+    void recordCrash(std::uint64_t engine, const Parts &parts, SteadyTime now);
+
+    /// Records a sound answer to a request with these parts that started at `startedAt`.
+    void recordAnswer(const Parts &parts, SteadyTime startedAt);
+
+    /// Merges evidence of another router. Returns whether it was news.
+    bool merge(const std::vector<PartEvidence> &evidence, SteadyTime now);
+
+    /// Evidence to be sent to all routers, most crashes first. Each change is returned once.
+    /// `limit` bounds the number of parts and crashes in the result.
+    std::vector<PartEvidence> takeUnsent(std::size_t limit);
+    bool hasUnsent() const;
+
+    /// The parts with the most crashes among those with at least two, to repeat to other routers.
+    /// `limit` is that of takeUnsent.
+    std::vector<PartEvidence> mostSuspected(std::size_t limit) const;
+
+    /// Drops evidence that is too old, and counts the parts that opened or closed.
+    void refresh(SteadyTime now);
+
+    /// Open and half-open parts.
+    std::vector<OpenPart> openParts(SteadyTime now) const;
+
+private:
+    struct Entry
+    {
+        PartEvidence evidence;
+        SteadyTime testUntil; ///< Until then a request of this router tests the half-open part.
+        bool isUnsent = false;
+        bool wasOpen = false;
+    };
+
+    /// Crashes since the part was last answered.
+    struct Suspicion
+    {
+        std::size_t crashes = 0; ///< Simultaneous crashes count as one.
+        SteadyTime firstAt;
+        SteadyTime lastAt;
+    };
+
+    static Suspicion suspicionOf(const PartEvidence &evidence);
+    static bool isOpen(const Suspicion &suspicion, SteadyTime now);
+    static bool addCrash(PartEvidence &evidence, const EngineCrash &crash);
+    bool mergeEntry(const PartEvidence &evidence, SteadyTime now);
+    bool isTester(PartHash part, const Suspicion &suspicion, SteadyTime now) const;
+    std::optional<OpenPart> openPart(PartHash part, SteadyTime now) const;
+    Entry &entryOf(PartHash part);
+    void evict();
+
+    std::uint64_t m_self;
+    std::vector<std::uint64_t> m_routers; ///< Hashes of the names of the other routers.
+    absl::flat_hash_map<PartHash, Entry> m_entries;
+    std::function<void()> m_onCrash;
+    Counter &m_crashes;
+    Counter &m_opened;
+    Counter &m_closed;
+    Counter &m_cleared;
+};
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/forward/partevidence.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "almondmill/kernel/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace almondmill {
+
+struct PromptRequest;
+struct Registration;
+
+/// Identifies a prompt part of a model, whatever its cache scope, the same at every router.
+using PartHash = std::uint64_t;
+
+/// Hashes of the parts that other requests may share.
+std::vector<PartHash> sharedPartHashes(const PromptRequest &prompt);
+
+/// Hash of an engine's id and start time.
+std::uint64_t incarnationHash(const Registration &registration);
+
+/// The end of an engine's process while requests waited there for the start of their answers.
+struct EngineCrash
+{
+    std::uint64_t engine = 0; ///< See incarnationHash.
+    SteadyTime at;
+};
+
+/// What is known of a prompt part that waited at engines when they crashed.
+struct PartEvidence
+{
+    PartHash part = 0;
+    std::vector<EngineCrash> crashes;     ///< Ordered by time.
+    std::optional<SteadyTime> answeredAt; ///< Start of the latest sound answer with the part.
+};
+
+} // namespace almondmill
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -21,6 +21,7 @@
 class Counter;
 struct ForwardingContext;
 struct BroadcastPlacement;
+struct PartEvidenceMessage;
 
 /// Exchanges state with the other routers over UDP. Routers discover each other through the
 /// platform's store: each registers its address there and lists the others' once. A router whose
@@ -75,6 +76,15 @@
     void handleDatagram(std::string_view bytes, const Address &from);
     void handleMessage(const PeerMessage &message, const Address &from, SteadyTime now);
     void handleStoreUpdate(const StoreUpdate &update, std::string_view bytes, SteadyTime now);
+    void handlePartEvidence(const PartEvidenceMessage &message, std::string_view bytes,
+                            SteadyTime now);
+    /// Broadcasts new evidence against prompt parts after a short delay, so that all requests at
+    /// one crash are sent together.
+    void publishEvidenceSoon();
+    boost::asio::awaitable<void> publishEvidenceAfterDelay();
+    void publishEvidence();
+    /// Evidence to repeat to the peers of a round; empty when there is none.
+    std::string describeEvidence(SteadyTime now) const;
     void handlePlacements(const std::vector<BroadcastPlacement> &placements);
     void forwardToChildren(const std::string &origin, std::string_view bytes);
     std::vector<PeerMessage::Weights> describeWeights(SteadyTime now) const;
@@ -95,6 +105,8 @@
     std::uint64_t m_sequence = 0;
     bool m_publishScheduled = false;
     absl::flat_hash_map<std::string, UpdatePosition> m_lastUpdates; ///< By origin.
+    bool m_evidenceScheduled = false;
+    absl::flat_hash_map<std::string, UpdatePosition> m_lastEvidence; ///< By origin.
     std::vector<std::string> m_roundRobin; ///< Peer names in round-robin order.
     std::size_t m_nextPeer = 0;            ///< Index into `m_roundRobin`.
     absl::flat_hash_map<std::string, Address> m_peers;
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -72,6 +72,7 @@
     }
     if (events.empty())
         co_return true;
+    recordEvents(steadyNow());
     std::string text;
     if (!m_streamStarted) {
         m_streamStarted = true;
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -77,6 +77,10 @@
     const auto refusal = resolveRoute();
     if (refusal)
         co_return co_await answer(*refusal);
+    if (m_request.prompt)
+        m_parts = sharedPartHashes(*m_request.prompt);
+    if (findsOpenPart(m_context.partBreakers.findOpen(m_parts, m_startedAt)))
+        co_return co_await answerAfterFailures();
     m_context.retryBudgets.requestStarted(m_service, m_startedAt);
     m_session.onDisconnect([this] {
         if (m_exchange)
@@ -128,6 +132,8 @@
 {
     for (;;) {
         const SteadyTime now = steadyNow();
+        if (findsOpenPart(m_context.partBreakers.findOpen(m_parts, now)))
+            co_return co_await answerAfterFailures();
         const auto view =
                 now < m_deadline ? m_planner.pick(placed(), m_triedEndpoints, now) : nullptr;
         if (!view)
@@ -141,7 +147,7 @@
             logEnd("caller_left", 0);
             co_return false;
         }
-        if (!mayRetry(outcome, steadyNow()))
+        if (m_openPart || !mayRetry(outcome, steadyNow()))
             co_return co_await answerAfterFailures();
     }
 }
@@ -154,6 +160,10 @@
         m_mayHaveRun = true;
         if (!mayRunAgain(m_route->retrySafety))
             return false;
+        if (m_hasBroken && !m_answerStartedAt && !m_context.partBreakers.mayRetry(m_parts)) {
+            m_lastReason = "part_suspected";
+            return false;
+        }
     }
     if (!hasAttemptsLeft())
         return false;
@@ -185,6 +195,9 @@
 {
     m_triedEndpoints.push_back(view);
     m_attemptStartedAt = steadyNow();
+    m_hasBroken = false;
+    m_answerStartedAt.reset();
+    m_isAnswerRecorded = false;
     EndpointExchange exchange(view, m_context.adapter->codec());
     m_exchange = &exchange;
     const std::uint64_t tokens = heldTokens();
@@ -194,6 +207,9 @@
     endPrefill();
     exchange.finish(steadyNow());
     m_exchange = nullptr;
+    if (outcome == AttemptOutcome::Answered && m_answerStartedAt)
+        m_context.partBreakers.recordAnswer(m_parts, *m_answerStartedAt);
+    co_await examineBreak(view);
     if (outcome != AttemptOutcome::Answered && outcome != AttemptOutcome::CallerDisconnected) {
         m_context.requestMetrics.recordFailedAttempt(m_lastReason);
         EventLine("request.attempt")
@@ -222,6 +238,8 @@
         m_lastReason = "timeout"; // This VM may have been paused while the connection was opened.
         co_return AttemptOutcome::NotSent;
     }
+    if (findsOpenPart(m_context.partBreakers.admit(m_parts, now)))
+        co_return AttemptOutcome::NotSent;
     const AttemptParameters parameters =
             m_planner.planAttempt(placed(), view, timeUntil(m_deadline, now), now);
     ++m_sendCount;
@@ -321,6 +339,7 @@
     const SteadyTime now = steadyNow();
     if (error != ExchangeError::None)
         co_return handleExchangeError(error, exchange, now);
+    m_answerStartedAt = now;
     recordFirstByte(exchange, now);
     const std::string head = m_context.adapter->codec().encodeAnswer(
             exchange.head(), exchange.body().size(), m_session.closesAfterAnswer());
@@ -352,6 +371,7 @@
         break;
     }
     m_lastReason = "connection_broken";
+    m_hasBroken = true;
     health.recordFailure(now);
     return AttemptOutcome::Failed;
 }
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -2,6 +2,7 @@
 
 #include "almondmill/forward/callerrequest.h"
 #include "almondmill/forward/endpointexchange.h"
+#include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/sendplanner.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/request/eventsplitter.h"
@@ -73,6 +74,14 @@
     Awaitable<bool> answerAfterFailures();
     Awaitable<bool> answer(const Refusal &refusal);
 
+    /// Records a crash of the engine if the attempt ended with it before an answer started.
+    Awaitable<void> examineBreak(SendPlanner::View view);
+    Awaitable<bool> refusesConnections(EndpointView &view);
+    /// Records that complete events of the current attempt arrived.
+    void recordEvents(SteadyTime now);
+    /// Records that one of the request's parts is open; returns false when none is.
+    bool findsOpenPart(std::optional<PartBreakers::OpenPart> open);
+
     AttemptOutcome handleExchangeError(ExchangeError error, EndpointExchange &exchange,
                                        SteadyTime now);
     bool mayRetry(AttemptOutcome outcome, SteadyTime now);
@@ -106,6 +115,12 @@
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
     std::uint64_t m_prefillTokens = 0; ///< Prompt tokens counted as unread at the current endpoint.
 
+    PartBreakers::Parts m_parts; ///< Of the prompt, those that other requests may share.
+    std::optional<PartBreakers::OpenPart> m_openPart;
+    bool m_hasBroken = false;                    ///< The connection of the current attempt broke.
+    std::optional<SteadyTime> m_answerStartedAt; ///< First event of the current attempt.
+    bool m_isAnswerRecorded = false; ///< The current attempt's answer was recorded as sound.
+
     EventSplitter m_splitter;
     bool m_streamStarted = false; ///< The head, and possibly events, were sent to the caller.
     SteadyTime m_firstByteAt;
--- a/src/forward/forwardingcontext.cpp
+++ b/src/forward/forwardingcontext.cpp
@@ -13,6 +13,7 @@
     , requestMetrics(metrics)
     , table(nullptr)
     , directory([this](const RegistrationChange &change) { endpoints.changed(change); })
+    , partBreakers(settings.name, metrics)
     , partLookups(eventLoop, partLocations, metrics)
     , retryBudgets({settings.retryBudgetRatio, settings.retryBudgetMinRetries,
                     settings.retryBudgetWindow})
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -96,6 +96,10 @@
                      [this] { return static_cast<double>(m_context.endpoints.all().size()); });
     metrics.setGauge("almondmill_live_peers",
                      [this] { return static_cast<double>(m_context.peers.liveCount()); });
+    metrics.setGauge("almondmill_parts_open", [this] {
+        const auto now = std::chrono::steady_clock::now();
+        return static_cast<double>(m_context.partBreakers.openParts(now).size());
+    });
     metrics.setGauge("almondmill_sessions",
                      [this] { return static_cast<double>(m_callers.openSessions()); });
     metrics.setGauge("almondmill_holds_rollout_lease",
@@ -169,6 +173,12 @@
     nlohmann::json weights = nlohmann::json::object();
     for (const WeightsTarget &target : m_context.weights.all())
         weights[target.model] = target.version;
+    nlohmann::json openParts = nlohmann::json::array();
+    for (const PartBreakers::OpenPart &open :
+         m_context.partBreakers.openParts(std::chrono::steady_clock::now()))
+        openParts.push_back({{"part", open.part},
+                             {"crashes", open.crashes},
+                             {"retry_after_ms", open.retryAfter.count()}});
     const nlohmann::json state{{"name", m_context.settings.name},
                                {"draining", m_context.draining},
                                {"config_version", table ? table->version() : 0},
@@ -177,6 +187,7 @@
                                {"sessions", m_callers.openSessions()},
                                {"live_peers", m_context.peers.liveCount()},
                                {"weights", std::move(weights)},
+                               {"open_parts", std::move(openParts)},
                                {"endpoints", std::move(endpoints)}};
     return state.dump(2) + "\n";
 }
--- /dev/null
+++ b/src/forward/partbreakers.cpp
@@ -0,0 +1,386 @@
+#include "almondmill/forward/partbreakers.h"
+
+#include "almondmill/kernel/hash.h"
+#include "almondmill/metrics/metrics.h"
+#include "almondmill/observe/eventline.h"
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Crashes since the last sound answer from which a part is open.
+constexpr std::size_t CrashesToOpen = 3;
+
+/// A request whose part was at this many crashes is not sent to another engine.
+constexpr std::size_t CrashesToStopRetries = 2;
+
+/// Engines that share a rack or a power supply end together; such crashes count as one.
+constexpr milliseconds SimultaneousCrashes{30};
+
+/// A part opens at the earliest this long after its first crash, so that sound answers that other
+/// routers saw arrive before.
+constexpr milliseconds MinSuspicion{1000};
+
+/// So many crashes open a part without this delay. A table keeps only the latest crashes of a part,
+/// which may all be recent.
+constexpr std::size_t CrashesToOpenAtOnce = 6;
+
+/// Time from the last crash until an open part is tested with a request. Each further crash doubles
+/// it.
+constexpr milliseconds FirstHold{20'000};
+
+/// After this time without a test, four times as many routers may test a half-open part, because
+/// the first ones may have left or get no request with the part.
+constexpr milliseconds TesterInterval{5000};
+constexpr std::size_t TesterGrowth = 4;
+
+/// A test without a result ends after this time.
+constexpr milliseconds TestTimeout{10'000};
+
+/// Evidence is kept at least this long after the last crash.
+constexpr milliseconds MinRetention{120'000};
+
+/// An open part is forgotten after this multiple of its hold.
+constexpr int RetentionHolds = 4;
+
+constexpr std::size_t MaxCrashesPerPart = 12;
+constexpr std::size_t MaxParts = 512;
+
+milliseconds holdAfter(std::size_t crashes)
+{
+    milliseconds hold = FirstHold;
+    for (std::size_t crash = CrashesToOpen; crash < crashes; ++crash)
+        hold *= 2;
+    return hold;
+}
+
+milliseconds retentionAfter(std::size_t crashes)
+{
+    return crashes < CrashesToOpen ? MinRetention
+                                   : std::max(MinRetention, holdAfter(crashes) * RetentionHolds);
+}
+
+milliseconds timeUntil(SteadyTime time, SteadyTime now)
+{
+    return std::max(std::chrono::duration_cast<milliseconds>(time - now), milliseconds(1000));
+}
+
+/// What the evidence adds to the size of a message: the part and its crashes.
+std::size_t sizeOf(const PartEvidence &evidence)
+{
+    return 1 + evidence.crashes.size();
+}
+
+} // namespace
+
+PartBreakers::PartBreakers(const std::string &self, Metrics &metrics)
+    : m_self(hash64(self))
+    , m_crashes(metrics.counter("almondmill_part_crashes_total"))
+    , m_opened(metrics.counter("almondmill_parts_opened_total"))
+    , m_closed(metrics.counter("almondmill_parts_closed_total"))
+    , m_cleared(metrics.counter("almondmill_parts_cleared_total"))
+{}
+
+void PartBreakers::addRouter(const std::string &name)
+{
+    m_routers.push_back(hash64(name));
+}
+
+std::optional<PartBreakers::OpenPart> PartBreakers::findOpen(const Parts &parts,
+                                                             SteadyTime now) const
+{
+    for (const PartHash part : parts) {
+        if (const auto open = openPart(part, now))
+            return open;
+    }
+    return std::nullopt;
+}
+
+std::optional<PartBreakers::OpenPart> PartBreakers::openPart(PartHash part, SteadyTime now) const
+{
+    const auto found = m_entries.find(part);
+    if (found == m_entries.end())
+        return std::nullopt;
+    const Suspicion suspicion = suspicionOf(found->second.evidence);
+    if (!isOpen(suspicion, now))
+        return std::nullopt;
+    const bool isTested = now < found->second.testUntil;
+    if (!isTested && isTester(part, suspicion, now))
+        return std::nullopt;
+    const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+    return OpenPart{part, suspicion.crashes, timeUntil(heldUntil, now)};
+}
+
+std::optional<PartBreakers::OpenPart> PartBreakers::admit(const Parts &parts, SteadyTime now)
+{
+    const auto open = findOpen(parts, now);
+    if (open)
+        return open;
+    for (const PartHash part : parts) {
+        const auto found = m_entries.find(part);
+        if (found != m_entries.end() && isOpen(suspicionOf(found->second.evidence), now))
+            found->second.testUntil = now + TestTimeout;
+    }
+    return std::nullopt;
+}
+
+bool PartBreakers::mayRetry(const Parts &parts) const
+{
+    return crashesOf(parts) < CrashesToStopRetries;
+}
+
+std::size_t PartBreakers::crashesOf(const Parts &parts) const
+{
+    std::size_t most = 0;
+    for (const PartHash part : parts) {
+        const auto found = m_entries.find(part);
+        if (found != m_entries.end())
+            most = std::max(most, suspicionOf(found->second.evidence).crashes);
+    }
+    return most;
+}
+
+bool PartBreakers::hasCrashed(std::uint64_t engine) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &entry) {
+        const auto &crashes = entry.second.evidence.crashes;
+        return std::any_of(crashes.begin(), crashes.end(),
+                           [&](const EngineCrash &crash) { return crash.engine == engine; });
+    });
+}
+
+void PartBreakers::recordCrash(std::uint64_t engine, const Parts &parts, SteadyTime now)
+{
+    if (!hasCrashed(engine))
+        m_crashes.add();
+    for (const PartHash part : parts) {
+        Entry &entry = entryOf(part);
+        if (addCrash(entry.evidence, {engine, now}))
+            entry.isUnsent = true;
+    }
+    refresh(now);
+    if (m_onCrash)
+        m_onCrash();
+}
+
+void PartBreakers::recordAnswer(const Parts &parts, SteadyTime startedAt)
+{
+    for (const PartHash part : parts) {
+        const auto found = m_entries.find(part);
+        if (found == m_entries.end())
+            continue;
+        PartEvidence &evidence = found->second.evidence;
+        if (evidence.answeredAt && *evidence.answeredAt >= startedAt)
+            continue;
+        const bool wasSuspected = suspicionOf(evidence).crashes != 0;
+        evidence.answeredAt = startedAt;
+        if (!wasSuspected || suspicionOf(evidence).crashes != 0)
+            continue;
+        found->second.isUnsent = true;
+        m_cleared.add();
+    }
+}
+
+bool PartBreakers::merge(const std::vector<PartEvidence> &evidence, SteadyTime now)
+{
+    bool isNews = false;
+    for (const PartEvidence &part : evidence)
+        isNews = mergeEntry(part, now) || isNews;
+    refresh(now);
+    return isNews;
+}
+
+bool PartBreakers::mergeEntry(const PartEvidence &evidence, SteadyTime now)
+{
+    const bool isKnown = m_entries.contains(evidence.part);
+    if (!isKnown && suspicionOf(evidence).crashes == 0)
+        return false;
+    Entry &entry = entryOf(evidence.part);
+    bool isNews = false;
+    for (const EngineCrash &crash : evidence.crashes)
+        isNews = addCrash(entry.evidence, {crash.engine, std::min(crash.at, now)}) || isNews;
+    const auto answeredAt = entry.evidence.answeredAt;
+    if (evidence.answeredAt && (!answeredAt || *evidence.answeredAt > *answeredAt)) {
+        const std::size_t before = suspicionOf(entry.evidence).crashes;
+        entry.evidence.answeredAt = std::min(*evidence.answeredAt, now);
+        isNews = suspicionOf(entry.evidence).crashes != before || isNews;
+    }
+    // Tells a router that suspects a part which has been answered since.
+    const std::size_t suspected = suspicionOf(evidence).crashes;
+    entry.isUnsent =
+            entry.isUnsent || (suspected != 0 && suspicionOf(entry.evidence).crashes < suspected);
+    return isNews;
+}
+
+std::vector<PartEvidence> PartBreakers::takeUnsent(std::size_t limit)
+{
+    std::vector<Entry *> unsent;
+    for (auto &[part, entry] : m_entries) {
+        if (entry.isUnsent)
+            unsent.push_back(&entry);
+    }
+    std::sort(unsent.begin(), unsent.end(), [](const Entry *first, const Entry *second) {
+        return suspicionOf(first->evidence).crashes > suspicionOf(second->evidence).crashes;
+    });
+    std::vector<PartEvidence> evidence;
+    std::size_t size = 0;
+    for (Entry *entry : unsent) {
+        size += sizeOf(entry->evidence);
+        if (size > limit && !evidence.empty())
+            break;
+        entry->isUnsent = false;
+        evidence.push_back(entry->evidence);
+    }
+    return evidence;
+}
+
+bool PartBreakers::hasUnsent() const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [](const auto &entry) { return entry.second.isUnsent; });
+}
+
+std::vector<PartEvidence> PartBreakers::mostSuspected(std::size_t limit) const
+{
+    std::vector<PartEvidence> evidence;
+    for (const auto &[part, entry] : m_entries) {
+        if (suspicionOf(entry.evidence).crashes >= CrashesToStopRetries)
+            evidence.push_back(entry.evidence);
+    }
+    std::sort(evidence.begin(), evidence.end(),
+              [](const PartEvidence &first, const PartEvidence &second) {
+                  return suspicionOf(first).crashes > suspicionOf(second).crashes;
+              });
+    std::size_t size = 0;
+    const auto end = std::find_if(evidence.begin(), evidence.end(), [&](const PartEvidence &part) {
+        size += sizeOf(part);
+        return size > limit;
+    });
+    evidence.erase(end, evidence.end());
+    return evidence;
+}
+
+void PartBreakers::refresh(SteadyTime now)
+{
+    for (auto &[part, entry] : m_entries) {
+        const Suspicion suspicion = suspicionOf(entry.evidence);
+        const bool open = isOpen(suspicion, now);
+        if (open == entry.wasOpen)
+            continue;
+        entry.wasOpen = open;
+        (open ? m_opened : m_closed).add();
+        EventLine(open ? "part.opened" : "part.closed")
+                .add("part", part)
+                .add("crashes", std::uint64_t(suspicion.crashes))
+                .add("hold", open ? holdAfter(suspicion.crashes) : milliseconds(0));
+    }
+    absl::erase_if(m_entries, [&](const auto &entry) {
+        const PartEvidence &evidence = entry.second.evidence;
+        const std::size_t crashes = suspicionOf(evidence).crashes;
+        return evidence.crashes.empty()
+               || now - evidence.crashes.back().at > retentionAfter(crashes);
+    });
+}
+
+std::vector<PartBreakers::OpenPart> PartBreakers::openParts(SteadyTime now) const
+{
+    std::vector<OpenPart> open;
+    for (const auto &[part, entry] : m_entries) {
+        const Suspicion suspicion = suspicionOf(entry.evidence);
+        if (!isOpen(suspicion, now))
+            continue;
+        const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+        open.push_back({part, suspicion.crashes, timeUntil(heldUntil, now)});
+    }
+    return open;
+}
+
+PartBreakers::Suspicion PartBreakers::suspicionOf(const PartEvidence &evidence)
+{
+    Suspicion suspicion;
+    for (const EngineCrash &crash : evidence.crashes) {
+        if (evidence.answeredAt && crash.at <= *evidence.answeredAt)
+            continue;
+        if (suspicion.crashes == 0)
+            suspicion.firstAt = crash.at;
+        if (suspicion.crashes == 0 || crash.at - suspicion.lastAt >= SimultaneousCrashes) {
+            ++suspicion.crashes;
+            suspicion.lastAt = crash.at;
+        }
+    }
+    return suspicion;
+}
+
+bool PartBreakers::isOpen(const Suspicion &suspicion, SteadyTime now)
+{
+    return suspicion.crashes >= CrashesToOpenAtOnce
+           || (suspicion.crashes >= CrashesToOpen && now - suspicion.firstAt >= MinSuspicion);
+}
+
+bool PartBreakers::addCrash(PartEvidence &evidence, const EngineCrash &crash)
+{
+    auto &crashes = evidence.crashes;
+    const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const EngineCrash &other) {
+        return other.engine == crash.engine;
+    });
+    bool isNews = known == crashes.end();
+    if (isNews && crashes.size() == MaxCrashesPerPart && crash.at <= crashes.front().at)
+        return false;
+    // Reports arrive late, so the earliest time is the closest to the truth.
+    if (isNews)
+        crashes.push_back(crash);
+    else
+        known->at = std::min(known->at, crash.at);
+    std::sort(crashes.begin(), crashes.end(),
+              [](const EngineCrash &first, const EngineCrash &second) {
+                  return first.at < second.at;
+              });
+    if (crashes.size() > MaxCrashesPerPart)
+        crashes.erase(crashes.begin());
+    return isNews;
+}
+
+bool PartBreakers::isTester(PartHash part, const Suspicion &suspicion, SteadyTime now) const
+{
+    const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+    if (now < heldUntil)
+        return false;
+    std::size_t testers = 1;
+    for (SteadyTime next = heldUntil + TesterInterval; next <= now && testers <= m_routers.size();
+         next += TesterInterval)
+        testers *= TesterGrowth;
+    const std::uint64_t rank = mixHash(part, m_self);
+    const auto before =
+            std::count_if(m_routers.begin(), m_routers.end(),
+                          [&](std::uint64_t router) { return mixHash(part, router) < rank; });
+    return static_cast<std::size_t>(before) < testers;
+}
+
+PartBreakers::Entry &PartBreakers::entryOf(PartHash part)
+{
+    if (!m_entries.contains(part) && m_entries.size() >= MaxParts)
+        evict();
+    Entry &entry = m_entries[part];
+    entry.evidence.part = part;
+    return entry;
+}
+
+void PartBreakers::evict()
+{
+    const auto rankOf = [](const Entry &entry) {
+        const auto &crashes = entry.evidence.crashes;
+        return std::pair(suspicionOf(entry.evidence).crashes,
+                         crashes.empty() ? SteadyTime() : crashes.back().at);
+    };
+    const auto least = std::min_element(m_entries.begin(), m_entries.end(),
+                                        [&](const auto &first, const auto &second) {
+                                            return rankOf(first.second) < rankOf(second.second);
+                                        });
+    m_entries.erase(least);
+}
+
+} // namespace almondmill
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -68,6 +68,8 @@
     std::optional<milliseconds> retryAfter;
     if (refusal.status == ServiceUnavailable)
         retryAfter = m_table ? RetryAfterNoCapacity : RetryAfterNoConfiguration;
+    if (refusal.status == ServiceUnavailable && m_openPart)
+        retryAfter = m_openPart->retryAfter;
     const std::string text = m_context.adapter->codec().encodeOwnAnswer(
             refusal.status, m_request.id, retryAfter, refusal.reason,
             m_session.closesAfterAnswer());
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -11,6 +11,7 @@
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/broadcasttree.h"
+#include "almondmill/peers/partevidencemessage.h"
 #include "almondmill/peers/partlookupmessages.h"
 #include "almondmill/peers/placementbroadcastqueue.h"
 #include "almondmill/store/asyncstore.h"
@@ -52,6 +53,15 @@
 /// Changes within this time are sent in one update.
 constexpr milliseconds PublishDelay{40};
 
+/// Evidence of one crash is sent together.
+constexpr milliseconds EvidenceDelay{20};
+
+/// Parts and crashes of up to 17 bytes each that fit into one datagram.
+constexpr std::size_t EvidencePerMessage = 75;
+
+/// Parts and crashes that are repeated to the peers of a round.
+constexpr std::size_t EvidencePerRound = 16;
+
 /// Datagrams up to this size are not fragmented on an Ethernet link.
 constexpr std::size_t MaxDatagramBytes = 1400;
 
@@ -119,6 +129,7 @@
     m_context.partLookups.start(
             m_context.settings.name,
             [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); });
+    m_context.partBreakers.start([this] { publishEvidenceSoon(); });
     startSupervised(m_context.loop, "peers.discover", [this] { return discoverPeers(); });
     startSupervised(m_context.loop, "peers.receive", [this] { return receive(); });
     startSupervised(m_context.loop, "peers.state", [this] { return sendState(); });
@@ -254,14 +265,20 @@
         m_context.peers.refresh(now, m_peers.size());
         estimatePeerLoads(m_context.endpoints, m_context.peers);
         m_context.retryBudgets.setRouters(static_cast<std::uint32_t>(m_peers.size() + 1));
+        m_context.partBreakers.refresh(now);
+        publishEvidence();
         if (m_roundRobin.empty())
             continue;
         const std::string bytes = encodePeerMessage(describeState(now));
+        const std::string evidence = describeEvidence(now);
         const std::size_t receivers =
                 m_context.partLookups.usesOwners() ? PeersPerRoundInLargeFleet : PeersPerRound;
         for (std::size_t sent = 0; sent < std::min(receivers, m_roundRobin.size()); ++sent) {
             m_nextPeer = (m_nextPeer + 1) % m_roundRobin.size();
-            sendTo(m_peers[m_roundRobin[m_nextPeer]], bytes);
+            const Address &peer = m_peers[m_roundRobin[m_nextPeer]];
+            sendTo(peer, bytes);
+            if (!evidence.empty())
+                sendTo(peer, evidence);
         }
     }
 }
@@ -304,6 +321,8 @@
         sendTo(from, encodePartLookup(m_context.partLookups.answer(*request), now));
     else if (const auto reply = decodePartLookupReply(bytes, now))
         m_context.partLookups.handleReply(*reply, now);
+    else if (const auto evidence = decodePartEvidence(bytes, now))
+        handlePartEvidence(*evidence, bytes, now);
     else
         m_context.metrics.counter("almondmill_peer_messages_unreadable_total").add();
 }
@@ -329,6 +348,60 @@
     m_onStoreUpdate(update);
 }
 
+void PeerExchange::handlePartEvidence(const PartEvidenceMessage &message, std::string_view bytes,
+                                      SteadyTime now)
+{
+    if (message.origin == m_context.settings.name)
+        return;
+    UpdatePosition &last = m_lastEvidence[message.origin];
+    const bool sameIncarnation = last.incarnation == message.incarnation;
+    const bool isBroadcast = !message.origin.empty();
+    if (isBroadcast && sameIncarnation && message.sequence <= last.sequence)
+        return;
+    if (isBroadcast) {
+        last = {message.incarnation, message.sequence};
+        forwardToChildren(message.origin, bytes);
+    }
+    m_context.partBreakers.merge(message.evidence, now);
+}
+
+void PeerExchange::publishEvidenceSoon()
+{
+    if (m_evidenceScheduled)
+        return;
+    m_evidenceScheduled = true;
+    asio::co_spawn(m_context.loop, publishEvidenceAfterDelay(), asio::detached);
+}
+
+asio::awaitable<void> PeerExchange::publishEvidenceAfterDelay()
+{
+    co_await sleepFor(m_context.loop, EvidenceDelay);
+    m_evidenceScheduled = false;
+    publishEvidence();
+}
+
+void PeerExchange::publishEvidence()
+{
+    PartEvidenceMessage message;
+    message.evidence = m_context.partBreakers.takeUnsent(EvidencePerMessage);
+    if (message.evidence.empty())
+        return;
+    message.origin = m_context.settings.name;
+    message.incarnation = m_incarnation;
+    message.sequence = ++m_sequence;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    forwardToChildren(message.origin, encodePartEvidence(message, now));
+    if (m_context.partBreakers.hasUnsent())
+        publishEvidenceSoon();
+}
+
+std::string PeerExchange::describeEvidence(SteadyTime now) const
+{
+    PartEvidenceMessage message;
+    message.evidence = m_context.partBreakers.mostSuspected(EvidencePerRound);
+    return message.evidence.empty() ? std::string() : encodePartEvidence(message, now);
+}
+
 void PeerExchange::handlePlacements(const std::vector<BroadcastPlacement> &placements)
 {
     for (const BroadcastPlacement &entry : placements) {
@@ -355,6 +428,7 @@
     m_roundRobin.push_back(name);
     m_ring.insert(std::lower_bound(m_ring.begin(), m_ring.end(), name), name);
     m_context.partLookups.addRouter(name);
+    m_context.partBreakers.addRouter(name);
 }
 
 void PeerExchange::sendTo(const std::string &router, std::string_view bytes)
--- /dev/null
+++ b/tests/failure-crashingparts.cpp
@@ -0,0 +1,141 @@
+// Guards against one part of a prompt crashing engine after engine, and against requests being
+// refused that only share other parts with it or that were at crashes without guilt.
+
+#include "support/forwardingharness.h"
+#include "support/rawendpoint.h"
+
+#include "almondmill/forward/forwardingcontext.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <deque>
+#include <thread>
+
+namespace almondmill::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Longer than the time within which crashes count as one.
+constexpr milliseconds Pause{300};
+
+std::string stream(const std::string &call)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(call, "Request-Id")
+           + "\r\nServer-Signature: s1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: abc\n\n\r\n0\r\n\r\n";
+}
+
+bool hasPart(const std::string &call, const std::string &part)
+{
+    return headerOf(call, "Prompt-Prefix").find(part + ":") != std::string::npos;
+}
+
+/// Engines whose process ends when an answer to a prompt with the part "dead" would begin.
+class CrashingEngines
+{
+public:
+    CrashingEngines(ForwardingHarness &harness, const std::string &service, int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            m_engines.emplace_back([this, index](int socket, const std::string &call, unsigned) {
+                if (!hasPart(call, "dead")) {
+                    RawEndpoint::write(socket, stream(call));
+                    return;
+                }
+                ++m_crashes;
+                m_engines[index].crash();
+            });
+            harness.addEndpoint(service + std::to_string(index), service,
+                                m_engines.back().address(), 1);
+        }
+    }
+
+    int crashes() const { return m_crashes; }
+
+private:
+    std::atomic<int> m_crashes{0};
+    std::deque<RawEndpoint> m_engines;
+};
+
+std::string prompt(ForwardingHarness &harness, const std::string &route, const std::string &parts)
+{
+    return sendRequest(harness, requestText("POST", "/" + route + "/x",
+                                            "Model: m\r\nToken-Usage: 30,5\r\nPrompt-Prefix: "
+                                                    + parts + "\r\n"));
+}
+
+bool isServed(const std::string &answer)
+{
+    return answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("0\r\n\r\n");
+}
+
+/// Sends ten requests with the crashing part, each followed by a sound one that shares its first
+/// part. Returns how many of the sound ones were served.
+int sendBoth(ForwardingHarness &harness, const std::string &route)
+{
+    int served = 0;
+    for (int index = 0; index < 10; ++index) {
+        const std::string own = std::to_string(index);
+        prompt(harness, route, "f1:10,dead:15,c" + own + ":5");
+        served += isServed(prompt(harness, route, "f1:10,b2:15,d" + own + ":5")) ? 1 : 0;
+        std::this_thread::sleep_for(Pause);
+    }
+    return served;
+}
+
+} // namespace
+
+// Issue 24: requests with one part crashed each engine, one after the other.
+TEST(CrashingParts, APartIsRefusedAfterThreeCrashesAndSoundRequestsAreServed)
+{
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    const CrashingEngines engines(harness, "resume", 16);
+    EXPECT_EQ(sendBoth(harness, "resume"), 10);
+    EXPECT_LE(engines.crashes(), 5);
+    const auto answer = prompt(harness, "resume", "f1:10,dead:15,e1:5");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_GT(std::stod("0" + headerOf(answer, "Retry-After")), 10.0);
+}
+
+// Issue 24: the same for streams that may run once only, which end without a retry.
+TEST(CrashingParts, APartOfStreamsThatAreNotRepeatableIsRefusedToo)
+{
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    const CrashingEngines engines(harness, "stream", 12);
+    EXPECT_EQ(sendBoth(harness, "stream"), 10);
+    EXPECT_LE(engines.crashes(), 5);
+}
+
+// Guards against blaming a part for connections that were reset while the engine went on.
+TEST(CrashingParts, ResetConnectionsOfARunningEngineOpenNoPart)
+{
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    std::deque<RawEndpoint> engines;
+    std::atomic<bool> resets{true};
+    for (int index = 0; index < 6; ++index) {
+        engines.emplace_back([&](int socket, const std::string &call, unsigned) {
+            if (call.empty()) // A connection that only tests whether the engine runs.
+                return;
+            if (resets)
+                RawEndpoint::resetOnClose(socket);
+            else
+                RawEndpoint::write(socket, stream(call));
+        });
+        harness.addEndpoint("e" + std::to_string(index), "stream", engines.back().address(), 1);
+    }
+    for (int index = 0; index < 6; ++index) {
+        prompt(harness, "stream", "f1:10,b2:15,c3:5");
+        std::this_thread::sleep_for(Pause);
+    }
+    resets = false;
+    const auto answer = prompt(harness, "stream", "f1:10,b2:15,c4:5");
+    EXPECT_TRUE(isServed(answer)) << answer;
+}
+
+} // namespace almondmill::test
--- a/tests/support/rawendpoint.cpp
+++ b/tests/support/rawendpoint.cpp
@@ -64,6 +64,14 @@
         close(connection);
 }
 
+void RawEndpoint::crash()
+{
+    shutdown(m_listener, SHUT_RDWR);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const int connection : m_sockets)
+        shutdown(connection, SHUT_RDWR);
+}
+
 std::string RawEndpoint::readCall(int socket)
 {
     std::string request;
--- a/tests/support/rawendpoint.h
+++ b/tests/support/rawendpoint.h
@@ -32,6 +32,10 @@
     const std::string &address() const { return m_address; }
     unsigned calls() const { return m_calls; }
 
+    /// Ends like a process that is killed: all connections break and new ones are refused. May be
+    /// called by the behaviour.
+    void crash();
+
     /// Returns false if the peer has closed the connection.
     static bool write(int socket, const std::string &bytes);
 
--- /dev/null
+++ b/tests/unit-partbreakers.cpp
@@ -0,0 +1,252 @@
+// Guards the circuit breakers of prompt parts: what opens a part, what closes it, and that routers
+// which exchange their evidence come to the same result.
+
+#include "almondmill/forward/partbreakers.h"
+#include "almondmill/metrics/metrics.h"
+#include "almondmill/peers/partevidencemessage.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+
+namespace almondmill::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr PartHash First = 1;
+constexpr PartHash Crashing = 2;
+constexpr PartHash Session = 3;
+
+const SteadyTime Start{seconds(1000)};
+
+/// The breakers of one router, with the metrics that they count in.
+struct Router
+{
+    explicit Router(const std::string &name = "router-1")
+        : breakers(name, metrics)
+    {}
+
+    Metrics metrics;
+    PartBreakers breakers;
+};
+
+/// Records crashes of engines 1 to `count`, half a second apart. Returns the time of the last.
+SteadyTime crash(PartBreakers &breakers, const PartBreakers::Parts &parts, std::uint64_t count,
+                 SteadyTime from = Start)
+{
+    SteadyTime at = from;
+    for (std::uint64_t engine = 1; engine <= count; ++engine) {
+        at = from + engine * milliseconds(500);
+        breakers.recordCrash(engine, parts, at);
+    }
+    return at;
+}
+
+} // namespace
+
+TEST(PartBreakers, APartThatWasAtThreeCrashesIsOpen)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {First, Crashing}, 2);
+    EXPECT_FALSE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+    EXPECT_FALSE(router.breakers.mayRetry({First, Crashing}));
+    router.breakers.recordCrash(3, {Session, Crashing}, last + milliseconds(500));
+    const auto open = router.breakers.findOpen({First, Crashing}, last + seconds(2));
+    ASSERT_TRUE(open);
+    EXPECT_EQ(open->part, Crashing);
+    EXPECT_EQ(open->crashes, 3U);
+    EXPECT_GT(open->retryAfter, seconds(10));
+    EXPECT_FALSE(router.breakers.findOpen({First, Session}, last + seconds(2)));
+}
+
+TEST(PartBreakers, AnAnswerThatStartedAfterTheCrashesClosesThePart)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {First, Crashing}, 4);
+    const SteadyTime later = last + seconds(2);
+    router.breakers.recordAnswer({First, Session}, Start);
+    EXPECT_TRUE(router.breakers.findOpen({First}, later));
+    router.breakers.recordAnswer({First, Session}, last + milliseconds(1));
+    EXPECT_FALSE(router.breakers.findOpen({First, Session}, later));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, later));
+    EXPECT_TRUE(router.breakers.mayRetry({First, Session}));
+}
+
+TEST(PartBreakers, EnginesOfOneRackThatEndTogetherAreOneCrash)
+{
+    Router router;
+    for (std::uint64_t engine = 1; engine <= 6; ++engine)
+        router.breakers.recordCrash(engine, {First}, Start + engine * milliseconds(2));
+    EXPECT_EQ(router.breakers.crashesOf({First}), 1U);
+    EXPECT_FALSE(router.breakers.findOpen({First}, Start + seconds(5)));
+}
+
+TEST(PartBreakers, SeveralRequestsAtOneCrashCountOnce)
+{
+    Router router;
+    for (int request = 0; request < 5; ++request)
+        router.breakers.recordCrash(7, {First}, Start + request * milliseconds(200));
+    EXPECT_EQ(router.breakers.crashesOf({First}), 1U);
+}
+
+TEST(PartBreakers, OneRouterTestsAHalfOpenPartWithOneRequest)
+{
+    std::deque<Router> routers;
+    for (int index = 0; index < 14; ++index)
+        routers.emplace_back("router-" + std::to_string(index));
+    SteadyTime last;
+    for (int index = 0; index < 14; ++index) {
+        for (int other = 0; other < 14; ++other) {
+            if (other != index)
+                routers[index].breakers.addRouter("router-" + std::to_string(other));
+        }
+        last = crash(routers[index].breakers, {Crashing}, 3);
+    }
+    const auto admitted = [&](SteadyTime now) {
+        int count = 0;
+        for (Router &router : routers)
+            count += router.breakers.admit({Crashing}, now) ? 0 : 1;
+        return count;
+    };
+    EXPECT_EQ(admitted(last + milliseconds(19'900)), 0);
+    EXPECT_EQ(admitted(last + milliseconds(20'100)), 1);
+    EXPECT_EQ(admitted(last + milliseconds(20'200)), 0);
+    for (Router &router : routers)
+        router.breakers.recordCrash(4, {Crashing}, last + seconds(21));
+    EXPECT_EQ(admitted(last + seconds(60)), 0);
+    EXPECT_EQ(admitted(last + milliseconds(61'100)), 1);
+}
+
+TEST(PartBreakers, ATableOfManyPartsKeepsTheMostSuspected)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Crashing}, 3);
+    for (PartHash part = 100; part < 2000; ++part)
+        router.breakers.recordCrash(50, {part}, last + milliseconds(1));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+    EXPECT_FALSE(router.breakers.mayRetry({Crashing}));
+}
+
+TEST(PartBreakers, SimultaneousEvidenceFitsIntoOneDatagram)
+{
+    Router router;
+    for (PartHash part = ~PartHash(0) - 100; part != 0; ++part)
+        crash(router.breakers, {part}, 11);
+    PartEvidenceMessage message;
+    message.origin = "front-lvn-a-1";
+    message.incarnation = ~std::uint64_t(0);
+    message.sequence = ~std::uint64_t(0);
+    message.evidence = router.breakers.takeUnsent(75);
+    EXPECT_FALSE(message.evidence.empty());
+    EXPECT_LE(encodePartEvidence(message, Start + std::chrono::hours(20)).size(), 1400U);
+    EXPECT_TRUE(router.breakers.hasUnsent());
+}
+
+TEST(PartEvidenceMessage, RoundTripsThroughEncoding)
+{
+    PartEvidenceMessage message;
+    message.origin = "router-1";
+    message.incarnation = 7;
+    message.sequence = 8;
+    message.evidence = {{Crashing, {{11, Start}, {12, Start + seconds(1)}}, Start + seconds(2)},
+                        {Session, {{11, Start}}, std::nullopt}};
+    const SteadyTime sent = Start + seconds(5);
+    const auto decoded = decodePartEvidence(encodePartEvidence(message, sent), sent + seconds(90));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->origin, "router-1");
+    EXPECT_EQ(decoded->sequence, 8U);
+    ASSERT_EQ(decoded->evidence.size(), 2U);
+    EXPECT_EQ(decoded->evidence[0].part, Crashing);
+    EXPECT_EQ(decoded->evidence[0].crashes[1].engine, 12U);
+    EXPECT_EQ(decoded->evidence[0].crashes[1].at, Start + seconds(91));
+    EXPECT_EQ(decoded->evidence[0].answeredAt, Start + seconds(92));
+    EXPECT_FALSE(decoded->evidence[1].answeredAt);
+}
+
+RC_GTEST_PROP(PartEvidenceMessage, DecodingArbitraryBytesNeitherThrowsNorCrashes,
+              (const std::string &bytes))
+{
+    (void)decodePartEvidence(bytes, Start);
+}
+
+RC_GTEST_PROP(PartBreakers, RoutersThatExchangeEvidenceAgree, ())
+{
+    constexpr int Routers = 4;
+    std::deque<Router> routers;
+    for (int index = 0; index < Routers; ++index)
+        routers.emplace_back("router");
+    std::vector<std::vector<PartEvidence>> sent;
+    SteadyTime now = Start;
+    std::uint64_t engine = 0;
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+        now += milliseconds(*rc::gen::inRange(1, 800));
+        PartBreakers &breakers = routers[*rc::gen::inRange(0, Routers)].breakers;
+        const PartBreakers::Parts parts{*rc::gen::inRange<PartHash>(1, 5)};
+        switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+        case 1:
+            breakers.recordCrash(++engine, parts, now);
+            break;
+        case 2:
+            breakers.recordAnswer(parts, now);
+            break;
+        default: // A message that was delayed, and may come more than once.
+            if (!sent.empty())
+                breakers.merge(sent[*rc::gen::inRange<std::size_t>(0, sent.size())], now);
+            break;
+        }
+        auto unsent = breakers.takeUnsent(75);
+        if (!unsent.empty())
+            sent.push_back(std::move(unsent));
+    }
+    for (std::size_t message = 0; message < sent.size(); ++message) {
+        for (Router &router : routers) {
+            router.breakers.merge(sent[message], now);
+            auto unsent = router.breakers.takeUnsent(75);
+            if (!unsent.empty())
+                sent.push_back(std::move(unsent));
+        }
+        RC_ASSERT(sent.size() < 10'000U);
+    }
+    for (PartHash part = 1; part < 5; ++part) {
+        const std::size_t crashes = routers[0].breakers.crashesOf({part});
+        for (Router &router : routers)
+            RC_ASSERT(router.breakers.crashesOf({part}) == crashes);
+    }
+    const PartHash answered = *rc::gen::inRange<PartHash>(1, 5);
+    routers[0].breakers.recordAnswer({answered}, now + milliseconds(1));
+    const auto cleared = routers[0].breakers.takeUnsent(75);
+    for (Router &router : routers) {
+        router.breakers.merge(cleared, now + milliseconds(2));
+        RC_ASSERT(!router.breakers.findOpen({answered}, now + seconds(5)));
+    }
+}
+
+RC_GTEST_PROP(PartBreakers, SendsOfACrashingPartAreBounded, ())
+{
+    Router router;
+    SteadyTime now = Start;
+    std::uint64_t crashes = 0;
+    SteadyTime fifthAt = SteadyTime::max();
+    int lateSends = 0;
+    while (now < Start + seconds(300)) {
+        now += milliseconds(*rc::gen::inRange(50, 4000));
+        if (router.breakers.admit({First, Crashing}, now)) {
+            router.breakers.recordAnswer({First, Session}, now);
+            continue;
+        }
+        lateSends += fifthAt != SteadyTime::max() && now > fifthAt + seconds(3) ? 1 : 0;
+        router.breakers.recordCrash(++crashes, {First, Crashing}, now);
+        if (crashes == 5)
+            fifthAt = now;
+        router.breakers.recordAnswer({First, Session}, now + milliseconds(10));
+    }
+    RC_ASSERT(lateSends <= 3);
+}
+
+} // namespace almondmill::test
