--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -30,6 +30,10 @@
         m_mayHaveRun = true;
         if (!mayRunAgain(m_route->retrySafety))
             return false;
+        if (m_hasBroken && !m_answerStartedAt && !m_context.partBreakers.mayRetry(m_parts)) {
+            m_lastReason = "part_suspected";
+            return false;
+        }
     }
     m_needsRetryBudget = true;
     return hasAttemptsLeft();
@@ -80,7 +84,7 @@
     recordSilence(m_exchange->endpoint().health(), now);
     const bool mayHaveRunBefore = std::exchange(m_mayHaveRun, true);
     m_needsRetryBudget = true;
-    if (hasAttemptsLeft())
+    if (hasAttemptsLeft() && !m_context.partBreakers.findOpen(m_parts, now))
         m_replacement = takeEndpoint(m_triedEndpoints, now);
     if (!m_replacement)
         m_mayHaveRun = mayHaveRunBefore;
