Record requests that were read whole and end without a complete answer

The incident's hypotheses could not be told apart from the logs: request.done names the reason of the last attempt, but not whether the answer reached the caller, how much of it, and whether the process was stopping. Each such request now has a line request.unanswered (id, cause, bytes sent, draining) and a counter by cause: the caller left, it did not take the bytes, the answer was cut, or the process ended.

--- a/include/almondmill/forward/callerlistener.h
+++ b/include/almondmill/forward/callerlistener.h
@@ -28,6 +28,9 @@
     /// Closes connections that have no request in flight.
     void closeIdle();
 
+    /// Records the requests in flight as unanswered, before the process ends.
+    void recordUnfinished() const;
+
     std::size_t openSessions() const { return m_sessions.size(); }
 
 private:
--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace almondmill {
@@ -49,6 +50,9 @@
     /// Closes the connection if no request is in flight.
     void closeIfIdle();
 
+    /// Records a request that is in flight as unanswered, before the process ends.
+    void recordUnfinished() const;
+
 private:
     enum class Next { Serve, Close };
 
@@ -56,10 +60,15 @@
     Awaitable<Next> refuse(unsigned status, std::string_view text);
     Awaitable<Next> readBody(RequestParser &parser, const CallerBounds &bounds);
     CallerBounds bounds() const;
+    void recordUnanswered(std::string_view cause) const;
 
     ForwardingContext &m_context;
     RequestForwarder &m_forwarder;
     std::shared_ptr<TimedSocket> m_socket;
+    std::string m_requestId; ///< Of the request in flight; it was read whole.
+    std::size_t m_answerBytes = 0; ///< Sent to the caller for that request.
+    bool m_isServing = false;
+    bool m_sendFailed = false;
     bool m_idle = true;
     bool m_closeRequested = false; ///< The last request asked to close the connection.
     bool m_disconnected = false;
--- a/include/almondmill/forward/forwardingmetrics.h
+++ b/include/almondmill/forward/forwardingmetrics.h
@@ -31,6 +31,9 @@
     void recordRequest(std::optional<RetrySafety> kind, std::string_view outcome, Latency total,
                        std::optional<Latency> firstByte);
 
+    /// Counts a request that was read whole and whose connection ended without a complete answer.
+    void recordUnanswered(std::string_view cause);
+
 private:
     Metrics &m_metrics;
     Counter &m_sends;
--- a/src/forward/callerlistener.cpp
+++ b/src/forward/callerlistener.cpp
@@ -78,6 +78,14 @@
     }
 }
 
+void CallerListener::recordUnfinished() const
+{
+    for (const auto &weak : m_sessions) {
+        if (const auto session = weak.lock())
+            session->recordUnfinished();
+    }
+}
+
 std::size_t CallerListener::maxSessions() const
 {
     const std::uint32_t descriptors = m_context.settings.maxDescriptors;
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -70,9 +70,15 @@
         const Next next = co_await readRequest(request);
         if (next == Next::Close)
             break;
-        const bool keepOpen = co_await m_forwarder.serve(request, *this);
+        m_requestId = request.id;
+        m_answerBytes = 0;
+        m_isServing = true;
+        const bool isAnswered = co_await m_forwarder.serve(request, *this);
+        m_isServing = false;
         m_socket->stopWatching();
-        if (!keepOpen || closesAfterAnswer())
+        if (!isAnswered)
+            recordUnanswered(m_disconnected ? "caller_left" : m_sendFailed ? "send_failed" : "cut");
+        if (!isAnswered || closesAfterAnswer())
             break;
     }
     m_socket->shutdownSending();
@@ -86,6 +92,8 @@
     m_socket->setDeadline(std::chrono::steady_clock::now() + SendTimeout);
     const auto error = co_await m_socket->write(bytes);
     m_socket->setDeadline(SteadyTime::max());
+    m_answerBytes += error ? 0 : bytes.size();
+    m_sendFailed = m_sendFailed || error;
     co_return !error;
 }
 
@@ -118,6 +126,22 @@
         m_socket->cancelRead();
 }
 
+void CallerSession::recordUnfinished() const
+{
+    if (m_isServing)
+        recordUnanswered("process_end");
+}
+
+void CallerSession::recordUnanswered(std::string_view cause) const
+{
+    m_context.requestMetrics.recordUnanswered(cause);
+    EventLine("request.unanswered")
+            .add("id", m_requestId)
+            .add("cause", cause)
+            .add("sent", std::uint64_t(m_answerBytes))
+            .add("draining", m_context.draining);
+}
+
 CallerBounds CallerSession::bounds() const
 {
     const auto table = m_context.table.snapshot();
--- a/src/forward/forwardingmetrics.cpp
+++ b/src/forward/forwardingmetrics.cpp
@@ -66,4 +66,9 @@
         m_firstByteLatency.add(inMicroseconds(*firstByte));
 }
 
+void ForwardingMetrics::recordUnanswered(std::string_view cause)
+{
+    m_metrics.counter("almondmill_unanswered_requests_total", label("cause", cause)).add();
+}
+
 } // namespace almondmill
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -232,6 +232,7 @@
         co_await sleepFor(m_loop, DrainCheckInterval);
         m_callers.closeIdle();
     }
+    m_callers.recordUnfinished();
 }
 
 asio::awaitable<void> ForwardingRouter::watchRollout()
