Answer a request whose handling fails with an exception

What callers saw: a whole request was read and its connection closed without a word, because an exception on the request path ended the session. The caller now gets a 502, which promises nothing, when no byte of an answer was sent; else the connection closes, so that the answer doesn't look complete. The line request.failed has the request's id, the reason and the bytes sent. The watch for the caller's leaving is stopped first: its callback belongs to the request that is gone.

LostAnswers.ARequestThatFailsInsideTheRouterIsAnswered got no byte before and passes now (a sender of lookups that throws).

--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -56,6 +56,7 @@
 private:
     enum class Next { Serve, Close };
 
+    Awaitable<bool> serve(CallerRequest &request);
     Awaitable<Next> readRequest(CallerRequest &request);
     Awaitable<Next> refuse(unsigned status, std::string_view text);
     Awaitable<Next> readBody(RequestParser &parser, const CallerBounds &bounds);
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned BadRequest = 400;
 constexpr unsigned BodyTooLarge = 413;
 constexpr unsigned HeaderTooLarge = 431;
+constexpr unsigned BadGateway = 502;
 
 /// A caller that doesn't accept the bytes of one write within this time is disconnected. Longer
 /// than any interruption of a link.
@@ -73,7 +74,7 @@
         m_requestId = request.id;
         m_answerBytes = 0;
         m_isServing = true;
-        const bool isAnswered = co_await m_forwarder.serve(request, *this);
+        const bool isAnswered = co_await serve(request);
         m_isServing = false;
         m_socket->stopWatching();
         if (!isAnswered)
@@ -85,6 +86,25 @@
     m_socket->abort();
 }
 
+CallerSession::Awaitable<bool> CallerSession::serve(CallerRequest &request)
+{
+    std::string reason;
+    try {
+        co_return co_await m_forwarder.serve(request, *this);
+    } catch (const std::exception &error) {
+        reason = error.what();
+    }
+    m_socket->stopWatching(); // The callback belongs to the request that failed.
+    EventLine("request.failed")
+            .add("id", request.id)
+            .add("reason", reason)
+            .add("sent", std::uint64_t(m_answerBytes));
+    if (m_answerBytes != 0 || m_disconnected || m_sendFailed)
+        co_return false;
+    co_return co_await send(m_context.adapter->codec().encodeOwnAnswer(
+            BadGateway, request.id, std::nullopt, "internal_error", closesAfterAnswer()));
+}
+
 CallerSession::Awaitable<bool> CallerSession::send(std::string_view bytes)
 {
     if (m_disconnected)
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <stdexcept>
 #include <thread>
 
 namespace almondmill::test {
@@ -165,4 +166,65 @@
     expectCompleteStream(answer, 2);
 }
 
+// Guards against a caller that gets nothing when serving its request ends with an exception.
+TEST(LostAnswers, ARequestThatFailsInsideTheRouterIsAnswered)
+{
+    constexpr unsigned Routers = 200; // So many ask each other for the locations of parts.
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", "127.0.0.1:9", 1);
+    harness.onLoop([](ForwardingContext &context) {
+        context.partLookups.start("router-1", [](const std::string &, std::string_view) {
+            throw std::runtime_error("no memory");
+        });
+        for (unsigned router = 2; router <= Routers; ++router)
+            context.partLookups.addRouter("router-" + std::to_string(router));
+    });
+    const std::string prompt =
+            "Model: m\r\nToken-Usage: 415,5\r\nPrompt-Prefix: a1:10,b2:400,c3:5\r\n";
+    const std::string answer = sendRequest(harness, requestText("POST", "/resume/x", prompt));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+    EXPECT_EQ(headerOf(answer, "Request-Id"), "r1");
+}
+
+// Guards against a reset that destroys the refusal of a request whose body is still arriving.
+TEST(LostAnswers, ARefusalWhileTheBodyArrivesIsNotFollowedByAReset)
+{
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    const RawCaller caller(harness.url());
+    caller.send("POST /any/x HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n"
+                + std::string(200000, 'b'));
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_TRUE(caller.readToEnd().starts_with("HTTP/1.1 413 "));
+    EXPECT_FALSE(caller.wasReset());
+}
+
+// Guards against closing a connection, when a planned stop begins, after an answer that had
+// promised to keep it open: the caller's next request may have been sent already.
+TEST(LostAnswers, AConnectionThatWasPromisedToStayOpenServesTheNextRequestOfAPlannedStop)
+{
+    std::atomic<bool> isDraining{false};
+    const RawEndpoint endpoint([&](int socket, const std::string &call, unsigned before) {
+        RawEndpoint::write(socket, streamHead(call) + eventChunk(1));
+        while (before == 0 && !isDraining)
+            std::this_thread::sleep_for(milliseconds(5));
+        RawEndpoint::write(socket, LastChunk);
+    });
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "stream", endpoint.address());
+    const RawCaller caller(harness.url());
+    const std::string call = "POST /stream/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                             "Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n";
+    caller.send(call);
+    std::this_thread::sleep_for(milliseconds(100));
+    harness.beginDraining();
+    isDraining = true;
+    caller.send(call);
+    const std::string answers = caller.readToEnd();
+    EXPECT_EQ(eventCount(answers), 2U) << answers;
+    EXPECT_TRUE(answers.ends_with(StreamEnd)) << answers;
+}
+
 } // namespace almondmill::test
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -109,9 +109,10 @@
 {
     std::string text;
     char buffer[4096];
-    for (ssize_t count = recv(m_socket, buffer, sizeof buffer, 0); count > 0;
-         count = recv(m_socket, buffer, sizeof buffer, 0))
+    ssize_t count = recv(m_socket, buffer, sizeof buffer, 0);
+    for (; count > 0; count = recv(m_socket, buffer, sizeof buffer, 0))
         text.append(buffer, static_cast<std::size_t>(count));
+    m_wasReset = count < 0;
     return text;
 }
 
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -60,8 +60,12 @@
     /// Returns all bytes up to the end of the connection, or those received before a reset.
     std::string readToEnd() const;
 
+    /// Whether the connection ended with a reset. Valid after `readToEnd`.
+    bool wasReset() const { return m_wasReset; }
+
 private:
     int m_socket;
+    mutable bool m_wasReset = false;
 };
 
 } // namespace almondmill::test
