Keep a connection open after an answer that promised so, also when a planned stop begins

What callers saw: the head of an answer said that the connection stays open, a planned stop began while the answer was still being sent (streams last seconds), and the connection was closed after it. A request that the caller had already sent on it, or that the router had already received, was lost. The session now does what the head said: it serves the next request, whose answer says that the connection closes. The end of the planned stop closes idle connections as before.

--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -37,8 +37,9 @@
     /// them in time.
     Awaitable<bool> send(std::string_view bytes);
 
-    /// Whether the connection closes after the current answer.
-    bool closesAfterAnswer() const;
+    /// Whether the connection closes after the current answer, for the head that is about to be
+    /// sent. The session then does what the head says, also when a planned stop begins meanwhile.
+    bool closesAfterAnswer();
 
     /// Calls `callback` if the caller closes the connection while it waits for its answer.
     void onDisconnect(std::function<void()> callback);
@@ -66,12 +67,13 @@
     ForwardingContext &m_context;
     RequestForwarder &m_forwarder;
     std::shared_ptr<TimedSocket> m_socket;
-    std::string m_requestId; ///< Of the request in flight; it was read whole.
+    std::string m_requestId;       ///< Of the request in flight; it was read whole.
     std::size_t m_answerBytes = 0; ///< Sent to the caller for that request.
     bool m_isServing = false;
     bool m_sendFailed = false;
     bool m_idle = true;
     bool m_closeRequested = false; ///< The last request asked to close the connection.
+    bool m_closeAnnounced = false; ///< The head of the current answer says that it closes.
     bool m_disconnected = false;
 };
 
--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -75,8 +75,8 @@
     Awaitable<ExchangeError> readBodySome(SteadyTime deadline);
     Awaitable<ExchangeError> readBody(SteadyTime deadline);
 
-    /// Decides, while the endpoint is silent, whether to give it up. Until then the connection stays
-    /// open, so that a late answer is still received.
+    /// Decides, while the endpoint is silent, whether to give it up. Until then the connection
+    /// stays open, so that a late answer is still received.
     void onSilence(std::function<bool()> mayGiveUp) { m_mayGiveUp = std::move(mayGiveUp); }
 
     /// Asks that function when the endpoint has sent nothing until `at`, and from then on at short
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -79,7 +79,7 @@
         m_socket->stopWatching();
         if (!isAnswered)
             recordUnanswered(m_disconnected ? "caller_left" : m_sendFailed ? "send_failed" : "cut");
-        if (!isAnswered || closesAfterAnswer())
+        if (!isAnswered || m_closeAnnounced || m_closeRequested)
             break;
     }
     m_socket->shutdownSending();
@@ -117,9 +117,10 @@
     co_return !error;
 }
 
-bool CallerSession::closesAfterAnswer() const
+bool CallerSession::closesAfterAnswer()
 {
-    return m_closeRequested || m_context.draining;
+    m_closeAnnounced = m_closeRequested || m_context.draining;
+    return m_closeAnnounced;
 }
 
 void CallerSession::onDisconnect(std::function<void()> callback)
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -150,7 +150,8 @@
 void EndpointExchange::expectBytesBy(SteadyTime at)
 {
     const bool isNever = at == SteadyTime::max();
-    m_socket->setStallCheck(isNever ? TimedSocket::StallCheck() : [this] { return checkSilence(); });
+    m_socket->setStallCheck(isNever ? TimedSocket::StallCheck()
+                                    : [this] { return checkSilence(); });
     m_socket->checkForStallAt(at);
 }
 
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -105,7 +105,7 @@
 
     std::vector<SendPlanner::View> m_triedEndpoints;
     std::uint32_t m_sendCount = 0; ///< Attempts sent, except those answered with "other endpoint".
-    std::uint32_t m_refusals = 0;  ///< Attempts sent that the endpoint refused for lack of capacity.
+    std::uint32_t m_refusals = 0; ///< Attempts sent that the endpoint refused for lack of capacity.
     bool m_mayHaveRun = false;
     bool m_needsRetryBudget = false; ///< The next attempt repeats one that was sent.
     bool m_silenceRecorded = false;  ///< For the current attempt.
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -58,8 +58,8 @@
     co_return view;
 }
 
-SendPlanner::View
-ForwardedRequest::takeEndpoint(const std::vector<SendPlanner::View> &excluded, SteadyTime now)
+SendPlanner::View ForwardedRequest::takeEndpoint(const std::vector<SendPlanner::View> &excluded,
+                                                 SteadyTime now)
 {
     if (now >= m_deadline)
         return nullptr;
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -187,8 +187,8 @@
     EXPECT_EQ(headerOf(answer, "Request-Id"), "r1");
 }
 
-// Guards against a reset that destroys the refusal of a request whose body is still arriving.
-TEST(LostAnswers, ARefusalWhileTheBodyArrivesIsNotFollowedByAReset)
+// Guards against the loss of a refusal that is sent while the request's body is still arriving.
+TEST(LostAnswers, ARefusalWhileTheBodyArrivesReachesTheCaller)
 {
     ForwardingHarness harness;
     harness.configure(withShortLimits());
