End the process once the router has stopped and its log is flushed

Its callers' connections stayed open without anybody behind them, and the machine came back later than necessary. Where exactly the destruction stays is not known: on loopback, with open connections and a store that doesn't answer, the process ended with 0 both before and after, so there is no test that fails without this change.

Ruled out: the roll-out thread, which is joined before router.stop is logged.

--- a/src/almondmilld/main.cpp
+++ b/src/almondmilld/main.cpp
@@ -16,6 +16,7 @@
 #include <sys/resource.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <thread>
 
@@ -57,14 +58,16 @@
     components.finishOpenWork();
 }
 
-/// Runs a router that forwards requests to the endpoints of a platform.
-int runForwarding(const ForwarderSettings &settings, const std::string &settingsFile)
+/// Runs a router that forwards requests to the endpoints of a platform, and ends the process.
+[[noreturn]] void runForwarding(const ForwarderSettings &settings, const std::string &settingsFile)
 {
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context loop(1);
     ForwardingRouter router(loop, settings, settingsFile);
     router.run();
-    return 0;
+    // The log is flushed and nothing else is to be saved. Suspended coroutines of the loop still
+    // refer to the router, so that destroying the two in either order is not safe.
+    std::_Exit(0);
 }
 
 int run(const std::string &settingsFile)
@@ -72,7 +75,7 @@
     raiseDescriptorLimit();
     const std::string text = readTextFile(settingsFile);
     if (hasForwarderSettings(text))
-        return runForwarding(parseForwarderSettings(text, settingsFile), settingsFile);
+        runForwarding(parseForwarderSettings(text, settingsFile), settingsFile);
     const sigset_t signals = blockTerminationSignals();
     Node node(parseSettings(text, settingsFile));
     setUpLog(node.settings.logLevel);
