--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace almondmill {
@@ -36,8 +37,9 @@
     /// them in time.
     Awaitable<bool> send(std::string_view bytes);
 
-    /// Whether the connection closes after the current answer.
-    bool closesAfterAnswer() const;
+    /// Whether the connection closes after the current answer, for the head that is about to be
+    /// sent. The session then does what the head says, also when a planned stop begins meanwhile.
+    bool closesAfterAnswer();
 
     /// Calls `callback` if the caller closes the connection while it waits for its answer.
     void onDisconnect(std::function<void()> callback);
@@ -49,19 +51,29 @@
     /// Closes the connection if no request is in flight.
     void closeIfIdle();
 
+    /// Records a request that is in flight as unanswered, before the process ends.
+    void recordUnfinished() const;
+
 private:
     enum class Next { Serve, Close };
 
+    Awaitable<bool> serve(CallerRequest &request);
     Awaitable<Next> readRequest(CallerRequest &request);
     Awaitable<Next> refuse(unsigned status, std::string_view text);
     Awaitable<Next> readBody(RequestParser &parser, const CallerBounds &bounds);
     CallerBounds bounds() const;
+    void recordUnanswered(std::string_view cause) const;
 
     ForwardingContext &m_context;
     RequestForwarder &m_forwarder;
     std::shared_ptr<TimedSocket> m_socket;
+    std::string m_requestId;       ///< Of the request in flight; it was read whole.
+    std::size_t m_answerBytes = 0; ///< Sent to the caller for that request.
+    bool m_isServing = false;
+    bool m_sendFailed = false;
     bool m_idle = true;
     bool m_closeRequested = false; ///< The last request asked to close the connection.
+    bool m_closeAnnounced = false; ///< The head of the current answer says that it closes.
     bool m_disconnected = false;
 };
 
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned BadRequest = 400;
 constexpr unsigned BodyTooLarge = 413;
 constexpr unsigned HeaderTooLarge = 431;
+constexpr unsigned BadGateway = 502;
 
 /// A caller that doesn't accept the bytes of one write within this time is disconnected. Longer
 /// than any interruption of a link.
@@ -70,15 +71,40 @@
         const Next next = co_await readRequest(request);
         if (next == Next::Close)
             break;
-        const bool keepOpen = co_await m_forwarder.serve(request, *this);
+        m_requestId = request.id;
+        m_answerBytes = 0;
+        m_isServing = true;
+        const bool isAnswered = co_await serve(request);
+        m_isServing = false;
         m_socket->stopWatching();
-        if (!keepOpen || closesAfterAnswer())
+        if (!isAnswered)
+            recordUnanswered(m_disconnected ? "caller_left" : m_sendFailed ? "send_failed" : "cut");
+        if (!isAnswered || m_closeAnnounced || m_closeRequested)
             break;
     }
     m_socket->shutdownSending();
     m_socket->abort();
 }
 
+CallerSession::Awaitable<bool> CallerSession::serve(CallerRequest &request)
+{
+    std::string reason;
+    try {
+        co_return co_await m_forwarder.serve(request, *this);
+    } catch (const std::exception &error) {
+        reason = error.what();
+    }
+    m_socket->stopWatching(); // The callback belongs to the request that failed.
+    EventLine("request.failed")
+            .add("id", request.id)
+            .add("reason", reason)
+            .add("sent", std::uint64_t(m_answerBytes));
+    if (m_answerBytes != 0 || m_disconnected || m_sendFailed)
+        co_return false;
+    co_return co_await send(m_context.adapter->codec().encodeOwnAnswer(
+            BadGateway, request.id, std::nullopt, "internal_error", closesAfterAnswer()));
+}
+
 CallerSession::Awaitable<bool> CallerSession::send(std::string_view bytes)
 {
     if (m_disconnected)
@@ -86,12 +112,15 @@
     m_socket->setDeadline(std::chrono::steady_clock::now() + SendTimeout);
     const auto error = co_await m_socket->write(bytes);
     m_socket->setDeadline(SteadyTime::max());
+    m_answerBytes += error ? 0 : bytes.size();
+    m_sendFailed = m_sendFailed || error;
     co_return !error;
 }
 
-bool CallerSession::closesAfterAnswer() const
+bool CallerSession::closesAfterAnswer()
 {
-    return m_closeRequested || m_context.draining;
+    m_closeAnnounced = m_closeRequested || m_context.draining;
+    return m_closeAnnounced;
 }
 
 void CallerSession::onDisconnect(std::function<void()> callback)
@@ -118,6 +147,22 @@
         m_socket->cancelRead();
 }
 
+void CallerSession::recordUnfinished() const
+{
+    if (m_isServing)
+        recordUnanswered("process_end");
+}
+
+void CallerSession::recordUnanswered(std::string_view cause) const
+{
+    m_context.requestMetrics.recordUnanswered(cause);
+    EventLine("request.unanswered")
+            .add("id", m_requestId)
+            .add("cause", cause)
+            .add("sent", std::uint64_t(m_answerBytes))
+            .add("draining", m_context.draining);
+}
+
 CallerBounds CallerSession::bounds() const
 {
     const auto table = m_context.table.snapshot();
