Only what continues a stream comes into it after it broke off

What callers saw: a resumable stream had begun and broke off. When the next endpoint answered 400, 404 or 307, that answer's head and body were written into the middle of the caller's stream. A 200 with another content type or whose body was no event stream, a 202 and a 204 were joined to the stream, which then ended as complete; so did a stream that skipped an event. Events that the next endpoint repeated came twice. A stream whose events have no ids was begun anew within one answer.

Cause: handleFailure passes an answer below 500 on at once, whatever was sent before. A resumed stream was relayed without a look at its status, its content type or its event ids.

Change: once a stream has begun, an answer counts as its continuation only with 200, signature and no other content type; any other one is a failed attempt, and the stream ends without the final chunk. StreamContinuity compares the ids of a resumed stream with what was relayed: repeats are dropped; a gap, or data without an id before the first id, ends the attempt. A gap is one only if the ids so far were consecutive, because the platform promises increasing ids, not consecutive ones. A stream whose last event with data has no id is not resumed.

Ruled out: 429, 500, 503, 421 and an unsigned or encoded 200 did not come into the stream before.

--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -37,6 +37,9 @@
 {
     m_splitter = EventSplitter();
     m_attemptSentData = false;
+    m_isDiscontinued = false;
+    if (m_streamStarted)
+        m_continuity.resume(m_request.resumeAfter);
     exchange.expectStream();
     const bool resumable = m_route->retrySafety == RetrySafety::ResumableStream;
     const auto stallTimeout = m_route->targetEventGap * StallTimeoutFactor;
@@ -51,6 +54,8 @@
             recordFirstByte(exchange, now);
         if (!co_await relayReceivedEvents(exchange))
             co_return AttemptOutcome::CallerDisconnected;
+        if (m_isDiscontinued)
+            co_return handleBrokenStream("stream_discontinued", exchange, now);
         if (error != ExchangeError::None)
             co_return handleExchangeError(error, exchange, now);
         if (m_splitter.rest().size() > MaxEventBytes)
@@ -66,6 +71,12 @@
     exchange.body().clear();
     std::string events;
     for (const StreamEvent &event : m_splitter.feed(bytes)) {
+        const auto verdict = m_continuity.recordEvent(event);
+        m_isDiscontinued = verdict == StreamContinuity::Verdict::Break;
+        if (m_isDiscontinued)
+            break;
+        if (verdict == StreamContinuity::Verdict::Repeat)
+            continue;
         events += event.bytes;
         m_attemptSentData = m_attemptSentData || event.hasData;
         if (event.id)
@@ -90,15 +101,19 @@
     return isEmpty || m_splitter.isInsideEvent();
 }
 
+ForwardedRequest::AttemptOutcome
+ForwardedRequest::handleBrokenStream(const char *reason, EndpointExchange &exchange, SteadyTime now)
+{
+    const auto outcome = handleExchangeError(ExchangeError::ConnectionBroken, exchange, now);
+    m_lastReason = reason;
+    return outcome;
+}
+
 ForwardedRequest::Awaitable<ForwardedRequest::AttemptOutcome>
 ForwardedRequest::finishStream(EndpointExchange &exchange)
 {
-    if (isStreamTruncated(exchange)) {
-        const auto outcome =
-                handleExchangeError(ExchangeError::ConnectionBroken, exchange, steadyNow());
-        m_lastReason = "stream_truncated";
-        co_return outcome;
-    }
+    if (isStreamTruncated(exchange))
+        co_return handleBrokenStream("stream_truncated", exchange, steadyNow());
     std::string text;
     if (!m_streamStarted) {
         m_streamStarted = true;
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -154,6 +154,8 @@
         m_mayHaveRun = true;
         if (!mayRunAgain(m_route->retrySafety))
             return false;
+        if (m_streamStarted && !m_continuity.canResume())
+            return false;
     }
     if (!hasAttemptsLeft())
         return false;
@@ -257,8 +259,7 @@
         co_return co_await handleRefusal(exchange);
     if (!isUsableSuccess(exchange))
         co_return co_await handleFailure(exchange);
-    const bool hasEvents = metadata.mayBeEventStream && !exchange.isWithoutBody();
-    if (isStream(m_route->retrySafety) && (m_streamStarted || hasEvents))
+    if (isStream(m_route->retrySafety) && mayHaveEvents(exchange))
         co_return co_await relayEvents(exchange);
     co_return co_await relayCompleteResponse(exchange);
 }
@@ -267,7 +268,14 @@
 {
     const AnswerMetadata &metadata = exchange.metadata();
     const bool isSuccess = metadata.status >= 200 && metadata.status < 300;
-    return isSuccess && metadata.isSigned && !exchange.head().fields.find("Content-Encoding");
+    const bool continuesStream = metadata.status == Ok && mayHaveEvents(exchange);
+    return isSuccess && metadata.isSigned && !exchange.head().fields.find("Content-Encoding")
+           && (continuesStream || !m_streamStarted);
+}
+
+bool ForwardedRequest::mayHaveEvents(const EndpointExchange &exchange)
+{
+    return exchange.metadata().mayBeEventStream && !exchange.isWithoutBody();
 }
 
 ForwardedRequest::Awaitable<ForwardedRequest::AttemptOutcome>
@@ -302,7 +310,8 @@
     const auto error = co_await exchange.readBody(m_deadline);
     if (error == ExchangeError::Cancelled)
         co_return AttemptOutcome::CallerDisconnected;
-    if (error != ExchangeError::None || isSuccess || impliesNotRun(metadata.status))
+    if (error != ExchangeError::None || isSuccess || impliesNotRun(metadata.status)
+        || m_streamStarted)
         co_return AttemptOutcome::Failed;
     m_failure = EndpointFailure{exchange.head(), exchange.relayedLength(), exchange.body()};
     if (metadata.status < ServerError) {
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -3,6 +3,7 @@
 #include "almondmill/forward/callerrequest.h"
 #include "almondmill/forward/endpointexchange.h"
 #include "almondmill/forward/sendplanner.h"
+#include "almondmill/forward/streamcontinuity.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/request/eventsplitter.h"
 #include "almondmill/route/routingtable.h"
@@ -77,10 +78,13 @@
 
     AttemptOutcome handleExchangeError(ExchangeError error, EndpointExchange &exchange,
                                        SteadyTime now);
+    AttemptOutcome handleBrokenStream(const char *reason, EndpointExchange &exchange,
+                                      SteadyTime now);
     bool mayRetry(AttemptOutcome outcome, SteadyTime now);
     std::uint64_t heldTokens() const;
     bool hasAttemptsLeft() const;
     bool isUsableSuccess(const EndpointExchange &exchange) const;
+    static bool mayHaveEvents(const EndpointExchange &exchange);
     SteadyTime attemptDeadline(std::chrono::milliseconds timeout, SteadyTime now) const;
     RoutedRequest placed() const;
     void recordFirstByte(EndpointExchange &exchange, SteadyTime now);
@@ -109,6 +113,8 @@
     std::uint64_t m_prefillTokens = 0; ///< Prompt tokens counted as unread at the current endpoint.
 
     EventSplitter m_splitter;
+    StreamContinuity m_continuity;
+    bool m_isDiscontinued = false;  ///< The current attempt's events don't continue the stream.
     bool m_attemptSentData = false; ///< The current attempt's stream contained an event with data.
     bool m_streamStarted = false;   ///< The head, and possibly events, were sent to the caller.
     SteadyTime m_firstByteAt;
--- a/src/request/streamevent.cpp
+++ b/src/request/streamevent.cpp
@@ -33,6 +33,7 @@
 {
     if (line.ends_with('\r'))
         line.remove_suffix(1);
+    event.isComment = event.isComment && (line.empty() || line.starts_with(':'));
     if (line.starts_with(IdField))
         event.id = toNumber(valueOf(line, IdField));
     if (line.starts_with(DataField)) {
