An answer without a request id on a used connection belongs to no request

What callers saw: an endpoint that wrote an earlier refusal once more, without an id, on a kept connection made the next request, which it ran, end as "not run" (503); on a route with several attempts that request ran at a second endpoint too. A 200 without an id went to the next caller.

Cause: readHead took an answer without an id for the answer to the present request, also where another request or answer had gone over the connection before.

How the tests failed before: ACopyOfAnEarlierRefusalDoesNotRefuseTheNextRequest got 503 for copies of 503, 421 and 429 without an id, written 1 to 500 ms after the first answer or after the next request; ACopyOfAnEarlierRefusalDoesNotSendTheNextRequestTwice counted two runs of one id; AnAnswerWithoutIdOnAUsedConnectionReachesNoCaller got the other body; ARefusalWithoutIdAfterAnAnswerToAnotherRequestDoesNotCount got 503 although the request ran.

Change: such an answer is dropped like one with another id, and the request's own answer is awaited. The drop is logged (answer.dropped). On a new connection the first answer may lack an id: the present request is the only one that it can belong to, and what can't be parsed may be refused without an id.

Ruled out by the same tests: copies with the earlier id, copies in one segment with the first answer and copies that arrive before the next request is sent, also with that request's id, were dropped before. A refusal that carries the request's own id and arrives after the request was sent can't be told from the true one.

--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -66,8 +66,8 @@
     Awaitable<ExchangeError> send(const CallerRequest &request, const AttemptParameters &send,
                                   SteadyTime deadline);
 
-    /// Reads the head of the answer. Discards informational answers and answers that carry another
-    /// request's id, such as a late answer to an earlier request on the same connection.
+    /// Reads the head of the answer. Discards informational answers and answers that may belong to
+    /// another request, such as a late answer to an earlier request on the same connection.
     Awaitable<ExchangeError> readHead(const std::string &requestId, SteadyTime deadline);
 
     /// Whether the answer has no body, because of the request's method or the answer's status.
@@ -92,6 +92,8 @@
     void cancel();
 
 private:
+    bool isAnswerTo(const std::string &requestId) const;
+    void recordForeignAnswer(const std::string &requestId);
     Awaitable<boost::system::error_code> skipBody(MessageReader<false> &reader);
     ExchangeError errorOf(const boost::system::error_code &error) const;
 
@@ -100,6 +102,7 @@
     std::shared_ptr<TimedSocket> m_socket;
     std::optional<AnswerParser> m_parser;
     AnswerMetadata m_metadata;
+    bool m_isConnectionUsed = false; ///< Another request or answer went over the connection before.
     bool m_sent = false;
     bool m_asksForHeadOnly = false; ///< The request's method is HEAD.
     bool m_cancelled = false;
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -6,6 +6,7 @@
 #include "almondmill/forward/wirecodec.h"
 #include "almondmill/http/messagereader.h"
 #include "almondmill/http/timedsocket.h"
+#include "almondmill/observe/eventline.h"
 
 namespace almondmill {
 
@@ -56,6 +57,7 @@
 EndpointExchange::connect(boost::asio::any_io_executor executor, SteadyTime deadline)
 {
     m_socket = m_endpoint->connections().take(std::chrono::steady_clock::now());
+    m_isConnectionUsed = m_socket != nullptr;
     if (m_socket)
         co_return ExchangeError::None;
     m_socket = std::make_shared<TimedSocket>(TimedSocket::Socket(executor));
@@ -102,9 +104,10 @@
         if (m_metadata.isAmbiguous)
             co_return ExchangeError::ConnectionBroken;
         const bool isInformational = m_metadata.status < 200;
-        const bool isForeign = !m_metadata.requestId.empty() && m_metadata.requestId != requestId;
-        if (!isInformational && !isForeign)
+        if (!isInformational && isAnswerTo(requestId))
             co_return ExchangeError::None;
+        if (!isInformational)
+            recordForeignAnswer(requestId);
         const auto rest = co_await skipBody(reader);
         if (rest)
             co_return errorOf(rest);
@@ -112,6 +115,26 @@
     co_return ExchangeError::ConnectionBroken;
 }
 
+bool EndpointExchange::isAnswerTo(const std::string &requestId) const
+{
+    // Endpoints echo the id. Without it, only the first answer of a new connection can belong to no
+    // other request.
+    if (m_metadata.requestId.empty())
+        return !m_isConnectionUsed;
+    return m_metadata.requestId == requestId;
+}
+
+void EndpointExchange::recordForeignAnswer(const std::string &requestId)
+{
+    EventLine("answer.dropped")
+            .add("id", requestId)
+            .add("endpoint", m_endpoint->id())
+            .add("answer_id", m_metadata.requestId)
+            .add("status", m_metadata.status)
+            .add("connection_used", m_isConnectionUsed);
+    m_isConnectionUsed = true;
+}
+
 EndpointExchange::Awaitable<boost::system::error_code>
 EndpointExchange::skipBody(MessageReader<false> &reader)
 {
