A head in which another answer begins is no answer

What callers saw: a copy of an earlier answer broke off in its head, on a kept connection, and the endpoint's answer to the next request followed. Both heads were read as one, with the status and "Not-Executed" of the copy and the id, signature and body of the answer: a request that ran was refused as "not run", a success came as a signed 500, and a failure as a signed 200.

Cause: a copy that stops inside its reason phrase or inside the value of a field takes the next status line as the rest of that text. Only heads with two ids or two signatures were recognised, and a copy that stops before its own ones has neither.

How the test failed before: AnAnswerAfterACopyThatBreaksOffKeepsItsStatus, six copies cut at each byte, two answers each; the first of many was "HTTP/1.1 503 Service Unavailable, Not-Executed:" followed by a 200, which became a refusal.

Change: a reason phrase or a field value of an answer that contains a status line is a parse error, so the attempt has failed and the connection is closed.

--- a/include/almondmill/http/messageparser.h
+++ b/include/almondmill/http/messageparser.h
@@ -23,6 +23,16 @@
     std::string &body() { return m_body; }
 
 private:
+    /// Whether another answer begins within the text: the one before it broke off there, and their
+    /// heads must not be read as one.
+    static bool containsStatusLine(View text)
+    {
+        const auto at = text.find("HTTP/1.");
+        constexpr std::size_t VersionBytes = 8;
+        return at != View::npos && text.substr(at).size() > VersionBytes
+               && text[at + VersionBytes] == ' ';
+    }
+
     using BodyLength = boost::optional<std::uint64_t>;
 
     void on_request_impl(boost::beast::http::verb, View method, View target, int,
@@ -32,13 +42,19 @@
         m_head.target.assign(target.data(), target.size());
     }
 
-    void on_response_impl(int status, View, int, ErrorCode &) override
+    void on_response_impl(int status, View reason, int, ErrorCode &error) override
     {
         m_head.status = static_cast<unsigned>(status);
+        if (containsStatusLine(reason))
+            error = boost::beast::http::error::bad_reason;
     }
 
     void on_field_impl(boost::beast::http::field, View name, View value, ErrorCode &error) override
     {
+        if (!IsRequest && containsStatusLine(value)) {
+            error = boost::beast::http::error::bad_value;
+            return;
+        }
         if (!m_isHeadComplete) {
             m_head.fields.add({name.data(), name.size()}, {value.data(), value.size()});
             return;
--- a/tests/failure-attribution.cpp
+++ b/tests/failure-attribution.cpp
@@ -186,6 +186,47 @@
     }
 }
 
+// A copy that breaks off at any byte merged with the next answer into one that had the status of
+// the copy and the id, the signature and the body of the next answer.
+TEST_F(Attribution, AnAnswerAfterACopyThatBreaksOffKeepsItsStatus)
+{
+    const std::vector<std::string> copies{
+            refusal("503 Service Unavailable", ""),
+            refusal("503 Service Unavailable", "r0"),
+            refusal("421 Misdirected Request", ""),
+            "HTTP/1.1 500 Internal Server Error\r\nServer-Signature: s0\r\nRequest-Id: r0\r\n"
+            "Content-Length: 3\r\n\r\nold",
+            "HTTP/1.1 404 Not Found\r\nContent-Length: 3\r\nRequest-Id: r0\r\n\r\nold",
+            "HTTP/1.1 200 OK\r\nX-Other: value\r\nServer-Signature: s0\r\nRequest-Id: r0\r\n"
+            "Content-Length: 3\r\n\r\nold"};
+    for (const std::string &copy : copies) {
+        for (const char *status : {"200 OK", "500 Internal Server Error"}) {
+            std::atomic<std::size_t> length{1};
+            const RawEndpoint endpoint([&](int socket, const std::string &first, unsigned) {
+                if (first.empty())
+                    return;
+                RawEndpoint::write(socket, signedAnswer(first, "200 OK", "first"));
+                const std::string call = RawEndpoint::readCall(socket);
+                RawEndpoint::write(socket, copy.substr(0, length)
+                                                   + signedAnswer(call, status, "own",
+                                                                  "Connection: close\r\n"));
+            });
+            ForwardingHarness harness;
+            harness.configure(oneRouteOfEachKind());
+            harness.addEndpoint("e1", "once", endpoint.address());
+            for (; length <= copy.size(); ++length) {
+                EXPECT_TRUE(hasStatus(askWithId(harness, "first"), 200));
+                const std::string answer = askWithId(harness, "second");
+                const bool isOwn = answer.starts_with(std::string("HTTP/1.1 ") + status)
+                                   && answer.ends_with("\r\n\r\nown");
+                const bool isError =
+                        hasStatus(answer, 502) && headerOf(answer, "Server-Signature").empty();
+                EXPECT_TRUE(isOwn || isError) << copy.substr(0, length) << "|\n" << answer;
+            }
+        }
+    }
+}
+
 // An answer without a request id on a connection that was used before went to the next caller.
 TEST_F(Attribution, AnAnswerWithoutIdOnAUsedConnectionReachesNoCaller)
 {
