--- a/tests/failure-connections.cpp
+++ b/tests/failure-connections.cpp
@@ -85,13 +85,15 @@
 TEST(Connections, ASecondCopyOfAnAnswerNeverReachesTheNextCaller)
 {
     constexpr std::size_t Complete = 10000;
-    for (const milliseconds delay : {milliseconds(0), milliseconds(1), milliseconds(30)}) {
+    for (const milliseconds delay : {milliseconds(0), milliseconds(1), milliseconds(30),
+                                     milliseconds(150), milliseconds(500)}) {
+        const int calls = delay < milliseconds(100) ? 20 : 4;
         for (const std::size_t copyBytes : {Complete, std::size_t(20), std::size_t(60)}) {
             const RawEndpoint endpoint(answeringTwice(delay, copyBytes));
             ForwardingHarness harness;
             harness.configure(oneRouteOfEachKind());
             harness.addEndpoint("e1", "once", endpoint.address());
-            for (int call = 0; call < 20; ++call) {
+            for (int call = 0; call < calls; ++call) {
                 const std::string id = "r" + std::to_string(call);
                 const std::string answer = askWithId(harness, id);
                 EXPECT_TRUE(isOwnOrError(answer, id))
--- /dev/null
+++ b/tests/unit-streamcontinuity.cpp
@@ -0,0 +1,75 @@
+#include "almondmill/forward/streamcontinuity.h"
+#include "almondmill/request/eventsplitter.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace almondmill::test {
+
+namespace {
+
+using Verdict = StreamContinuity::Verdict;
+
+Verdict record(StreamContinuity &continuity, const std::string &text)
+{
+    return continuity.recordEvent(parseStreamEvent(text + "\n\n"));
+}
+
+} // namespace
+
+TEST(StreamContinuity, TheFirstAttemptIsNotChecked)
+{
+    StreamContinuity continuity;
+    for (const char *event : {"id: 7\ndata: a", "id: 3\ndata: b", "data: c", ":"})
+        EXPECT_EQ(record(continuity, event), Verdict::Relay);
+}
+
+TEST(StreamContinuity, RepeatsAreDroppedAndGapsEndAResumedAttempt)
+{
+    StreamContinuity continuity;
+    record(continuity, "id: 1\ndata: a");
+    record(continuity, "id: 2\ndata: b");
+    continuity.resume(2);
+    EXPECT_EQ(record(continuity, ": comment"), Verdict::Relay);
+    EXPECT_EQ(record(continuity, "data: an error"), Verdict::Break);
+    EXPECT_EQ(record(continuity, "id: 2\ndata: b"), Verdict::Repeat);
+    EXPECT_EQ(record(continuity, "id: 4\ndata: d"), Verdict::Break);
+    EXPECT_EQ(record(continuity, "id: 3\ndata: c"), Verdict::Relay);
+    EXPECT_EQ(record(continuity, "data: [DONE]"), Verdict::Relay);
+}
+
+TEST(StreamContinuity, GapsAreNoneWhereIdsWereNotConsecutive)
+{
+    StreamContinuity continuity;
+    for (const char *event : {"id: 10\ndata: a", "id: 20\ndata: b", "id: 21\ndata: c"})
+        record(continuity, event);
+    continuity.resume(21);
+    EXPECT_EQ(record(continuity, "id: 40\ndata: d"), Verdict::Relay);
+}
+
+TEST(StreamContinuity, OnlyAfterDataWithAnIdAStreamCanBeResumed)
+{
+    StreamContinuity continuity;
+    EXPECT_TRUE(continuity.canResume());
+    record(continuity, "data: a");
+    EXPECT_FALSE(continuity.canResume());
+    record(continuity, "id: 2\ndata: b");
+    record(continuity, ": comment");
+    EXPECT_TRUE(continuity.canResume());
+}
+
+TEST(EventSplitter, OnlyFieldsAndIncompleteLinesAreInsideAnEvent)
+{
+    const auto isInside = [](const std::string &text) {
+        EventSplitter splitter;
+        splitter.feed("id: 1\ndata: a\n\n" + text);
+        return splitter.isInsideEvent();
+    };
+    for (const char *text : {"", "\n", "\r\n", ": comment\n", ": comment\r\n"})
+        EXPECT_FALSE(isInside(text)) << text;
+    for (const char *text : {"i", "id: 2\n", "id: 2\r\n\r", ": com", ": comment\nda", "\r"})
+        EXPECT_TRUE(isInside(text)) << text;
+}
+
+} // namespace almondmill::test
