--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -4,6 +4,7 @@
 #include "almondmill/forward/endpointexchange.h"
 #include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/sendplanner.h"
+#include "almondmill/forward/streamcontinuity.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/request/eventsplitter.h"
 #include "almondmill/route/routingtable.h"
@@ -92,9 +93,12 @@
     SendPlanner::View takeEndpoint(const std::vector<SendPlanner::View> &excluded, SteadyTime now);
     bool secureReplacement(SteadyTime now);
     void recordSilence(EndpointHealth &health, SteadyTime now);
+    AttemptOutcome handleBrokenStream(const char *reason, EndpointExchange &exchange,
+                                      SteadyTime now);
     std::uint64_t heldTokens() const;
     bool hasAttemptsLeft() const;
     bool isUsableSuccess(const EndpointExchange &exchange) const;
+    static bool mayHaveEvents(const EndpointExchange &exchange);
     SteadyTime attemptDeadline(std::chrono::milliseconds timeout, SteadyTime now) const;
     RoutedRequest placed() const;
     void recordFirstByte(EndpointExchange &exchange, SteadyTime now);
@@ -133,6 +137,8 @@
     bool m_isAnswerRecorded = false; ///< The current attempt's answer was recorded as sound.
 
     EventSplitter m_splitter;
+    StreamContinuity m_continuity;
+    bool m_isDiscontinued = false;  ///< The current attempt's events don't continue the stream.
     bool m_attemptSentData = false; ///< The current attempt's stream contained an event with data.
     bool m_streamStarted = false;   ///< The head, and possibly events, were sent to the caller.
     SteadyTime m_firstByteAt;
