Apply a raised idle timeout to connections that are idle already

What callers saw: the configuration raised the time that connections may stay idle; a caller that relied on it sent its request on a connection that the router closed at that moment by the former limit, and got no answer. The limit was fixed when the wait began. It is now read again when it is reached, and bytes that have arrived by then are read instead.

LostAnswers.ARaisedIdleTimeoutHoldsForConnectionsThatAreIdleAlready got no byte before.

--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -59,6 +59,7 @@
 
     Awaitable<bool> serve(CallerRequest &request);
     Awaitable<Next> readRequest(CallerRequest &request);
+    SteadyTime closeIfIdleTooLong(SteadyTime idleSince);
     Awaitable<Next> refuse(unsigned status, std::string_view text);
     Awaitable<Next> readBody(RequestParser &parser, const CallerBounds &bounds);
     CallerBounds bounds() const;
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -169,13 +169,27 @@
     return table ? table->configuration().bounds : CallerBounds();
 }
 
+SteadyTime CallerSession::closeIfIdleTooLong(SteadyTime idleSince)
+{
+    // The configuration may have raised the limit since the wait began.
+    const SteadyTime end = idleSince + bounds().idleTimeout;
+    if (std::chrono::steady_clock::now() < end)
+        return end;
+    if (m_socket->peek() == TimedSocket::PeekResult::Nothing)
+        m_socket->abort();
+    return SteadyTime::max(); // What has arrived ends the wait.
+}
+
 CallerSession::Awaitable<CallerSession::Next> CallerSession::readRequest(CallerRequest &request)
 {
     const CallerBounds limits = bounds();
     const auto now = std::chrono::steady_clock::now;
     if (m_socket->input().empty()) {
-        m_socket->setDeadline(now() + limits.idleTimeout);
+        const SteadyTime idleSince = now();
+        m_socket->setStallCheck([this, idleSince] { return closeIfIdleTooLong(idleSince); });
+        m_socket->checkForStallAt(idleSince + limits.idleTimeout);
         const auto error = co_await m_socket->readSome();
+        m_socket->checkForStallAt(SteadyTime::max());
         if (error && !m_socket->hasInput())
             co_return Next::Close;
     }
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -200,6 +200,27 @@
     EXPECT_FALSE(caller.wasReset());
 }
 
+// Guards against closing an idle connection by a limit that the configuration has raised meanwhile.
+TEST(LostAnswers, ARaisedIdleTimeoutHoldsForConnectionsThatAreIdleAlready)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", "done", "Connection: close\r\n"));
+    });
+    ForwardingHarness harness;
+    RoutingConfiguration configuration = withShortLimits();
+    configuration.bounds.idleTimeout = milliseconds(300);
+    harness.configure(configuration);
+    harness.addEndpoint("e1", "any", endpoint.address());
+    const RawCaller caller(harness.url());
+    std::this_thread::sleep_for(milliseconds(100));
+    configuration.bounds.idleTimeout = milliseconds(3000);
+    harness.configure(configuration);
+    std::this_thread::sleep_for(milliseconds(600));
+    caller.send(requestText("POST", "/any/x", {}, "body"));
+    const std::string answer = caller.readToEnd();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
 // Guards against closing a connection, when a planned stop begins, after an answer that had
 // promised to keep it open: the caller's next request may have been sent already.
 TEST(LostAnswers, AConnectionThatWasPromisedToStayOpenServesTheNextRequestOfAPlannedStop)
