Mark crashes as answered, not the time of the answer

Evidence of a prompt part held the time of its latest sound answer. Times in messages are ages, so at each router that time became later by the delay of the message, and the repeated messages of the state rounds passed it back and forth: after enough of them an answer from before a crash would have cleared the part of that crash. Found by reading; no run showed it.

Now each crash says whether an answer started after it, which messages can repeat in any order without a change.

--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -86,6 +86,9 @@
     struct Entry
     {
         PartEvidence evidence;
+        /// Start of the latest sound answer that this router saw. It is not sent: at each router
+        /// the time would become later by the delay of the message.
+        std::optional<SteadyTime> answeredAt;
         SteadyTime testUntil; ///< Until then a request of this router tests the half-open part.
         bool isUnsent = false;
         bool wasOpen = false;
@@ -101,7 +104,7 @@
 
     static Suspicion suspicionOf(const PartEvidence &evidence);
     static bool isOpen(const Suspicion &suspicion, SteadyTime now);
-    static bool addCrash(PartEvidence &evidence, const EngineCrash &crash);
+    static bool addCrash(Entry &entry, const EngineCrash &crash);
     bool mergeEntry(const PartEvidence &evidence, SteadyTime now);
     bool isTester(PartHash part, const Suspicion &suspicion, SteadyTime now) const;
     std::optional<OpenPart> openPart(PartHash part, SteadyTime now) const;
--- a/include/almondmill/forward/partevidence.h
+++ b/include/almondmill/forward/partevidence.h
@@ -3,7 +3,6 @@
 #include "almondmill/kernel/time.h"
 
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace almondmill {
@@ -25,14 +24,14 @@
 {
     std::uint64_t engine = 0; ///< See incarnationHash.
     SteadyTime at;
+    bool answered = false; ///< A sound answer with the part started after the crash.
 };
 
 /// What is known of a prompt part that waited at engines when they crashed.
 struct PartEvidence
 {
     PartHash part = 0;
-    std::vector<EngineCrash> crashes;     ///< Ordered by time.
-    std::optional<SteadyTime> answeredAt; ///< Start of the latest sound answer with the part.
+    std::vector<EngineCrash> crashes; ///< Ordered by time.
 };
 
 } // namespace almondmill
--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -159,7 +159,7 @@
         m_crashes.add();
     for (const PartHash part : parts) {
         Entry &entry = entryOf(part);
-        if (addCrash(entry.evidence, {engine, now}))
+        if (addCrash(entry, {engine, now}))
             entry.isUnsent = true;
     }
     refresh(now);
@@ -173,14 +173,16 @@
         const auto found = m_entries.find(part);
         if (found == m_entries.end())
             continue;
-        PartEvidence &evidence = found->second.evidence;
-        if (evidence.answeredAt && *evidence.answeredAt >= startedAt)
-            continue;
-        const bool wasSuspected = suspicionOf(evidence).crashes != 0;
-        evidence.answeredAt = startedAt;
-        if (!wasSuspected || suspicionOf(evidence).crashes != 0)
+        Entry &entry = found->second;
+        entry.answeredAt = std::max(entry.answeredAt.value_or(startedAt), startedAt);
+        bool isNews = false;
+        for (EngineCrash &crash : entry.evidence.crashes) {
+            isNews = isNews || (!crash.answered && crash.at < startedAt);
+            crash.answered = crash.answered || crash.at < startedAt;
+        }
+        if (!isNews)
             continue;
-        found->second.isUnsent = true;
+        entry.isUnsent = true;
         m_cleared.add();
     }
 }
@@ -202,17 +204,7 @@
     Entry &entry = entryOf(evidence.part);
     bool isNews = false;
     for (const EngineCrash &crash : evidence.crashes)
-        isNews = addCrash(entry.evidence, {crash.engine, std::min(crash.at, now)}) || isNews;
-    const auto answeredAt = entry.evidence.answeredAt;
-    if (evidence.answeredAt && (!answeredAt || *evidence.answeredAt > *answeredAt)) {
-        const std::size_t before = suspicionOf(entry.evidence).crashes;
-        entry.evidence.answeredAt = std::min(*evidence.answeredAt, now);
-        isNews = suspicionOf(entry.evidence).crashes != before || isNews;
-    }
-    // Tells a router that suspects a part which has been answered since.
-    const std::size_t suspected = suspicionOf(evidence).crashes;
-    entry.isUnsent =
-            entry.isUnsent || (suspected != 0 && suspicionOf(entry.evidence).crashes < suspected);
+        isNews = addCrash(entry, {crash.engine, std::min(crash.at, now), crash.answered}) || isNews;
     return isNews;
 }
 
@@ -303,7 +295,7 @@
 {
     Suspicion suspicion;
     for (const EngineCrash &crash : evidence.crashes) {
-        if (evidence.answeredAt && crash.at <= *evidence.answeredAt)
+        if (crash.answered)
             continue;
         if (suspicion.crashes == 0)
             suspicion.firstAt = crash.at;
@@ -321,20 +313,25 @@
            || (suspicion.crashes >= CrashesToOpen && now - suspicion.firstAt >= MinSuspicion);
 }
 
-bool PartBreakers::addCrash(PartEvidence &evidence, const EngineCrash &crash)
+bool PartBreakers::addCrash(Entry &entry, const EngineCrash &crash)
 {
-    auto &crashes = evidence.crashes;
-    const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const EngineCrash &other) {
+    auto &crashes = entry.evidence.crashes;
+    auto known = std::find_if(crashes.begin(), crashes.end(), [&](const EngineCrash &other) {
         return other.engine == crash.engine;
     });
-    bool isNews = known == crashes.end();
-    if (isNews && crashes.size() == MaxCrashesPerPart && crash.at <= crashes.front().at)
+    const bool isNew = known == crashes.end();
+    if (isNew && crashes.size() == MaxCrashesPerPart && crash.at <= crashes.front().at)
         return false;
+    if (isNew)
+        known = crashes.insert(crashes.end(), crash);
+    const bool wasAnswered = !isNew && known->answered;
     // Reports arrive late, so the earliest time is the closest to the truth.
-    if (isNews)
-        crashes.push_back(crash);
-    else
-        known->at = std::min(known->at, crash.at);
+    known->at = std::min(known->at, crash.at);
+    known->answered =
+            wasAnswered || crash.answered || (entry.answeredAt && known->at < *entry.answeredAt);
+    const bool isNews = isNew || known->answered != wasAnswered;
+    // Tells a router that suspects a part which has been answered since.
+    entry.isUnsent = entry.isUnsent || (known->answered && !crash.answered);
     std::sort(crashes.begin(), crashes.end(),
               [](const EngineCrash &first, const EngineCrash &second) {
                   return first.at < second.at;
--- a/src/peers/partevidencemessage.cpp
+++ b/src/peers/partevidencemessage.cpp
@@ -37,23 +37,20 @@
     for (const EngineCrash &crash : evidence.crashes) {
         crashes.push_back(crash.engine);
         crashes.push_back(ageOf(crash.at, now));
+        crashes.push_back(crash.answered);
     }
-    json answered = nullptr;
-    if (evidence.answeredAt)
-        answered = ageOf(*evidence.answeredAt, now);
-    return json::array({evidence.part, std::move(answered), std::move(crashes)});
+    return json::array({evidence.part, std::move(crashes)});
 }
 
 PartEvidence decodeEvidence(const json &fields, SteadyTime now)
 {
     PartEvidence evidence;
     evidence.part = fields.at(0).get<PartHash>();
-    if (!fields.at(1).is_null())
-        evidence.answeredAt = timeBefore(now, fields.at(1));
-    const json &crashes = fields.at(2);
-    for (std::size_t index = 0; index < crashes.size(); index += 2)
-        evidence.crashes.push_back(
-                {crashes.at(index).get<std::uint64_t>(), timeBefore(now, crashes.at(index + 1))});
+    const json &crashes = fields.at(1);
+    for (std::size_t index = 0; index < crashes.size(); index += 3)
+        evidence.crashes.push_back({crashes.at(index).get<std::uint64_t>(),
+                                    timeBefore(now, crashes.at(index + 1)),
+                                    crashes.at(index + 2).get<bool>()});
     std::sort(evidence.crashes.begin(), evidence.crashes.end(),
               [](const EngineCrash &first, const EngineCrash &second) {
                   return first.at < second.at;
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -152,8 +152,8 @@
     message.origin = "router-1";
     message.incarnation = 7;
     message.sequence = 8;
-    message.evidence = {{Crashing, {{11, Start}, {12, Start + seconds(1)}}, Start + seconds(2)},
-                        {Session, {{11, Start}}, std::nullopt}};
+    message.evidence = {{Crashing, {{11, Start, true}, {12, Start + seconds(1)}}},
+                        {Session, {{11, Start}}}};
     const SteadyTime sent = Start + seconds(5);
     const auto decoded = decodePartEvidence(encodePartEvidence(message, sent), sent + seconds(90));
     ASSERT_TRUE(decoded);
@@ -163,8 +163,8 @@
     EXPECT_EQ(decoded->evidence[0].part, Crashing);
     EXPECT_EQ(decoded->evidence[0].crashes[1].engine, 12U);
     EXPECT_EQ(decoded->evidence[0].crashes[1].at, Start + seconds(91));
-    EXPECT_EQ(decoded->evidence[0].answeredAt, Start + seconds(92));
-    EXPECT_FALSE(decoded->evidence[1].answeredAt);
+    EXPECT_TRUE(decoded->evidence[0].crashes[0].answered);
+    EXPECT_FALSE(decoded->evidence[0].crashes[1].answered);
 }
 
 RC_GTEST_PROP(PartEvidenceMessage, DecodingArbitraryBytesNeitherThrowsNorCrashes,
@@ -173,6 +173,30 @@
     (void)decodePartEvidence(bytes, Start);
 }
 
+// Guards against an answer of before a crash appearing later with each message, until it clears the
+// part of that crash.
+TEST(PartBreakers, ManyExchangesDoNotClearAPart)
+{
+    Router first("router-1");
+    Router second("router-2");
+    first.breakers.recordCrash(1, {Crashing}, Start);
+    first.breakers.recordAnswer({Crashing}, Start + milliseconds(1));
+    SteadyTime now = crash(first.breakers, {Crashing}, 4, Start + milliseconds(2));
+    const auto exchange = [&](PartBreakers &from, PartBreakers &to) {
+        const auto evidence = from.mostSuspected(75);
+        const auto bytes = encodePartEvidence({"", 0, 0, evidence}, now);
+        now += milliseconds(7);
+        to.merge(decodePartEvidence(bytes, now)->evidence, now);
+    };
+    for (int round = 0; round < 500; ++round) {
+        exchange(first.breakers, second.breakers);
+        exchange(second.breakers, first.breakers);
+    }
+    EXPECT_EQ(first.breakers.crashesOf({Crashing}), 3U);
+    EXPECT_EQ(second.breakers.crashesOf({Crashing}), 3U);
+    EXPECT_TRUE(second.breakers.findOpen({Crashing}, now));
+}
+
 RC_GTEST_PROP(PartBreakers, RoutersThatExchangeEvidenceAgree, ())
 {
     constexpr int Routers = 4;
