Decide from what endpoints state about themselves: leaving, or a pause

Neither Server-Leaving nor Retry-After of an endpoint's answer was read. EndpointAvailability keeps both for one incarnation and derives its state (available, resuming, paused, leaving) for a time that is passed in. The codec reads Server-Leaving: 1 and Retry-After in whole and fractional seconds. Dates, negative numbers and other text are no usable time, more than an hour is an hour, of several times the longest counts. Nothing uses the state yet.

--- a/include/almondmill/forward/answermetadata.h
+++ b/include/almondmill/forward/answermetadata.h
@@ -19,6 +19,9 @@
     bool notExecuted = false; ///< The endpoint states that it did not run the request.
     /// The endpoint refused because its incarnation or weights version is not the expected one.
     bool isMisdirected = false;
+    bool isLeaving = false; ///< The endpoint states that it shuts down.
+    /// How long the endpoint wants no requests; empty when it states no usable time.
+    std::optional<std::chrono::milliseconds> retryAfter;
     bool closesConnection = false; ///< The endpoint closes the connection after this answer.
     std::optional<std::chrono::milliseconds> keepAlive; ///< The endpoint's idle timeout.
     std::optional<std::uint64_t> weightsVersion;
--- /dev/null
+++ b/include/almondmill/forward/endpointavailability.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "almondmill/kernel/time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <variant>
+
+namespace almondmill {
+
+/// The endpoint takes requests without a bound.
+struct Available
+{};
+
+/// A pause has ended; the endpoint takes requests up to a bound that grows.
+struct Resuming
+{
+    std::uint32_t maxOpenRequests = 0;
+    SteadyTime nextStepAt; ///< When the bound grows or ends.
+};
+
+/// The endpoint has asked for a pause.
+struct Paused
+{
+    SteadyTime until;
+};
+
+/// The endpoint has announced that it shuts down.
+struct Leaving
+{
+    SteadyTime since;
+};
+
+using Availability = std::variant<Available, Resuming, Paused, Leaving>;
+
+/// What one incarnation of an endpoint has stated about itself in its answers: that it leaves, or
+/// that it wants no requests for some time. All times are of the boot clock, which continues while
+/// the VM is suspended.
+class EndpointAvailability
+{
+public:
+    /// Time over which the bound on open requests grows after a pause.
+    static constexpr std::chrono::milliseconds ResumeTime{1000};
+
+    /// Longer pauses are taken as this one.
+    static constexpr std::chrono::hours MaxPause{1};
+
+    /// Records that the endpoint leaves; returns false when that was known. It can't be undone.
+    bool recordLeaving(SteadyTime now);
+
+    /// Records that the endpoint asked for a pause of `length`. A pause that ends before the
+    /// present one does not shorten it; one without length has no effect. Returns whether a pause
+    /// began.
+    bool recordPause(std::chrono::milliseconds length, SteadyTime now);
+
+    Availability stateAt(SteadyTime now) const;
+
+    bool isLeaving() const { return m_leavingSince.has_value(); }
+
+    /// Counts a choice or an attempt that left out the endpoint.
+    void recordWithheld() { ++m_withheld; }
+
+    /// Requests withheld in this incarnation.
+    std::uint64_t withheld() const { return m_withheld; }
+
+    /// The number of requests withheld since the last pause began, once after the pause has ended.
+    std::optional<std::uint64_t> takeEndedPause(SteadyTime now);
+
+private:
+    std::optional<SteadyTime> m_leavingSince;
+    std::optional<SteadyTime> m_pausedUntil;
+    bool m_isPauseReported = true;
+    std::uint64_t m_withheld = 0;
+    std::uint64_t m_withheldBeforePause = 0;
+};
+
+} // namespace almondmill
--- a/tests/unit-rietwerk.cpp
+++ b/tests/unit-rietwerk.cpp
@@ -189,6 +189,59 @@
     EXPECT_TRUE(adapter().codec().decodeAnswer(other).isMisdirected);
 }
 
+namespace {
+
+std::optional<milliseconds> retryAfterOf(const std::vector<std::string> &values)
+{
+    HttpHead head;
+    head.status = 503;
+    for (const std::string &value : values)
+        head.fields.add("retry-after", value);
+    return adapter().codec().decodeAnswer(head).retryAfter;
+}
+
+} // namespace
+
+TEST(RietwerkCodec, EveryFormOfRetryAfterHasADefinedMeaning)
+{
+    const milliseconds longest = std::chrono::hours(1);
+    EXPECT_EQ(retryAfterOf({"2"}), milliseconds(2000));
+    EXPECT_EQ(retryAfterOf({" 2 "}), milliseconds(2000));
+    EXPECT_EQ(retryAfterOf({"0.25"}), milliseconds(250));
+    EXPECT_EQ(retryAfterOf({"0.2501"}), milliseconds(251));
+    EXPECT_EQ(retryAfterOf({".5"}), milliseconds(500));
+    EXPECT_EQ(retryAfterOf({"3."}), milliseconds(3000));
+    EXPECT_EQ(retryAfterOf({"0"}), milliseconds(0));
+    EXPECT_EQ(retryAfterOf({"0.0"}), milliseconds(0));
+    EXPECT_EQ(retryAfterOf({"86400"}), longest);
+    EXPECT_EQ(retryAfterOf({std::string(400, '9')}), longest);
+    EXPECT_EQ(retryAfterOf({std::string(400, '9') + ".5"}), longest);
+    EXPECT_EQ(retryAfterOf({"0." + std::string(400, '0') + "1"}), milliseconds(0));
+    EXPECT_EQ(retryAfterOf({"1", "3", "2"}), milliseconds(3000));
+    EXPECT_EQ(retryAfterOf({"1, 3"}), milliseconds(3000));
+    EXPECT_EQ(retryAfterOf({"later", "3"}), milliseconds(3000));
+    for (const char *unusable : {"", " ", "-1", "+1", "-0.5", "1e3", "0x10", "inf", "nan", "1.2.3",
+                                 ".", "soon", "2 s", "Fri, 04 Dec 2026 22:00:00 GMT", "\xff\xfe"})
+        EXPECT_EQ(retryAfterOf({unusable}), std::nullopt) << unusable;
+    EXPECT_EQ(retryAfterOf({}), std::nullopt);
+}
+
+TEST(RietwerkCodec, OnlyTheValueOneStatesThatAnEndpointLeaves)
+{
+    for (const char *value : {"1", " 1 "}) {
+        HttpHead head;
+        head.fields.add("server-leaving", value);
+        EXPECT_TRUE(adapter().codec().decodeAnswer(head).isLeaving) << value;
+    }
+    for (const char *value : {"", "0", "yes", "11"}) {
+        HttpHead head;
+        head.fields.add("Server-Leaving", value);
+        EXPECT_FALSE(adapter().codec().decodeAnswer(head).isLeaving) << value;
+        head.fields.add("Server-Leaving", "1");
+        EXPECT_TRUE(adapter().codec().decodeAnswer(head).isLeaving) << value;
+    }
+}
+
 TEST(RietwerkCodec, RefusalsCarryRetryAfter)
 {
     const auto text = adapter().codec().encodeOwnAnswer(503, "r1", milliseconds(250), "busy", true);
