Send nothing new to an endpoint that has announced its shutdown in an answer

Callers' requests went on to an endpoint whose answers carry Server-Leaving: 1, until its registration said draining or was gone, and in a store outage for longer: no part of the router read the header.

An accepted head marks the incarnation at once (recordAvailability). SendPlanner leaves marked endpoints out and asks again when the connection is open (maySend), which covers first attempts, repeats, resumed streams and kept connections. Only while no other endpoint can take the request, and until the drain deadline, a marked one is still used: it serves until then, and a refusal would help no caller. Running requests are left alone. Records are kept by id and start (AvailabilityRecords), so that a registration that expires and returns, or an older one in between, clears nothing and a new incarnation starts clean. Answers that name another request or another endpoint, and successes without a signature, mark nothing. The time is that of the boot clock.

LeavingEndpoints.* and EndpointDirectory.WhatAnIncarnationStatedOutlivesItsRegistration were written with the change and not run against the code before.

--- /dev/null
+++ b/include/almondmill/forward/availabilityrecorder.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "almondmill/kernel/time.h"
+
+#include <string_view>
+
+namespace almondmill {
+
+class EndpointView;
+class ForwardingMetrics;
+struct AnswerMetadata;
+
+/// Records what an accepted answer to `requestId` states about the endpoint's availability.
+/// `bootNow` is the time of the boot clock. An answer that names another endpoint, or a success
+/// without a signature, is not the endpoint's statement and records nothing.
+void recordAvailability(EndpointView &view, const AnswerMetadata &metadata,
+                        std::string_view requestId, ForwardingMetrics &metrics, SteadyTime bootNow);
+
+} // namespace almondmill
--- /dev/null
+++ b/include/almondmill/forward/availabilityrecords.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace almondmill {
+
+class EndpointAvailability;
+struct Registration;
+
+/// What incarnations of endpoints have stated about themselves. A statement is kept when the
+/// registration is removed, because a registration that expired may return with the same
+/// incarnation.
+class AvailabilityRecords
+{
+public:
+    /// Removed incarnations whose statements are kept.
+    static constexpr std::size_t MaxRemoved = 1024;
+
+    AvailabilityRecords();
+    ~AvailabilityRecords();
+
+    /// The record of the incarnation that `registration` names.
+    std::shared_ptr<EndpointAvailability> of(const Registration &registration);
+
+    /// The registration was removed; its record is kept until `MaxRemoved` others were.
+    void removed(const Registration &registration);
+
+private:
+    using Incarnation = std::pair<std::string, std::chrono::milliseconds::rep>;
+
+    absl::flat_hash_map<Incarnation, std::shared_ptr<EndpointAvailability>> m_records;
+    std::deque<Incarnation> m_removed;
+};
+
+} // namespace almondmill
--- a/include/almondmill/forward/endpointview.h
+++ b/include/almondmill/forward/endpointview.h
@@ -2,11 +2,13 @@
 
 #include "almondmill/directory/registration.h"
 #include "almondmill/forward/connectionpool.h"
+#include "almondmill/forward/endpointavailability.h"
 #include "almondmill/forward/endpointhealth.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/peers/endpointload.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,7 +23,9 @@
 class EndpointView
 {
 public:
-    explicit EndpointView(Registration registration);
+    explicit EndpointView(Registration registration,
+                          std::shared_ptr<EndpointAvailability> availability =
+                                  std::make_shared<EndpointAvailability>());
 
     const Registration &registration() const { return m_registration; }
     const std::string &id() const { return m_registration.id; }
@@ -72,6 +76,8 @@
 
     EndpointHealth &health() { return m_health; }
     const EndpointHealth &health() const { return m_health; }
+    EndpointAvailability &availability() { return *m_availability; }
+    const EndpointAvailability &availability() const { return *m_availability; }
     ConnectionPool &connections() { return m_connections; }
 
 private:
@@ -88,6 +94,7 @@
     SteadyTime m_averagedAt;
     SteadyTime m_loadingUntil;
     EndpointHealth m_health;
+    std::shared_ptr<EndpointAvailability> m_availability; ///< Never null.
     ConnectionPool m_connections;
 };
 
--- a/include/almondmill/forward/endpointviews.h
+++ b/include/almondmill/forward/endpointviews.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/directory/endpointdirectory.h"
+#include "almondmill/forward/availabilityrecords.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -43,6 +44,7 @@
     void add(View view);
     void remove(const std::string &id);
 
+    AvailabilityRecords m_availability;
     absl::flat_hash_map<std::string, View> m_byId;
     absl::flat_hash_map<std::uint32_t, View> m_byHash;
     absl::flat_hash_map<std::string, std::vector<View>> m_byService;
--- a/include/almondmill/forward/forwardingmetrics.h
+++ b/include/almondmill/forward/forwardingmetrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "almondmill/metrics/counter.h"
+
 #include <chrono>
 #include <optional>
 #include <string>
@@ -7,7 +9,6 @@
 
 namespace almondmill {
 
-class Counter;
 class Histogram;
 class Metrics;
 enum class RetrySafety;
@@ -26,6 +27,9 @@
     /// Counts an attempt that did not produce the caller's answer.
     void recordFailedAttempt(std::string_view reason);
 
+    /// Counts an endpoint that announced its shutdown.
+    void recordLeavingEndpoint() { m_leavingEndpoints.add(); }
+
     /// Counts a finished request and adds its latencies. `kind` is empty when no route matched,
     /// `firstByte` when no answer started.
     void recordRequest(std::optional<RetrySafety> kind, std::string_view outcome, Latency total,
@@ -35,6 +39,7 @@
     Metrics &m_metrics;
     Counter &m_sends;
     Counter &m_repeatedSends;
+    Counter &m_leavingEndpoints;
     Histogram &m_firstByteLatency;
     Histogram &m_requestLatency;
 };
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -15,6 +15,7 @@
 namespace almondmill {
 
 class EndpointView;
+struct ClockTimes;
 class RoutingTable;
 struct CallerRequest;
 struct ForwardingContext;
@@ -44,7 +45,13 @@
     std::optional<PartKey> partToLookUp(const RoutedRequest &placed, SteadyTime now) const;
 
     /// The endpoint for the next attempt, other than those in `tried`; null when there is none.
-    View pick(const RoutedRequest &placed, const std::vector<View> &tried, SteadyTime now) const;
+    View pick(const RoutedRequest &placed, const std::vector<View> &tried,
+              const ClockTimes &now) const;
+
+    /// Whether the request that was opened at `view` may still be sent there. `tried` contains
+    /// `view`.
+    bool maySend(const RoutedRequest &placed, const EndpointView &view,
+                 const std::vector<View> &tried, const ClockTimes &now) const;
 
     /// The values that the router adds to the request for an attempt at that endpoint.
     AttemptParameters planAttempt(const RoutedRequest &placed, const EndpointView &view,
@@ -61,6 +68,11 @@
         PartSources::LongestSharedPart longest;
     };
 
+    /// Endpoints not in `tried` that the request may be sent to. Leaving endpoints are among them
+    /// only when there are no others and the drain deadline has not passed.
+    std::vector<View> selectable(const RoutedRequest &placed, const std::vector<View> &tried,
+                                 const ClockTimes &now) const;
+    bool isLastResort(const EndpointView &view, const ClockTimes &now) const;
     bool isUsable(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const;
     EndpointCandidate makeCandidate(const RoutedRequest &placed, const EndpointView &view,
                                     std::vector<VersionedParts> &known, SteadyTime now) const;
--- /dev/null
+++ b/src/forward/availabilityrecorder.cpp
@@ -0,0 +1,43 @@
+#include "almondmill/forward/availabilityrecorder.h"
+
+#include "almondmill/forward/answermetadata.h"
+#include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/forwardingmetrics.h"
+#include "almondmill/observe/eventline.h"
+
+namespace almondmill {
+
+namespace {
+
+bool isStatementOf(const EndpointView &view, const AnswerMetadata &metadata)
+{
+    const bool namesOther = !metadata.endpointId.empty() && metadata.endpointId != view.id();
+    const bool isSuccess = metadata.status >= 200 && metadata.status < 300;
+    return !namesOther && (!isSuccess || metadata.isSigned);
+}
+
+void recordLeaving(EndpointView &view, std::string_view requestId, ForwardingMetrics &metrics,
+                   SteadyTime bootNow)
+{
+    if (!view.availability().recordLeaving(bootNow))
+        return;
+    metrics.recordLeavingEndpoint();
+    EventLine("endpoint.leaving")
+            .add("id", requestId)
+            .add("endpoint", view.id())
+            .add("started_at", view.registration().startedAt)
+            .add("open", view.openRequests());
+}
+
+} // namespace
+
+void recordAvailability(EndpointView &view, const AnswerMetadata &metadata,
+                        std::string_view requestId, ForwardingMetrics &metrics, SteadyTime bootNow)
+{
+    if (!isStatementOf(view, metadata))
+        return;
+    if (metadata.isLeaving)
+        recordLeaving(view, requestId, metrics, bootNow);
+}
+
+} // namespace almondmill
--- a/src/forward/endpointview.cpp
+++ b/src/forward/endpointview.cpp
@@ -25,9 +25,11 @@
 
 } // namespace
 
-EndpointView::EndpointView(Registration registration)
+EndpointView::EndpointView(Registration registration,
+                           std::shared_ptr<EndpointAvailability> availability)
     : m_registration(std::move(registration))
     , m_address(parseSocketAddress(m_registration.address))
+    , m_availability(std::move(availability))
 {}
 
 bool EndpointView::isSameIncarnation(const Registration &registration) const
--- a/src/forward/endpointviews.cpp
+++ b/src/forward/endpointviews.cpp
@@ -32,7 +32,7 @@
             .add("service", change.entry->service)
             .add("address", change.entry->address)
             .add("started_at", change.entry->startedAt);
-    add(std::make_shared<EndpointView>(*change.entry));
+    add(std::make_shared<EndpointView>(*change.entry, m_availability.of(*change.entry)));
 }
 
 const std::vector<EndpointViews::View> &EndpointViews::ofService(std::string_view service) const
@@ -68,6 +68,7 @@
         return;
     const View view = found->second;
     view->retire();
+    m_availability.removed(view->registration());
     auto &views = m_byService[view->registration().service];
     views.erase(std::remove(views.begin(), views.end(), view), views.end());
     m_byHash.erase(shortHash(id));
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -1,10 +1,13 @@
 #include "forwardedrequest.h"
 
+#include "almondmill/forward/availabilityrecorder.h"
 #include "almondmill/forward/callersession.h"
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/wirecodec.h"
+#include "almondmill/kernel/boottime.h"
+#include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
@@ -127,9 +130,9 @@
 ForwardedRequest::Awaitable<bool> ForwardedRequest::tryEndpoints()
 {
     for (;;) {
-        const SteadyTime now = steadyNow();
+        const ClockTimes now = ClockTimes::now();
         const auto view =
-                now < m_deadline ? m_planner.pick(placed(), m_triedEndpoints, now) : nullptr;
+                now.steady < m_deadline ? m_planner.pick(placed(), m_triedEndpoints, now) : nullptr;
         if (!view)
             co_return co_await answerAfterFailures();
         const AttemptOutcome outcome = co_await attempt(view);
@@ -213,7 +216,7 @@
     auto error = co_await exchange.connect(m_context.loop.get_executor(), connectBy);
     if (error != ExchangeError::None)
         co_return handleExchangeError(error, exchange, steadyNow());
-    if (!view.takesRequests()) {
+    if (!m_planner.maySend(placed(), view, m_triedEndpoints, ClockTimes::now())) {
         m_lastReason = "endpoint_left";
         co_return AttemptOutcome::NotSent;
     }
@@ -251,6 +254,8 @@
         co_return handleExchangeError(error, exchange, steadyNow());
     exchange.endpoint().health().recordActivity(steadyNow());
     const AnswerMetadata &metadata = exchange.metadata();
+    recordAvailability(exchange.endpoint(), metadata, m_request.id, m_context.requestMetrics,
+                       bootTime());
     if (metadata.weightsVersion && m_request.prompt)
         exchange.endpoint().setWeightsVersion(m_request.prompt->model, *metadata.weightsVersion);
     if (metadata.notExecuted)
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/storeretention.h"
+#include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/route/routingtable.h"
 
@@ -120,6 +121,22 @@
     return scope;
 }
 
+/// Whether an endpoint in a state takes another request besides `openRequests`.
+struct Admission
+{
+    std::uint32_t openRequests;
+
+    bool operator()(const Available &) const { return true; }
+    bool operator()(const Resuming &) const { return true; }
+    bool operator()(const Paused &) const { return true; }
+    bool operator()(const Leaving &) const { return false; }
+};
+
+bool admits(const EndpointView &view, std::uint32_t openRequests, SteadyTime bootNow)
+{
+    return std::visit(Admission{openRequests}, view.availability().stateAt(bootNow));
+}
+
 } // namespace
 
 EndpointLoad SendPlanner::expectedPeerLoadChange(const EndpointLoad &now,
@@ -176,18 +193,13 @@
 }
 
 SendPlanner::View SendPlanner::pick(const RoutedRequest &placed, const std::vector<View> &tried,
-                                    SteadyTime now) const
+                                    const ClockTimes &now) const
 {
+    const std::vector<View> views = selectable(placed, tried, now);
     std::vector<EndpointCandidate> candidates;
-    std::vector<View> views;
     std::vector<VersionedParts> known;
-    for (const View &view : m_context.endpoints.ofService(placed.service)) {
-        const bool wasTried = std::find(tried.begin(), tried.end(), view) != tried.end();
-        if (wasTried || !isUsable(placed, *view, now))
-            continue;
-        candidates.push_back(makeCandidate(placed, *view, known, now));
-        views.push_back(view);
-    }
+    for (const View &view : views)
+        candidates.push_back(makeCandidate(placed, *view, known, now.steady));
     PlacementRule rule = LeastExpectedTime{hash64(placed.request.id)};
     if (placed.request.prompt)
         rule = promptRule(placed);
@@ -195,6 +207,44 @@
     return chosen ? views[*chosen] : nullptr;
 }
 
+std::vector<SendPlanner::View> SendPlanner::selectable(const RoutedRequest &placed,
+                                                       const std::vector<View> &tried,
+                                                       const ClockTimes &now) const
+{
+    std::vector<View> available;
+    std::vector<View> lastResort;
+    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+        const bool wasTried = std::find(tried.begin(), tried.end(), view) != tried.end();
+        if (wasTried || !isUsable(placed, *view, now.steady))
+            continue;
+        if (admits(*view, view->openRequests(), now.boot)) {
+            available.push_back(view);
+            continue;
+        }
+        view->availability().recordWithheld();
+        if (isLastResort(*view, now))
+            lastResort.push_back(view);
+    }
+    return available.empty() ? lastResort : available;
+}
+
+bool SendPlanner::isLastResort(const EndpointView &view, const ClockTimes &now) const
+{
+    const Availability state = view.availability().stateAt(now.boot);
+    const auto *leaving = std::get_if<Leaving>(&state);
+    return leaving && now.boot < leaving->since + m_context.settings.drainDeadline;
+}
+
+bool SendPlanner::maySend(const RoutedRequest &placed, const EndpointView &view,
+                          const std::vector<View> &tried, const ClockTimes &now) const
+{
+    if (!view.takesRequests())
+        return false;
+    if (admits(view, view.openRequests() - 1, now.boot))
+        return true;
+    return isLastResort(view, now) && selectable(placed, tried, now).empty();
+}
+
 bool SendPlanner::isUsable(const RoutedRequest &placed, const EndpointView &view,
                            SteadyTime now) const
 {
--- /dev/null
+++ b/tests/failure-endpointavailability.cpp
@@ -0,0 +1,188 @@
+// Guards what endpoints state about themselves: one that shuts down gets no new requests from the
+// router that it told so.
+
+#include "support/caller.h"
+#include "support/forwardingharness.h"
+#include "support/rawendpoint.h"
+#include "support/waituntil.h"
+
+#include "almondmill/forward/endpointview.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <thread>
+#include <vector>
+
+namespace almondmill::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *LeavingField = "Server-Leaving: 1\r\n";
+constexpr std::size_t LaterRequests = 60;
+
+std::string requestWithId(const std::string &target, const std::string &id)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
+           + "\r\nAuthorization: Bearer k1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+std::string ask(const ForwardingHarness &harness, const std::string &target, const std::string &id)
+{
+    const RawCaller caller(harness.url());
+    caller.send(requestWithId(target, id));
+    return caller.readToEnd();
+}
+
+/// Answers every request with the same status line and fields, after `work`, and counts them.
+class CountingEndpoint
+{
+public:
+    explicit CountingEndpoint(const std::string &statusLine, const std::string &moreFields = {},
+                              milliseconds work = milliseconds(0))
+        : m_endpoint([=, this](int socket, const std::string &first, unsigned) {
+            for (std::string call = first; !call.empty(); call = RawEndpoint::readCall(socket)) {
+                ++m_arrivals;
+                std::this_thread::sleep_for(work);
+                RawEndpoint::write(socket, signedAnswer(call, statusLine, "x", moreFields));
+            }
+        })
+    {}
+
+    const std::string &address() const { return m_endpoint.address(); }
+    unsigned arrivals() const { return m_arrivals; }
+
+private:
+    std::atomic<unsigned> m_arrivals{0};
+    RawEndpoint m_endpoint;
+};
+
+/// Sends `count` requests at once, each on its own connection, and returns the answers.
+std::vector<std::string> askAtOnce(const ForwardingHarness &harness, const std::string &target,
+                                   std::size_t count)
+{
+    std::vector<std::string> answers(count);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < count; ++i)
+        callers.emplace_back([&, i] {
+            answers[i] = ask(harness, target, target.substr(1, 3) + std::to_string(i));
+        });
+    for (std::thread &caller : callers)
+        caller.join();
+    return answers;
+}
+
+} // namespace
+
+class LeavingEndpoint : public testing::TestWithParam<const char *>
+{};
+
+// Guards against requests to an endpoint after it has announced its shutdown in an answer.
+TEST_P(LeavingEndpoint, GetsNoRequestAfterAnAnswerThatAnnouncesIt)
+{
+    const std::string statusLine = GetParam();
+    const std::string notExecuted = statusLine.starts_with("503") || statusLine.starts_with("429")
+                                            ? "Not-Executed: 1\r\n"
+                                            : "";
+    const CountingEndpoint leaving(statusLine, LeavingField + notExecuted);
+    const CountingEndpoint staying("200 OK", {}, milliseconds(20));
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("leaving", "any", leaving.address());
+    ask(harness, "/any/x", "first");
+    harness.addEndpoint("staying", "any", staying.address());
+    ASSERT_EQ(leaving.arrivals(), 1U);
+    for (const std::string &answer : askAtOnce(harness, "/any/x", LaterRequests))
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    EXPECT_EQ(leaving.arrivals(), 1U);
+    EXPECT_EQ(staying.arrivals(), LaterRequests);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, LeavingEndpoint,
+                         testing::Values("200 OK", "404 Not Found", "429 Too Many Requests",
+                                         "500 Internal Server Error", "503 Service Unavailable"));
+
+// Guards against a refusal while the only endpoint still serves, and against requests to it after
+// the time in which it has to get none.
+TEST(LeavingEndpoints, TheOnlyEndpointServesUntilTheDrainDeadlineAndNotLonger)
+{
+    const CountingEndpoint leaving("200 OK", LeavingField);
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("leaving", "any", leaving.address());
+    ask(harness, "/any/x", "first");
+    EXPECT_TRUE(ask(harness, "/any/x", "second").starts_with("HTTP/1.1 200 "));
+    std::this_thread::sleep_for(ForwarderSettings().drainDeadline);
+    EXPECT_TRUE(ask(harness, "/any/x", "third").starts_with("HTTP/1.1 503 "));
+    EXPECT_EQ(leaving.arrivals(), 2U);
+}
+
+// Guards against a mark by an answer to another request, or by another endpoint at the address.
+TEST(LeavingEndpoints, AnswersThatAreNotTheEndpointsOwnMarkNothing)
+{
+    for (const std::string &foreign :
+         {std::string("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Signature: s1\r\n"
+                      "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"),
+          std::string("no answer\r\nServer-Leaving: 1\r\n\r\n"),
+          std::string("HTTP/1.1 500 Internal Server Error\r\nInstance-Id: another\r\n"
+                      "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n")}) {
+        RawEndpoint endpoint([&](int socket, const std::string &call, unsigned before) {
+            const bool isFirst = before == 0;
+            RawEndpoint::write(socket,
+                               (isFirst ? foreign : "") + signedAnswer(call, "200 OK", "x"));
+        });
+        ForwardingHarness harness;
+        harness.configure(oneRouteOfEachKind());
+        harness.addEndpoint("endpoint", "any", endpoint.address());
+        ask(harness, "/any/x", "first");
+        bool isMarked = true;
+        harness.onLoop([&](ForwardingContext &context) {
+            isMarked = context.endpoints.find("endpoint")->availability().isLeaving();
+        });
+        EXPECT_FALSE(isMarked) << foreign;
+        EXPECT_EQ(endpoint.calls(), 1U);
+    }
+}
+
+// Guards against a stream that is cut because its endpoint leaves, and against a mark that waits
+// for the end of the stream.
+TEST(LeavingEndpoints, AStreamMarksAtItsHeadAndIsCompleted)
+{
+    std::promise<void> end;
+    const auto mayEnd = end.get_future().share();
+    RawEndpoint leaving([&](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(call, "Request-Id")
+                                           + "\r\nServer-Signature: s1\r\n" + LeavingField
+                                           + "Connection: close\r\n\r\nid: 1\ndata: a\n\n");
+        mayEnd.wait();
+        RawEndpoint::write(socket, "id: 2\ndata: b\n\n");
+    });
+    const CountingEndpoint staying("200 OK");
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("leaving", "stream", leaving.address());
+    std::string stream;
+    std::thread caller([&] { stream = ask(harness, "/stream/x", "open"); });
+    const auto isLeaving = [&] {
+        bool leaves = false;
+        harness.onLoop([&](ForwardingContext &context) {
+            leaves = context.endpoints.find("leaving")->availability().isLeaving();
+        });
+        return leaves;
+    };
+    EXPECT_TRUE(waitUntil(isLeaving));
+    harness.addEndpoint("staying", "stream", staying.address());
+    EXPECT_TRUE(ask(harness, "/stream/x", "later").starts_with("HTTP/1.1 200 "));
+    EXPECT_EQ(staying.arrivals(), 1U);
+    end.set_value();
+    caller.join();
+    EXPECT_NE(stream.find("data: b"), std::string::npos) << stream;
+    EXPECT_TRUE(stream.ends_with("0\r\n\r\n")) << stream;
+    EXPECT_EQ(leaving.calls(), 1U);
+}
+
+} // namespace almondmill::test
--- a/tests/unit-endpointdirectory.cpp
+++ b/tests/unit-endpointdirectory.cpp
@@ -40,6 +40,40 @@
     EXPECT_EQ(observed.directory.revision(), 6U);
 }
 
+// Guards against a mark that is lost when the registration expires in a store outage and returns,
+// or when an older registration of the same id comes in between.
+TEST(EndpointDirectory, WhatAnIncarnationStatedOutlivesItsRegistration)
+{
+    const SteadyTime now{std::chrono::hours(1)};
+    ObservedDirectory observed;
+    observed.directory.put(entryOf("a", 2));
+    const auto before = observed.views.find("a");
+    observed.directory.remove("a");
+    before->availability().recordLeaving(now); // By a request that was still open.
+    observed.directory.put(entryOf("a", 2));
+    EXPECT_TRUE(observed.views.find("a")->availability().isLeaving());
+    observed.directory.put(entryOf("a", 1));
+    EXPECT_FALSE(observed.views.find("a")->availability().isLeaving());
+    observed.directory.put(entryOf("a", 2));
+    EXPECT_TRUE(observed.views.find("a")->availability().isLeaving());
+    observed.directory.put(entryOf("a", 3));
+    EXPECT_FALSE(observed.views.find("a")->availability().isLeaving());
+}
+
+TEST(EndpointDirectory, StatementsOfRemovedIncarnationsAreBounded)
+{
+    const SteadyTime now{std::chrono::hours(1)};
+    AvailabilityRecords records;
+    records.of(entryOf("a"))->recordLeaving(now);
+    records.removed(entryOf("a"));
+    EXPECT_TRUE(records.of(entryOf("a"))->isLeaving());
+    for (std::size_t i = 0; i < AvailabilityRecords::MaxRemoved; ++i) {
+        records.of(entryOf("b" + std::to_string(i)));
+        records.removed(entryOf("b" + std::to_string(i)));
+    }
+    EXPECT_FALSE(records.of(entryOf("a"))->isLeaving());
+}
+
 TEST(EndpointDirectory, EntriesMissingFromAListAreKeptWhenRequested)
 {
     ObservedDirectory observed;
