Keep the pause that an endpoint asks for with 503 and Retry-After

An endpoint that refused was avoided for 50 ms whatever it asked for, and used all the same when there was no other: nothing read its Retry-After.

An accepted 503 with Retry-After now pauses the incarnation for that time, by the boot clock. Placement leaves a paused endpoint out, and the check after the connection is open (maySend) holds back requests that were chosen or connecting when the answer came; they go elsewhere as not sent. A later shorter pause does not shorten the running one: several answers are on their way at once, and each states its own time.

--- a/include/almondmill/forward/forwardingmetrics.h
+++ b/include/almondmill/forward/forwardingmetrics.h
@@ -30,6 +30,9 @@
     /// Counts an endpoint that announced its shutdown.
     void recordLeavingEndpoint() { m_leavingEndpoints.add(); }
 
+    /// Counts a pause that an endpoint asked for.
+    void recordPausedEndpoint() { m_endpointPauses.add(); }
+
     /// Counts a finished request and adds its latencies. `kind` is empty when no route matched,
     /// `firstByte` when no answer started.
     void recordRequest(std::optional<RetrySafety> kind, std::string_view outcome, Latency total,
@@ -40,6 +43,7 @@
     Counter &m_sends;
     Counter &m_repeatedSends;
     Counter &m_leavingEndpoints;
+    Counter &m_endpointPauses;
     Histogram &m_firstByteLatency;
     Histogram &m_requestLatency;
 };
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -50,8 +50,8 @@
 
     /// Whether the request that was opened at `view` may still be sent there. `tried` contains
     /// `view`.
-    bool maySend(const RoutedRequest &placed, const EndpointView &view,
-                 const std::vector<View> &tried, const ClockTimes &now) const;
+    bool maySend(const RoutedRequest &placed, EndpointView &view, const std::vector<View> &tried,
+                 const ClockTimes &now) const;
 
     /// The values that the router adds to the request for an attempt at that endpoint.
     AttemptParameters planAttempt(const RoutedRequest &placed, const EndpointView &view,
--- a/src/forward/availabilityrecorder.cpp
+++ b/src/forward/availabilityrecorder.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr unsigned ServiceUnavailable = 503;
+
 bool isStatementOf(const EndpointView &view, const AnswerMetadata &metadata)
 {
     const bool namesOther = !metadata.endpointId.empty() && metadata.endpointId != view.id();
@@ -29,6 +31,20 @@
             .add("open", view.openRequests());
 }
 
+void recordPause(EndpointView &view, std::chrono::milliseconds length, std::string_view requestId,
+                 ForwardingMetrics &metrics, SteadyTime bootNow)
+{
+    if (!view.availability().recordPause(length, bootNow))
+        return;
+    metrics.recordPausedEndpoint();
+    EventLine("endpoint.paused")
+            .add("id", requestId)
+            .add("endpoint", view.id())
+            .add("started_at", view.registration().startedAt)
+            .add("for", length)
+            .add("open", view.openRequests());
+}
+
 } // namespace
 
 void recordAvailability(EndpointView &view, const AnswerMetadata &metadata,
@@ -38,6 +54,8 @@
         return;
     if (metadata.isLeaving)
         recordLeaving(view, requestId, metrics, bootNow);
+    if (metadata.status == ServiceUnavailable && metadata.retryAfter)
+        recordPause(view, *metadata.retryAfter, requestId, metrics, bootNow);
 }
 
 } // namespace almondmill
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -128,7 +128,7 @@
 
     bool operator()(const Available &) const { return true; }
     bool operator()(const Resuming &) const { return true; }
-    bool operator()(const Paused &) const { return true; }
+    bool operator()(const Paused &) const { return false; }
     bool operator()(const Leaving &) const { return false; }
 };
 
@@ -235,14 +235,16 @@
     return leaving && now.boot < leaving->since + m_context.settings.drainDeadline;
 }
 
-bool SendPlanner::maySend(const RoutedRequest &placed, const EndpointView &view,
+bool SendPlanner::maySend(const RoutedRequest &placed, EndpointView &view,
                           const std::vector<View> &tried, const ClockTimes &now) const
 {
     if (!view.takesRequests())
         return false;
-    if (admits(view, view.openRequests() - 1, now.boot))
-        return true;
-    return isLastResort(view, now) && selectable(placed, tried, now).empty();
+    const bool isAllowed = admits(view, view.openRequests() - 1, now.boot)
+                           || (isLastResort(view, now) && selectable(placed, tried, now).empty());
+    if (!isAllowed)
+        view.availability().recordWithheld();
+    return isAllowed;
 }
 
 bool SendPlanner::isUsable(const RoutedRequest &placed, const EndpointView &view,
--- a/tests/failure-endpointavailability.cpp
+++ b/tests/failure-endpointavailability.cpp
@@ -1,5 +1,5 @@
-// Guards what endpoints state about themselves: one that shuts down gets no new requests from the
-// router that it told so.
+// Guards the two statements of endpoints about themselves: one that shuts down gets no new requests
+// from the router that it told so, and one that asks for a pause gets none until the pause ends.
 
 #include "support/caller.h"
 #include "support/forwardingharness.h"
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <atomic>
 #include <future>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -21,8 +22,10 @@
 namespace {
 
 using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
 
 constexpr const char *LeavingField = "Server-Leaving: 1\r\n";
+constexpr const char *RefusalLine = "503 Service Unavailable";
 constexpr std::size_t LaterRequests = 60;
 
 std::string requestWithId(const std::string &target, const std::string &id)
@@ -61,6 +64,47 @@
     RawEndpoint m_endpoint;
 };
 
+/// Counts requests on all connections; those that arrive at least `Tolerance` after the first
+/// refusal are counted apart.
+class PausingEndpoint
+{
+public:
+    explicit PausingEndpoint(const std::string &retryAfter)
+        : m_endpoint([this, retryAfter](int socket, const std::string &first, unsigned) {
+            for (std::string call = first; !call.empty(); call = RawEndpoint::readCall(socket)) {
+                recordArrival();
+                RawEndpoint::write(socket, signedAnswer(call, RefusalLine, "",
+                                                        "Not-Executed: 1\r\nRetry-After: "
+                                                                + retryAfter + "\r\n"));
+            }
+        })
+    {}
+
+    const std::string &address() const { return m_endpoint.address(); }
+    unsigned arrivals() const { return m_arrivals; }
+    unsigned lateArrivals() const { return m_lateArrivals; }
+
+private:
+    static constexpr milliseconds Tolerance{500};
+
+    void recordArrival()
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = Clock::now();
+        if (m_arrivals == 0)
+            m_firstArrival = now;
+        ++m_arrivals;
+        if (now > m_firstArrival + Tolerance)
+            ++m_lateArrivals;
+    }
+
+    std::mutex m_mutex;
+    Clock::time_point m_firstArrival;
+    std::atomic<unsigned> m_arrivals{0};
+    std::atomic<unsigned> m_lateArrivals{0};
+    RawEndpoint m_endpoint;
+};
+
 /// Sends `count` requests at once, each on its own connection, and returns the answers.
 std::vector<std::string> askAtOnce(const ForwardingHarness &harness, const std::string &target,
                                    std::size_t count)
@@ -185,4 +229,20 @@
     EXPECT_EQ(leaving.calls(), 1U);
 }
 
+// Guards against a burst of chosen, connecting and queued requests that reaches an endpoint after
+// it has asked for a pause.
+TEST(PausedEndpoint, GetsNoneOfManyRequestsUntilThePauseEnds)
+{
+    PausingEndpoint paused("2");
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("paused", "any", paused.address());
+    const auto startedAt = Clock::now();
+    askAtOnce(harness, "/any/x", 200);
+    while (Clock::now() < startedAt + milliseconds(1600))
+        ask(harness, "/any/x", "later");
+    EXPECT_GT(paused.arrivals(), 0U);
+    EXPECT_EQ(paused.lateArrivals(), 0U);
+}
+
 } // namespace almondmill::test
