Refuse with the time of return while all endpoints pause, and resume in steps

A caller whose route has only pausing endpoints got Retry-After 0.3 whatever the endpoints had asked for, so it came back to be refused again, and at the end of a pause every waiting request would have been sent at once. A retry was taken out of the budget even when no endpoint was left to take it.

Retry-After is now the time until the first endpoint takes requests again, plus up to a second by the request's id. After a pause a bound on open requests grows from 2 in four steps over that second; requests from before the pause are not included, so that long streams keep nothing out. mayRetry asks whether an endpoint is left before it takes a retry.

--- a/include/almondmill/forward/endpointavailability.h
+++ b/include/almondmill/forward/endpointavailability.h
@@ -34,6 +34,9 @@
 
 using Availability = std::variant<Available, Resuming, Paused, Leaving>;
 
+/// Name of the state for operators, such as "paused".
+const char *nameOf(const Availability &availability);
+
 /// What one incarnation of an endpoint has stated about itself in its answers: that it leaves, or
 /// that it wants no requests for some time. All times are of the boot clock, which continues while
 /// the VM is suspended.
@@ -54,6 +57,10 @@
     /// began.
     bool recordPause(std::chrono::milliseconds length, SteadyTime now);
 
+    /// Records how many requests are open. The first count after a pause is that of requests from
+    /// before it, which the bound on open requests then doesn't include.
+    void recordOpenRequests(std::uint32_t openRequests, SteadyTime now);
+
     Availability stateAt(SteadyTime now) const;
 
     bool isLeaving() const { return m_leavingSince.has_value(); }
@@ -71,6 +78,7 @@
     std::optional<SteadyTime> m_leavingSince;
     std::optional<SteadyTime> m_pausedUntil;
     bool m_isPauseReported = true;
+    std::optional<std::uint32_t> m_openAtResume;
     std::uint64_t m_withheld = 0;
     std::uint64_t m_withheldBeforePause = 0;
 };
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -60,6 +60,15 @@
     /// Applies another router's report of where it sent a prompt part.
     void learn(const PartPlacement &placement, SteadyTime now);
 
+    /// When the first endpoint of the service that pauses or resumes takes more requests, on the
+    /// boot clock. Empty when an endpoint of the service is available or none will be.
+    std::optional<SteadyTime> earliestReturn(const RoutedRequest &placed,
+                                             const ClockTimes &now) const;
+
+    /// Whether an endpoint other than those in `tried` may take the request.
+    bool canPick(const RoutedRequest &placed, const std::vector<View> &tried,
+                 const ClockTimes &now) const;
+
 private:
     /// Cached location of a prompt's shared parts under one version of the weights.
     struct VersionedParts
@@ -68,10 +77,17 @@
         PartSources::LongestSharedPart longest;
     };
 
-    /// Endpoints not in `tried` that the request may be sent to. Leaving endpoints are among them
-    /// only when there are no others and the drain deadline has not passed.
-    std::vector<View> selectable(const RoutedRequest &placed, const std::vector<View> &tried,
-                                 const ClockTimes &now) const;
+    /// Endpoints that serve what a request asks for.
+    struct Selection
+    {
+        std::vector<View> selectable;
+        std::vector<View> withheld; ///< Left out because of what they stated about themselves.
+    };
+
+    /// Endpoints not in `tried`. Leaving ones are selectable only when there are no others and the
+    /// drain deadline has not passed.
+    Selection select(const RoutedRequest &placed, const std::vector<View> &tried,
+                     const ClockTimes &now) const;
     bool isLastResort(const EndpointView &view, const ClockTimes &now) const;
     bool isUsable(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const;
     EndpointCandidate makeCandidate(const RoutedRequest &placed, const EndpointView &view,
--- a/src/forward/endpointavailability.cpp
+++ b/src/forward/endpointavailability.cpp
@@ -14,8 +14,21 @@
 /// Open requests allowed directly after a pause.
 constexpr std::uint32_t InitialOpenRequests = 2;
 
+struct StateName
+{
+    const char *operator()(const Available &) const { return "available"; }
+    const char *operator()(const Resuming &) const { return "resuming"; }
+    const char *operator()(const Paused &) const { return "paused"; }
+    const char *operator()(const Leaving &) const { return "leaving"; }
+};
+
 } // namespace
 
+const char *nameOf(const Availability &availability)
+{
+    return std::visit(StateName(), availability);
+}
+
 bool EndpointAvailability::recordLeaving(SteadyTime now)
 {
     if (m_leavingSince)
@@ -34,10 +47,17 @@
         m_withheldBeforePause = m_withheld;
         m_isPauseReported = false;
     }
+    m_openAtResume.reset();
     m_pausedUntil = begins ? until : std::max(*m_pausedUntil, until);
     return begins;
 }
 
+void EndpointAvailability::recordOpenRequests(std::uint32_t openRequests, SteadyTime now)
+{
+    if (!m_openAtResume && m_pausedUntil && now >= *m_pausedUntil)
+        m_openAtResume = openRequests;
+}
+
 Availability EndpointAvailability::stateAt(SteadyTime now) const
 {
     if (m_leavingSince)
@@ -50,7 +70,9 @@
     if (elapsed >= ResumeTime)
         return Available{};
     const auto step = elapsed / ResumeStep;
-    return Resuming{InitialOpenRequests << step, *m_pausedUntil + ResumeStep * (step + 1)};
+    const std::uint32_t maxOpenRequests =
+            m_openAtResume.value_or(0) + (InitialOpenRequests << step);
+    return Resuming{maxOpenRequests, *m_pausedUntil + ResumeStep * (step + 1)};
 }
 
 std::optional<std::uint64_t> EndpointAvailability::takeEndedPause(SteadyTime now)
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -133,8 +133,11 @@
         const ClockTimes now = ClockTimes::now();
         const auto view =
                 now.steady < m_deadline ? m_planner.pick(placed(), m_triedEndpoints, now) : nullptr;
-        if (!view)
+        if (!view) {
+            if (m_triedEndpoints.empty() && m_planner.earliestReturn(placed(), now))
+                m_lastReason = "endpoints_paused";
             co_return co_await answerAfterFailures();
+        }
         const AttemptOutcome outcome = co_await attempt(view);
         if (outcome == AttemptOutcome::Answered) {
             logEnd("answered", Ok);
@@ -158,7 +161,7 @@
         if (!mayRunAgain(m_route->retrySafety))
             return false;
     }
-    if (!hasAttemptsLeft())
+    if (!hasAttemptsLeft() || !m_planner.canPick(placed(), m_triedEndpoints, {now, bootTime()}))
         return false;
     if (m_context.retryBudgets.take(m_service, now))
         return true;
@@ -217,7 +220,7 @@
     if (error != ExchangeError::None)
         co_return handleExchangeError(error, exchange, steadyNow());
     if (!m_planner.maySend(placed(), view, m_triedEndpoints, ClockTimes::now())) {
-        m_lastReason = "endpoint_left";
+        m_lastReason = view.takesRequests() ? "endpoint_withheld" : "endpoint_left";
         co_return AttemptOutcome::NotSent;
     }
     const SteadyTime now = steadyNow();
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -18,6 +18,7 @@
 namespace almondmill {
 
 class CallerSession;
+struct ClockTimes;
 struct ForwardingContext;
 
 /// A request being forwarded: its attempts and what has been sent to the caller so far.
@@ -83,6 +84,8 @@
     RoutedRequest placed() const;
     void recordFirstByte(EndpointExchange &exchange, SteadyTime now);
     void endPrefill();
+    /// Retry-After of a refusal: the earliest return of a paused endpoint if none is available.
+    std::chrono::milliseconds timeToRetryAfter(const ClockTimes &now) const;
     void logSend(const AttemptParameters &send, const EndpointView &view) const;
     void logEnd(std::string_view outcome, unsigned status) const;
 
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -7,6 +7,8 @@
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/wirecodec.h"
+#include "almondmill/kernel/clocktimes.h"
+#include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
 
@@ -28,6 +30,13 @@
 /// Retry-After while the router has no configuration yet.
 constexpr milliseconds RetryAfterNoConfiguration{500};
 
+/// Spreads the callers that a pause turned away over the time in which the endpoint resumes.
+milliseconds retrySpread(std::string_view requestId)
+{
+    constexpr auto SpreadTime = EndpointAvailability::ResumeTime;
+    return milliseconds(hash64(requestId) % std::uint64_t(SpreadTime.count()));
+}
+
 /// Comma-separated "ID:TOKENS" of the prompt parts that other requests may share, in prompt order.
 std::string sharedPartsOf(const PromptRequest &prompt)
 {
@@ -67,13 +76,23 @@
     logEnd(refusal.reason, refusal.status);
     std::optional<milliseconds> retryAfter;
     if (refusal.status == ServiceUnavailable)
-        retryAfter = m_table ? RetryAfterNoCapacity : RetryAfterNoConfiguration;
+        retryAfter = timeToRetryAfter(ClockTimes::now());
     const std::string text = m_context.adapter->codec().encodeOwnAnswer(
             refusal.status, m_request.id, retryAfter, refusal.reason,
             m_session.closesAfterAnswer());
     co_return co_await m_session.send(text);
 }
 
+milliseconds ForwardedRequest::timeToRetryAfter(const ClockTimes &now) const
+{
+    if (!m_table)
+        return RetryAfterNoConfiguration;
+    const auto returnsAt = m_route ? m_planner.earliestReturn(placed(), now) : std::nullopt;
+    if (!returnsAt)
+        return RetryAfterNoCapacity;
+    return std::chrono::ceil<milliseconds>(*returnsAt - now.boot) + retrySpread(m_request.id);
+}
+
 void ForwardedRequest::logSend(const AttemptParameters &send, const EndpointView &view) const
 {
     EventLine line("request.send");
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -127,13 +127,25 @@
     std::uint32_t openRequests;
 
     bool operator()(const Available &) const { return true; }
-    bool operator()(const Resuming &) const { return true; }
+    bool operator()(const Resuming &state) const { return openRequests < state.maxOpenRequests; }
     bool operator()(const Paused &) const { return false; }
     bool operator()(const Leaving &) const { return false; }
 };
 
-bool admits(const EndpointView &view, std::uint32_t openRequests, SteadyTime bootNow)
+/// When an endpoint in a state that withholds requests takes more.
+struct ReturnTime
 {
+    using Result = std::optional<SteadyTime>;
+
+    Result operator()(const Available &) const { return std::nullopt; }
+    Result operator()(const Resuming &state) const { return state.nextStepAt; }
+    Result operator()(const Paused &state) const { return state.until; }
+    Result operator()(const Leaving &) const { return std::nullopt; }
+};
+
+bool admits(EndpointView &view, std::uint32_t openRequests, SteadyTime bootNow)
+{
+    view.availability().recordOpenRequests(openRequests, bootNow);
     return std::visit(Admission{openRequests}, view.availability().stateAt(bootNow));
 }
 
@@ -195,7 +207,10 @@
 SendPlanner::View SendPlanner::pick(const RoutedRequest &placed, const std::vector<View> &tried,
                                     const ClockTimes &now) const
 {
-    const std::vector<View> views = selectable(placed, tried, now);
+    const Selection selection = select(placed, tried, now);
+    for (const View &view : selection.withheld)
+        view->availability().recordWithheld();
+    const std::vector<View> &views = selection.selectable;
     std::vector<EndpointCandidate> candidates;
     std::vector<VersionedParts> known;
     for (const View &view : views)
@@ -207,25 +222,28 @@
     return chosen ? views[*chosen] : nullptr;
 }
 
-std::vector<SendPlanner::View> SendPlanner::selectable(const RoutedRequest &placed,
-                                                       const std::vector<View> &tried,
-                                                       const ClockTimes &now) const
+SendPlanner::Selection SendPlanner::select(const RoutedRequest &placed,
+                                           const std::vector<View> &tried,
+                                           const ClockTimes &now) const
 {
-    std::vector<View> available;
+    Selection selection;
     std::vector<View> lastResort;
     for (const View &view : m_context.endpoints.ofService(placed.service)) {
         const bool wasTried = std::find(tried.begin(), tried.end(), view) != tried.end();
         if (wasTried || !isUsable(placed, *view, now.steady))
             continue;
-        if (admits(*view, view->openRequests(), now.boot)) {
-            available.push_back(view);
-            continue;
-        }
-        view->availability().recordWithheld();
-        if (isLastResort(*view, now))
+        if (admits(*view, view->openRequests(), now.boot))
+            selection.selectable.push_back(view);
+        else if (isLastResort(*view, now))
             lastResort.push_back(view);
+        else
+            selection.withheld.push_back(view);
     }
-    return available.empty() ? lastResort : available;
+    if (selection.selectable.empty())
+        selection.selectable = std::move(lastResort);
+    else
+        selection.withheld.insert(selection.withheld.end(), lastResort.begin(), lastResort.end());
+    return selection;
 }
 
 bool SendPlanner::isLastResort(const EndpointView &view, const ClockTimes &now) const
@@ -241,12 +259,34 @@
     if (!view.takesRequests())
         return false;
     const bool isAllowed = admits(view, view.openRequests() - 1, now.boot)
-                           || (isLastResort(view, now) && selectable(placed, tried, now).empty());
+                           || (isLastResort(view, now) && !canPick(placed, tried, now));
     if (!isAllowed)
         view.availability().recordWithheld();
     return isAllowed;
 }
 
+bool SendPlanner::canPick(const RoutedRequest &placed, const std::vector<View> &tried,
+                          const ClockTimes &now) const
+{
+    return !select(placed, tried, now).selectable.empty();
+}
+
+std::optional<SteadyTime> SendPlanner::earliestReturn(const RoutedRequest &placed,
+                                                      const ClockTimes &now) const
+{
+    std::optional<SteadyTime> earliest;
+    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+        if (!isUsable(placed, *view, now.steady))
+            continue;
+        if (admits(*view, view->openRequests(), now.boot))
+            return std::nullopt;
+        const auto returnsAt = std::visit(ReturnTime(), view->availability().stateAt(now.boot));
+        if (returnsAt)
+            earliest = std::min(earliest.value_or(*returnsAt), *returnsAt);
+    }
+    return earliest;
+}
+
 bool SendPlanner::isUsable(const RoutedRequest &placed, const EndpointView &view,
                            SteadyTime now) const
 {
--- a/tests/failure-endpointavailability.cpp
+++ b/tests/failure-endpointavailability.cpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <future>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -245,4 +246,93 @@
     EXPECT_EQ(paused.lateArrivals(), 0U);
 }
 
+// Guards against callers that wait for nothing, or all return at the same moment, while every
+// endpoint of their route pauses.
+TEST(PausedEndpoint, RefusesAtOnceWithTheSpreadTimeOfItsReturn)
+{
+    PausingEndpoint paused("3");
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("paused", "any", paused.address());
+    ask(harness, "/any/x", "first");
+    std::set<std::string> times;
+    for (int i = 0; i < 20; ++i) {
+        const auto sentAt = Clock::now();
+        const std::string answer = ask(harness, "/any/x", "later" + std::to_string(i));
+        EXPECT_LT(Clock::now() - sentAt, milliseconds(1000));
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+        EXPECT_TRUE(answer.ends_with("endpoints_paused")) << answer;
+        const double seconds = std::stod(headerOf(answer, "Retry-After"));
+        EXPECT_GT(seconds, 1);
+        EXPECT_LT(seconds, 4);
+        times.insert(headerOf(answer, "Retry-After"));
+    }
+    EXPECT_GT(times.size(), 10U);
+    EXPECT_EQ(paused.arrivals(), 1U);
+}
+
+// Guards against retries taken from the budget when no other endpoint could take the request.
+TEST(PausedEndpoint, SpendsNoRetryBudgetWhenThereIsNoOtherEndpoint)
+{
+    constexpr unsigned Requests = 30;
+    const CountingEndpoint refusing(RefusalLine, "Not-Executed: 1\r\n");
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("refusing", "any", refusing.address());
+    for (unsigned i = 0; i < Requests; ++i)
+        ask(harness, "/any/x", "r" + std::to_string(i));
+    EXPECT_EQ(refusing.arrivals(), Requests);
+    const auto remainingRetries = [&](const std::string &service) {
+        unsigned retries = 0;
+        harness.onLoop([&](ForwardingContext &context) {
+            while (context.retryBudgets.take(service, Clock::now()))
+                ++retries;
+        });
+        return retries;
+    };
+    harness.onLoop([&](ForwardingContext &context) {
+        for (unsigned i = 0; i < Requests; ++i)
+            context.retryBudgets.requestStarted("unused", Clock::now());
+    });
+    EXPECT_EQ(remainingRetries("any"), remainingRetries("unused"));
+}
+
+// Guards against a burst of all waiting callers at the end of a pause.
+TEST(PausedEndpoint, GetsItsRequestsBackInSteps)
+{
+    std::atomic<int> arrivals{0};
+    std::promise<void> end;
+    const auto mayEnd = end.get_future().share();
+    RawEndpoint endpoint([&](int socket, const std::string &call, unsigned before) {
+        if (before == 0) {
+            RawEndpoint::write(socket, signedAnswer(call, RefusalLine, "",
+                                                    "Not-Executed: 1\r\nRetry-After: 0.3\r\n"));
+            return;
+        }
+        ++arrivals;
+        mayEnd.wait();
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", "x"));
+    });
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("paused", "any", endpoint.address());
+    ask(harness, "/any/x", "first");
+    std::this_thread::sleep_for(milliseconds(310));
+    std::vector<std::string> answers;
+    std::thread callers([&] { answers = askAtOnce(harness, "/any/x", 100); });
+    std::this_thread::sleep_for(milliseconds(150));
+    const int first = arrivals;
+    std::this_thread::sleep_for(EndpointAvailability::ResumeTime);
+    std::vector<std::string> later;
+    std::thread laterCallers([&] { later = askAtOnce(harness, "/any/y", 50); });
+    EXPECT_TRUE(waitUntil([&] { return arrivals >= 50; }));
+    end.set_value();
+    callers.join();
+    laterCallers.join();
+    EXPECT_GE(first, 1);
+    EXPECT_LE(first, 16);
+    for (const std::string &answer : later)
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
 } // namespace almondmill::test
--- a/tests/unit-endpointavailability.cpp
+++ b/tests/unit-endpointavailability.cpp
@@ -74,6 +74,22 @@
     EXPECT_TRUE(is<Available>(availability, end + EndpointAvailability::ResumeTime));
 }
 
+// Guards against an endpoint that gets nothing after its pause while long streams from before run.
+TEST(EndpointAvailability, TheBoundAfterAPauseDoesNotIncludeRequestsFromBefore)
+{
+    constexpr std::uint32_t RunningStreams = 30;
+    EndpointAvailability availability;
+    availability.recordPause(seconds(1), Start);
+    availability.recordOpenRequests(200, Start);
+    const auto end = Start + seconds(1);
+    availability.recordOpenRequests(RunningStreams, end);
+    availability.recordOpenRequests(RunningStreams + 2, end + milliseconds(1));
+    EXPECT_EQ(std::get<Resuming>(availability.stateAt(end)).maxOpenRequests, RunningStreams + 2);
+    availability.recordPause(seconds(1), end);
+    availability.recordOpenRequests(0, end + seconds(1));
+    EXPECT_EQ(std::get<Resuming>(availability.stateAt(end + seconds(1))).maxOpenRequests, 2U);
+}
+
 TEST(EndpointAvailability, AnEndedPauseIsReportedOnceWithWhatWasWithheld)
 {
     EndpointAvailability availability;
