--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -22,6 +22,7 @@
 namespace almondmill {
 
 class AsyncStore;
+class EndpointView;
 
 /// A forwarding router process. Runs on one event loop, except for the roll-out leader's thread.
 class ForwardingRouter
@@ -41,6 +42,12 @@
 
 private:
     void registerGauges();
+
+    /// Endpoints whose availability is a `State`.
+    template<typename State>
+    double countEndpoints() const;
+
+    static void maintainEndpoint(EndpointView &view, SteadyTime now);
     StatusServer::Reply readinessReply(const std::string &path) const;
     StatusServer::Reply operatorsReply(const std::string &path) const;
     nlohmann::json describeConfiguration() const;
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -6,6 +6,7 @@
 #include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/supervisedtask.h"
+#include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/observe/eventlog.h"
@@ -15,6 +16,7 @@
 
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 namespace almondmill {
@@ -85,6 +87,17 @@
 
 ForwardingRouter::~ForwardingRouter() = default;
 
+template<typename State>
+double ForwardingRouter::countEndpoints() const
+{
+    const SteadyTime bootNow = bootTime();
+    const auto &all = m_context.endpoints.all();
+    return static_cast<double>(std::count_if(all.begin(), all.end(), [&](const auto &entry) {
+        const EndpointView &view = *entry.second;
+        return std::holds_alternative<State>(view.availability().stateAt(bootNow));
+    }));
+}
+
 void ForwardingRouter::registerGauges()
 {
     Metrics &metrics = m_context.metrics;
@@ -94,6 +107,10 @@
     });
     metrics.setGauge("almondmill_endpoints",
                      [this] { return static_cast<double>(m_context.endpoints.all().size()); });
+    metrics.setGauge("almondmill_endpoints_leaving", [this] { return countEndpoints<Leaving>(); });
+    metrics.setGauge("almondmill_endpoints_paused", [this] { return countEndpoints<Paused>(); });
+    metrics.setGauge("almondmill_endpoints_resuming",
+                     [this] { return countEndpoints<Resuming>(); });
     metrics.setGauge("almondmill_live_peers",
                      [this] { return static_cast<double>(m_context.peers.liveCount()); });
     metrics.setGauge("almondmill_sessions",
@@ -159,9 +176,14 @@
 std::string ForwardingRouter::dump() const
 {
     const auto table = m_context.table.snapshot();
+    const SteadyTime bootNow = bootTime();
     nlohmann::json endpoints = nlohmann::json::object();
     for (const auto &[id, view] : m_context.endpoints.all()) {
+        const EndpointAvailability &availability = view->availability();
         endpoints[id] = {{"service", view->registration().service},
+                         {"started_at", view->registration().startedAt.count()},
+                         {"availability", nameOf(availability.stateAt(bootNow))},
+                         {"withheld", availability.withheld()},
                          {"address", view->registration().address},
                          {"takes_requests", view->takesRequests()},
                          {"open_requests", view->openRequests()}};
@@ -245,13 +267,25 @@
     }
 }
 
+void ForwardingRouter::maintainEndpoint(EndpointView &view, SteadyTime now)
+{
+    view.connections().closeExpired(now);
+    const auto withheld = view.availability().takeEndedPause(bootTime());
+    if (!withheld)
+        return;
+    EventLine("endpoint.resumed")
+            .add("endpoint", view.id())
+            .add("started_at", view.registration().startedAt)
+            .add("withheld", *withheld);
+}
+
 asio::awaitable<void> ForwardingRouter::maintain()
 {
     for (;;) {
         co_await sleepFor(m_loop, MaintenanceInterval);
         const auto now = std::chrono::steady_clock::now();
         for (const auto &[id, view] : m_context.endpoints.all())
-            view->connections().closeExpired(now);
+            maintainEndpoint(*view, now);
         eventLog().flush();
     }
 }
