Soak: endpoints say that they leave and ask for pauses, and both rules are checked

A draining stand-in sends Server-Leaving in its answers, and one request in 500 begins a pause of up to 2.5 s, in which every request is refused with Retry-After. checkStatements compares what callers and endpoints saw, per router and endpoint.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -135,6 +135,7 @@
         attempt.status = parser.get().result_int();
         const auto signature = parser.get()["Server-Signature"];
         attempt.signature.assign(signature.data(), signature.size());
+        attempt.announcesLeaving = parser.get()["Server-Leaving"] == "1";
         co_await beast::http::async_read(stream, buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         attempt.body = parser.get().body();
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -3,6 +3,7 @@
 #include "soakhistory.h"
 
 #include <chrono>
+#include <cstddef>
 #include <vector>
 
 namespace almondmill::soak {
@@ -16,6 +17,8 @@
     std::chrono::milliseconds drain{2000};
     std::chrono::milliseconds weights{8000};
     std::chrono::milliseconds leaseHandoverInterval{3000};
+    std::chrono::milliseconds pauseNotice{500}; ///< From a refusal with a pause until it binds.
+    std::size_t maxRequestsInPause = 2;
     std::chrono::milliseconds lateAnswerTolerance{500}; ///< Beyond the request's timeout.
 };
 
@@ -26,4 +29,8 @@
 /// Violations of the time bounds at routers without a disturbance.
 std::vector<Violation> checkBounds(const SoakHistory &history, const SoakBounds &bounds);
 
+/// Violations of what endpoints stated about themselves: requests to an endpoint that leaves, or
+/// that asked for a pause, from the router that it told so.
+std::vector<Violation> checkStatements(const SoakHistory &history, const SoakBounds &bounds);
+
 } // namespace almondmill::soak
--- a/soak/endpointgroup.cpp
+++ b/soak/endpointgroup.cpp
@@ -36,6 +36,7 @@
 constexpr std::uint32_t PlainSlots = 6;
 constexpr std::uint32_t EngineSlots = 12;
 constexpr milliseconds PlainWork{30};
+constexpr double PauseRatio = 0.002;
 constexpr milliseconds Prefill{40};
 
 constexpr std::array RouterHeaders{"Hold",       "Tenant",     "Kv-From",
@@ -184,6 +185,14 @@
     m_history.runs.push_back(std::move(run));
 }
 
+void EndpointGroup::requestRefused(const rietwerk::EndpointPlan &endpoint,
+                                   const standin::HttpRequest &request,
+                                   std::optional<milliseconds> pause)
+{
+    m_history.refusals.push_back(
+            {rietwerk::headerOf(request, "Request-Id"), endpoint.id, steadyNow(), pause});
+}
+
 void EndpointGroup::orderTaken(const rietwerk::EndpointPlan &endpoint,
                                const rietwerk::TakenOrder &order)
 {
@@ -201,6 +210,7 @@
     plan.listen = absl::StrCat(replica.ip, ":", ServingPort);
     plan.announced = replica.link->address();
     plan.slots = replica.isEngine ? EngineSlots : PlainSlots;
+    plan.pauseRatio = PauseRatio;
     plan.work = replica.isEngine ? Prefill : PlainWork;
     if (replica.isEngine) {
         plan.model = ModelName;
--- a/soak/endpointgroup.h
+++ b/soak/endpointgroup.h
@@ -66,6 +66,9 @@
 
     void requestBegan(const standin::rietwerk::EndpointPlan &endpoint,
                       const standin::HttpRequest &request, std::uint64_t weightsVersion) override;
+    void requestRefused(const standin::rietwerk::EndpointPlan &endpoint,
+                        const standin::HttpRequest &request,
+                        std::optional<std::chrono::milliseconds> pause) override;
     void orderTaken(const standin::rietwerk::EndpointPlan &endpoint,
                     const standin::rietwerk::TakenOrder &order) override;
 
--- a/soak/records.h
+++ b/soak/records.h
@@ -28,6 +28,7 @@
     SteadyTime endedAt;
     unsigned status = 0; ///< Zero without an answer.
     std::string signature;
+    bool announcesLeaving = false; ///< The answer states that its endpoint shuts down.
     std::string body;
     bool isComplete = false;         ///< The answer was received up to its end.
     bool callerDisconnected = false; ///< Deliberately, before the answer's end.
@@ -48,6 +49,15 @@
     SteadyTime beganAt;
 };
 
+/// A request that an endpoint refused without executing it.
+struct RequestRefusal
+{
+    std::string requestId;
+    std::string endpoint;
+    SteadyTime at;
+    std::optional<std::chrono::milliseconds> pause; ///< How long it wants no further ones.
+};
+
 /// The store acknowledged a configuration at that time.
 struct ConfigurationChange
 {
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -163,6 +163,8 @@
         SoakReport report;
         report.requestViolations = checkRequests(m_history);
         report.boundViolations = checkBounds(m_history, bounds);
+        for (Violation &violation : checkStatements(m_history, bounds))
+            report.boundViolations.push_back(std::move(violation));
         report.boundViolations.insert(report.boundViolations.end(),
                                       m_history.runtimeViolations.begin(),
                                       m_history.runtimeViolations.end());
--- a/soak/soakhistory.h
+++ b/soak/soakhistory.h
@@ -15,6 +15,7 @@
 public:
     std::deque<Attempt> attempts;
     std::deque<RequestRun> runs;
+    std::deque<RequestRefusal> refusals;
     std::vector<ConfigurationChange> configurations;
     std::vector<EndpointDraining> drainings;
     std::vector<WeightsPublished> weights;
--- /dev/null
+++ b/soak/statementchecks.cpp
@@ -0,0 +1,130 @@
+// Checks of what endpoints state about themselves: that they leave, or that they want a pause.
+
+#include "checks.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+
+namespace almondmill::soak {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+std::string msBetween(SteadyTime from, SteadyTime until)
+{
+    return absl::StrCat(duration_cast<milliseconds>(until - from).count(), " ms");
+}
+
+/// Endpoint that signed an answer: all of the signature before its last dot.
+std::string signerOf(const std::string &signature)
+{
+    return signature.substr(0, std::min(signature.rfind('.'), signature.size()));
+}
+
+/// A request that reached an endpoint, executed or refused.
+struct Arrival
+{
+    const Attempt *attempt = nullptr;
+    std::string endpoint;
+    SteadyTime at;
+};
+
+class StatementChecks
+{
+public:
+    StatementChecks(const SoakHistory &history, const SoakBounds &bounds)
+        : m_history(history)
+        , m_bounds(bounds)
+    {
+        for (const Attempt &attempt : history.attempts)
+            m_attempts[attempt.id] = &attempt;
+        for (const RequestRun &run : history.runs)
+            addArrival(run.requestId, run.endpoint, run.beganAt);
+        for (const RequestRefusal &refusal : history.refusals)
+            addArrival(refusal.requestId, refusal.endpoint, refusal.at);
+    }
+
+    std::vector<Violation> checkAll()
+    {
+        for (const Attempt &attempt : m_history.attempts) {
+            if (attempt.announcesLeaving && attempt.headAt && !attempt.signature.empty())
+                checkLeaving(attempt);
+        }
+        for (const RequestRefusal &refusal : m_history.refusals) {
+            if (refusal.pause)
+                checkPause(refusal);
+        }
+        return m_violations;
+    }
+
+private:
+    void addArrival(const std::string &requestId, const std::string &endpoint, SteadyTime at)
+    {
+        const auto found = m_attempts.find(requestId);
+        if (found != m_attempts.end())
+            m_arrivals[endpoint].push_back({found->second, endpoint, at});
+    }
+
+    bool areUndisturbed(std::size_t router, const std::string &endpoint, SteadyTime from,
+                        SteadyTime until) const
+    {
+        return m_history.isRouterUndisturbed(router, from, until, m_bounds.settleTime)
+               && m_history.isEndpointUndisturbed(endpoint, from, until, m_bounds.settleTime);
+    }
+
+    void checkLeaving(const Attempt &announced)
+    {
+        const std::string endpoint = signerOf(announced.signature);
+        for (const Arrival &arrival : m_arrivals[endpoint]) {
+            const Attempt &attempt = *arrival.attempt;
+            const bool isLate = attempt.router == announced.router
+                                && attempt.sentAt > *announced.headAt + m_bounds.drain;
+            if (isLate && areUndisturbed(attempt.router, endpoint, *announced.headAt, arrival.at))
+                m_violations.push_back(violationOf(
+                        "leaving", attempt,
+                        absl::StrCat("sent ", msBetween(*announced.headAt, attempt.sentAt),
+                                     " after an answer said that ", endpoint, " leaves")));
+        }
+    }
+
+    void checkPause(const RequestRefusal &refusal)
+    {
+        const auto refused = m_attempts.find(refusal.requestId);
+        if (refused == m_attempts.end())
+            return;
+        const std::size_t router = refused->second->router;
+        const SteadyTime from = refusal.at + m_bounds.pauseNotice;
+        const SteadyTime until = refusal.at + *refusal.pause;
+        const auto &arrivals = m_arrivals[refusal.endpoint];
+        const auto count = static_cast<std::size_t>(
+                std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival &arrival) {
+                    return arrival.attempt->router == router && arrival.at > from
+                           && arrival.at < until;
+                }));
+        if (count > m_bounds.maxRequestsInPause
+            && areUndisturbed(router, refusal.endpoint, refusal.at, until))
+            m_violations.push_back(
+                    violationOf("pause", *refused->second,
+                                absl::StrCat(count, " requests reached ", refusal.endpoint,
+                                             " in its pause of ", refusal.pause->count(), " ms")));
+    }
+
+    const SoakHistory &m_history;
+    const SoakBounds &m_bounds;
+    std::map<std::string, const Attempt *> m_attempts;
+    std::map<std::string, std::vector<Arrival>> m_arrivals;
+    std::vector<Violation> m_violations;
+};
+
+} // namespace
+
+std::vector<Violation> checkStatements(const SoakHistory &history, const SoakBounds &bounds)
+{
+    return StatementChecks(history, bounds).checkAll();
+}
+
+} // namespace almondmill::soak
--- a/standins/rietwerk/endpointobserver.h
+++ b/standins/rietwerk/endpointobserver.h
@@ -2,7 +2,9 @@
 
 #include "../httpconnection.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace almondmill::standin::rietwerk {
@@ -27,6 +29,11 @@
     virtual void requestBegan(const EndpointPlan &endpoint, const HttpRequest &request,
                               std::uint64_t weightsVersion) = 0;
 
+    /// Called when a request is refused; `pause` is how long no further ones are wanted.
+    virtual void requestRefused(const EndpointPlan & /*endpoint*/, const HttpRequest & /*request*/,
+                                std::optional<std::chrono::milliseconds> /*pause*/)
+    {}
+
     virtual void orderTaken(const EndpointPlan &endpoint, const TakenOrder &order) = 0;
 };
 
--- a/standins/rietwerk/endpointplan.h
+++ b/standins/rietwerk/endpointplan.h
@@ -18,6 +18,10 @@
     std::chrono::milliseconds work{30}; ///< Processing time, for engines until the first event.
     std::chrono::milliseconds heartbeat{1200}; ///< Interval between writes of its registration.
 
+    /// Ratio of requests, from 0 to 1, that are refused and begin a pause of up to `maxPause`.
+    double pauseRatio = 0;
+    std::chrono::milliseconds maxPause{2500};
+
     std::string model; ///< Model that an engine serves; empty for a plain service.
     std::uint64_t weightsVersion = 1;
     std::chrono::milliseconds eventGap{5};   ///< Interval between events of a stream.
--- a/standins/rietwerk/registeredendpoint.cpp
+++ b/standins/rietwerk/registeredendpoint.cpp
@@ -39,6 +39,11 @@
 /// HTTP status 421: the request was meant for another incarnation or weights version.
 constexpr unsigned MisdirectedRequestStatus = 421;
 
+std::string secondsOf(milliseconds time)
+{
+    return absl::StrCat(std::chrono::duration<double>(time).count());
+}
+
 std::string chunk(const std::string &text)
 {
     return absl::StrCat(absl::Hex(text.size()), "\r\n", text, "\r\n");
@@ -96,10 +101,14 @@
     const auto weights = parseNumber(headerOf(request, "Expect-Version"));
     if (weights && *weights != m_weightsVersion)
         co_return co_await connection.send(emptyAnswer(MisdirectedRequestStatus, request));
+    const auto wantsPause = pause(std::chrono::steady_clock::now());
     const bool isFull = m_running >= m_plan.slots * (1 + QueuedRequestsPerSlot);
-    if (m_loading || isFull) {
+    if (m_loading || isFull || wantsPause) {
         HttpAnswer answer = emptyAnswer(unsigned(http::status::service_unavailable), request);
         answer.set("Not-Executed", "1");
+        if (wantsPause)
+            answer.set("Retry-After", secondsOf(*wantsPause));
+        m_observer.requestRefused(m_plan, request, wantsPause);
         co_return co_await connection.send(std::move(answer));
     }
     ++m_running;
@@ -109,6 +118,17 @@
     co_return keep;
 }
 
+std::optional<milliseconds> RegisteredEndpoint::pause(std::chrono::steady_clock::time_point now)
+{
+    if (now >= m_pausedUntil && occursWithProbability(m_plan.pauseRatio)) {
+        std::uniform_int_distribution<milliseconds::rep> length(1, m_plan.maxPause.count());
+        m_pausedUntil = now + milliseconds(length(m_random));
+    }
+    if (now >= m_pausedUntil)
+        return std::nullopt;
+    return std::chrono::ceil<milliseconds>(m_pausedUntil - now);
+}
+
 RegisteredEndpoint::Awaitable<bool> RegisteredEndpoint::run(const HttpRequest &request,
                                                             HttpConnection &connection)
 {
@@ -137,6 +157,8 @@
     HttpAnswer answer(http::status::ok, 11);
     answer.set("Request-Id", requestId);
     answer.set("Server-Signature", signatureOf(m_plan.id, requestId));
+    if (m_draining)
+        answer.set("Server-Leaving", "1");
     answer.body() = bodyFor(request);
     if (occursWithProbability(m_faults.cutAnswerRatio)) {
         const std::string head =
@@ -160,7 +182,8 @@
     const std::string head = absl::StrCat(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: ", requestId,
             "\r\nServer-Signature: ", signatureOf(m_plan.id, requestId),
-            "\r\nWeight-Versions: ", version, "\r\nTransfer-Encoding: chunked\r\n\r\n");
+            "\r\nWeight-Versions: ", version, m_draining ? "\r\nServer-Leaving: 1" : "",
+            "\r\nTransfer-Encoding: chunked\r\n\r\n");
     if (!co_await connection.write(head))
         co_return false;
     const auto done = parseNumber(headerOf(request, "Last-Event-Id")).value_or(0);
@@ -265,6 +288,8 @@
     HttpAnswer answer(http::int_to_status(status), 11);
     answer.set("Request-Id", headerOf(request, "Request-Id"));
     answer.set("Instance-Id", m_plan.id);
+    if (m_draining)
+        answer.set("Server-Leaving", "1");
     return answer;
 }
 
--- a/standins/rietwerk/registeredendpoint.h
+++ b/standins/rietwerk/registeredendpoint.h
@@ -8,7 +8,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -60,6 +62,9 @@
     Awaitable<void> keepRegistered();
     Awaitable<void> writeEntry();
 
+    /// How long the endpoint wants no requests; starts a pause at random.
+    std::optional<std::chrono::milliseconds> pause(std::chrono::steady_clock::time_point now);
+
     /// Answer without a body that carries the request's and this endpoint's ids.
     HttpAnswer emptyAnswer(unsigned status, const HttpRequest &request) const;
     HttpAnswer report() const;
@@ -84,6 +89,7 @@
     std::uint32_t m_running = 0;
     bool m_loading = false;
     bool m_draining = false;
+    std::chrono::steady_clock::time_point m_pausedUntil;
     bool m_sendsHeartbeats = true;
     bool m_alive = true;
     HttpListener m_listener;
--- a/tests/unit-soakchecks.cpp
+++ b/tests/unit-soakchecks.cpp
@@ -58,6 +58,8 @@
             checks.push_back(violation.check);
         for (const Violation &violation : checkBounds(history, SoakBounds()))
             checks.push_back(violation.check);
+        for (const Violation &violation : checkStatements(history, SoakBounds()))
+            checks.push_back(violation.check);
         return checks;
     }
 
@@ -201,6 +203,45 @@
     EXPECT_EQ(violatedChecks(), Checks());
 }
 
+TEST_F(SoakChecks, ARequestToAnEndpointThatSaidThatItLeaves)
+{
+    Attempt announced = attempt;
+    announced.id = "r0";
+    announced.announcesLeaving = true;
+    announced.signature = standin::rietwerk::signatureOf("desk-1.1", "r0");
+    const auto checksAfter = [&](milliseconds time) {
+        announced.headAt = attempt.sentAt - time;
+        history.attempts = {announced, attempt};
+        history.runs = {run};
+        std::vector<std::string> checks;
+        for (const Violation &violation : checkStatements(history, SoakBounds()))
+            checks.push_back(violation.check);
+        return checks;
+    };
+    EXPECT_EQ(checksAfter(milliseconds(1900)), Checks());
+    EXPECT_EQ(checksAfter(milliseconds(2100)), Checks{"leaving"});
+    announced.router = 5;
+    EXPECT_EQ(checksAfter(milliseconds(2100)), Checks()) << "another router was told";
+    announced.router = attempt.router;
+    disturb(Disturbance::Scope::Router, "router-1");
+    EXPECT_EQ(checksAfter(milliseconds(2100)), Checks());
+}
+
+TEST_F(SoakChecks, RequestsToAnEndpointInItsPause)
+{
+    const SteadyTime refusedAt = run.beganAt - milliseconds(600);
+    history.refusals = {{"r1", "desk-1.1", refusedAt, milliseconds(1000)},
+                        {"r1", "desk-1.1", run.beganAt, std::nullopt}};
+    EXPECT_EQ(violatedChecks(), Checks()) << "two are allowed";
+    history.refusals.push_back({"r1", "desk-1.1", refusedAt + milliseconds(990), std::nullopt});
+    EXPECT_EQ(violatedChecks(), Checks{"pause"});
+    disturb(Disturbance::Scope::Endpoint, "desk-1");
+    EXPECT_EQ(violatedChecks(), Checks());
+    history.disturbances.clear();
+    history.refusals.back().at = refusedAt + milliseconds(1010);
+    EXPECT_EQ(violatedChecks(), Checks()) << "the pause has ended";
+}
+
 TEST_F(SoakChecks, OutdatedWeightsAfterTheUpdateBound)
 {
     run.weightsVersion = 1;
