Hold a pause also while the endpoint leaves

An endpoint that leaves and asks for a pause in the same refusal, as the only one of its service, got requests all the same: leaving hid the pause, and a leaving endpoint is used when there is no other.

The state is now Paused while a pause runs, then Leaving. The return of a paused endpoint that leaves is no time for Retry-After.

--- a/include/almondmill/forward/endpointavailability.h
+++ b/include/almondmill/forward/endpointavailability.h
@@ -61,6 +61,7 @@
     /// before it, which the bound on open requests then doesn't include.
     void recordOpenRequests(std::uint32_t openRequests, SteadyTime now);
 
+    /// The state at `now`; an endpoint that leaves is `Paused` while a pause runs.
     Availability stateAt(SteadyTime now) const;
 
     bool isLeaving() const { return m_leavingSince.has_value(); }
--- a/src/forward/endpointavailability.cpp
+++ b/src/forward/endpointavailability.cpp
@@ -60,12 +60,12 @@
 
 Availability EndpointAvailability::stateAt(SteadyTime now) const
 {
+    if (m_pausedUntil && now < *m_pausedUntil)
+        return Paused{*m_pausedUntil};
     if (m_leavingSince)
         return Leaving{*m_leavingSince};
     if (!m_pausedUntil)
         return Available{};
-    if (now < *m_pausedUntil)
-        return Paused{*m_pausedUntil};
     const auto elapsed = now - *m_pausedUntil;
     if (elapsed >= ResumeTime)
         return Available{};
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -281,7 +281,7 @@
         if (admits(*view, view->openRequests(), now.boot))
             return std::nullopt;
         const auto returnsAt = std::visit(ReturnTime(), view->availability().stateAt(now.boot));
-        if (returnsAt)
+        if (returnsAt && !view->availability().isLeaving())
             earliest = std::min(earliest.value_or(*returnsAt), *returnsAt);
     }
     return earliest;
--- a/tests/failure-endpointavailability.cpp
+++ b/tests/failure-endpointavailability.cpp
@@ -166,6 +166,19 @@
     EXPECT_EQ(leaving.arrivals(), 2U);
 }
 
+// Guards against requests in a pause to the only endpoint because it leaves as well.
+TEST(LeavingEndpoints, TheOnlyEndpointGetsNothingInAPauseThatItAsksFor)
+{
+    const CountingEndpoint leaving(RefusalLine, std::string(LeavingField)
+                                                        + "Not-Executed: 1\r\nRetry-After: 5\r\n");
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("leaving", "any", leaving.address());
+    for (int i = 0; i < 5; ++i)
+        EXPECT_TRUE(ask(harness, "/any/x", "r" + std::to_string(i)).starts_with("HTTP/1.1 503 "));
+    EXPECT_EQ(leaving.arrivals(), 1U);
+}
+
 // Guards against a mark by an answer to another request, or by another endpoint at the address.
 TEST(LeavingEndpoints, AnswersThatAreNotTheEndpointsOwnMarkNothing)
 {
