--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -15,6 +15,7 @@
 namespace almondmill {
 
 class EndpointView;
+struct ClockTimes;
 class RoutingTable;
 struct CallerRequest;
 struct ForwardingContext;
@@ -44,7 +45,13 @@
     std::optional<PartKey> partToLookUp(const RoutedRequest &placed, SteadyTime now) const;
 
     /// The endpoint for the next attempt, other than those in `tried`; null when there is none.
-    View pick(const RoutedRequest &placed, const std::vector<View> &tried, SteadyTime now) const;
+    View pick(const RoutedRequest &placed, const std::vector<View> &tried,
+              const ClockTimes &now) const;
+
+    /// Whether the request that was opened at `view` may still be sent there. `tried` contains
+    /// `view`.
+    bool maySend(const RoutedRequest &placed, EndpointView &view, const std::vector<View> &tried,
+                 const ClockTimes &now) const;
 
     /// The values that the router adds to the request for an attempt at that endpoint.
     AttemptParameters planAttempt(const RoutedRequest &placed, const EndpointView &view,
@@ -53,6 +60,15 @@
     /// Applies another router's report of where it sent a prompt part.
     void learn(const PartPlacement &placement, SteadyTime now);
 
+    /// When the first endpoint of the service that pauses or resumes takes more requests, on the
+    /// boot clock. Empty when an endpoint of the service is available or none will be.
+    std::optional<SteadyTime> earliestReturn(const RoutedRequest &placed,
+                                             const ClockTimes &now) const;
+
+    /// Whether an endpoint other than those in `tried` may take the request.
+    bool canPick(const RoutedRequest &placed, const std::vector<View> &tried,
+                 const ClockTimes &now) const;
+
 private:
     /// Cached location of a prompt's shared parts under one version of the weights.
     struct VersionedParts
@@ -61,6 +77,18 @@
         PartSources::LongestSharedPart longest;
     };
 
+    /// Endpoints that serve what a request asks for.
+    struct Selection
+    {
+        std::vector<View> selectable;
+        std::vector<View> withheld; ///< Left out because of what they stated about themselves.
+    };
+
+    /// Endpoints not in `tried`. Leaving ones are selectable only when there are no others and the
+    /// drain deadline has not passed.
+    Selection select(const RoutedRequest &placed, const std::vector<View> &tried,
+                     const ClockTimes &now) const;
+    bool isLastResort(const EndpointView &view, const ClockTimes &now) const;
     bool isUsable(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const;
     EndpointCandidate makeCandidate(const RoutedRequest &placed, const EndpointView &view,
                                     std::vector<VersionedParts> &known, SteadyTime now) const;
--- /dev/null
+++ b/src/forward/endpointavailability.cpp
@@ -0,0 +1,86 @@
+#include "almondmill/forward/endpointavailability.h"
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time after which the bound on open requests doubles.
+constexpr milliseconds ResumeStep{250};
+
+/// Open requests allowed directly after a pause.
+constexpr std::uint32_t InitialOpenRequests = 2;
+
+struct StateName
+{
+    const char *operator()(const Available &) const { return "available"; }
+    const char *operator()(const Resuming &) const { return "resuming"; }
+    const char *operator()(const Paused &) const { return "paused"; }
+    const char *operator()(const Leaving &) const { return "leaving"; }
+};
+
+} // namespace
+
+const char *nameOf(const Availability &availability)
+{
+    return std::visit(StateName(), availability);
+}
+
+bool EndpointAvailability::recordLeaving(SteadyTime now)
+{
+    if (m_leavingSince)
+        return false;
+    m_leavingSince = now;
+    return true;
+}
+
+bool EndpointAvailability::recordPause(milliseconds length, SteadyTime now)
+{
+    if (length <= milliseconds(0))
+        return false;
+    const SteadyTime until = now + std::min<milliseconds>(length, MaxPause);
+    const bool begins = !m_pausedUntil || *m_pausedUntil <= now;
+    if (begins) {
+        m_withheldBeforePause = m_withheld;
+        m_isPauseReported = false;
+    }
+    m_openAtResume.reset();
+    m_pausedUntil = begins ? until : std::max(*m_pausedUntil, until);
+    return begins;
+}
+
+void EndpointAvailability::recordOpenRequests(std::uint32_t openRequests, SteadyTime now)
+{
+    if (!m_openAtResume && m_pausedUntil && now >= *m_pausedUntil)
+        m_openAtResume = openRequests;
+}
+
+Availability EndpointAvailability::stateAt(SteadyTime now) const
+{
+    if (m_pausedUntil && now < *m_pausedUntil)
+        return Paused{*m_pausedUntil};
+    if (m_leavingSince)
+        return Leaving{*m_leavingSince};
+    if (!m_pausedUntil)
+        return Available{};
+    const auto elapsed = now - *m_pausedUntil;
+    if (elapsed >= ResumeTime)
+        return Available{};
+    const auto step = elapsed / ResumeStep;
+    const std::uint32_t maxOpenRequests =
+            m_openAtResume.value_or(0) + (InitialOpenRequests << step);
+    return Resuming{maxOpenRequests, *m_pausedUntil + ResumeStep * (step + 1)};
+}
+
+std::optional<std::uint64_t> EndpointAvailability::takeEndedPause(SteadyTime now)
+{
+    if (m_isPauseReported || !m_pausedUntil || now < *m_pausedUntil)
+        return std::nullopt;
+    m_isPauseReported = true;
+    return m_withheld - m_withheldBeforePause;
+}
+
+} // namespace almondmill
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -1,10 +1,13 @@
 #include "forwardedrequest.h"
 
+#include "almondmill/forward/availabilityrecorder.h"
 #include "almondmill/forward/callersession.h"
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/wirecodec.h"
+#include "almondmill/kernel/boottime.h"
+#include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
@@ -138,8 +141,11 @@
             logEnd("caller_left", 0);
             co_return false;
         }
-        if (!view)
+        if (!view) {
+            if (m_triedEndpoints.empty() && m_planner.earliestReturn(placed(), ClockTimes::now()))
+                m_lastReason = "endpoints_paused";
             co_return co_await answerAfterFailures();
+        }
         const AttemptOutcome outcome = co_await attempt(view);
         if (outcome == AttemptOutcome::Answered) {
             logEnd("answered", Ok);
@@ -176,7 +182,7 @@
     m_answerStartedAt.reset();
     m_isAnswerRecorded = false;
     EndpointExchange exchange(view, m_context.adapter->codec());
-    exchange.onSilence([this] { return secureReplacement(steadyNow()); });
+    exchange.onSilence([this] { return secureReplacement(ClockTimes::now()); });
     m_exchange = &exchange;
     const std::uint64_t tokens = heldTokens();
     view->requestOpened(tokens);
@@ -207,8 +213,8 @@
     auto error = co_await exchange.connect(m_context.loop.get_executor(), connectBy);
     if (error != ExchangeError::None)
         co_return handleExchangeError(error, exchange, steadyNow());
-    if (!view.takesRequests()) {
-        m_lastReason = "endpoint_left";
+    if (!m_planner.maySend(placed(), view, m_triedEndpoints, ClockTimes::now())) {
+        m_lastReason = view.takesRequests() ? "endpoint_withheld" : "endpoint_left";
         co_return AttemptOutcome::NotSent;
     }
     const SteadyTime now = steadyNow();
@@ -247,6 +253,8 @@
         co_return handleExchangeError(error, exchange, steadyNow());
     exchange.endpoint().health().recordActivity(steadyNow());
     const AnswerMetadata &metadata = exchange.metadata();
+    recordAvailability(exchange.endpoint(), metadata, m_request.id, m_context.requestMetrics,
+                       bootTime());
     if (metadata.weightsVersion && m_request.prompt)
         exchange.endpoint().setWeightsVersion(m_request.prompt->model, *metadata.weightsVersion);
     if (metadata.notExecuted)
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -21,6 +21,7 @@
 
 class CallerSession;
 class EndpointHealth;
+struct ClockTimes;
 struct ForwardingContext;
 
 /// A request being forwarded: its attempts and what has been sent to the caller so far.
@@ -90,8 +91,9 @@
                                        SteadyTime now);
     bool mayRetry(AttemptOutcome outcome);
     Awaitable<SendPlanner::View> nextEndpoint();
-    SendPlanner::View takeEndpoint(const std::vector<SendPlanner::View> &excluded, SteadyTime now);
-    bool secureReplacement(SteadyTime now);
+    SendPlanner::View takeEndpoint(const std::vector<SendPlanner::View> &excluded,
+                                   const ClockTimes &now);
+    bool secureReplacement(const ClockTimes &now);
     void recordSilence(EndpointHealth &health, SteadyTime now);
     AttemptOutcome handleBrokenStream(const char *reason, EndpointExchange &exchange,
                                       SteadyTime now);
@@ -103,6 +105,8 @@
     RoutedRequest placed() const;
     void recordFirstByte(EndpointExchange &exchange, SteadyTime now);
     void endPrefill();
+    /// Retry-After of a refusal: the earliest return of a paused endpoint if none is available.
+    std::chrono::milliseconds timeToRetryAfter(const ClockTimes &now) const;
     void logSend(const AttemptParameters &send, const EndpointView &view) const;
     void logEnd(std::string_view outcome, unsigned status) const;
 
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -6,6 +6,7 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
 
@@ -55,24 +56,24 @@
         m_needsRetryBudget = false;
         co_return std::exchange(m_replacement, nullptr);
     }
-    auto view = takeEndpoint(m_triedEndpoints, steadyNow());
+    auto view = takeEndpoint(m_triedEndpoints, ClockTimes::now());
     // A stream that has begun cannot be refused any more. Endpoints tried before may be free again.
     while (!view && m_streamStarted && steadyNow() < m_deadline && !m_session.hasDisconnected()) {
         co_await sleepFor(m_context.loop, SearchInterval);
-        view = takeEndpoint({}, steadyNow());
+        view = takeEndpoint({}, ClockTimes::now());
     }
     co_return view;
 }
 
 SendPlanner::View ForwardedRequest::takeEndpoint(const std::vector<SendPlanner::View> &excluded,
-                                                 SteadyTime now)
+                                                 const ClockTimes &now)
 {
-    if (now >= m_deadline)
+    if (now.steady >= m_deadline)
         return nullptr;
     auto view = m_planner.pick(placed(), excluded, now);
     if (!view || !m_needsRetryBudget)
         return view;
-    if (!m_context.retryBudgets.take(m_service, now)) {
+    if (!m_context.retryBudgets.take(m_service, now.steady)) {
         m_lastReason = "retry_budget";
         return nullptr;
     }
@@ -80,14 +81,14 @@
     return view;
 }
 
-bool ForwardedRequest::secureReplacement(SteadyTime now)
+bool ForwardedRequest::secureReplacement(const ClockTimes &now)
 {
     const bool isFirst = !m_silenceRecorded;
-    recordSilence(m_exchange->endpoint().health(), now);
+    recordSilence(m_exchange->endpoint().health(), now.steady);
     const bool mayHaveRunBefore = std::exchange(m_mayHaveRun, true);
     m_needsRetryBudget = true;
     const bool mayContinue = m_continuity.canResume() && hasAttemptsLeft();
-    if (mayContinue && !m_context.partBreakers.findOpen(m_parts, now))
+    if (mayContinue && !m_context.partBreakers.findOpen(m_parts, now.steady))
         m_replacement = takeEndpoint(m_triedEndpoints, now);
     if (!m_replacement)
         m_mayHaveRun = mayHaveRunBefore;
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/storeretention.h"
+#include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/route/routingtable.h"
 
@@ -120,6 +121,34 @@
     return scope;
 }
 
+/// Whether an endpoint in a state takes another request besides `openRequests`.
+struct Admission
+{
+    std::uint32_t openRequests;
+
+    bool operator()(const Available &) const { return true; }
+    bool operator()(const Resuming &state) const { return openRequests < state.maxOpenRequests; }
+    bool operator()(const Paused &) const { return false; }
+    bool operator()(const Leaving &) const { return false; }
+};
+
+/// When an endpoint in a state that withholds requests takes more.
+struct ReturnTime
+{
+    using Result = std::optional<SteadyTime>;
+
+    Result operator()(const Available &) const { return std::nullopt; }
+    Result operator()(const Resuming &state) const { return state.nextStepAt; }
+    Result operator()(const Paused &state) const { return state.until; }
+    Result operator()(const Leaving &) const { return std::nullopt; }
+};
+
+bool admits(EndpointView &view, std::uint32_t openRequests, SteadyTime bootNow)
+{
+    view.availability().recordOpenRequests(openRequests, bootNow);
+    return std::visit(Admission{openRequests}, view.availability().stateAt(bootNow));
+}
+
 } // namespace
 
 EndpointLoad SendPlanner::expectedPeerLoadChange(const EndpointLoad &now,
@@ -176,18 +205,16 @@
 }
 
 SendPlanner::View SendPlanner::pick(const RoutedRequest &placed, const std::vector<View> &tried,
-                                    SteadyTime now) const
+                                    const ClockTimes &now) const
 {
+    const Selection selection = select(placed, tried, now);
+    for (const View &view : selection.withheld)
+        view->availability().recordWithheld();
+    const std::vector<View> &views = selection.selectable;
     std::vector<EndpointCandidate> candidates;
-    std::vector<View> views;
     std::vector<VersionedParts> known;
-    for (const View &view : m_context.endpoints.ofService(placed.service)) {
-        const bool wasTried = std::find(tried.begin(), tried.end(), view) != tried.end();
-        if (wasTried || !isUsable(placed, *view, now))
-            continue;
-        candidates.push_back(makeCandidate(placed, *view, known, now));
-        views.push_back(view);
-    }
+    for (const View &view : views)
+        candidates.push_back(makeCandidate(placed, *view, known, now.steady));
     PlacementRule rule = LeastExpectedTime{hash64(placed.request.id)};
     if (placed.request.prompt)
         rule = promptRule(placed);
@@ -195,6 +222,71 @@
     return chosen ? views[*chosen] : nullptr;
 }
 
+SendPlanner::Selection SendPlanner::select(const RoutedRequest &placed,
+                                           const std::vector<View> &tried,
+                                           const ClockTimes &now) const
+{
+    Selection selection;
+    std::vector<View> lastResort;
+    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+        const bool wasTried = std::find(tried.begin(), tried.end(), view) != tried.end();
+        if (wasTried || !isUsable(placed, *view, now.steady))
+            continue;
+        if (admits(*view, view->openRequests(), now.boot))
+            selection.selectable.push_back(view);
+        else if (isLastResort(*view, now))
+            lastResort.push_back(view);
+        else
+            selection.withheld.push_back(view);
+    }
+    if (selection.selectable.empty())
+        selection.selectable = std::move(lastResort);
+    else
+        selection.withheld.insert(selection.withheld.end(), lastResort.begin(), lastResort.end());
+    return selection;
+}
+
+bool SendPlanner::isLastResort(const EndpointView &view, const ClockTimes &now) const
+{
+    const Availability state = view.availability().stateAt(now.boot);
+    const auto *leaving = std::get_if<Leaving>(&state);
+    return leaving && now.boot < leaving->since + m_context.settings.drainDeadline;
+}
+
+bool SendPlanner::maySend(const RoutedRequest &placed, EndpointView &view,
+                          const std::vector<View> &tried, const ClockTimes &now) const
+{
+    if (!view.takesRequests())
+        return false;
+    const bool isAllowed = admits(view, view.openRequests() - 1, now.boot)
+                           || (isLastResort(view, now) && !canPick(placed, tried, now));
+    if (!isAllowed)
+        view.availability().recordWithheld();
+    return isAllowed;
+}
+
+bool SendPlanner::canPick(const RoutedRequest &placed, const std::vector<View> &tried,
+                          const ClockTimes &now) const
+{
+    return !select(placed, tried, now).selectable.empty();
+}
+
+std::optional<SteadyTime> SendPlanner::earliestReturn(const RoutedRequest &placed,
+                                                      const ClockTimes &now) const
+{
+    std::optional<SteadyTime> earliest;
+    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+        if (!isUsable(placed, *view, now.steady))
+            continue;
+        if (admits(*view, view->openRequests(), now.boot))
+            return std::nullopt;
+        const auto returnsAt = std::visit(ReturnTime(), view->availability().stateAt(now.boot));
+        if (returnsAt && !view->availability().isLeaving())
+            earliest = std::min(earliest.value_or(*returnsAt), *returnsAt);
+    }
+    return earliest;
+}
+
 bool SendPlanner::isUsable(const RoutedRequest &placed, const EndpointView &view,
                            SteadyTime now) const
 {
