--- a/tests/failure-malformedmessages.cpp
+++ b/tests/failure-malformedmessages.cpp
@@ -11,6 +11,7 @@
 #include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/supervisedtask.h"
+#include "almondmill/peers/partevidencemessage.h"
 #include "almondmill/peers/peermessage.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -200,6 +201,8 @@
           std::string("\x81"), std::string(1400, '\x81'), std::string(1400, '\xff'), std::string(),
           encoded(cbor({3})), encoded(cbor({3, "x", -1, "y"})), encoded(cbor({101, 5})),
           encoded(cbor({201, "a", 1, true, 1})), encoded(cbor({201, 1, 2, true, 4096})),
+          encoded(cbor({301, "x", 1, 1, cbor({cbor({-1, cbor({5})})})})), encoded(cbor({301, 7})),
+          encoded(cbor({301, "", 0, 0, cbor({cbor({9, cbor({7, -5, 1})})})})),
           encoded(cbor({101, "x", 1, 1, 0, cbor({cbor({"m", 9, -5})}), json::array(), "z"}))})
         sendDatagram(host + ":8103", bytes);
     PeerMessage message;
@@ -212,6 +215,27 @@
     EXPECT_FALSE(router.hasEnded());
 }
 
+// Issue 24: no router sees enough of the crashes. One that hears of them tells the others.
+TEST(PartEvidenceMessage, OpensThePartAtAllRouters)
+{
+    StoreThread store;
+    store.put("config", "main", smallConfiguration(1));
+    const std::string host = nextLoopbackAddress();
+    RouterThread first(settingsFor(store.address(), host));
+    ForwarderSettings settings = settingsFor(store.address(), nextLoopbackAddress());
+    settings.name = "router-2";
+    RouterThread second(settings);
+    ASSERT_TRUE(waitUntil([&] { return first.peers() == 1 && second.peers() == 1; }, seconds(8)));
+    const SteadyTime now = std::chrono::steady_clock::now();
+    PartEvidenceMessage message;
+    message.evidence = {{7, {{1, now - seconds(3)}, {2, now - seconds(2)}, {3, now - seconds(1)}}}};
+    sendDatagram(host + ":8103", encodePartEvidence(message, now));
+    const auto isOpen = [](RouterThread &router) {
+        return router.dumped("/open_parts/0/part") == 7;
+    };
+    EXPECT_TRUE(waitUntil([&] { return isOpen(first) && isOpen(second); }, seconds(3)));
+}
+
 TEST(MalformedMessages, LoadsThatAreNoCountsAreRejected)
 {
     for (const json &value :
