--- a/tests/failure-crashingparts.cpp
+++ b/tests/failure-crashingparts.cpp
@@ -37,9 +37,9 @@
 class CrashingEngines
 {
 public:
-    CrashingEngines(ForwardingHarness &harness, const std::string &service, int count)
+    CrashingEngines(ForwardingHarness &harness, const std::string &service, std::size_t count)
     {
-        for (int index = 0; index < count; ++index) {
+        for (std::size_t index = 0; index < count; ++index) {
             m_engines.emplace_back([this, index](int socket, const std::string &call, unsigned) {
                 if (!hasPart(call, "dead")) {
                     RawEndpoint::write(socket, stream(call));
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -96,11 +96,11 @@
 TEST(PartBreakers, OneRouterTestsAHalfOpenPartWithOneRequest)
 {
     std::deque<Router> routers;
-    for (int index = 0; index < 14; ++index)
+    for (std::size_t index = 0; index < 14; ++index)
         routers.emplace_back("router-" + std::to_string(index));
     SteadyTime last;
-    for (int index = 0; index < 14; ++index) {
-        for (int other = 0; other < 14; ++other) {
+    for (std::size_t index = 0; index < 14; ++index) {
+        for (std::size_t other = 0; other < 14; ++other) {
             if (other != index)
                 routers[index].breakers.addRouter("router-" + std::to_string(other));
         }
@@ -199,9 +199,9 @@
 
 RC_GTEST_PROP(PartBreakers, RoutersThatExchangeEvidenceAgree, ())
 {
-    constexpr int Routers = 4;
+    constexpr std::size_t Routers = 4;
     std::deque<Router> routers;
-    for (int index = 0; index < Routers; ++index)
+    for (std::size_t index = 0; index < Routers; ++index)
         routers.emplace_back("router");
     std::vector<std::vector<PartEvidence>> sent;
     SteadyTime now = Start;
@@ -209,7 +209,7 @@
     const int steps = *rc::gen::inRange(1, 60);
     for (int step = 0; step < steps; ++step) {
         now += milliseconds(*rc::gen::inRange(1, 800));
-        PartBreakers &breakers = routers[*rc::gen::inRange(0, Routers)].breakers;
+        PartBreakers &breakers = routers[*rc::gen::inRange<std::size_t>(0, Routers)].breakers;
         const PartBreakers::Parts parts{*rc::gen::inRange<PartHash>(1, 5)};
         switch (*rc::gen::inRange(0, 4)) {
         case 0:
