--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -213,6 +213,7 @@
     const std::vector<View> &views = selection.selectable;
     std::vector<EndpointCandidate> candidates;
     std::vector<VersionedParts> known;
+    candidates.reserve(views.size());
     for (const View &view : views)
         candidates.push_back(makeCandidate(placed, *view, known, now.steady));
     PlacementRule rule = LeastExpectedTime{hash64(placed.request.id)};
