--- a/tests/support/rawendpoint.cpp
+++ b/tests/support/rawendpoint.cpp
@@ -101,7 +101,7 @@
 void RawEndpoint::reset(int socket)
 {
     const sockaddr none{AF_UNSPEC, {}};
-    connect(socket, &none, sizeof none);
+    (void)connect(socket, &none, sizeof none);
 }
 
 void RawEndpoint::waitForBytes(int socket)
