--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -2,6 +2,7 @@
 
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/kernel/time.h"
+#include "almondmill/peers/peerdiscovery.h"
 #include "almondmill/peers/peermessage.h"
 #include "almondmill/peers/storeupdate.h"
 
@@ -22,6 +23,7 @@
 struct ForwardingContext;
 struct BroadcastPlacement;
 struct PartEvidenceMessage;
+struct RegisteredPeer;
 
 /// Exchanges state with the other routers over UDP. Routers discover each other through the
 /// platform's store: each registers its address there and lists the others' once. A router whose
@@ -62,12 +64,8 @@
         std::uint64_t sequence = 0;
     };
 
-    boost::asio::awaitable<void> discoverPeers();
-    /// Adds the routers that are registered in the store. Returns false when it gave no answer.
-    boost::asio::awaitable<bool> listPeers();
-    boost::asio::awaitable<void> registerUntilAnswered();
-    boost::asio::awaitable<void> listPeersUntilAnswered();
-    boost::asio::awaitable<bool> registerSelf();
+    /// Adds the routers that are registered in the store; announces this one when any is new.
+    void addPeers(const std::vector<RegisteredPeer> &peers);
     boost::asio::awaitable<void> receive();
     boost::asio::awaitable<void> sendState();
     boost::asio::awaitable<void> forwardPlacements();
@@ -95,7 +93,7 @@
     PeerMessage describeState(SteadyTime now);
 
     ForwardingContext &m_context;
-    AsyncStore &m_store;
+    PeerDiscovery m_discovery;
     MessageHandler m_onMessage;
     StoreUpdateHandler m_onStoreUpdate;
     PlacementHandler m_onPlacement;
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -3,20 +3,17 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/peerloads.h"
-#include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/supervisedtask.h"
-#include "almondmill/kernel/error.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/broadcasttree.h"
+#include "almondmill/peers/datagramaddress.h"
 #include "almondmill/peers/partevidencemessage.h"
 #include "almondmill/peers/partlookupmessages.h"
 #include "almondmill/peers/placementbroadcastqueue.h"
-#include "almondmill/store/asyncstore.h"
-
-#include <nlohmann/json.hpp>
+#include "almondmill/peers/registeredpeer.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -65,52 +62,13 @@
 /// Datagrams up to this size are not fragmented on an Ethernet link.
 constexpr std::size_t MaxDatagramBytes = 1400;
 
-constexpr milliseconds StoreTimeout{1000};
-
-/// Delay before a failed store call is retried.
-constexpr milliseconds RetryDelay{1500};
-
-/// Delay after its own registration before a router lists the other routers, so that the list
-/// includes most of the routers that start at the same time.
-constexpr milliseconds RegistrationWindow{1500};
-
-/// Delay until they are listed once more: the first list may be stale by seconds, and lacks routers
-/// that started later and whose datagrams were lost.
-constexpr milliseconds SecondListDelay{4000};
-
-asio::ip::udp::endpoint parseDatagramAddress(const std::string &text)
-{
-    const auto address = parseSocketAddress(text);
-    return {address.address(), address.port()};
-}
-
-/// The entry that a router stores of itself.
-std::string entryOf(const std::string &address)
-{
-    return nlohmann::json{{"address", address}}.dump();
-}
-
-/// Address in a router's stored entry; logs an event and returns nothing when it is malformed.
-std::optional<asio::ip::udp::endpoint> registeredAddress(const StoredObject &object)
-{
-    try {
-        const auto entry = nlohmann::json::parse(object.value);
-        return parseDatagramAddress(entry.at("address").get<std::string>());
-    } catch (const std::exception &error) {
-        EventLine("peer.entry_unreadable")
-                .add("name", object.name)
-                .add("revision", object.version)
-                .add("reason", error.what());
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 PeerExchange::PeerExchange(ForwardingContext &context, AsyncStore &store, MessageHandler onMessage,
                            StoreUpdateHandler onStoreUpdate, PlacementHandler onPlacement)
     : m_context(context)
-    , m_store(store)
+    , m_discovery(context, store,
+                  [this](const std::vector<RegisteredPeer> &peers) { addPeers(peers); })
     , m_onMessage(std::move(onMessage))
     , m_onStoreUpdate(std::move(onStoreUpdate))
     , m_onPlacement(std::move(onPlacement))
@@ -130,7 +88,7 @@
             m_context.settings.name,
             [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); });
     m_context.partBreakers.start([this] { publishEvidenceSoon(); });
-    startSupervised(m_context.loop, "peers.discover", [this] { return discoverPeers(); });
+    startSupervised(m_context.loop, "peers.discover", [this] { return m_discovery.run(); });
     startSupervised(m_context.loop, "peers.receive", [this] { return receive(); });
     startSupervised(m_context.loop, "peers.state", [this] { return sendState(); });
     startSupervised(m_context.loop, "peers.placements", [this] { return forwardPlacements(); });
@@ -173,71 +131,14 @@
     publish(std::nullopt);
 }
 
-asio::awaitable<void> PeerExchange::discoverPeers()
-{
-    co_await registerUntilAnswered();
-    co_await sleepFor(m_context.loop, RegistrationWindow);
-    co_await listPeersUntilAnswered();
-    co_await sleepFor(m_context.loop, SecondListDelay);
-    co_await listPeersUntilAnswered();
-}
-
-// The loops below keep `co_await` out of their conditions: with it there, programs built with GCC
-// 12 crashed, for a cause that is not known.
-asio::awaitable<void> PeerExchange::registerUntilAnswered()
-{
-    for (;;) {
-        const bool isRegistered = co_await registerSelf();
-        if (isRegistered)
-            co_return;
-        co_await sleepFor(m_context.loop, RetryDelay);
-    }
-}
-
-asio::awaitable<void> PeerExchange::listPeersUntilAnswered()
-{
-    for (;;) {
-        const bool isListed = co_await listPeers();
-        if (isListed)
-            co_return;
-        co_await sleepFor(m_context.loop, RetryDelay);
-    }
-}
-
-asio::awaitable<bool> PeerExchange::listPeers()
+void PeerExchange::addPeers(const std::vector<RegisteredPeer> &peers)
 {
-    const auto result = co_await m_store.list(ObjectKind::Routers, Freshness::MayBeStale,
-                                              std::chrono::steady_clock::now() + StoreTimeout);
-    const auto *list = std::get_if<ObjectList>(&result);
-    if (!list)
-        co_return false;
     const std::size_t before = m_peers.size();
-    for (const StoredObject &object : list->objects) {
-        if (const auto address = registeredAddress(object))
-            addPeer(object.name, *address);
-    }
+    for (const RegisteredPeer &peer : peers)
+        addPeer(peer.name, peer.address);
     EventLine("peers.found").add("routers", m_peers.size()).add("before", before);
     if (m_peers.size() > before)
         announce();
-    co_return true;
-}
-
-asio::awaitable<bool> PeerExchange::registerSelf()
-{
-    const std::string value = entryOf(m_context.settings.peersListen);
-    const auto deadline = [] { return std::chrono::steady_clock::now() + StoreTimeout; };
-    const auto created = co_await m_store.create(ObjectKind::Routers, m_context.settings.name,
-                                                 value, deadline());
-    if (std::holds_alternative<Applied>(created))
-        co_return true;
-    const auto *conflict = std::get_if<Conflict>(&created);
-    if (!conflict || !conflict->current)
-        co_return false;
-    if (conflict->current->value == value)
-        co_return true;
-    const auto updated = co_await m_store.update(ObjectKind::Routers, m_context.settings.name,
-                                                 value, conflict->current->version, deadline());
-    co_return std::holds_alternative<Applied>(updated);
 }
 
 asio::awaitable<void> PeerExchange::receive()
