One function decodes the messages between routers

Cause: the check of the layout and the handling of malformed fields stood in six decoders, alike but for the message. Ruled out: a change of behaviour; each decoder returns nothing for the same bytes as before. Change: decodeMessage has both; each decoder names its layout and reads its fields.

--- a/src/peers/partevidencemessage.cpp
+++ b/src/peers/partevidencemessage.cpp
@@ -1,6 +1,6 @@
 #include "almondmill/peers/partevidencemessage.h"
 
-#include "peerfields.h"
+#include "decodemessage.h"
 
 #include <nlohmann/json.hpp>
 
@@ -74,11 +74,7 @@
 
 std::optional<PartEvidenceMessage> decodePartEvidence(std::string_view bytes, SteadyTime now)
 {
-    const auto decoded = decodeLayout(bytes, LayoutVersion);
-    if (!decoded)
-        return std::nullopt;
-    const json &fields = *decoded;
-    try {
+    return decodeMessage(bytes, LayoutVersion, [now](const json &fields) {
         PartEvidenceMessage message;
         message.origin = fields.at(1).get<std::string>();
         message.incarnation = fields.at(2).get<std::uint64_t>();
@@ -86,9 +82,7 @@
         for (const json &part : fields.at(4))
             message.evidence.push_back(decodeEvidence(part, now));
         return message;
-    } catch (const json::exception &) {
-        return std::nullopt; // The receiver counts unreadable messages.
-    }
+    });
 }
 
 } // namespace almondmill
--- a/src/peers/partlookupmessages.cpp
+++ b/src/peers/partlookupmessages.cpp
@@ -1,6 +1,6 @@
 #include "almondmill/peers/partlookupmessages.h"
 
-#include "peerfields.h"
+#include "decodemessage.h"
 
 #include <nlohmann/json.hpp>
 
@@ -92,31 +92,19 @@
 
 std::optional<PartLookupRequest> decodePartLookupRequest(std::string_view bytes)
 {
-    const auto decoded = decodeLayout(bytes, RequestLayoutVersion);
-    if (!decoded)
-        return std::nullopt;
-    const json &fields = *decoded;
-    try {
+    return decodeMessage(bytes, RequestLayoutVersion, [](const json &fields) {
         return PartLookupRequest{fields.at(1).get<std::uint32_t>(), fields.at(2).get<PartKey>()};
-    } catch (const json::exception &) {
-        return std::nullopt; // The receiver counts unreadable messages.
-    }
+    });
 }
 
 std::optional<PartLookupReply> decodePartLookupReply(std::string_view bytes, SteadyTime now)
 {
-    const auto decoded = decodeLayout(bytes, ReplyLayoutVersion);
-    if (!decoded)
-        return std::nullopt;
-    const json &fields = *decoded;
-    try {
+    return decodeMessage(bytes, ReplyLayoutVersion, [now](const json &fields) {
         PartLookupReply reply{fields.at(1).get<std::uint32_t>(), fields.at(2).get<PartKey>(), {}};
         if (!fields.at(3).is_null())
             reply.location = decodeLocation(fields.at(3), now);
         return reply;
-    } catch (const json::exception &) {
-        return std::nullopt; // The receiver counts unreadable messages.
-    }
+    });
 }
 
 } // namespace almondmill
--- a/src/peers/peermessage.cpp
+++ b/src/peers/peermessage.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/peers/peermessage.h"
 
+#include "decodemessage.h"
 #include "peerfields.h"
 
 #include <nlohmann/json.hpp>
@@ -92,15 +93,7 @@
 
 std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
 {
-    const auto decoded = decodeLayout(bytes, LayoutVersion);
-    if (!decoded)
-        return std::nullopt;
-    const json &fields = *decoded;
-    try {
-        return decodeFields(fields);
-    } catch (const json::exception &) {
-        return std::nullopt; // The receiver counts unreadable messages.
-    }
+    return decodeMessage(bytes, LayoutVersion, decodeFields);
 }
 
 } // namespace almondmill
--- a/src/peers/placementbroadcastqueue.cpp
+++ b/src/peers/placementbroadcastqueue.cpp
@@ -1,6 +1,6 @@
 #include "almondmill/peers/placementbroadcastqueue.h"
 
-#include "peerfields.h"
+#include "decodemessage.h"
 
 #include <nlohmann/json.hpp>
 
@@ -92,20 +92,14 @@
 
 std::optional<std::vector<BroadcastPlacement>> decodePlacements(std::string_view bytes)
 {
-    const auto decoded = decodeLayout(bytes, LayoutVersion);
-    if (!decoded)
-        return std::nullopt;
-    const json &fields = *decoded;
-    std::vector<BroadcastPlacement> placements;
-    try {
+    return decodeMessage(bytes, LayoutVersion, [](const json &fields) {
+        std::vector<BroadcastPlacement> placements;
         for (std::size_t at = 1; at + FieldsPerPlacement <= fields.size(); at += FieldsPerPlacement)
             placements.push_back({{fields[at].get<PartKey>(), fields[at + 1].get<std::uint32_t>(),
                                    fields[at + 2].get<bool>()},
                                   fields[at + 3].get<std::uint32_t>()});
-    } catch (const json::exception &) {
-        return std::nullopt; // The caller counts unreadable messages.
-    }
-    return placements;
+        return placements;
+    });
 }
 
 } // namespace almondmill
--- a/src/peers/storeupdate.cpp
+++ b/src/peers/storeupdate.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/peers/storeupdate.h"
 
+#include "decodemessage.h"
 #include "peerfields.h"
 
 #include <nlohmann/json.hpp>
@@ -82,11 +83,7 @@
 
 std::optional<StoreUpdate> decodeStoreUpdate(std::string_view bytes)
 {
-    const auto decoded = decodeLayout(bytes, LayoutVersion);
-    if (!decoded)
-        return std::nullopt;
-    const json &fields = *decoded;
-    try {
+    return decodeMessage(bytes, LayoutVersion, [](const json &fields) {
         StoreUpdate update;
         update.origin = fields.at(1).get<std::string>();
         update.incarnation = fields.at(2).get<std::uint64_t>();
@@ -96,9 +93,7 @@
         update.loading = decodeLoading(fields.at(6));
         update.registrations = decodeRegistrations(fields.at(7));
         return update;
-    } catch (const json::exception &) {
-        return std::nullopt; // The receiver counts unreadable messages.
-    }
+    });
 }
 
 } // namespace almondmill
