What operators read of a router in a file of its own

Ruled out: a change of behaviour; metrics and the dump hold the same. Change: operatorview.cpp holds metrics, the dump and their parts, with the present time as an argument; the test of the dump passes it.

--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -23,6 +23,7 @@
 
 class AsyncStore;
 class EndpointView;
+struct ClockTimes;
 
 /// A forwarding router process. Runs on one event loop, except for the roll-out leader's thread.
 class ForwardingRouter
@@ -38,7 +39,7 @@
     void run();
 
     /// The router's state as JSON text. Must be called on the event loop.
-    std::string dump() const;
+    std::string dump(const ClockTimes &now) const;
 
 private:
     void registerGauges();
@@ -50,7 +51,10 @@
     static void maintainEndpoint(EndpointView &view, SteadyTime now);
     StatusServer::Reply readinessReply(const std::string &path) const;
     StatusServer::Reply operatorsReply(const std::string &path) const;
-    nlohmann::json describeConfiguration() const;
+    nlohmann::json describeConfiguration(SteadyTime now) const;
+    nlohmann::json describeEndpoints(SteadyTime bootNow) const;
+    nlohmann::json describeWeights() const;
+    nlohmann::json describeOpenParts(SteadyTime now) const;
     void applyPeerMessage(const PeerMessage &message);
     boost::asio::awaitable<void> awaitTermination();
     boost::asio::awaitable<void> awaitReloads();
--- a/tests/failure-malformedmessages.cpp
+++ b/tests/failure-malformedmessages.cpp
@@ -11,6 +11,7 @@
 #include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/supervisedtask.h"
+#include "almondmill/kernel/clocktimes.h"
 #include "almondmill/peers/partevidencemessage.h"
 #include "almondmill/peers/peermessage.h"
 
@@ -120,7 +121,8 @@
     {
         std::promise<json> value;
         boost::asio::post(m_loop, [&] {
-            value.set_value(json::parse(m_router.dump()).value(json::json_pointer(where), json()));
+            value.set_value(json::parse(m_router.dump(ClockTimes::now()))
+                                    .value(json::json_pointer(where), json()));
         });
         return value.get_future().get();
     }
