State in a test endpoint's answers that its connection closes

The endpoint of the test closes its connection after each answer without having said so. The router kept the connection, and the second request, which had arrived already, was sent on it before the close arrived. A stream that isn't resumable must not be sent again after that, so the router is right.

Elsewhere in the tests such endpoints say it already, serve one request only, or are waited for until they have closed; no other one was seen to fail.

--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -24,11 +24,12 @@
 /// Longer than the pause after which another endpoint is looked for.
 constexpr milliseconds Silence{900};
 
+/// Says that the connection closes, because RawEndpoint closes it after each answer.
 std::string streamHead(const std::string &call)
 {
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(call, "Request-Id")
            + "\r\nServer-Signature: s1\r\nContent-Type: text/event-stream\r\n"
-             "Transfer-Encoding: chunked\r\n\r\n";
+             "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
 std::string eventChunk(int id)
