Answer a HEAD request that fails inside the router with a head only

What callers saw: a request for HEAD whose handling ended with an exception got a 502 with a body. The caller takes the body's bytes for the begin of its next answer, so that the connection is out of step. The answers that the router gives itself now go through CallerSession::sendOwnAnswer, which leaves the body out for HEAD; before, only the refusals of ForwardedRequest did.

LostAnswers.AHeadRequestThatFailsInsideTheRouterLeavesTheConnectionInOrder failed before: "internal_error" stood between the first head and the 404 of the second request.

--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -7,8 +7,10 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,6 +39,11 @@
     /// them in time.
     Awaitable<bool> send(std::string_view bytes);
 
+    /// Sends an answer of the router itself; only its head when the request asks for the head.
+    Awaitable<bool> sendOwnAnswer(const CallerRequest &request, unsigned status,
+                                  std::optional<std::chrono::milliseconds> retryAfter,
+                                  std::string_view text);
+
     /// Whether the connection closes after the current answer, for the head that is about to be
     /// sent. The session then does what the head says, also when a planned stop begins meanwhile.
     bool closesAfterAnswer();
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -16,6 +16,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
 constexpr unsigned BadRequest = 400;
 constexpr unsigned BodyTooLarge = 413;
 constexpr unsigned HeaderTooLarge = 431;
@@ -104,8 +106,19 @@
             .add("sent", std::uint64_t(m_answerBytes));
     if (m_answerBytes != 0 || m_disconnected || m_sendFailed)
         co_return false;
-    co_return co_await send(m_context.adapter->codec().encodeOwnAnswer(
-            BadGateway, request.id, std::nullopt, "internal_error", closesAfterAnswer()));
+    co_return co_await sendOwnAnswer(request, BadGateway, std::nullopt, "internal_error");
+}
+
+CallerSession::Awaitable<bool> CallerSession::sendOwnAnswer(const CallerRequest &request,
+                                                            unsigned status,
+                                                            std::optional<milliseconds> retryAfter,
+                                                            std::string_view text)
+{
+    std::string answer = m_context.adapter->codec().encodeOwnAnswer(status, request.id, retryAfter,
+                                                                    text, closesAfterAnswer());
+    if (request.method == "HEAD")
+        answer.resize(answer.find(HeadEnd) + HeadEnd.size());
+    co_return co_await send(answer);
 }
 
 CallerSession::Awaitable<bool> CallerSession::send(std::string_view bytes)
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -24,8 +24,6 @@
 constexpr unsigned ServiceUnavailable = 503;
 constexpr unsigned GatewayTimeout = 504;
 
-constexpr std::string_view HeadEnd = "\r\n\r\n";
-
 /// Retry-After when no endpoint could take the request.
 constexpr milliseconds RetryAfterNoCapacity{300};
 
@@ -80,12 +78,8 @@
         retryAfter = timeToRetryAfter(ClockTimes::now());
     if (refusal.status == ServiceUnavailable && m_openPart)
         retryAfter = m_openPart->retryAfter;
-    std::string text = m_context.adapter->codec().encodeOwnAnswer(refusal.status, m_request.id,
-                                                                  retryAfter, refusal.reason,
-                                                                  m_session.closesAfterAnswer());
-    if (m_request.method == "HEAD")
-        text.resize(text.find(HeadEnd) + HeadEnd.size());
-    co_return co_await m_session.send(text);
+    co_return co_await m_session.sendOwnAnswer(m_request, refusal.status, retryAfter,
+                                               refusal.reason);
 }
 
 milliseconds ForwardedRequest::timeToRetryAfter(const ClockTimes &now) const
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -72,6 +72,26 @@
     });
 }
 
+constexpr const char *SharedPart =
+        "Model: m\r\nToken-Usage: 415,5\r\nPrompt-Prefix: a1:10,b2:400,c3:5\r\n";
+
+/// Makes the router one of so many that they ask each other for the locations of parts. Its
+/// datagrams can't be sent, except for the first `sent` ones.
+void breakLookups(ForwardingHarness &harness, unsigned sent = 0)
+{
+    constexpr unsigned Routers = 200;
+    harness.onLoop([=](ForwardingContext &context) {
+        context.partLookups.start("router-1",
+                                  [left = sent](const std::string &, std::string_view) mutable {
+                                      if (left == 0)
+                                          throw std::runtime_error("no memory");
+                                      --left;
+                                  });
+        for (unsigned router = 2; router <= Routers; ++router)
+            context.partLookups.addRouter("router-" + std::to_string(router));
+    });
+}
+
 void expectCompleteStream(const std::string &answer, std::size_t events)
 {
     EXPECT_TRUE(answer.ends_with(StreamEnd)) << answer;
@@ -170,24 +190,33 @@
 // Guards against a caller that gets nothing when serving its request ends with an exception.
 TEST(LostAnswers, ARequestThatFailsInsideTheRouterIsAnswered)
 {
-    constexpr unsigned Routers = 200; // So many ask each other for the locations of parts.
     ForwardingHarness harness;
     harness.configure(withShortLimits());
     harness.addEndpoint("e1", "resume", "127.0.0.1:9", 1);
-    harness.onLoop([](ForwardingContext &context) {
-        context.partLookups.start("router-1", [](const std::string &, std::string_view) {
-            throw std::runtime_error("no memory");
-        });
-        for (unsigned router = 2; router <= Routers; ++router)
-            context.partLookups.addRouter("router-" + std::to_string(router));
-    });
-    const std::string prompt =
-            "Model: m\r\nToken-Usage: 415,5\r\nPrompt-Prefix: a1:10,b2:400,c3:5\r\n";
-    const std::string answer = sendRequest(harness, requestText("POST", "/resume/x", prompt));
+    breakLookups(harness);
+    const std::string answer = sendRequest(harness, requestText("POST", "/resume/x", SharedPart));
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
     EXPECT_EQ(headerOf(answer, "Request-Id"), "r1");
 }
 
+// Guards against a body after the head of an answer to HEAD, which the caller takes for the next
+// answer, when serving the request ends with an exception.
+TEST(LostAnswers, AHeadRequestThatFailsInsideTheRouterLeavesTheConnectionInOrder)
+{
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", "127.0.0.1:9", 1);
+    breakLookups(harness);
+    const RawCaller caller(harness.url());
+    caller.send(std::string("HEAD /resume/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                            "Authorization: Bearer k1\r\n")
+                + SharedPart + "\r\n" + requestText("GET", "/nowhere"));
+    const std::string answers = caller.readToEnd();
+    EXPECT_TRUE(answers.starts_with("HTTP/1.1 502 ")) << answers;
+    const auto second = answers.find("\r\n\r\n") + 4;
+    EXPECT_TRUE(answers.substr(second).starts_with("HTTP/1.1 404 ")) << answers;
+}
+
 // Guards against the loss of a refusal that is sent while the request's body is still arriving.
 TEST(LostAnswers, ARefusalWhileTheBodyArrivesReachesTheCaller)
 {
