Keep the deadline of a connection when its stall check throws

What callers saw: found by reading, no report. The check for a silent peer runs in the timer of the connection. When it threw, the timer was not armed again: neither the deadline nor another check came, so that a request to a silent endpoint, and an idle connection, had no end. The timer is now armed before the exception goes on, and the check runs again after a pause.

SilentConnection.EndsAtItsDeadlineAlsoWhenAStallCheckThrows and IsCheckedAgainAfterAStallCheckThatThrows failed before: the read had not ended after 2 s, and there was one check of two.

--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -87,6 +87,8 @@
     void recordError(const ErrorCode &error);
     void drainInput();
     void arm();
+    void armIfNeeded();
+    void runStallCheck(SteadyTime now);
     void onTimer();
     void close(CloseReason reason);
     void waitForClose(std::uint64_t generation);
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -23,6 +23,9 @@
 /// Buffer for data beyond `ReadBufferBytes`, shared by all connections of a thread.
 constexpr std::size_t DrainBufferBytes = 64U << 10U;
 
+/// Time after which a stall check that has failed runs again.
+constexpr std::chrono::milliseconds FailedCheckDelay{100};
+
 // TCP keep-alive. The kernel takes the times in whole seconds; these are the shortest useful ones.
 constexpr int KeepAliveIdleSeconds = 2;
 constexpr int KeepAliveIntervalSeconds = 1;
@@ -121,7 +124,23 @@
         return;
     }
     if (now >= m_stallCheckAt && m_stallCheck)
+        runStallCheck(now);
+    armIfNeeded();
+}
+
+void TimedSocket::runStallCheck(SteadyTime now)
+{
+    try {
         m_stallCheckAt = m_stallCheck();
+    } catch (...) {
+        m_stallCheckAt = now + FailedCheckDelay;
+        armIfNeeded();
+        throw;
+    }
+}
+
+void TimedSocket::armIfNeeded()
+{
     if (isOpen() && std::min(m_deadline, m_stallCheckAt) != SteadyTime::max())
         arm();
 }
