Release the load of an attempt that ends with an exception

What callers saw: found by reading, no report. An exception during an attempt left the endpoint's counts of open requests, held tokens and unread prompts raised for as long as the endpoint lives; it seems busy and gets less work. AttemptLoad counts them for as long as it exists.

The count of unread prompts is released in the same way; the test doesn't reach a point where it is raised.

--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -51,7 +51,7 @@
         const SteadyTime now = steadyNow();
         if (!exchange.body().empty())
             exchange.endpoint().health().recordActivity(now);
-        if (m_prefillTokens != 0 && !exchange.body().empty())
+        if (m_load->isPrefilling() && !exchange.body().empty())
             recordFirstByte(exchange, now);
         if (!co_await relayReceivedEvents(exchange))
             co_return AttemptOutcome::CallerDisconnected;
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -184,11 +184,9 @@
     EndpointExchange exchange(view, m_context.adapter->codec());
     exchange.onSilence([this] { return secureReplacement(ClockTimes::now()); });
     m_exchange = &exchange;
-    const std::uint64_t tokens = heldTokens();
-    view->requestOpened(tokens);
+    m_load.emplace(view, heldTokens());
     const AttemptOutcome outcome = co_await exchangeAnswer(exchange);
-    view->requestClosed(tokens);
-    endPrefill();
+    m_load.reset();
     exchange.finish(steadyNow());
     m_exchange = nullptr;
     if (outcome == AttemptOutcome::Answered && m_answerStartedAt)
@@ -229,10 +227,8 @@
     ++m_sendCount;
     m_context.requestMetrics.recordSend(m_sendCount > 1);
     logSend(parameters, view);
-    if (m_request.prompt) {
-        m_prefillTokens = m_request.prompt->promptTokens;
-        view.prefillStarted(m_prefillTokens);
-    }
+    if (m_request.prompt)
+        m_load->startPrefill(m_request.prompt->promptTokens);
     error = co_await exchange.send(m_request, parameters, m_deadline);
     if (error != ExchangeError::None)
         co_return handleExchangeError(error, exchange, steadyNow());
@@ -295,7 +291,7 @@
         m_lastReason = "endpoint_full";
         view.health().recordRefusal(now, FullEndpointBackoff);
     }
-    endPrefill();
+    m_load->endPrefill();
     // The body is read only so that the connection can be reused; an error doesn't matter, because
     // the head has already shown that the request did not run.
     (void)co_await exchange.readBody(attemptDeadline(ConnectTimeout, now));
@@ -378,18 +374,11 @@
 
 void ForwardedRequest::recordFirstByte(EndpointExchange &exchange, SteadyTime now)
 {
-    endPrefill();
+    m_load->endPrefill();
     exchange.endpoint().health().recordSuccess(
             std::chrono::duration_cast<milliseconds>(now - m_attemptStartedAt), now);
     if (m_firstByteAt == SteadyTime())
         m_firstByteAt = now;
 }
 
-void ForwardedRequest::endPrefill()
-{
-    if (m_exchange && m_prefillTokens != 0)
-        m_exchange->endpoint().prefillEnded(m_prefillTokens);
-    m_prefillTokens = 0;
-}
-
 } // namespace almondmill
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/forward/attemptload.h"
 #include "almondmill/forward/callerrequest.h"
 #include "almondmill/forward/endpointexchange.h"
 #include "almondmill/forward/partbreakers.h"
@@ -104,7 +105,6 @@
     SteadyTime attemptDeadline(std::chrono::milliseconds timeout, SteadyTime now) const;
     RoutedRequest placed() const;
     void recordFirstByte(EndpointExchange &exchange, SteadyTime now);
-    void endPrefill();
     /// Retry-After of a refusal: the earliest return of a paused endpoint if none is available.
     std::chrono::milliseconds timeToRetryAfter(const ClockTimes &now) const;
     void logSend(const AttemptParameters &send, const EndpointView &view) const;
@@ -132,7 +132,7 @@
     const char *m_lastReason = "no_endpoint";
     std::optional<EndpointFailure> m_failure;
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
-    std::uint64_t m_prefillTokens = 0; ///< Prompt tokens counted as unread at the current endpoint.
+    std::optional<AttemptLoad> m_load;      ///< Of the current attempt.
 
     PartBreakers::Parts m_parts; ///< Of the prompt, those that other requests may share.
     std::optional<PartBreakers::OpenPart> m_openPart;
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -5,6 +5,7 @@
 #include "support/forwardingharness.h"
 #include "support/rawendpoint.h"
 
+#include "almondmill/forward/endpointview.h"
 #include "almondmill/kernel/steadynow.h"
 
 #include <gtest/gtest.h>
@@ -217,6 +218,25 @@
     EXPECT_TRUE(answers.substr(second).starts_with("HTTP/1.1 404 ")) << answers;
 }
 
+// Guards against an endpoint that seems busy forever after a request to it ended with an exception.
+TEST(LostAnswers, ARequestThatFailsInsideTheRouterIsNoLongerCountedAtItsEndpoint)
+{
+    const RawEndpoint endpoint([](int, const std::string &, unsigned) {});
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", endpoint.address(), 1);
+    breakLookups(harness, 1); // The lookup is sent, the report of the placement isn't.
+    const std::string answer = sendRequest(harness, requestText("POST", "/resume/x", SharedPart));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+    EXPECT_TRUE(answer.ends_with("internal_error")) << answer;
+    harness.onLoop([](ForwardingContext &context) {
+        const EndpointLoad load = context.endpoints.find("e1")->load();
+        EXPECT_EQ(load.openRequests, 0);
+        EXPECT_EQ(load.heldTokens, 0);
+        EXPECT_EQ(load.pendingPrefillTokens, 0);
+    });
+}
+
 // Guards against the loss of a refusal that is sent while the request's body is still arriving.
 TEST(LostAnswers, ARefusalWhileTheBodyArrivesReachesTheCaller)
 {
