Leave no entry of a lookup whose question can't be sent

What callers saw: found by reading, no report. A sender that throws left an entry in PartLookups with a pointer to a timer that no longer exists; it stays for good, and a reply with its number would use the timer. The question is now sent before the entry is made. No guard object: coroutines may be destroyed with the event loop, after the lookups.

LostAnswers.ALookupThatCannotBeSentLeavesNothingBehind failed before with 1 entry.

--- a/include/almondmill/peers/partlookups.h
+++ b/include/almondmill/peers/partlookups.h
@@ -49,6 +49,9 @@
     /// Reports a placement made by this router to the part's owners.
     void report(const PartPlacement &placement);
 
+    /// Lookups that wait for an answer.
+    std::size_t pending() const { return m_waiting.size(); }
+
     /// This router's answer to another router's lookup.
     PartLookupReply answer(const PartLookupRequest &request) const;
 
--- a/src/peers/partlookups.cpp
+++ b/src/peers/partlookups.cpp
@@ -70,8 +70,10 @@
 {
     const std::uint32_t id = ++m_lastId;
     asio::steady_timer timer(m_loop, LookupTimeout);
-    m_waiting[id] = &timer;
+    // Before the entry is made, which an exception would leave behind. The reply comes through the
+    // event loop, so that it finds the entry.
     m_send(owner, encodePartLookup(PartLookupRequest{id, part}));
+    m_waiting[id] = &timer;
     boost::system::error_code ignored; // A reply ends the wait by cancelling the timer.
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     // A reply has removed the entry; one that arrives later finds none.
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -237,6 +237,19 @@
     });
 }
 
+// Guards against an entry of a lookup that outlives it when its question can't be sent; the reply
+// to a later lookup with the same number would use it.
+TEST(LostAnswers, ALookupThatCannotBeSentLeavesNothingBehind)
+{
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", "127.0.0.1:9", 1);
+    breakLookups(harness);
+    sendRequest(harness, requestText("POST", "/resume/x", SharedPart));
+    harness.onLoop(
+            [](ForwardingContext &context) { EXPECT_EQ(context.partLookups.pending(), 0U); });
+}
+
 // Guards against the loss of a refusal that is sent while the request's body is still arriving.
 TEST(LostAnswers, ARefusalWhileTheBodyArrivesReachesTheCaller)
 {
