Refuse requests late in a planned stop that might not be finished

From 3 s after the begin of a planned stop, when callers have had time to go to another router, a request whose deadline is later than the end of the process now gets a 503 with Retry-After; no endpoint has seen it. PlannedStop takes the place of the flag for draining and decides by the request's deadline and the present time. Requests that end in time, and those that come while the load balancer still sends callers, are served as before.

LateRequestOfAPlannedStop.IsRefusedWhenItMightNotBeFinished failed with the decision left out: 200, one call to the endpoint. Its neighbours guard against refusing too much.

--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -6,6 +6,7 @@
 #include "almondmill/forward/forwardingmetrics.h"
 #include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/partlocations.h"
+#include "almondmill/forward/plannedstop.h"
 #include "almondmill/forward/serviceretrybudgets.h"
 #include "almondmill/forward/weightstargets.h"
 #include "almondmill/kernel/rcucell.h"
@@ -18,6 +19,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace almondmill {
 
@@ -51,7 +53,8 @@
     ServiceRetryBudgets retryBudgets;
 
     /// Set on SIGTERM: the router is not ready, and connections close after the current answer.
-    bool draining = false;
+    std::optional<PlannedStop> plannedStop;
+    bool isDraining() const { return plannedStop.has_value(); }
 };
 
 } // namespace almondmill
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -84,7 +84,7 @@
         if (!isAnswered || m_closeAnnounced || m_closeRequested)
             break;
         // A request that comes later might not be finished before the process ends.
-        if (m_context.draining && !m_socket->hasInput())
+        if (m_context.isDraining() && !m_socket->hasInput())
             break;
     }
     m_socket->shutdownSending();
@@ -135,7 +135,7 @@
 
 bool CallerSession::closesAfterAnswer()
 {
-    m_closeAnnounced = m_closeRequested || m_context.draining;
+    m_closeAnnounced = m_closeRequested || m_context.isDraining();
     return m_closeAnnounced;
 }
 
@@ -176,7 +176,7 @@
             .add("id", m_requestId)
             .add("cause", cause)
             .add("sent", std::uint64_t(m_answerBytes))
-            .add("draining", m_context.draining);
+            .add("draining", m_context.isDraining());
 }
 
 CallerBounds CallerSession::bounds() const
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -118,6 +118,9 @@
     m_service = RoutingTable::serviceFor(*m_route, hash64(m_request.id));
     const auto timeout = std::min(m_route->timeout, m_request.timeLeft.value_or(m_route->timeout));
     m_deadline = m_startedAt + timeout;
+    const auto &stop = m_context.plannedStop;
+    if (stop && stop->mustRefuse(m_deadline, m_startedAt))
+        return Refusal{ServiceUnavailable, "stopping"};
     return std::nullopt;
 }
 
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -152,7 +152,7 @@
 {
     if (path != m_context.adapter->readyPath())
         return {NotFound, ""};
-    const bool isReady = m_context.table.snapshot() != nullptr && !m_context.draining;
+    const bool isReady = m_context.table.snapshot() != nullptr && !m_context.isDraining();
     return {isReady ? Ok : NotReady, ""};
 }
 
@@ -202,7 +202,7 @@
                              {"crashes", open.crashes},
                              {"retry_after_ms", open.retryAfter.count()}});
     const nlohmann::json state{{"name", m_context.settings.name},
-                               {"draining", m_context.draining},
+                               {"draining", m_context.isDraining()},
                                {"config_version", table ? table->version() : 0},
                                {"parts", {{"configuration", describeConfiguration()}}},
                                {"registrations_revision", m_context.directory.revision()},
@@ -255,7 +255,7 @@
 {
     const auto startedAt = std::chrono::steady_clock::now();
     const auto end = startedAt + m_context.settings.shutdownGrace - ExitMargin;
-    m_context.draining = true;
+    m_context.plannedStop.emplace(startedAt, end);
     m_leader.resign();
     m_peers.announce();
     co_await sleepFor(m_loop, BalancerRemovalDelay);
@@ -273,7 +273,7 @@
     for (;;) {
         co_await sleepFor(m_loop, RolloutCheckInterval);
         const bool needed = m_rollout.detectOutdatedEngines(std::chrono::steady_clock::now());
-        m_leader.update(needed && !m_context.draining,
+        m_leader.update(needed && !m_context.isDraining(),
                         m_context.peers.leaderCandidates(m_context.settings.name),
                         m_rollout.lastProgress());
     }
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -453,7 +453,7 @@
     message.sender = m_context.settings.name;
     message.incarnation = m_incarnation;
     message.sequence = ++m_sequence;
-    message.leaving = m_context.draining;
+    message.leaving = m_context.isDraining();
     const auto table = m_context.table.snapshot();
     message.configuration = table ? table->version() : 0;
     message.weights = describeWeights(now);
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <memory>
 #include <stdexcept>
 #include <thread>
 
@@ -312,4 +313,61 @@
     EXPECT_TRUE(answers.ends_with(StreamEnd)) << answers;
 }
 
+/// A connection that was opened before a planned stop and has an endpoint for each kind of request.
+class LateRequestOfAPlannedStop : public testing::Test
+{
+protected:
+    LateRequestOfAPlannedStop()
+    {
+        m_harness.configure(withShortLimits());
+        for (const char *route : {"once", "any", "stream", "resume"})
+            m_harness.addEndpoint(route, route, m_endpoint.address());
+        m_caller = std::make_unique<RawCaller>(m_harness.url());
+    }
+
+    /// Sends a request `ago` after a planned stop with 8 s of grace has begun.
+    std::string askAfter(milliseconds ago, const std::string &route, const std::string &headers)
+    {
+        m_harness.beginDraining(ago);
+        m_caller->send(requestText("POST", "/" + route + "/x", headers, "body"));
+        return m_caller->readToEnd();
+    }
+
+    unsigned calls() const { return m_endpoint.calls(); }
+
+private:
+    const RawEndpoint m_endpoint{[](int socket, const std::string &call, unsigned) {
+        const std::string type = "Content-Type: text/plain\r\nConnection: close\r\n";
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", "done", type));
+    }};
+    ForwardingHarness m_harness;
+    std::unique_ptr<RawCaller> m_caller;
+};
+
+// Guards against a request that is passed on so late in a planned stop that the end of the process
+// cuts it.
+TEST_F(LateRequestOfAPlannedStop, IsRefusedWhenItMightNotBeFinished)
+{
+    const std::string answer = askAfter(milliseconds(6000), "once", {});
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_FALSE(headerOf(answer, "Retry-After").empty()) << answer;
+    EXPECT_EQ(headerOf(answer, "Connection"), "close");
+    EXPECT_EQ(calls(), 0U);
+}
+
+// Guards against a refusal of a request whose deadline comes before the end of the process.
+TEST_F(LateRequestOfAPlannedStop, IsServedWhenItEndsBeforeTheProcess)
+{
+    const std::string answer = askAfter(milliseconds(6000), "stream", "Deadline-Ms: 1000\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
+// Guards against refusals at the beginning of a planned stop, while the load balancer still sends
+// callers to the router.
+TEST_F(LateRequestOfAPlannedStop, IsServedWhileCallersStillCome)
+{
+    const std::string answer = askAfter(milliseconds(2500), "resume", "Deadline-Ms: 20000\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
 } // namespace almondmill::test
--- a/tests/support/forwardingharness.cpp
+++ b/tests/support/forwardingharness.cpp
@@ -81,9 +81,12 @@
     onLoop([&](ForwardingContext &context) { context.directory.put(entry); });
 }
 
-void ForwardingHarness::beginDraining()
+void ForwardingHarness::beginDraining(std::chrono::milliseconds ago)
 {
-    onLoop([](ForwardingContext &context) { context.draining = true; });
+    onLoop([=](ForwardingContext &context) {
+        const auto startedAt = std::chrono::steady_clock::now() - ago;
+        context.plannedStop.emplace(startedAt, startedAt + context.settings.shutdownGrace);
+    });
 }
 
 void ForwardingHarness::stopListening(const std::function<void()> &meanwhile)
--- a/tests/support/forwardingharness.h
+++ b/tests/support/forwardingharness.h
@@ -36,8 +36,9 @@
     void addEndpoint(const std::string &id, const std::string &service, const std::string &address,
                      std::uint64_t weightsVersion = 0);
 
-    /// Begins a planned stop: answers close their connections from now on.
-    void beginDraining();
+    /// Begins a planned stop: answers close their connections from now on. Time limits are as if it
+    /// had begun `ago` before, of the whole grace period of a router.
+    void beginDraining(std::chrono::milliseconds ago = std::chrono::milliseconds(0));
 
     /// Closes the listening socket and the idle connections, as the end of a planned stop does.
     /// Before that, the event loop is kept busy while `meanwhile` runs.
