--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -16,6 +16,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
 constexpr unsigned BadRequest = 400;
 constexpr unsigned BodyTooLarge = 413;
 constexpr unsigned HeaderTooLarge = 431;
@@ -82,7 +84,7 @@
         if (!isAnswered || m_closeAnnounced || m_closeRequested)
             break;
         // A request that comes later might not be finished before the process ends.
-        if (m_context.draining && !m_socket->hasInput())
+        if (m_context.isDraining() && !m_socket->hasInput())
             break;
     }
     m_socket->shutdownSending();
@@ -104,8 +106,19 @@
             .add("sent", std::uint64_t(m_answerBytes));
     if (m_answerBytes != 0 || m_disconnected || m_sendFailed)
         co_return false;
-    co_return co_await send(m_context.adapter->codec().encodeOwnAnswer(
-            BadGateway, request.id, std::nullopt, "internal_error", closesAfterAnswer()));
+    co_return co_await sendOwnAnswer(request, BadGateway, std::nullopt, "internal_error");
+}
+
+CallerSession::Awaitable<bool> CallerSession::sendOwnAnswer(const CallerRequest &request,
+                                                            unsigned status,
+                                                            std::optional<milliseconds> retryAfter,
+                                                            std::string_view text)
+{
+    std::string answer = m_context.adapter->codec().encodeOwnAnswer(status, request.id, retryAfter,
+                                                                    text, closesAfterAnswer());
+    if (request.method == "HEAD")
+        answer.resize(answer.find(HeadEnd) + HeadEnd.size());
+    co_return co_await send(answer);
 }
 
 CallerSession::Awaitable<bool> CallerSession::send(std::string_view bytes)
@@ -122,7 +135,7 @@
 
 bool CallerSession::closesAfterAnswer()
 {
-    m_closeAnnounced = m_closeRequested || m_context.draining;
+    m_closeAnnounced = m_closeRequested || m_context.isDraining();
     return m_closeAnnounced;
 }
 
@@ -163,7 +176,7 @@
             .add("id", m_requestId)
             .add("cause", cause)
             .add("sent", std::uint64_t(m_answerBytes))
-            .add("draining", m_context.draining);
+            .add("draining", m_context.isDraining());
 }
 
 CallerBounds CallerSession::bounds() const
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -111,7 +111,7 @@
 {
     if (path != m_context.adapter->readyPath())
         return {NotFound, ""};
-    const bool isReady = m_context.table.snapshot() != nullptr && !m_context.draining;
+    const bool isReady = m_context.table.snapshot() != nullptr && !m_context.isDraining();
     return {isReady ? Ok : NotReady, ""};
 }
 
@@ -156,7 +156,7 @@
 {
     const auto startedAt = std::chrono::steady_clock::now();
     const auto end = startedAt + m_context.settings.shutdownGrace - ExitMargin;
-    m_context.draining = true;
+    m_context.plannedStop.emplace(startedAt, end);
     m_leader.resign();
     m_peers.announce();
     co_await sleepFor(m_loop, BalancerRemovalDelay);
@@ -174,7 +174,7 @@
     for (;;) {
         co_await sleepFor(m_loop, RolloutCheckInterval);
         const bool needed = m_rollout.detectOutdatedEngines(std::chrono::steady_clock::now());
-        m_leader.update(needed && !m_context.draining,
+        m_leader.update(needed && !m_context.isDraining(),
                         m_context.peers.leaderCandidates(m_context.settings.name),
                         m_rollout.lastProgress());
     }
--- a/src/forward/operatorview.cpp
+++ b/src/forward/operatorview.cpp
@@ -116,7 +116,7 @@
 {
     const auto table = m_context.table.snapshot();
     const nlohmann::json state{{"name", m_context.settings.name},
-                               {"draining", m_context.draining},
+                               {"draining", m_context.isDraining()},
                                {"config_version", table ? table->version() : 0},
                                {"parts", {{"configuration", describeConfiguration(now.steady)}}},
                                {"registrations_revision", m_context.directory.revision()},
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -5,11 +5,13 @@
 #include "support/forwardingharness.h"
 #include "support/rawendpoint.h"
 
+#include "almondmill/forward/endpointview.h"
 #include "almondmill/kernel/steadynow.h"
 
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <memory>
 #include <stdexcept>
 #include <thread>
 
@@ -24,11 +26,12 @@
 /// Longer than the pause after which another endpoint is looked for.
 constexpr milliseconds Silence{900};
 
+/// Says that the connection closes, because RawEndpoint closes it after each answer.
 std::string streamHead(const std::string &call)
 {
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(call, "Request-Id")
            + "\r\nServer-Signature: s1\r\nContent-Type: text/event-stream\r\n"
-             "Transfer-Encoding: chunked\r\n\r\n";
+             "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
 std::string eventChunk(int id)
@@ -71,6 +74,26 @@
     });
 }
 
+constexpr const char *SharedPart =
+        "Model: m\r\nToken-Usage: 415,5\r\nPrompt-Prefix: a1:10,b2:400,c3:5\r\n";
+
+/// Makes the router one of so many that they ask each other for the locations of parts. Its
+/// datagrams can't be sent, except for the first `sent` ones.
+void breakLookups(ForwardingHarness &harness, unsigned sent = 0)
+{
+    constexpr unsigned Routers = 200;
+    harness.onLoop([=](ForwardingContext &context) {
+        context.partLookups.start("router-1",
+                                  [left = sent](const std::string &, std::string_view) mutable {
+                                      if (left == 0)
+                                          throw std::runtime_error("no memory");
+                                      --left;
+                                  });
+        for (unsigned router = 2; router <= Routers; ++router)
+            context.partLookups.addRouter("router-" + std::to_string(router));
+    });
+}
+
 void expectCompleteStream(const std::string &answer, std::size_t events)
 {
     EXPECT_TRUE(answer.ends_with(StreamEnd)) << answer;
@@ -169,24 +192,65 @@
 // Guards against a caller that gets nothing when serving its request ends with an exception.
 TEST(LostAnswers, ARequestThatFailsInsideTheRouterIsAnswered)
 {
-    constexpr unsigned Routers = 200; // So many ask each other for the locations of parts.
     ForwardingHarness harness;
     harness.configure(withShortLimits());
     harness.addEndpoint("e1", "resume", "127.0.0.1:9", 1);
-    harness.onLoop([](ForwardingContext &context) {
-        context.partLookups.start("router-1", [](const std::string &, std::string_view) {
-            throw std::runtime_error("no memory");
-        });
-        for (unsigned router = 2; router <= Routers; ++router)
-            context.partLookups.addRouter("router-" + std::to_string(router));
-    });
-    const std::string prompt =
-            "Model: m\r\nToken-Usage: 415,5\r\nPrompt-Prefix: a1:10,b2:400,c3:5\r\n";
-    const std::string answer = sendRequest(harness, requestText("POST", "/resume/x", prompt));
+    breakLookups(harness);
+    const std::string answer = sendRequest(harness, requestText("POST", "/resume/x", SharedPart));
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
     EXPECT_EQ(headerOf(answer, "Request-Id"), "r1");
 }
 
+// Guards against a body after the head of an answer to HEAD, which the caller takes for the next
+// answer, when serving the request ends with an exception.
+TEST(LostAnswers, AHeadRequestThatFailsInsideTheRouterLeavesTheConnectionInOrder)
+{
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", "127.0.0.1:9", 1);
+    breakLookups(harness);
+    const RawCaller caller(harness.url());
+    caller.send(std::string("HEAD /resume/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                            "Authorization: Bearer k1\r\n")
+                + SharedPart + "\r\n" + requestText("GET", "/nowhere"));
+    const std::string answers = caller.readToEnd();
+    EXPECT_TRUE(answers.starts_with("HTTP/1.1 502 ")) << answers;
+    const auto second = answers.find("\r\n\r\n") + 4;
+    EXPECT_TRUE(answers.substr(second).starts_with("HTTP/1.1 404 ")) << answers;
+}
+
+// Guards against an endpoint that seems busy forever after a request to it ended with an exception.
+TEST(LostAnswers, ARequestThatFailsInsideTheRouterIsNoLongerCountedAtItsEndpoint)
+{
+    const RawEndpoint endpoint([](int, const std::string &, unsigned) {});
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", endpoint.address(), 1);
+    breakLookups(harness, 1); // The lookup is sent, the report of the placement isn't.
+    const std::string answer = sendRequest(harness, requestText("POST", "/resume/x", SharedPart));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+    EXPECT_TRUE(answer.ends_with("internal_error")) << answer;
+    harness.onLoop([](ForwardingContext &context) {
+        const EndpointLoad load = context.endpoints.find("e1")->load();
+        EXPECT_EQ(load.openRequests, 0);
+        EXPECT_EQ(load.heldTokens, 0);
+        EXPECT_EQ(load.pendingPrefillTokens, 0);
+    });
+}
+
+// Guards against an entry of a lookup that outlives it when its question can't be sent; the reply
+// to a later lookup with the same number would use it.
+TEST(LostAnswers, ALookupThatCannotBeSentLeavesNothingBehind)
+{
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", "127.0.0.1:9", 1);
+    breakLookups(harness);
+    sendRequest(harness, requestText("POST", "/resume/x", SharedPart));
+    harness.onLoop(
+            [](ForwardingContext &context) { EXPECT_EQ(context.partLookups.pending(), 0U); });
+}
+
 // Guards against the loss of a refusal that is sent while the request's body is still arriving.
 TEST(LostAnswers, ARefusalWhileTheBodyArrivesReachesTheCaller)
 {
@@ -249,4 +313,61 @@
     EXPECT_TRUE(answers.ends_with(StreamEnd)) << answers;
 }
 
+/// A connection that was opened before a planned stop and has an endpoint for each kind of request.
+class LateRequestOfAPlannedStop : public testing::Test
+{
+protected:
+    LateRequestOfAPlannedStop()
+    {
+        m_harness.configure(withShortLimits());
+        for (const char *route : {"once", "any", "stream", "resume"})
+            m_harness.addEndpoint(route, route, m_endpoint.address());
+        m_caller = std::make_unique<RawCaller>(m_harness.url());
+    }
+
+    /// Sends a request `ago` after a planned stop with 8 s of grace has begun.
+    std::string askAfter(milliseconds ago, const std::string &route, const std::string &headers)
+    {
+        m_harness.beginDraining(ago);
+        m_caller->send(requestText("POST", "/" + route + "/x", headers, "body"));
+        return m_caller->readToEnd();
+    }
+
+    unsigned calls() const { return m_endpoint.calls(); }
+
+private:
+    const RawEndpoint m_endpoint{[](int socket, const std::string &call, unsigned) {
+        const std::string type = "Content-Type: text/plain\r\nConnection: close\r\n";
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", "done", type));
+    }};
+    ForwardingHarness m_harness;
+    std::unique_ptr<RawCaller> m_caller;
+};
+
+// Guards against a request that is passed on so late in a planned stop that the end of the process
+// cuts it.
+TEST_F(LateRequestOfAPlannedStop, IsRefusedWhenItMightNotBeFinished)
+{
+    const std::string answer = askAfter(milliseconds(6000), "once", {});
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_FALSE(headerOf(answer, "Retry-After").empty()) << answer;
+    EXPECT_EQ(headerOf(answer, "Connection"), "close");
+    EXPECT_EQ(calls(), 0U);
+}
+
+// Guards against a refusal of a request whose deadline comes before the end of the process.
+TEST_F(LateRequestOfAPlannedStop, IsServedWhenItEndsBeforeTheProcess)
+{
+    const std::string answer = askAfter(milliseconds(6000), "stream", "Deadline-Ms: 1000\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
+// Guards against refusals at the beginning of a planned stop, while the load balancer still sends
+// callers to the router.
+TEST_F(LateRequestOfAPlannedStop, IsServedWhileCallersStillCome)
+{
+    const std::string answer = askAfter(milliseconds(2500), "resume", "Deadline-Ms: 20000\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
 } // namespace almondmill::test
