Accept any larger id after a stream's only event

What callers saw: a stream that broke off behind its first event was not continued when the ids of its events step by more than one; it ended incomplete although another endpoint had the rest.

Cause: StreamContinuity took ids for consecutive until they showed otherwise. Class: a message is judged by an expectation that nothing received supports.

Ruled out: rejecting the first id of a continuation unless it is one above.

Change: the step counts as known once two ids came from one attempt, the first or a continuation. Gaps after that are still rejected.

Evidence: StreamContinuity.TheStepBetweenIdsIsUnknownAfterASingleEvent failed before (Break instead of Relay). AContinuationShowsTheStepAfterASingleEvent passed before and after; it keeps this change from hiding gaps later in a stream.

--- a/include/almondmill/forward/streamcontinuity.h
+++ b/include/almondmill/forward/streamcontinuity.h
@@ -36,6 +36,7 @@
     void recordId(std::uint64_t id);
 
     std::optional<std::uint64_t> m_lastId;
+    bool m_hasSteps = false;     ///< An attempt has sent two ids, which show the step between them.
     bool m_isConsecutive = true; ///< Each id so far was one above the id before it.
     bool m_isResumed = false;
     bool m_isJoined = true; ///< An id of the current attempt has followed the last id before it.
--- a/src/forward/streamcontinuity.cpp
+++ b/src/forward/streamcontinuity.cpp
@@ -35,7 +35,7 @@
 
 bool StreamContinuity::isNext(std::uint64_t id) const
 {
-    return !m_isConsecutive || isConsecutive(id);
+    return !m_hasSteps || !m_isConsecutive || isConsecutive(id);
 }
 
 bool StreamContinuity::isConsecutive(std::uint64_t id) const
@@ -45,6 +45,7 @@
 
 void StreamContinuity::recordId(std::uint64_t id)
 {
+    m_hasSteps = m_hasSteps || (m_lastId && m_isJoined);
     m_isConsecutive = m_isConsecutive && isConsecutive(id);
     m_lastId = id;
     m_isJoined = true;
--- a/tests/unit-streamcontinuity.cpp
+++ b/tests/unit-streamcontinuity.cpp
@@ -48,6 +48,34 @@
     EXPECT_EQ(record(continuity, "id: 40\ndata: d"), Verdict::Relay);
 }
 
+// Ids only need to increase. After a single event a continuation was rejected unless its first id
+// was one above.
+TEST(StreamContinuity, TheStepBetweenIdsIsUnknownAfterASingleEvent)
+{
+    StreamContinuity continuity;
+    record(continuity, "id: 10\ndata: a");
+    continuity.resume(10);
+    EXPECT_EQ(record(continuity, "id: 20\ndata: b"), Verdict::Relay);
+    EXPECT_EQ(record(continuity, "id: 30\ndata: c"), Verdict::Relay);
+}
+
+// The events of a continuation show the step as well; a gap in them or in the next continuation
+// must not pass because the first endpoint sent a single event.
+TEST(StreamContinuity, AContinuationShowsTheStepAfterASingleEvent)
+{
+    for (const bool isResumedAgain : {false, true}) {
+        StreamContinuity continuity;
+        for (const char *event : {"id: 1\ndata: a", "id: 2\ndata: b", "id: 3\ndata: c"}) {
+            EXPECT_EQ(record(continuity, event), Verdict::Relay);
+            if (std::string(event).starts_with("id: 1"))
+                continuity.resume(1);
+        }
+        if (isResumedAgain)
+            continuity.resume(3);
+        EXPECT_EQ(record(continuity, "id: 5\ndata: e"), Verdict::Break);
+    }
+}
+
 TEST(StreamContinuity, OnlyAfterDataWithAnIdAStreamCanBeResumed)
 {
     StreamContinuity continuity;
