Relay events that only control a stream before a continuation's first id

What callers saw: a stream whose continuation began with an event that sets only the time of a reconnection (retry) or a type ended incomplete, although all its events followed.

Cause: before the first id of a continuation only comments passed. An event of comments and the fields event and retry carries no piece of the stream either, so it can't be missing or repeated.

Ruled out: passing each event without data. Text that is no field of an event stream, such as an error's, would then stand in the stream (ResumedStream NoEventsInTheBody failed in that trial).

Evidence: ResumedStream RetryTimeFirst failed before (2 events instead of 5, no last chunk), and so did StreamContinuity.EventsThatOnlyControlTheStreamCarryNoPieceOfIt (Break instead of Relay).

--- a/include/almondmill/request/streamevent.h
+++ b/include/almondmill/request/streamevent.h
@@ -12,7 +12,7 @@
     std::string bytes;               ///< Including the empty line that ends it.
     std::optional<std::uint64_t> id; ///< Value of its `id:` line, if that is a number.
     bool hasData = false;            ///< False for comments, which serve as keep-alive.
-    bool isComment = true;           ///< The event consists of comments only.
+    bool isControl = true;           ///< Only comments and the fields `event` and `retry`.
     bool endOfStream = false;        ///< The event is the end marker, `data: [DONE]`.
 };
 
--- a/src/forward/streamcontinuity.cpp
+++ b/src/forward/streamcontinuity.cpp
@@ -30,7 +30,7 @@
     if (event.id)
         return isNext(*event.id) ? Verdict::Relay : Verdict::Break;
     // Before the first id of this attempt, only what carries no piece of the stream can be placed.
-    return m_isJoined || event.isComment || event.endOfStream ? Verdict::Relay : Verdict::Break;
+    return m_isJoined || event.isControl || event.endOfStream ? Verdict::Relay : Verdict::Break;
 }
 
 bool StreamContinuity::isNext(std::uint64_t id) const
--- a/src/request/streamevent.cpp
+++ b/src/request/streamevent.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::string_view IdField = "id:";
 constexpr std::string_view DataField = "data:";
+constexpr std::string_view TypeField = "event:";
+constexpr std::string_view RetryField = "retry:";
 constexpr std::string_view DoneValue = "[DONE]";
 
 std::string_view valueOf(std::string_view line, std::string_view field)
@@ -29,11 +31,18 @@
     return number;
 }
 
+/// Whether the line carries no piece of a stream: it is a comment or sets how the stream is read.
+bool isControlLine(std::string_view line)
+{
+    return line.empty() || line.starts_with(':') || line.starts_with(TypeField)
+           || line.starts_with(RetryField);
+}
+
 void parseLine(std::string_view line, StreamEvent &event)
 {
     if (line.ends_with('\r'))
         line.remove_suffix(1);
-    event.isComment = event.isComment && (line.empty() || line.starts_with(':'));
+    event.isControl = event.isControl && isControlLine(line);
     if (line.starts_with(IdField))
         event.id = toNumber(valueOf(line, IdField));
     if (line.starts_with(DataField)) {
--- a/tests/failure-resumedstreams.cpp
+++ b/tests/failure-resumedstreams.cpp
@@ -140,6 +140,11 @@
              return events(call, eventText(3) + eventText(3) + eventText(4));
          },
          4, true},
+        {"RetryTimeFirst",
+         [](const std::string &call) {
+             return events(call, "retry: 500\n\n" + eventText(3) + eventText(4));
+         },
+         5, true},
         {"EndMarker", [](const std::string &call) { return events(call, "data: [DONE]\n\n"); }, 3,
          true},
         {"NoMoreEvents", [](const std::string &call) { return events(call, {}); }, 2, true}};
--- a/tests/unit-streamcontinuity.cpp
+++ b/tests/unit-streamcontinuity.cpp
@@ -76,6 +76,19 @@
     }
 }
 
+// An event that sets only the time of a reconnection ended a continuation.
+TEST(StreamContinuity, EventsThatOnlyControlTheStreamCarryNoPieceOfIt)
+{
+    StreamContinuity continuity;
+    record(continuity, "id: 1\ndata: a");
+    continuity.resume(1);
+    EXPECT_EQ(record(continuity, "retry: 500"), Verdict::Relay);
+    EXPECT_EQ(record(continuity, "event: ping"), Verdict::Relay);
+    EXPECT_EQ(record(continuity, "event: ping\nan error"), Verdict::Break);
+    EXPECT_EQ(record(continuity, "HTTP/1.1 500 Oops"), Verdict::Break);
+    EXPECT_EQ(record(continuity, "data: an error"), Verdict::Break);
+}
+
 TEST(StreamContinuity, OnlyAfterDataWithAnIdAStreamCanBeResumed)
 {
     StreamContinuity continuity;
