Count repeated events when a continuation ends with its connection

What callers saw: a stream whose last event had been relayed before its endpoint broke off, and whose continuation repeated the events and ended with its connection, ended incomplete.

Cause: an answer without length or chunks that carried no event says nothing at its end. Repeated events did not count as carried, although they show that the endpoint sent its stream.

Evidence: ResumedStream RepeatsOnlyUntilClose failed before (no last chunk); NoEventWithoutFraming still ends incomplete.

--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -76,10 +76,10 @@
         m_isDiscontinued = verdict == StreamContinuity::Verdict::Break;
         if (m_isDiscontinued)
             break;
+        m_attemptSentData = m_attemptSentData || event.hasData;
         if (verdict == StreamContinuity::Verdict::Repeat)
             continue;
         events += event.bytes;
-        m_attemptSentData = m_attemptSentData || event.hasData;
         if (event.id)
             m_request.resumeAfter = event.id;
     }
--- a/tests/failure-resumedstreams.cpp
+++ b/tests/failure-resumedstreams.cpp
@@ -145,6 +145,11 @@
              return events(call, "retry: 500\n\n" + eventText(3) + eventText(4));
          },
          5, true},
+        {"RepeatsOnlyUntilClose",
+         [](const std::string &call) {
+             return streamAnswer(call, eventText(1) + eventText(2), Framing::UntilClose);
+         },
+         2, true},
         {"EndMarker", [](const std::string &call) { return events(call, "data: [DONE]\n\n"); }, 3,
          true},
         {"NoMoreEvents", [](const std::string &call) { return events(call, {}); }, 2, true}};
