Take a continuation that ends behind the relayed events for broken

What callers saw: a stream that had broken off looked complete when the next endpoint repeated earlier events and ended before the last one that the caller had, with or without an end marker.

Cause: the end of a continuation was judged by its framing alone. Its ids show that it has not come as far as the caller.

Change: StreamContinuity keeps the highest repeated id until the attempt goes beyond what was relayed; an end before the last relayed event is an attempt that failed.

Evidence: ResumedStream RepeatsTheFirstOnly and EndMarkerAfterTheFirst failed before (last chunk, and the marker relayed: 3 events instead of 2). RepeatsTheFirstOnlyUntilClose and RepeatsTheFirstAfterTheThird passed before and after; they guard the limits of the check.

--- a/include/almondmill/forward/streamcontinuity.h
+++ b/include/almondmill/forward/streamcontinuity.h
@@ -29,6 +29,10 @@
     /// an id.
     bool canResume() const { return m_canResume; }
 
+    /// Whether the current attempt has repeated events but not the last one that was relayed. A
+    /// stream that ends there is incomplete.
+    bool isBehind() const { return !m_isJoined && m_repeatedId && m_repeatedId < m_lastId; }
+
 private:
     Verdict verdictOn(const StreamEvent &event) const;
     bool isNext(std::uint64_t id) const;
@@ -36,6 +40,7 @@
     void recordId(std::uint64_t id);
 
     std::optional<std::uint64_t> m_lastId;
+    std::optional<std::uint64_t> m_repeatedId; ///< Highest id that the current attempt repeated.
     bool m_hasSteps = false;     ///< An attempt has sent two ids, which show the step between them.
     bool m_isConsecutive = true; ///< Each id so far was one above the id before it.
     bool m_isResumed = false;
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -100,7 +100,7 @@
 {
     // Without framing, the end of a connection that carried no event says nothing.
     const bool isEmpty = !m_attemptSentData && exchange.endsWithConnection();
-    return isEmpty || m_splitter.isInsideEvent();
+    return isEmpty || m_splitter.isInsideEvent() || m_continuity.isBehind();
 }
 
 ForwardedRequest::AttemptOutcome
--- a/src/forward/streamcontinuity.cpp
+++ b/src/forward/streamcontinuity.cpp
@@ -2,11 +2,14 @@
 
 #include "almondmill/request/streamevent.h"
 
+#include <algorithm>
+
 namespace almondmill {
 
 void StreamContinuity::resume(std::optional<std::uint64_t> lastId)
 {
     m_lastId = lastId;
+    m_repeatedId.reset();
     m_isResumed = true;
     m_isJoined = !lastId;
 }
@@ -14,6 +17,8 @@
 StreamContinuity::Verdict StreamContinuity::recordEvent(const StreamEvent &event)
 {
     const Verdict verdict = m_isResumed ? verdictOn(event) : Verdict::Relay;
+    if (verdict == Verdict::Repeat)
+        m_repeatedId = std::max(m_repeatedId, event.id);
     if (verdict != Verdict::Relay)
         return verdict;
     if (event.id)
@@ -29,6 +34,8 @@
         return Verdict::Repeat;
     if (event.id)
         return isNext(*event.id) ? Verdict::Relay : Verdict::Break;
+    if (event.endOfStream && isBehind())
+        return Verdict::Break;
     // Before the first id of this attempt, only what carries no piece of the stream can be placed.
     return m_isJoined || event.isControl || event.endOfStream ? Verdict::Relay : Verdict::Break;
 }
--- a/tests/failure-resumedstreams.cpp
+++ b/tests/failure-resumedstreams.cpp
@@ -150,6 +150,19 @@
              return streamAnswer(call, eventText(1) + eventText(2), Framing::UntilClose);
          },
          2, true},
+        {"RepeatsTheFirstOnly", [](const std::string &call) { return events(call, eventText(1)); },
+         2, false},
+        {"RepeatsTheFirstOnlyUntilClose",
+         [](const std::string &call) {
+             return streamAnswer(call, eventText(1), Framing::UntilClose);
+         },
+         2, false},
+        {"EndMarkerAfterTheFirst",
+         [](const std::string &call) { return events(call, eventText(1) + "data: [DONE]\n\n"); }, 2,
+         false},
+        {"RepeatsTheFirstAfterTheThird",
+         [](const std::string &call) { return events(call, eventText(3) + eventText(1)); }, 3,
+         true},
         {"EndMarker", [](const std::string &call) { return events(call, "data: [DONE]\n\n"); }, 3,
          true},
         {"NoMoreEvents", [](const std::string &call) { return events(call, {}); }, 2, true}};
