Use a short deadline in the test of resumed streams

The parameters NotExecuted400, Misdirected and Full waited for the route's timeout of 20 s each. A stream that has begun can't be refused any more, so the router looks for an endpoint until the deadline while all of them say that they did not run the request. That is right: an endpoint that is full may continue the stream later (LostAnswers.AStreamWhoseNextEndpointIsFullGoesOnThereLater).

Each parameter now has a deadline of 3 s. The expectations are unchanged, and the endpoints are still asked many times before it.

--- a/tests/failure-resumedstreams.cpp
+++ b/tests/failure-resumedstreams.cpp
@@ -167,6 +167,10 @@
          true},
         {"NoMoreEvents", [](const std::string &call) { return events(call, {}); }, 2, true}};
 
+/// Time in which an endpoint must continue a stream. The router searches until it has passed, so a
+/// stream that both endpoints refuse to continue ends only then.
+constexpr const char *ShortDeadline = "Deadline-Ms: 3000\r\n";
+
 class ResumedStream : public testing::TestWithParam<Resumption>
 {};
 
@@ -194,7 +198,8 @@
     harness.configure(oneRouteOfEachKind());
     harness.addEndpoint("e1", "resume", first.address(), 1);
     harness.addEndpoint("e2", "resume", second.address(), 1);
-    const std::string answer = sendRequest(harness, requestText("POST", "/resume/x"));
+    const std::string answer =
+            sendRequest(harness, requestText("POST", "/resume/x", ShortDeadline));
     EXPECT_TRUE(hasStatus(answer, 200)) << answer;
     EXPECT_EQ(countOf(answer, "HTTP/1.1"), 1U) << answer;
     EXPECT_EQ(countOf(answer, "error"), 0U) << answer;
