Send streams to callers of HTTP/1.0 without chunks

What callers saw: a caller of HTTP/1.0 got streams in chunked transfer encoding, which it can't read; the chunk sizes stood in its stream. One that asked to keep the connection waited for its end.

Cause: the head of a relayed answer was framed without a look at the caller's version.

Change: the session chooses the framing. Without a length, and without chunks, the body ends with the connection. The socket resets on close until the answer is complete, so that a stream that broke off, or a router that is killed meanwhile, is not taken for a regular end.

Ruled out: refusing such callers; they can read the stream, and they see a broken one as broken.

--- a/include/almondmill/forward/callerrequest.h
+++ b/include/almondmill/forward/callerrequest.h
@@ -23,6 +23,7 @@
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller received.
     HttpFields forwardedFields; ///< Header fields forwarded to the endpoint unchanged.
     std::string body;
+    bool acceptsChunks = true; ///< The caller can read chunked transfer encoding.
 
     /// The target without its query string.
     std::string_view path() const;
--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,11 @@
     /// them in time.
     Awaitable<bool> send(std::string_view bytes);
 
+    /// Begins an answer and returns the head that relays `head`. Without `bodyBytes` the body is
+    /// chunked, or ends with the connection for a caller that can't read chunks. In that case the
+    /// connection is reset if the answer isn't completed.
+    std::string beginAnswer(const HttpHead &head, std::optional<std::size_t> bodyBytes);
+
     /// Whether the connection closes after the current answer, for the head that is about to be
     /// sent. The session then does what the head says, also when a planned stop begins meanwhile.
     bool closesAfterAnswer();
@@ -73,8 +79,10 @@
     bool m_isServing = false;
     bool m_sendFailed = false;
     bool m_idle = true;
-    bool m_closeRequested = false; ///< The last request asked to close the connection.
-    bool m_closeAnnounced = false; ///< The head of the current answer says that it closes.
+    bool m_acceptsChunks = true;
+    bool m_endsWithConnection = false; ///< The body of the current answer.
+    bool m_closeRequested = false;     ///< The last request asked to close the connection.
+    bool m_closeAnnounced = false;     ///< The head of the current answer says that it closes.
     bool m_disconnected = false;
 };
 
--- a/include/almondmill/forward/wirecodec.h
+++ b/include/almondmill/forward/wirecodec.h
@@ -9,6 +9,7 @@
 
 namespace almondmill {
 
+struct AnswerFraming;
 struct AnswerMetadata;
 struct CallerRequest;
 struct AttemptParameters;
@@ -30,10 +31,9 @@
 
     virtual AnswerMetadata decodeAnswer(const HttpHead &head) const = 0;
 
-    /// The head of an endpoint's answer as it is relayed to the caller. Without `bodyBytes` the
-    /// body follows in chunked transfer encoding, unless answers with this status have no body.
-    virtual std::string encodeAnswer(const HttpHead &head, std::optional<std::size_t> bodyBytes,
-                                     bool closes) const = 0;
+    /// The head of an endpoint's answer as it is relayed to the caller. Answers whose status has no
+    /// body are not framed.
+    virtual std::string encodeAnswer(const HttpHead &head, const AnswerFraming &framing) const = 0;
 
     /// A complete response that the router itself generates, with `text` as its body.
     virtual std::string encodeOwnAnswer(unsigned status, const std::string &requestId,
--- a/include/almondmill/http/httphead.h
+++ b/include/almondmill/http/httphead.h
@@ -40,6 +40,7 @@
     std::string method;  ///< Requests only.
     std::string target;  ///< Requests only: path and query.
     unsigned status = 0; ///< Answers only.
+    int version = 11;    ///< HTTP version of the sender: 10 or 11.
     HttpFields fields;
 };
 
--- a/include/almondmill/http/messageparser.h
+++ b/include/almondmill/http/messageparser.h
@@ -35,15 +35,17 @@
 
     using BodyLength = boost::optional<std::uint64_t>;
 
-    void on_request_impl(boost::beast::http::verb, View method, View target, int,
+    void on_request_impl(boost::beast::http::verb, View method, View target, int version,
                          ErrorCode &) override
     {
+        m_head.version = version;
         m_head.method.assign(method.data(), method.size());
         m_head.target.assign(target.data(), target.size());
     }
 
-    void on_response_impl(int status, View reason, int, ErrorCode &error) override
+    void on_response_impl(int status, View reason, int version, ErrorCode &error) override
     {
+        m_head.version = version;
         m_head.status = static_cast<unsigned>(status);
         if (containsStatusLine(reason))
             error = boost::beast::http::error::bad_reason;
--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -76,6 +76,10 @@
     void watchForClose(std::function<void()> callback);
     void stopWatching();
 
+    /// Whether closing the connection resets it, so that the peer does not take its end for the end
+    /// of a message. Holds also when the process ends.
+    void setResetOnClose(bool isReset);
+
     /// Closes the connection immediately. Bytes that the peer has not read yet may be lost.
     void abort();
 
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/forward/callersession.h"
 
+#include "almondmill/forward/answerframing.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/requestforwarder.h"
@@ -72,11 +73,16 @@
         if (next == Next::Close)
             break;
         m_requestId = request.id;
+        m_acceptsChunks = request.acceptsChunks;
         m_answerBytes = 0;
         m_isServing = true;
         const bool isAnswered = co_await serve(request);
         m_isServing = false;
         m_socket->stopWatching();
+        if (isAnswered && m_endsWithConnection) {
+            m_endsWithConnection = false;
+            m_socket->setResetOnClose(false);
+        }
         if (!isAnswered)
             recordUnanswered(m_disconnected ? "caller_left" : m_sendFailed ? "send_failed" : "cut");
         if (!isAnswered || m_closeAnnounced || m_closeRequested)
@@ -85,7 +91,9 @@
         if (m_context.draining && !m_socket->hasInput())
             break;
     }
-    m_socket->shutdownSending();
+    // A regular end would be the end of a body that ends with its connection.
+    if (!m_endsWithConnection)
+        m_socket->shutdownSending();
     m_socket->abort();
 }
 
@@ -120,6 +128,17 @@
     co_return !error;
 }
 
+std::string CallerSession::beginAnswer(const HttpHead &head, std::optional<std::size_t> bodyBytes)
+{
+    m_endsWithConnection = !bodyBytes && !m_acceptsChunks;
+    m_closeRequested = m_closeRequested || m_endsWithConnection;
+    if (m_endsWithConnection)
+        m_socket->setResetOnClose(true);
+    const bool isChunked = !bodyBytes && m_acceptsChunks;
+    return m_context.adapter->codec().encodeAnswer(head,
+                                                   {bodyBytes, isChunked, closesAfterAnswer()});
+}
+
 bool CallerSession::closesAfterAnswer()
 {
     m_closeAnnounced = m_closeRequested || m_context.draining;
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -25,9 +25,13 @@
 
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 
-void appendChunk(std::string &text, std::string_view bytes)
+/// Appends bytes of a body, in a chunk if the caller can read one.
+void appendPiece(std::string &text, std::string_view bytes, bool isChunked)
 {
-    absl::StrAppend(&text, absl::Hex(bytes.size()), "\r\n", abslView(bytes), "\r\n");
+    if (!isChunked)
+        text.append(bytes);
+    else
+        absl::StrAppend(&text, absl::Hex(bytes.size()), "\r\n", abslView(bytes), "\r\n");
 }
 
 } // namespace
@@ -89,10 +93,9 @@
     std::string text;
     if (!m_streamStarted) {
         m_streamStarted = true;
-        text = m_context.adapter->codec().encodeAnswer(exchange.head(), std::nullopt,
-                                                       m_session.closesAfterAnswer());
+        text = m_session.beginAnswer(exchange.head(), std::nullopt);
     }
-    appendChunk(text, events);
+    appendPiece(text, events, m_request.acceptsChunks);
     co_return co_await m_session.send(text);
 }
 
@@ -119,12 +122,12 @@
     std::string text;
     if (!m_streamStarted) {
         m_streamStarted = true;
-        text = m_context.adapter->codec().encodeAnswer(exchange.head(), std::nullopt,
-                                                       m_session.closesAfterAnswer());
+        text = m_session.beginAnswer(exchange.head(), std::nullopt);
     }
     if (!m_splitter.rest().empty())
-        appendChunk(text, m_splitter.rest());
-    text.append(LastChunk);
+        appendPiece(text, m_splitter.rest(), m_request.acceptsChunks);
+    if (m_request.acceptsChunks)
+        text.append(LastChunk);
     co_return co_await m_session.send(text) ? AttemptOutcome::Answered
                                             : AttemptOutcome::CallerDisconnected;
 }
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -318,8 +318,7 @@
         co_return AttemptOutcome::Failed;
     m_failure = EndpointFailure{exchange.head(), exchange.relayedLength(), exchange.body()};
     if (metadata.status < ServerError) {
-        const std::string head = m_context.adapter->codec().encodeAnswer(
-                m_failure->head, m_failure->bodyBytes, m_session.closesAfterAnswer());
+        const std::string head = m_session.beginAnswer(m_failure->head, m_failure->bodyBytes);
         co_return co_await m_session.send(head + m_failure->body)
                 ? AttemptOutcome::Answered
                 : AttemptOutcome::CallerDisconnected;
@@ -336,8 +335,7 @@
         co_return handleExchangeError(error, exchange, now);
     m_answerStartedAt = now;
     recordFirstByte(exchange, now);
-    const std::string head = m_context.adapter->codec().encodeAnswer(
-            exchange.head(), exchange.relayedLength(), m_session.closesAfterAnswer());
+    const std::string head = m_session.beginAnswer(exchange.head(), exchange.relayedLength());
     co_return co_await m_session.send(head + exchange.body()) ? AttemptOutcome::Answered
                                                               : AttemptOutcome::CallerDisconnected;
 }
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -61,8 +61,7 @@
         co_return false;
     }
     if (m_failure) {
-        const std::string head = m_context.adapter->codec().encodeAnswer(
-                m_failure->head, m_failure->bodyBytes, m_session.closesAfterAnswer());
+        const std::string head = m_session.beginAnswer(m_failure->head, m_failure->bodyBytes);
         logEnd(m_lastReason, m_failure->head.status);
         co_return co_await m_session.send(head + m_failure->body);
     }
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -224,6 +224,11 @@
     cancelRead();
 }
 
+void TimedSocket::setResetOnClose(bool isReset)
+{
+    setOption(m_socket.native_handle(), SOL_SOCKET, SO_LINGER, linger{isReset ? 1 : 0, 0});
+}
+
 void TimedSocket::abort()
 {
     close(CloseReason::Aborted);
