Send no interim answer to callers of HTTP/1.0

What callers saw: a caller of HTTP/1.0 that sent an Expect field got '100 Continue' before the answer and could take it for the answer; that version has no interim answers.

Evidence: Http10Callers.GetNoInterimAnswer failed before (two status lines instead of one).

--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -73,7 +73,6 @@
         if (next == Next::Close)
             break;
         m_requestId = request.id;
-        m_acceptsChunks = request.acceptsChunks;
         m_answerBytes = 0;
         m_isServing = true;
         const bool isAnswered = co_await serve(request);
@@ -228,6 +227,7 @@
         co_return Next::Close;
     }
     request = m_context.adapter->codec().decodeRequest(parser.head());
+    m_acceptsChunks = request.acceptsChunks;
     m_closeRequested = !parser.keep_alive();
     if (parser.head().fields.count("Host") != 1)
         co_return co_await refuse(BadRequest, "exactly one Host is needed");
@@ -245,7 +245,8 @@
     const auto length = parser.content_length();
     if (length && *length > limits.maxBodyBytes)
         co_return co_await refuse(BodyTooLarge, "the body is too large");
-    if (parser.head().fields.find("Expect")) {
+    // HTTP/1.0 has neither chunks nor interim answers.
+    if (parser.head().fields.find("Expect") && m_acceptsChunks) {
         if (!co_await send("HTTP/1.1 100 Continue\r\n\r\n"))
             co_return Next::Close;
     }
--- a/tests/failure-http10.cpp
+++ b/tests/failure-http10.cpp
@@ -65,4 +65,19 @@
 
 INSTANTIATE_TEST_SUITE_P(Callers, Http10, testing::Values("", "Connection: keep-alive\r\n"));
 
+// An interim answer came to callers that know none and was taken for the answer.
+TEST(Http10Callers, GetNoInterimAnswer)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", "done", "Connection: close\r\n"));
+    });
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("e1", "once", endpoint.address());
+    const std::string answer =
+            sendRequest(harness, http10Request("/once/x", "Expect: 100-continue\r\n") + "body");
+    EXPECT_TRUE(hasStatus(answer, 200)) << answer;
+    EXPECT_EQ(countOf(answer, "HTTP/1.1"), 1U) << answer;
+}
+
 } // namespace almondmill::test
