Don't take a cancelled attempt for a complete answer

What callers saw, on the product's own interface: an answer without length whose endpoint still wrote at the request's deadline came as a whole one.

Cause: the deadline cancels the attempt by closing its connection. The HTTP library takes that end for the end of a body without length, and the attempt was reported as completed.

Change: a cancelled attempt is never completed. A stream whose end marker has arrived still is, because AnswerReader looks at the marker first.

Evidence: EndlessReplies OfAnEndpointEndTheAttempt/SlowBody failed before (AttemptCompleted).

--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -116,7 +116,8 @@
         return !stoppedByObserver;
     };
     const auto result = client->send(libraryRequest);
-    if (result)
+    // Cancelling closes the connection, which a body without a length takes for its end.
+    if (result && !m_cancelled)
         return AttemptCompleted{};
     if (stoppedByObserver)
         return AttemptCancelled{};
--- a/tests/failure-endlessbytes.cpp
+++ b/tests/failure-endlessbytes.cpp
@@ -3,6 +3,7 @@
 // error and go on serving others.
 
 #include "support/caller.h"
+#include "support/endlessendpoint.h"
 #include "support/forwardingharness.h"
 #include "support/rawendpoint.h"
 
@@ -10,52 +11,15 @@
 
 #include <gtest/gtest.h>
 
-#include <atomic>
-
 namespace almondmill::test {
 
 namespace {
 
-/// What an endpoint writes at most; far more than a router may buffer for one answer.
-constexpr std::size_t MaxWrittenBytes = std::size_t(96) << 20U;
-
 /// What the router may take in of one answer, with what the sockets of both sides buffer.
 constexpr std::size_t MaxAcceptedBytes = std::size_t(16) << 20U;
 
 const std::string SignedHead = "Server-Signature: s1\r\nRequest-Id: r1\r\n";
 
-/// An endpoint that sends `start` and then repeats `piece` until its peer closes the connection.
-class EndlessEndpoint
-{
-public:
-    EndlessEndpoint(std::string start, std::string piece)
-        : m_start(std::move(start))
-        , m_endpoint([this, piece = std::move(piece)](int socket, const std::string &, unsigned) {
-            sendWithoutEnd(socket, piece);
-        })
-    {}
-
-    const std::string &address() const { return m_endpoint.address(); }
-    std::size_t writtenBytes() const { return m_written; }
-
-private:
-    void sendWithoutEnd(int socket, const std::string &piece)
-    {
-        std::string block;
-        while (block.size() < 65536)
-            block += piece;
-        bool isOpen = RawEndpoint::write(socket, m_start);
-        while (isOpen && m_written < MaxWrittenBytes) {
-            isOpen = RawEndpoint::write(socket, block);
-            m_written += block.size();
-        }
-    }
-
-    std::string m_start;
-    std::atomic<std::size_t> m_written{0};
-    RawEndpoint m_endpoint;
-};
-
 /// Sends a request to an endless endpoint and one to a sound endpoint.
 void expectBounded(const std::string &route, const std::string &start, const std::string &piece)
 {
--- /dev/null
+++ b/tests/failure-endlessreplies.cpp
@@ -0,0 +1,109 @@
+// Guards calls to the platform's store and to the product's own endpoints against replies without
+// end: each call must end with a failure in time, and must not read more than its bound.
+
+#include "support/endlessendpoint.h"
+#include "support/rawendpoint.h"
+
+#include "almondmill/endpoint/attempt.h"
+#include "almondmill/endpoint/attemptobserver.h"
+#include "almondmill/endpoint/attemptrequest.h"
+#include "almondmill/endpoint/statusclient.h"
+#include "almondmill/http/httpclient.h"
+#include "almondmill/metrics/metrics.h"
+#include "almondmill/orders/engineorder.h"
+#include "almondmill/orders/httpenginecontrol.h"
+#include "almondmill/store/httpplatform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace almondmill::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr milliseconds Timeout{1500};
+
+/// Twice the timeout, as a call may first wait for its connection, and time to close it.
+constexpr milliseconds LongestCall{4000};
+
+/// What a call may take in of one reply, with what the sockets of both sides buffer.
+constexpr std::size_t MaxAcceptedBytes = std::size_t(40) << 20U;
+
+struct EndlessReply
+{
+    const char *name;
+    std::string start;
+    std::string piece;
+    milliseconds pause{0};
+};
+
+std::vector<EndlessReply> endlessReplies()
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    return {{"SlowHead", ok + "X-Slow: ", "x", milliseconds(100)},
+            {"SlowBody", ok + "\r\n", "x", milliseconds(100)}};
+}
+
+class EndlessReplies : public testing::TestWithParam<EndlessReply>
+{
+protected:
+    EndlessReplies()
+        : endpoint(GetParam().start, GetParam().piece, GetParam().pause)
+    {}
+
+    ~EndlessReplies() override
+    {
+        EXPECT_LT(Clock::now() - m_startedAt, LongestCall);
+        EXPECT_LT(endpoint.writtenBytes(), MaxAcceptedBytes);
+    }
+
+    EndlessEndpoint endpoint;
+
+private:
+    Clock::time_point m_startedAt = Clock::now();
+};
+
+/// Takes all bytes and uses them at once, as a relay of a stream does.
+class Consumer : public AttemptObserver
+{
+public:
+    bool onHead(const AttemptHead &) override { return true; }
+    bool onBytes(std::string_view bytes) override { return (taken += bytes.size()) < MaxBytes; }
+
+    static constexpr std::size_t MaxBytes = std::size_t(4) << 20U;
+    std::size_t taken = 0;
+};
+
+} // namespace
+
+TEST_P(EndlessReplies, OfAnEndpointEndTheAttempt)
+{
+    AttemptRequest request;
+    request.address = endpoint.address();
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.attemptId = "a1";
+    request.readTimeout = Timeout;
+    Attempt attempt;
+    std::thread watch([&] {
+        std::this_thread::sleep_for(Timeout);
+        attempt.cancel(); // As the deadline of a request does.
+    });
+    Consumer consumer;
+    EXPECT_FALSE(std::holds_alternative<AttemptCompleted>(attempt.run(request, consumer)));
+    watch.join();
+}
+
+INSTANTIATE_TEST_SUITE_P(Bytes, EndlessReplies, testing::ValuesIn(endlessReplies()),
+                         [](const auto &parameter) { return std::string(parameter.param.name); });
+
+} // namespace almondmill::test
