Skip interim answers of the store

What could be seen: an interim answer (1xx) of the store counted as the reply to a write, which was then taken for not applied although the store could apply it. A lease or a record could be written while its router believed that it was not.

Cause: HttpClient returned the first head that it read.

Change: interim answers are skipped, up to a limit, as they are for endpoints.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/lexical_cast.hpp>
 
+#include <optional>
+
 namespace almondmill {
 
 namespace asio = boost::asio;
@@ -22,6 +24,28 @@
 /// Maximum size of a response body. The platform returns pages of about 1 MB.
 constexpr std::uint64_t MaxAnswerBytes = 16U << 20U;
 
+/// Interim answers that are skipped before the answer.
+constexpr int MaxInterimAnswers = 16;
+
+constexpr unsigned Ok = 200;
+
+/// Reads an answer. Interim answers say nothing about what became of the request.
+asio::awaitable<boost::system::error_code> readAnswer(TimedSocket &socket,
+                                                      std::optional<AnswerParser> &parser)
+{
+    for (int interim = 0; interim <= MaxInterimAnswers; ++interim) {
+        parser.emplace();
+        parser->body_limit(MaxAnswerBytes);
+        MessageReader<false> reader(socket, *parser);
+        auto error = co_await reader.readHead();
+        if (!error)
+            error = co_await reader.readBody();
+        if (error || parser->head().status >= Ok)
+            co_return error;
+    }
+    co_return boost::beast::http::error::bad_status;
+}
+
 } // namespace
 
 HttpClient::HttpClient(asio::any_io_executor executor, asio::ip::tcp::endpoint server)
@@ -75,19 +99,15 @@
     const auto sent = co_await socket->write(request);
     if (sent)
         co_return HttpFailure{"send: " + sent.message(), true};
-    AnswerParser parser;
-    parser.body_limit(MaxAnswerBytes);
-    MessageReader<false> reader(*socket, parser);
-    auto error = co_await reader.readHead();
-    if (!error)
-        error = co_await reader.readBody();
+    std::optional<AnswerParser> parser;
+    const auto error = co_await readAnswer(*socket, parser);
     if (error) {
         const bool timedOut = socket->closeReason() == TimedSocket::CloseReason::Deadline;
         socket->abort();
         co_return HttpFailure{timedOut ? "timeout" : "receive: " + error.message(), true};
     }
-    HttpReply reply{parser.head(), std::move(parser.body())};
-    if (parser.keep_alive() && !hasConnectionOption(reply.head.fields, "close"))
+    HttpReply reply{parser->head(), std::move(parser->body())};
+    if (parser->keep_alive() && !hasConnectionOption(reply.head.fields, "close"))
         returnToPool(std::move(socket));
     co_return reply;
 }
--- a/tests/failure-endlessreplies.cpp
+++ b/tests/failure-endlessreplies.cpp
@@ -49,7 +49,8 @@
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
-    return {{"SlowHead", ok + "X-Slow: ", "x", milliseconds(100)},
+    return {{"InterimAnswers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"SlowHead", ok + "X-Slow: ", "x", milliseconds(100)},
             {"SlowBody", ok + "\r\n", "x", milliseconds(100)}};
 }
 
@@ -72,6 +73,21 @@
     Clock::time_point m_startedAt = Clock::now();
 };
 
+/// Sends a change with the client of the event loop.
+HttpOutcome callOfTheEventLoop(const std::string &address)
+{
+    boost::asio::io_context loop;
+    const auto colon = address.find(':');
+    HttpClient client(loop.get_executor(),
+                      {boost::asio::ip::make_address(address.substr(0, colon)),
+                       static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    auto outcome =
+            boost::asio::co_spawn(loop, client.call("PUT", "/a", "", "{}", Clock::now() + Timeout),
+                                  boost::asio::use_future);
+    loop.run();
+    return outcome.get();
+}
+
 /// Takes all bytes and uses them at once, as a relay of a stream does.
 class Consumer : public AttemptObserver
 {
@@ -85,6 +101,28 @@
 
 } // namespace
 
+TEST_P(EndlessReplies, EndACallOfTheEventLoop)
+{
+    const HttpOutcome outcome = callOfTheEventLoop(endpoint.address());
+    const auto *failure = std::get_if<HttpFailure>(&outcome);
+    ASSERT_NE(failure, nullptr);
+    EXPECT_TRUE(failure->sent);
+}
+
+// An interim answer of the store counted as its reply: "not applied", although the change followed.
+TEST(StoreReplies, AnInterimAnswerIsNoReply)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &, unsigned) {
+        RawEndpoint::write(socket, "HTTP/1.1 103 Early Hints\r\n\r\n"
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    });
+    const HttpOutcome outcome = callOfTheEventLoop(endpoint.address());
+    const auto *reply = std::get_if<HttpReply>(&outcome);
+    ASSERT_NE(reply, nullptr);
+    EXPECT_EQ(reply->head.status, 200U);
+    EXPECT_EQ(reply->body, "{}");
+}
+
 TEST_P(EndlessReplies, OfAnEndpointEndTheAttempt)
 {
     AttemptRequest request;
