Bound what calls to the store and to own endpoints read

What could be seen: a status line without end ended the whole process (segmentation fault). Header fields, header lines, chunk headers and bodies without end were kept in memory until the peer closed; a reply of the store that came byte by byte held its call for ever.

Cause: the HTTP library's client bounds only the time without a byte. It keeps lines of any length, and matches a status line with a regular expression that recurses once per character.

Change: BoundedClient, the library's client with a stream of its own, which bounds a line, the bytes of a call (for attempts: between two pieces of a body) and the time of a call. The store of the product's own interface, status calls, orders and attempts use it.

Ruled out: the event loop's HttpClient and MessageReader bound all of this already (EndlessBytes, and EndACallOfTheEventLoop passed before except for interim answers).

Evidence, test EndlessReplies on the code before: StatusLine crashed four of five tests (exit 139); HeaderField, BodyWithoutLength, Chunks and ChunkExtension read 96 MB of at most 40; HeaderFields, SlowHead and SlowBody of the store did not end within 12 s; InterimAnswers took 5.6 to 6.0 s of at most 4. All 50 pass now.

--- a/include/almondmill/endpoint/attempt.h
+++ b/include/almondmill/endpoint/attempt.h
@@ -6,12 +6,10 @@
 #include <memory>
 #include <mutex>
 
-namespace httplib {
-class Client;
-}
-
 namespace almondmill {
 
+class BoundedClient;
+
 /// Sends one request to one endpoint exactly once, on a new connection. Without connection reuse,
 /// no request is lost on an idle connection that has become unresponsive, and the HTTP library has
 /// no reason to resend a request.
@@ -28,7 +26,7 @@
 
 private:
     std::mutex m_mutex;
-    std::unique_ptr<httplib::Client> m_client;
+    std::unique_ptr<BoundedClient> m_client;
     std::atomic<bool> m_cancelled{false};
 };
 
--- a/include/almondmill/endpoint/statusclient.h
+++ b/include/almondmill/endpoint/statusclient.h
@@ -8,12 +8,10 @@
 #include <optional>
 #include <string>
 
-namespace httplib {
-class Client;
-}
-
 namespace almondmill {
 
+class BoundedClient;
+
 /// Requests the status of one endpoint, and reuses the connection while the endpoint keeps it open.
 class StatusClient
 {
@@ -32,12 +30,12 @@
     std::optional<EndpointStatus> fetch();
 
 private:
-    std::unique_ptr<httplib::Client> connect() const;
+    std::unique_ptr<BoundedClient> connect() const;
 
     std::string m_address;
     std::chrono::milliseconds m_timeout;
     std::mutex m_mutex;
-    std::unique_ptr<httplib::Client> m_connection;
+    std::unique_ptr<BoundedClient> m_connection;
 };
 
 } // namespace almondmill
--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -5,10 +5,9 @@
 #include "almondmill/endpoint/attemptrequest.h"
 #include "almondmill/endpoint/forwardedheaders.h"
 #include "almondmill/endpoint/headernames.h"
+#include "almondmill/http/boundedclient.h"
 #include "almondmill/kernel/hash.h"
 
-#include <httplib.h>
-
 #include <netinet/tcp.h>
 
 namespace almondmill {
@@ -17,6 +16,10 @@
 
 constexpr int KeepAliveProbeSeconds = 2;
 
+/// Bytes of an answer that may arrive between two pieces of its body: a head, or the framing of a
+/// chunk.
+constexpr std::size_t MaxBytesBetweenPieces = std::size_t(256) << 10U;
+
 AttemptHead toHead(const httplib::Response &response)
 {
     AttemptHead head;
@@ -51,9 +54,9 @@
     setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveProbeSeconds);
 }
 
-std::unique_ptr<httplib::Client> makeClient(const AttemptRequest &request)
+std::unique_ptr<BoundedClient> makeClient(const AttemptRequest &request)
 {
-    auto client = std::make_unique<httplib::Client>("http://" + request.address);
+    auto client = std::make_unique<BoundedClient>(request.address, MaxBytesBetweenPieces);
     client->set_keep_alive(false);
     client->set_tcp_nodelay(true);
     client->set_decompress(false);
@@ -96,7 +99,7 @@
 AttemptResult Attempt::run(const AttemptRequest &request, AttemptObserver &observer)
 {
     auto newClient = makeClient(request);
-    httplib::Client *client = newClient.get();
+    BoundedClient *client = newClient.get();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_client = std::move(newClient);
@@ -112,6 +115,7 @@
     };
     libraryRequest.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
                                           std::uint64_t) {
+        client->restartCount();
         stoppedByObserver = !observer.onBytes({data, size});
         return !stoppedByObserver;
     };
--- a/src/endpoint/statusclient.cpp
+++ b/src/endpoint/statusclient.cpp
@@ -1,8 +1,8 @@
 #include "almondmill/endpoint/statusclient.h"
 
+#include "almondmill/http/boundedclient.h"
 #include "almondmill/kernel/hash.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace almondmill {
@@ -11,6 +11,9 @@
 
 using Json = nlohmann::json;
 
+/// Largest answer to a status call, with its head.
+constexpr std::size_t MaxAnswerBytes = std::size_t(256) << 10U;
+
 EndpointStatus toStatus(const Json &json)
 {
     EndpointStatus status;
@@ -22,7 +25,7 @@
     return status;
 }
 
-std::optional<EndpointStatus> requestStatus(httplib::Client &client)
+std::optional<EndpointStatus> requestStatus(BoundedClient &client)
 {
     const auto result = client.Get("/v1/status");
     if (!result || result->status != 200)
@@ -58,9 +61,10 @@
     return status;
 }
 
-std::unique_ptr<httplib::Client> StatusClient::connect() const
+std::unique_ptr<BoundedClient> StatusClient::connect() const
 {
-    auto client = std::make_unique<httplib::Client>("http://" + m_address);
+    auto client = std::make_unique<BoundedClient>(m_address, MaxAnswerBytes);
+    client->setCallTimeout(m_timeout);
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
     client->set_connection_timeout(m_timeout);
--- a/src/orders/httpenginecontrol.cpp
+++ b/src/orders/httpenginecontrol.cpp
@@ -1,8 +1,11 @@
 #include "almondmill/orders/httpenginecontrol.h"
 
-#include <httplib.h>
+#include "almondmill/http/boundedclient.h"
+
 #include <nlohmann/json.hpp>
 
+#include <memory>
+
 namespace almondmill {
 
 namespace {
@@ -11,13 +14,18 @@
 
 constexpr const char *JsonType = "application/json";
 
-httplib::Client makeClient(const std::string &address, std::chrono::milliseconds timeout)
+/// Largest answer of an engine to a status call or an order, with its head.
+constexpr std::size_t MaxAnswerBytes = std::size_t(256) << 10U;
+
+std::unique_ptr<BoundedClient> makeClient(const std::string &address,
+                                          std::chrono::milliseconds timeout)
 {
-    httplib::Client client("http://" + address);
-    client.set_keep_alive(false);
-    client.set_connection_timeout(timeout);
-    client.set_read_timeout(timeout);
-    client.set_write_timeout(timeout);
+    auto client = std::make_unique<BoundedClient>(address, MaxAnswerBytes);
+    client->setCallTimeout(timeout);
+    client->set_keep_alive(false);
+    client->set_connection_timeout(timeout);
+    client->set_read_timeout(timeout);
+    client->set_write_timeout(timeout);
     return client;
 }
 
@@ -27,7 +35,7 @@
                                                       std::chrono::milliseconds timeout)
 {
     auto client = makeClient(address, timeout);
-    const auto result = client.Get("/v1/status");
+    const auto result = client->Get("/v1/status");
     if (!result || result->status != 200)
         return std::nullopt;
     const Json json = Json::parse(result->body, nullptr, false);
@@ -45,7 +53,7 @@
 {
     auto client = makeClient(address, timeout);
     const Json body{{"weights", order.weights}, {"fencing", order.fencing}};
-    const auto result = client.Post("/v1/orders", body.dump(), JsonType);
+    const auto result = client->Post("/v1/orders", body.dump(), JsonType);
     if (!result)
         return OrderUnanswered{httplib::to_string(result.error())};
     if (result->status == 200)
--- a/src/store/httpplatform.cpp
+++ b/src/store/httpplatform.cpp
@@ -1,13 +1,14 @@
 #include "almondmill/store/httpplatform.h"
 
+#include "almondmill/http/boundedclient.h"
 #include "almondmill/kernel/node.h"
 #include "almondmill/metrics/metrics.h"
 #include "almondmill/store/circuitbreakerplatform.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <cctype>
+#include <memory>
 #include <string_view>
 
 namespace almondmill {
@@ -23,6 +24,9 @@
 /// Time beyond the requested wait that the platform has to answer a watch call.
 constexpr std::chrono::milliseconds WatchTimeoutMargin{2000};
 
+/// Largest answer of the platform, with its framing. Pages have about 1 MB.
+constexpr std::size_t MaxAnswerBytes = std::size_t(16) << 20U;
+
 bool isUnescaped(char character)
 {
     return std::isalnum(static_cast<unsigned char>(character)) != 0
@@ -52,16 +56,18 @@
     return "/objects/" + percentEncoded(name);
 }
 
-httplib::Client makeClient(const std::string &baseUrl, std::chrono::milliseconds timeout)
+std::unique_ptr<BoundedClient> makeClient(const std::string &baseUrl,
+                                          std::chrono::milliseconds timeout)
 {
-    httplib::Client client(baseUrl);
-    client.set_keep_alive(false);
-    client.set_tcp_nodelay(true);
-    client.set_url_encode(false);
+    auto client = std::make_unique<BoundedClient>(baseUrl, MaxAnswerBytes);
+    client->setCallTimeout(timeout);
+    client->set_keep_alive(false);
+    client->set_tcp_nodelay(true);
+    client->set_url_encode(false);
     const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(timeout);
-    client.set_connection_timeout(microseconds);
-    client.set_read_timeout(microseconds);
-    client.set_write_timeout(microseconds);
+    client->set_connection_timeout(microseconds);
+    client->set_read_timeout(microseconds);
+    client->set_write_timeout(microseconds);
     return client;
 }
 
@@ -131,7 +137,7 @@
 {
     count("read");
     auto client = makeClient(m_baseUrl, timeout);
-    const auto result = client.Get(objectPath(name));
+    const auto result = client->Get(objectPath(name));
     if (!result)
         return Unavailable{describe(result)};
     if (result->status == 404)
@@ -145,7 +151,7 @@
 {
     count("list");
     auto client = makeClient(m_baseUrl, timeout);
-    const auto result = client.Get("/objects?prefix=" + percentEncoded(prefix));
+    const auto result = client->Get("/objects?prefix=" + percentEncoded(prefix));
     if (!result || result->status != 200)
         return Unavailable{describe(result)};
     return parseBody<ListResult>(result->body, [](const Json &json) {
@@ -163,8 +169,8 @@
     count("watch");
     auto client = makeClient(m_baseUrl, wait + WatchTimeoutMargin);
     const auto result =
-            client.Get("/watch?prefix=" + percentEncoded(prefix) + "&after="
-                       + std::to_string(revision) + "&wait_ms=" + std::to_string(wait.count()));
+            client->Get("/watch?prefix=" + percentEncoded(prefix) + "&after="
+                        + std::to_string(revision) + "&wait_ms=" + std::to_string(wait.count()));
     if (!result || result->status != 200)
         return Unavailable{describe(result)};
     return parseBody<WatchResult>(result->body, [](const Json &json) {
@@ -177,8 +183,8 @@
 {
     count("create");
     auto client = makeClient(m_baseUrl, timeout);
-    return toUpdateResult(name,
-                          client.Put(objectPath(name), {{"If-None-Match", "*"}}, value, BytesType));
+    return toUpdateResult(
+            name, client->Put(objectPath(name), {{"If-None-Match", "*"}}, value, BytesType));
 }
 
 UpdateResult HttpPlatform::update(const std::string &name, const std::string &value,
@@ -187,7 +193,7 @@
     count("update");
     auto client = makeClient(m_baseUrl, timeout);
     const httplib::Headers headers{{"If-Match", std::to_string(expectedVersion)}};
-    return toUpdateResult(name, client.Put(objectPath(name), headers, value, BytesType));
+    return toUpdateResult(name, client->Put(objectPath(name), headers, value, BytesType));
 }
 
 UpdateResult HttpPlatform::remove(const std::string &name, std::uint64_t expectedVersion,
@@ -196,14 +202,14 @@
     count("remove");
     auto client = makeClient(m_baseUrl, timeout);
     const httplib::Headers headers{{"If-Match", std::to_string(expectedVersion)}};
-    return toUpdateResult(name, client.Delete(objectPath(name), headers, "", JsonType));
+    return toUpdateResult(name, client->Delete(objectPath(name), headers, "", JsonType));
 }
 
 VmListResult HttpPlatform::vms(std::chrono::milliseconds timeout)
 {
     count("vms");
     auto client = makeClient(m_baseUrl, timeout);
-    const auto result = client.Get("/vms");
+    const auto result = client->Get("/vms");
     if (!result || result->status != 200)
         return Unavailable{describe(result)};
     return parseBody<VmListResult>(result->body, [](const Json &json) {
--- a/tests/failure-endlessreplies.cpp
+++ b/tests/failure-endlessreplies.cpp
@@ -49,7 +49,14 @@
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
-    return {{"InterimAnswers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    return {{"StatusLine", "HTTP/1.1 200 ", "OK"},
+            {"HeaderField", ok + "X-Long: ", "abcdefgh"},
+            {"HeaderFields", ok, "X-Field: abcdefgh\r\n"},
+            {"InterimAnswers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"BodyWithoutLength", ok + "\r\n", "abcdefgh"},
+            {"Chunks", chunked, "8\r\nabcdefgh\r\n"},
+            {"ChunkExtension", chunked + "8;x=", "abcdefgh"},
+            {"Trailers", chunked + "0\r\n", "X-Field: abcdefgh\r\n"},
             {"SlowHead", ok + "X-Slow: ", "x", milliseconds(100)},
             {"SlowBody", ok + "\r\n", "x", milliseconds(100)}};
 }
@@ -101,6 +108,21 @@
 
 } // namespace
 
+// A reply of the store without end filled the memory, and one that came byte by byte held its call.
+TEST_P(EndlessReplies, OfTheStoreEndTheCall)
+{
+    Metrics metrics;
+    HttpPlatform store("http://" + endpoint.address(), metrics);
+    EXPECT_TRUE(std::holds_alternative<Unavailable>(store.read("a", Timeout)));
+}
+
+TEST_P(EndlessReplies, ToAnUpdateLeaveItsOutcomeUnknown)
+{
+    Metrics metrics;
+    HttpPlatform store("http://" + endpoint.address(), metrics);
+    EXPECT_TRUE(std::holds_alternative<OutcomeUnknown>(store.update("a", "value", 1, Timeout)));
+}
+
 TEST_P(EndlessReplies, EndACallOfTheEventLoop)
 {
     const HttpOutcome outcome = callOfTheEventLoop(endpoint.address());
@@ -141,6 +163,16 @@
     watch.join();
 }
 
+TEST_P(EndlessReplies, ToStatusAndOrderCallsEndThem)
+{
+    StatusClient status(endpoint.address(), Timeout / 4);
+    EXPECT_FALSE(status.fetch());
+    HttpEngineControl control;
+    EXPECT_FALSE(control.status(endpoint.address(), Timeout / 4));
+    EXPECT_TRUE(std::holds_alternative<OrderUnanswered>(
+            control.order(endpoint.address(), EngineOrder(), Timeout / 4)));
+}
+
 INSTANTIATE_TEST_SUITE_P(Bytes, EndlessReplies, testing::ValuesIn(endlessReplies()),
                          [](const auto &parameter) { return std::string(parameter.param.name); });
 
