Take a chunked answer without its last chunk for incomplete

What callers saw, on the product's own interface: an answer in chunks that stopped right before the line feed behind a chunk came as a whole one.

Cause: the HTTP library ends a chunked body without an error where the line end of a chunk is missing.

Change: BoundedClient checks that a chunked body ended with its last chunk.

Evidence: OwnEndpoints.AnAnswerThatStopsAtAnyByteIsNotComplete failed before at byte 86 of 92. The other two tests passed before and after; they cover an answer that stops in its head and a second copy of a refusal, which can't reach another attempt because each has its own connection.

--- a/src/http/boundedclient.cpp
+++ b/src/http/boundedclient.cpp
@@ -1,8 +1,11 @@
 #include "almondmill/http/boundedclient.h"
 
+#include "almondmill/kernel/abslview.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/kernel/time.h"
 
+#include <absl/strings/match.h>
+
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -45,6 +48,13 @@
     return colon == std::string::npos ? DefaultPort : std::atoi(hostAndPort.c_str() + colon + 1);
 }
 
+bool isChunkedField(std::string_view line)
+{
+    constexpr std::string_view Name = "transfer-encoding:";
+    return absl::StartsWithIgnoreCase(abslView(line), abslView(Name))
+           && absl::EndsWithIgnoreCase(abslView(line), "chunked\r\n");
+}
+
 milliseconds toTimeout(std::time_t seconds, std::time_t microseconds)
 {
     return std::chrono::ceil<milliseconds>(std::chrono::seconds(seconds)
@@ -97,6 +107,14 @@
         return static_cast<ssize_t>(taken);
     }
 
+    /// Whether a chunked body stopped before its last chunk. The library takes a chunk without its
+    /// line end for the end of the body.
+    bool isCutInChunks() const
+    {
+        const bool hasLastChunk = m_lineBefore.starts_with('0') && m_lastLine == "\r\n";
+        return m_isChunked && !(hasLastChunk && m_line.empty());
+    }
+
     ssize_t write(const char *bytes, size_t size) override
     {
         while (is_writable()) {
@@ -132,8 +150,12 @@
     void recordLineByte(char byte)
     {
         m_line += byte;
-        if (byte == '\n')
-            m_line.clear();
+        if (byte != '\n')
+            return;
+        m_isChunked = m_isChunked || isChunkedField(m_line);
+        m_lineBefore = std::move(m_lastLine);
+        m_lastLine = std::move(m_line);
+        m_line.clear();
     }
 
     ssize_t fill()
@@ -156,6 +178,9 @@
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
     std::string m_line; ///< The line that is being read.
+    std::string m_lastLine;
+    std::string m_lineBefore; ///< Before the last one.
+    bool m_isChunked = false;
 };
 
 BoundedClient::BoundedClient(const std::string &address, std::size_t maxBytes)
@@ -168,7 +193,7 @@
 {
     m_readBytes = 0;
     BoundedStream stream(*this, socket.sock);
-    return callback(stream);
+    return callback(stream) && !stream.isCutInChunks();
 }
 
 } // namespace almondmill
--- /dev/null
+++ b/tests/failure-ownendpoints.cpp
@@ -0,0 +1,117 @@
+// Guards the product's own interface to endpoints: an answer that stops, an error in place of a
+// stream's continuation and a second copy of a refusal must not be taken for an answer.
+
+#include "support/answertexts.h"
+#include "support/forwardingharness.h"
+#include "support/rawendpoint.h"
+
+#include "almondmill/endpoint/attempt.h"
+#include "almondmill/endpoint/attempthead.h"
+#include "almondmill/endpoint/attemptrequest.h"
+#include "almondmill/endpoint/headernames.h"
+#include "almondmill/request/bufferedresponse.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+namespace almondmill::test {
+
+namespace {
+
+constexpr std::size_t MaxBodyBytes = 10000;
+
+AttemptRequest requestTo(const std::string &address, const std::string &id)
+{
+    AttemptRequest request;
+    request.address = address;
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.body = "body";
+    request.attemptId = id;
+    return request;
+}
+
+std::string headFor(const std::string &id, const std::string &statusLine,
+                    const std::string &moreHeaders)
+{
+    return "HTTP/1.1 " + statusLine + "\r\n" + AttemptIdHeader + ": " + id + "\r\n" + moreHeaders
+           + "\r\n";
+}
+
+std::string answerFor(const std::string &id, const std::string &statusLine, const std::string &type,
+                      const std::string &body)
+{
+    return headFor(id, statusLine,
+                   "Content-Type: " + type + "\r\nContent-Length: " + std::to_string(body.size())
+                           + "\r\n")
+           + body;
+}
+
+} // namespace
+
+// A client got an answer that had stopped in its head or body as a whole one.
+TEST(OwnEndpoints, AnAnswerThatStopsAtAnyByteIsNotComplete)
+{
+    const std::string body = "{\"text\":\"whole\"}";
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const std::string answers[] = {headFor("a1", "200 OK", length) + body,
+                                   headFor("a1", "200 OK", "Transfer-Encoding: chunked\r\n")
+                                           + chunkText(body) + LastChunkText};
+    for (const std::string &answer : answers) {
+        for (const bool isReset : {false, true}) {
+            std::atomic<std::size_t> bytes{0};
+            const RawEndpoint endpoint([&](int socket, const std::string &, unsigned) {
+                RawEndpoint::write(socket, answer.substr(0, bytes));
+                if (isReset)
+                    RawEndpoint::resetOnClose(socket);
+            });
+            for (; bytes < answer.size(); ++bytes) {
+                Attempt attempt;
+                BufferedResponse response("a1", MaxBodyBytes);
+                const auto result = attempt.run(requestTo(endpoint.address(), "a1"), response);
+                EXPECT_TRUE(std::holds_alternative<AttemptBroken>(result)) << bytes << answer;
+            }
+        }
+    }
+}
+
+// A body without length that was cut by the end of its head counted as an empty answer.
+TEST(OwnEndpoints, AnAnswerWithoutLengthThatStopsInItsHeadIsNotComplete)
+{
+    const std::string head = headFor("a1", "200 OK", "Content-Type: application/json\r\n");
+    std::atomic<std::size_t> bytes{0};
+    const RawEndpoint endpoint([&](int socket, const std::string &, unsigned) {
+        RawEndpoint::write(socket, head.substr(0, bytes));
+    });
+    for (; bytes < head.size(); ++bytes) {
+        Attempt attempt;
+        BufferedResponse response("a1", MaxBodyBytes);
+        const auto result = attempt.run(requestTo(endpoint.address(), "a1"), response);
+        EXPECT_TRUE(std::holds_alternative<AttemptBroken>(result)) << bytes;
+    }
+}
+
+// A refusal that was written once more on a kept connection answered the next request.
+TEST(OwnEndpoints, ASecondCopyOfARefusalAnswersNoOtherRequest)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned before) {
+        const std::string id = headerOf(call, AttemptIdHeader);
+        const std::string full = answerFor("a1", "503 Service Unavailable", "text/plain", "full");
+        if (before != 0) {
+            RawEndpoint::write(socket, answerFor(id, "200 OK", "text/plain", "answer to " + id));
+            return;
+        }
+        RawEndpoint::write(socket, full + full);
+        EXPECT_EQ(RawEndpoint::readCall(socket), "");
+    });
+    for (const char *id : {"a1", "a2"}) {
+        Attempt attempt;
+        BufferedResponse response(id, MaxBodyBytes);
+        const auto result = attempt.run(requestTo(endpoint.address(), id), response);
+        EXPECT_TRUE(std::holds_alternative<AttemptCompleted>(result)) << id;
+        EXPECT_EQ(response.head().attemptId, id);
+    }
+}
+
+} // namespace almondmill::test
