Keep text that is no event out of streams of own endpoints

What callers saw, on the product's own interface: when an endpoint answered the continuation of a stream with 200 and the text of an error, that text stood in the middle of the stream.

Cause: what had neither data nor an id passed as a comment does.

Change: only comments and the fields event and retry pass; other text ends the attempt.

--- a/include/almondmill/request/streamprogress.h
+++ b/include/almondmill/request/streamprogress.h
@@ -11,7 +11,7 @@
     Relay,     ///< It is the next event for the caller.
     Duplicate, ///< The endpoint sent it before in this computation; dropped.
     Replayed,  ///< The caller has it from an earlier computation; dropped.
-    Gap,       ///< Events before it are missing.
+    Gap,       ///< Events before it are missing, or it is no event of a stream.
     Mismatch,  ///< The recomputed events differ from those that the caller has.
 };
 
--- a/src/request/streamprogress.cpp
+++ b/src/request/streamprogress.cpp
@@ -15,6 +15,8 @@
 {
     if (m_complete)
         return EventVerdict::Duplicate;
+    if (!event.hasData && !event.id && !event.isControl)
+        return EventVerdict::Gap;
     if (!event.hasData && !event.id)
         return m_seen < m_relayed ? EventVerdict::Replayed : EventVerdict::Relay;
     m_numbered = m_numbered && event.id.has_value();
--- a/tests/failure-ownendpoints.cpp
+++ b/tests/failure-ownendpoints.cpp
@@ -4,6 +4,7 @@
 #include "support/answertexts.h"
 #include "support/forwardingharness.h"
 #include "support/rawendpoint.h"
+#include "support/relayharness.h"
 
 #include "almondmill/endpoint/attempt.h"
 #include "almondmill/endpoint/attempthead.h"
@@ -48,6 +49,81 @@
            + body;
 }
 
+/// Sends each attempt to one address, whatever endpoint was chosen.
+class AttemptAt : public AttemptRunner
+{
+public:
+    explicit AttemptAt(std::string address)
+        : m_address(std::move(address))
+    {}
+
+    AttemptResult run(const AttemptRequest &request, AttemptObserver &observer) override
+    {
+        AttemptRequest moved = request;
+        moved.address = m_address;
+        return m_attempt.run(moved, observer);
+    }
+
+    void cancel() override { m_attempt.cancel(); }
+
+private:
+    std::string m_address;
+    Attempt m_attempt;
+};
+
+/// What an endpoint answers when it is asked to continue a stream after event 2.
+struct Continuation
+{
+    const char *name;
+    std::string (*answer)(const std::string &id);
+    bool isComplete;
+};
+
+const std::string EventStream = "text/event-stream";
+
+const Continuation Continuations[] = {
+        {"ServerError",
+         [](const std::string &id) {
+             return answerFor(id, "500 Internal Server Error", EventStream,
+                              "id: 3\ndata: the error's text\n\n");
+         },
+         false},
+        {"NotFound",
+         [](const std::string &id) {
+             return answerFor(id, "404 Not Found", "text/plain", "the error's text\n\n");
+         },
+         false},
+        {"PlainText",
+         [](const std::string &id) {
+             return answerFor(id, "200 OK", "text/plain", eventText(3) + "the error's text\n\n");
+         },
+         false},
+        {"HeadInTheBody",
+         [](const std::string &id) {
+             return answerFor(id, "200 OK", EventStream,
+                              "HTTP/1.1 500 Oops\nX: y\n\nthe error's text\n\n");
+         },
+         false},
+        {"OfAnotherAttempt",
+         [](const std::string &) {
+             return answerFor("other", "200 OK", EventStream, eventText(3));
+         },
+         false},
+        {"Gap",
+         [](const std::string &id) {
+             return answerFor(id, "200 OK", EventStream, eventText(4) + "data: [DONE]\n\n");
+         },
+         false},
+        {"Sound",
+         [](const std::string &id) {
+             return answerFor(id, "200 OK", EventStream,
+                              eventText(2) + eventText(3) + "data: [DONE]\n\n");
+         },
+         true}};
+
+class OwnStreams : public testing::TestWithParam<Continuation>
+{};
+
 } // namespace
 
 // A client got an answer that had stopped in its head or body as a whole one.
@@ -114,4 +190,29 @@
     }
 }
 
+// An error's text came into a stream that had begun, or the stream ended as if it were complete.
+TEST_P(OwnStreams, HoldEachEventOnceAndNothingElse)
+{
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
+        const std::string id = headerOf(call, AttemptIdHeader);
+        const std::string begun = eventText(1) + eventText(2) + "id: 3\nda";
+        const bool isContinued = call.starts_with("GET ");
+        RawEndpoint::write(
+                socket, isContinued ? GetParam().answer(id)
+                                    : headFor(id, "200 OK", "Content-Type: " + EventStream + "\r\n")
+                                              + begun);
+    });
+    const RelayHarness harness(1, [&] { return std::make_unique<AttemptAt>(endpoint.address()); });
+    const std::string text = harness.readToEnd(false);
+    for (int id = 1; id <= 2; ++id)
+        EXPECT_EQ(countOf(text, "piece " + std::to_string(id)), 1U) << text;
+    EXPECT_EQ(countOf(text, "HTTP/1.1"), 0U) << text;
+    EXPECT_EQ(countOf(text, "the error's text"), 0U) << text;
+    EXPECT_EQ(text.ends_with("data: [DONE]\n\n"), GetParam().isComplete) << text;
+    EXPECT_EQ(countOf(text, "event: error"), GetParam().isComplete ? 0U : 1U) << text;
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, OwnStreams, testing::ValuesIn(Continuations),
+                         [](const auto &parameter) { return std::string(parameter.param.name); });
+
 } // namespace almondmill::test
