--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/forward/callersession.h"
 
+#include "almondmill/forward/answerframing.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/requestforwarder.h"
@@ -79,6 +80,10 @@
         const bool isAnswered = co_await serve(request);
         m_isServing = false;
         m_socket->stopWatching();
+        if (isAnswered && m_endsWithConnection) {
+            m_endsWithConnection = false;
+            m_socket->setResetOnClose(false);
+        }
         if (!isAnswered)
             recordUnanswered(m_disconnected ? "caller_left" : m_sendFailed ? "send_failed" : "cut");
         if (!isAnswered || m_closeAnnounced || m_closeRequested)
@@ -87,7 +92,9 @@
         if (m_context.isDraining() && !m_socket->hasInput())
             break;
     }
-    m_socket->shutdownSending();
+    // A regular end would be the end of a body that ends with its connection.
+    if (!m_endsWithConnection)
+        m_socket->shutdownSending();
     m_socket->abort();
 }
 
@@ -133,6 +140,17 @@
     co_return !error;
 }
 
+std::string CallerSession::beginAnswer(const HttpHead &head, std::optional<std::size_t> bodyBytes)
+{
+    m_endsWithConnection = !bodyBytes && !m_acceptsChunks;
+    m_closeRequested = m_closeRequested || m_endsWithConnection;
+    if (m_endsWithConnection)
+        m_socket->setResetOnClose(true);
+    const bool isChunked = !bodyBytes && m_acceptsChunks;
+    return m_context.adapter->codec().encodeAnswer(head,
+                                                   {bodyBytes, isChunked, closesAfterAnswer()});
+}
+
 bool CallerSession::closesAfterAnswer()
 {
     m_closeAnnounced = m_closeRequested || m_context.isDraining();
@@ -222,6 +240,7 @@
         co_return Next::Close;
     }
     request = m_context.adapter->codec().decodeRequest(parser.head());
+    m_acceptsChunks = request.acceptsChunks;
     m_closeRequested = !parser.keep_alive();
     if (parser.head().fields.count("Host") != 1)
         co_return co_await refuse(BadRequest, "exactly one Host is needed");
@@ -239,7 +258,8 @@
     const auto length = parser.content_length();
     if (length && *length > limits.maxBodyBytes)
         co_return co_await refuse(BodyTooLarge, "the body is too large");
-    if (parser.head().fields.find("Expect")) {
+    // HTTP/1.0 has neither chunks nor interim answers.
+    if (parser.head().fields.find("Expect") && m_acceptsChunks) {
         if (!co_await send("HTTP/1.1 100 Continue\r\n\r\n"))
             co_return Next::Close;
     }
--- a/src/forward/streamcontinuity.cpp
+++ b/src/forward/streamcontinuity.cpp
@@ -2,11 +2,14 @@
 
 #include "almondmill/request/streamevent.h"
 
+#include <algorithm>
+
 namespace almondmill {
 
 void StreamContinuity::resume(std::optional<std::uint64_t> lastId)
 {
     m_lastId = lastId;
+    m_repeatedId.reset();
     m_isResumed = true;
     m_isJoined = !lastId;
 }
@@ -14,6 +17,8 @@
 StreamContinuity::Verdict StreamContinuity::recordEvent(const StreamEvent &event)
 {
     const Verdict verdict = m_isResumed ? verdictOn(event) : Verdict::Relay;
+    if (verdict == Verdict::Repeat)
+        m_repeatedId = std::max(m_repeatedId, event.id);
     if (verdict != Verdict::Relay)
         return verdict;
     if (event.id)
@@ -29,13 +34,15 @@
         return Verdict::Repeat;
     if (event.id)
         return isNext(*event.id) ? Verdict::Relay : Verdict::Break;
+    if (event.endOfStream && isBehind())
+        return Verdict::Break;
     // Before the first id of this attempt, only what carries no piece of the stream can be placed.
-    return m_isJoined || event.isComment || event.endOfStream ? Verdict::Relay : Verdict::Break;
+    return m_isJoined || event.isControl || event.endOfStream ? Verdict::Relay : Verdict::Break;
 }
 
 bool StreamContinuity::isNext(std::uint64_t id) const
 {
-    return !m_isConsecutive || isConsecutive(id);
+    return !m_hasSteps || !m_isConsecutive || isConsecutive(id);
 }
 
 bool StreamContinuity::isConsecutive(std::uint64_t id) const
@@ -45,6 +52,7 @@
 
 void StreamContinuity::recordId(std::uint64_t id)
 {
+    m_hasSteps = m_hasSteps || (m_lastId && m_isJoined);
     m_isConsecutive = m_isConsecutive && isConsecutive(id);
     m_lastId = id;
     m_isJoined = true;
--- a/tests/failure-resumedstreams.cpp
+++ b/tests/failure-resumedstreams.cpp
@@ -140,10 +140,37 @@
              return events(call, eventText(3) + eventText(3) + eventText(4));
          },
          4, true},
+        {"RetryTimeFirst",
+         [](const std::string &call) {
+             return events(call, "retry: 500\n\n" + eventText(3) + eventText(4));
+         },
+         5, true},
+        {"RepeatsOnlyUntilClose",
+         [](const std::string &call) {
+             return streamAnswer(call, eventText(1) + eventText(2), Framing::UntilClose);
+         },
+         2, true},
+        {"RepeatsTheFirstOnly", [](const std::string &call) { return events(call, eventText(1)); },
+         2, false},
+        {"RepeatsTheFirstOnlyUntilClose",
+         [](const std::string &call) {
+             return streamAnswer(call, eventText(1), Framing::UntilClose);
+         },
+         2, false},
+        {"EndMarkerAfterTheFirst",
+         [](const std::string &call) { return events(call, eventText(1) + "data: [DONE]\n\n"); }, 2,
+         false},
+        {"RepeatsTheFirstAfterTheThird",
+         [](const std::string &call) { return events(call, eventText(3) + eventText(1)); }, 3,
+         true},
         {"EndMarker", [](const std::string &call) { return events(call, "data: [DONE]\n\n"); }, 3,
          true},
         {"NoMoreEvents", [](const std::string &call) { return events(call, {}); }, 2, true}};
 
+/// Time in which an endpoint must continue a stream. The router searches until it has passed, so a
+/// stream that both endpoints refuse to continue ends only then.
+constexpr const char *ShortDeadline = "Deadline-Ms: 3000\r\n";
+
 class ResumedStream : public testing::TestWithParam<Resumption>
 {};
 
@@ -171,7 +198,8 @@
     harness.configure(oneRouteOfEachKind());
     harness.addEndpoint("e1", "resume", first.address(), 1);
     harness.addEndpoint("e2", "resume", second.address(), 1);
-    const std::string answer = sendRequest(harness, requestText("POST", "/resume/x"));
+    const std::string answer =
+            sendRequest(harness, requestText("POST", "/resume/x", ShortDeadline));
     EXPECT_TRUE(hasStatus(answer, 200)) << answer;
     EXPECT_EQ(countOf(answer, "HTTP/1.1"), 1U) << answer;
     EXPECT_EQ(countOf(answer, "error"), 0U) << answer;
