--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -69,6 +69,14 @@
     return std::max(std::chrono::duration_cast<milliseconds>(time - now), milliseconds(1000));
 }
 
+/// Answered crashes count too: other routers may not know yet that they were answered, and repeat
+/// them for as long.
+bool hasExpired(const PartEvidence &evidence, SteadyTime now)
+{
+    const auto &crashes = evidence.crashes;
+    return crashes.empty() || now - crashes.back().at > retentionAfter(crashes.size());
+}
+
 /// What the evidence adds to the size of a message: the part and its crashes.
 std::size_t sizeOf(const PartEvidence &evidence)
 {
@@ -271,10 +279,7 @@
                 .add("hold", open ? holdAfter(suspicion.crashes) : milliseconds(0));
     }
     absl::erase_if(m_entries, [&](const auto &entry) {
-        const PartEvidence &evidence = entry.second.evidence;
-        const std::size_t crashes = suspicionOf(evidence).crashes;
-        return evidence.crashes.empty()
-               || now - evidence.crashes.back().at > retentionAfter(crashes);
+        return !entry.second.isUnsent && hasExpired(entry.second.evidence, now);
     });
 }
 
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -76,6 +76,40 @@
     EXPECT_TRUE(router.breakers.mayRetry({First, Session}));
 }
 
+// Guards against sound requests that other routers refuse for long after a test was answered, and
+// against their evidence opening the part again at the router that tested it.
+TEST(PartBreakers, AnAnswerLongAfterTheCrashesClosesThePartAtAllRouters)
+{
+    Router tester("router-1");
+    Router other("router-2");
+    const SteadyTime last = crash(tester.breakers, {Crashing}, 6);
+    other.breakers.merge(tester.breakers.takeUnsent(75), last);
+    const SteadyTime tested = last + seconds(165);
+    tester.breakers.recordAnswer({Crashing}, tested);
+    tester.breakers.refresh(tested + milliseconds(250));
+    other.breakers.merge(tester.breakers.takeUnsent(75), tested + milliseconds(260));
+    tester.breakers.merge(other.breakers.mostSuspected(16), tested + milliseconds(500));
+    EXPECT_TRUE(tester.breakers.openParts(tested + milliseconds(600)).empty());
+    EXPECT_TRUE(other.breakers.openParts(tested + milliseconds(600)).empty());
+}
+
+// Guards against the same when the message with the answer is lost: late evidence of another router
+// is still known to be answered.
+TEST(PartBreakers, AnsweredCrashesAreKnownAsLongAsOthersMayRepeatThem)
+{
+    Router tester("router-1");
+    Router other("router-2");
+    const SteadyTime last = crash(tester.breakers, {Crashing}, 6);
+    other.breakers.merge(tester.breakers.takeUnsent(75), last);
+    const SteadyTime tested = last + seconds(165);
+    tester.breakers.recordAnswer({Crashing}, tested);
+    EXPECT_FALSE(tester.breakers.takeUnsent(75).empty());
+    tester.breakers.refresh(tested + seconds(10));
+    tester.breakers.merge(other.breakers.mostSuspected(16), tested + seconds(10));
+    EXPECT_TRUE(tester.breakers.openParts(tested + seconds(11)).empty());
+    EXPECT_TRUE(tester.breakers.hasUnsent());
+}
+
 TEST(PartBreakers, EnginesOfOneRackThatEndTogetherAreOneCrash)
 {
     Router router;
