--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -33,10 +33,14 @@
 /// it.
 constexpr milliseconds FirstHold{20'000};
 
-/// After this time without a test, four times as many routers may test a half-open part, because
-/// the first ones may have left or get no request with the part.
-constexpr milliseconds TesterInterval{5000};
-constexpr std::size_t TesterGrowth = 4;
+/// Routers take turns of this length in testing a half-open part, because some may have left or get
+/// no request with the part.
+constexpr milliseconds TestTurn{5000};
+
+/// Routers that may test a part in one turn: one in the first, and more in the later ones. A bound,
+/// because requests with the part may return at all routers at once after a pause.
+constexpr std::size_t MaxTestersInFirstTurn = 1;
+constexpr std::size_t MaxTesters = 2;
 
 /// A test without a result ends after this time.
 constexpr milliseconds TestTimeout{10'000};
@@ -351,14 +355,13 @@
     const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
     if (now < heldUntil)
         return false;
-    std::size_t testers = 1;
-    for (SteadyTime next = heldUntil + TesterInterval; next <= now && testers <= m_routers.size();
-         next += TesterInterval)
-        testers *= TesterGrowth;
-    const std::uint64_t rank = mixHash(part, m_self);
+    const auto turn = static_cast<std::uint64_t>((now - heldUntil) / TestTurn);
+    const std::size_t testers = turn == 0 ? MaxTestersInFirstTurn : MaxTesters;
+    const std::uint64_t order = mixHash(part, turn);
+    const std::uint64_t rank = mixHash(order, m_self);
     const auto before =
             std::count_if(m_routers.begin(), m_routers.end(),
-                          [&](std::uint64_t router) { return mixHash(part, router) < rank; });
+                          [&](std::uint64_t router) { return mixHash(order, router) < rank; });
     return static_cast<std::size_t>(before) < testers;
 }
 
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -9,6 +9,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <deque>
+#include <set>
 
 namespace almondmill::test {
 
@@ -155,6 +156,36 @@
     EXPECT_EQ(admitted(last + milliseconds(61'100)), 1);
 }
 
+// Guards against an engine crash for each router when requests with a part return after a pause.
+TEST(PartBreakers, FewRoutersTestAPartAtOnceHoweverLongNoRequestCame)
+{
+    constexpr std::size_t Routers = 100;
+    std::deque<Router> routers;
+    for (std::size_t index = 0; index < Routers; ++index)
+        routers.emplace_back("router-" + std::to_string(index));
+    SteadyTime last;
+    for (std::size_t index = 0; index < Routers; ++index) {
+        for (std::size_t other = 0; other < Routers; ++other) {
+            if (other != index)
+                routers[index].breakers.addRouter("router-" + std::to_string(other));
+        }
+        last = crash(routers[index].breakers, {Crashing}, 3);
+    }
+    std::set<std::size_t> testers;
+    for (milliseconds after{20'100}; after < seconds(110); after += milliseconds(5000)) {
+        std::size_t atOnce = 0;
+        for (std::size_t index = 0; index < Routers; ++index) {
+            if (routers[index].breakers.findOpen({Crashing}, last + after))
+                continue;
+            ++atOnce;
+            testers.insert(index);
+        }
+        EXPECT_GE(atOnce, 1U);
+        EXPECT_LE(atOnce, 2U);
+    }
+    EXPECT_GT(testers.size(), 10U); // One that has left delays the test only for its turn.
+}
+
 TEST(PartBreakers, ATableOfManyPartsKeepsTheMostSuspected)
 {
     Router router;
