--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -43,11 +43,17 @@
     /// Adds a router that may let requests through open parts.
     void addRouter(const std::string &name);
 
-    /// The first of the parts that is open for this router; nothing when the request may be sent.
-    std::optional<OpenPart> findOpen(const Parts &parts, SteadyTime now) const;
+    /// The first of the parts that is open for a request; nothing when it may be sent. `tested` are
+    /// the half-open parts whose test the request has taken.
+    std::optional<OpenPart> findOpen(const Parts &parts, SteadyTime now,
+                                     const Parts &tested = {}) const;
 
-    /// Like findOpen. A request that may be sent takes this router's test of its half-open parts.
-    std::optional<OpenPart> admit(const Parts &parts, SteadyTime now);
+    /// Like findOpen. A request that may be sent takes this router's test of its half-open parts;
+    /// they are added to `tested`.
+    std::optional<OpenPart> admit(const Parts &parts, SteadyTime now, Parts &tested);
+
+    /// Gives tests back that ended without showing whether the parts crash engines.
+    void releaseTests(const Parts &tested);
 
     /// Whether a request that was at an engine's crash may be sent to another engine.
     bool mayRetry(const Parts &parts) const;
@@ -107,7 +113,7 @@
     static bool addCrash(Entry &entry, const EngineCrash &crash);
     bool mergeEntry(const PartEvidence &evidence, SteadyTime now);
     bool isTester(PartHash part, const Suspicion &suspicion, SteadyTime now) const;
-    std::optional<OpenPart> openPart(PartHash part, SteadyTime now) const;
+    std::optional<OpenPart> openPart(PartHash part, SteadyTime now, const Parts &tested) const;
     Entry &entryOf(PartHash part);
     void evict();
 
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -73,7 +73,12 @@
     , m_startedAt(steadyNow())
 {}
 
-ForwardedRequest::~ForwardedRequest() = default;
+ForwardedRequest::~ForwardedRequest()
+{
+    // A broken connection may be the end of an engine that nobody has noticed.
+    if (!m_hasBroken)
+        m_context.partBreakers.releaseTests(m_testedParts);
+}
 
 ForwardedRequest::Awaitable<bool> ForwardedRequest::run()
 {
@@ -134,7 +139,7 @@
 ForwardedRequest::Awaitable<bool> ForwardedRequest::tryEndpoints()
 {
     for (;;) {
-        if (findsOpenPart(m_context.partBreakers.findOpen(m_parts, steadyNow())))
+        if (findsOpenPart(m_context.partBreakers.findOpen(m_parts, steadyNow(), m_testedParts)))
             co_return co_await answerAfterFailures();
         const auto view = co_await nextEndpoint();
         if (m_session.hasDisconnected()) {
@@ -222,7 +227,7 @@
         m_lastReason = "timeout"; // This VM may have been paused while the connection was opened.
         co_return AttemptOutcome::NotSent;
     }
-    if (findsOpenPart(m_context.partBreakers.admit(m_parts, now)))
+    if (findsOpenPart(m_context.partBreakers.admit(m_parts, now, m_testedParts)))
         co_return AttemptOutcome::NotSent;
     const AttemptParameters parameters =
             m_planner.planAttempt(placed(), view, timeUntil(m_deadline, now), now);
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -134,7 +134,8 @@
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
     std::uint64_t m_prefillTokens = 0; ///< Prompt tokens counted as unread at the current endpoint.
 
-    PartBreakers::Parts m_parts; ///< Of the prompt, those that other requests may share.
+    PartBreakers::Parts m_parts;       ///< Of the prompt, those that other requests may share.
+    PartBreakers::Parts m_testedParts; ///< Half-open parts that this request tests.
     std::optional<PartBreakers::OpenPart> m_openPart;
     bool m_hasBroken = false;                    ///< The connection of the current attempt broke.
     std::optional<SteadyTime> m_answerStartedAt; ///< First event of the current attempt.
--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -102,17 +102,18 @@
     m_routers.push_back(hash64(name));
 }
 
-std::optional<PartBreakers::OpenPart> PartBreakers::findOpen(const Parts &parts,
-                                                             SteadyTime now) const
+std::optional<PartBreakers::OpenPart> PartBreakers::findOpen(const Parts &parts, SteadyTime now,
+                                                             const Parts &tested) const
 {
     for (const PartHash part : parts) {
-        if (const auto open = openPart(part, now))
+        if (const auto open = openPart(part, now, tested))
             return open;
     }
     return std::nullopt;
 }
 
-std::optional<PartBreakers::OpenPart> PartBreakers::openPart(PartHash part, SteadyTime now) const
+std::optional<PartBreakers::OpenPart> PartBreakers::openPart(PartHash part, SteadyTime now,
+                                                             const Parts &tested) const
 {
     const auto found = m_entries.find(part);
     if (found == m_entries.end())
@@ -120,26 +121,39 @@
     const Suspicion suspicion = suspicionOf(found->second.evidence);
     if (!isOpen(suspicion, now))
         return std::nullopt;
-    const bool isTested = now < found->second.testUntil;
-    if (!isTested && isTester(part, suspicion, now))
-        return std::nullopt;
     const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+    const bool holdsTest = std::find(tested.begin(), tested.end(), part) != tested.end();
+    const bool isTestFree = now >= found->second.testUntil && isTester(part, suspicion, now);
+    if (now >= heldUntil && (holdsTest || isTestFree))
+        return std::nullopt;
     return OpenPart{part, suspicion.crashes, timeUntil(heldUntil, now)};
 }
 
-std::optional<PartBreakers::OpenPart> PartBreakers::admit(const Parts &parts, SteadyTime now)
+std::optional<PartBreakers::OpenPart> PartBreakers::admit(const Parts &parts, SteadyTime now,
+                                                          Parts &tested)
 {
-    const auto open = findOpen(parts, now);
+    const auto open = findOpen(parts, now, tested);
     if (open)
         return open;
     for (const PartHash part : parts) {
         const auto found = m_entries.find(part);
-        if (found != m_entries.end() && isOpen(suspicionOf(found->second.evidence), now))
-            found->second.testUntil = now + TestTimeout;
+        if (found == m_entries.end() || !isOpen(suspicionOf(found->second.evidence), now))
+            continue;
+        found->second.testUntil = now + TestTimeout;
+        tested.push_back(part);
     }
     return std::nullopt;
 }
 
+void PartBreakers::releaseTests(const Parts &tested)
+{
+    for (const PartHash part : tested) {
+        const auto found = m_entries.find(part);
+        if (found != m_entries.end())
+            found->second.testUntil = SteadyTime();
+    }
+}
+
 bool PartBreakers::mayRetry(const Parts &parts) const
 {
     return crashesOf(parts) < CrashesToStopRetries;
--- a/tests/failure-crashingparts.cpp
+++ b/tests/failure-crashingparts.cpp
@@ -5,12 +5,16 @@
 #include "support/rawendpoint.h"
 
 #include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/promptrequest.h"
+#include "almondmill/kernel/steadynow.h"
 
 #include <gtest/gtest.h>
 
 #include <atomic>
 #include <deque>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace almondmill::test {
 
@@ -72,6 +76,21 @@
     return answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("0\r\n\r\n");
 }
 
+/// Records three crashes at the parts, so long ago that the next request tests them.
+void makeHalfOpen(ForwardingHarness &harness, const std::vector<std::string> &parts)
+{
+    PromptRequest prompt;
+    prompt.model = "m";
+    for (const std::string &part : parts)
+        prompt.parts.push_back({part, 10});
+    prompt.parts.push_back({"own", 5});
+    harness.onLoop([hashes = sharedPartHashes(prompt)](ForwardingContext &context) {
+        const SteadyTime first = steadyNow() - std::chrono::seconds(25);
+        for (std::uint64_t engine = 1; engine <= 3; ++engine)
+            context.partBreakers.recordCrash(engine, hashes, first + engine * Pause);
+    });
+}
+
 /// Sends ten requests with the crashing part, each followed by a sound one that shares its first
 /// part. Returns how many of the sound ones were served.
 int sendBoth(ForwardingHarness &harness, const std::string &route)
@@ -111,6 +130,51 @@
     EXPECT_LE(engines.crashes(), 5);
 }
 
+// Guards against a test of a half-open part that is lost when the first engine is full, so that
+// sound requests with the part stay refused under load.
+TEST(CrashingParts, ATestGoesToAnotherEngineWhenTheFirstIsFull)
+{
+    std::atomic<int> calls{0};
+    const RawEndpoint::Behaviour behave = [&](int socket, const std::string &call, unsigned) {
+        const bool isFirst = calls++ == 0;
+        const char *status = isFirst ? "503 Service Unavailable" : "200 OK";
+        const char *fields =
+                isFirst ? "Not-Executed: 1\r\nConnection: close\r\n" : "Connection: close\r\n";
+        RawEndpoint::write(socket, signedAnswer(call, status, "x", fields));
+    };
+    const RawEndpoint first(behave);
+    const RawEndpoint second(behave);
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("e1", "any", first.address(), 1);
+    harness.addEndpoint("e2", "any", second.address(), 1);
+    makeHalfOpen(harness, {"f1", "b2"});
+    const auto answer = prompt(harness, "any", "f1:10,b2:15,c3:5");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    EXPECT_EQ(calls, 2);
+}
+
+// Guards against a test that nobody holds any more keeping a part refused.
+TEST(CrashingParts, ATestWithoutAResultIsGivenBack)
+{
+    std::atomic<int> calls{0};
+    const RawEndpoint engine([&](int socket, const std::string &call, unsigned) {
+        const bool isFirst = calls++ == 0;
+        const char *status = isFirst ? "503 Service Unavailable" : "200 OK";
+        const char *fields =
+                isFirst ? "Not-Executed: 1\r\nConnection: close\r\n" : "Connection: close\r\n";
+        RawEndpoint::write(socket, signedAnswer(call, status, "x", fields));
+    });
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("e1", "any", engine.address(), 1);
+    makeHalfOpen(harness, {"f1", "b2"});
+    prompt(harness, "any", "f1:10,b2:15,c3:5");
+    std::this_thread::sleep_for(Pause);
+    const auto answer = prompt(harness, "any", "f1:10,b2:15,c4:5");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
 // Guards against blaming a part for connections that were reset while the engine went on.
 TEST(CrashingParts, ResetConnectionsOfARunningEngineOpenNoPart)
 {
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -143,8 +143,10 @@
     }
     const auto admitted = [&](SteadyTime now) {
         int count = 0;
-        for (Router &router : routers)
-            count += router.breakers.admit({Crashing}, now) ? 0 : 1;
+        for (Router &router : routers) {
+            PartBreakers::Parts tested;
+            count += router.breakers.admit({Crashing}, now, tested) ? 0 : 1;
+        }
         return count;
     };
     EXPECT_EQ(admitted(last + milliseconds(19'900)), 0);
@@ -325,7 +327,8 @@
     int lateSends = 0;
     while (now < Start + seconds(300)) {
         now += milliseconds(*rc::gen::inRange(50, 4000));
-        if (router.breakers.admit({First, Crashing}, now)) {
+        PartBreakers::Parts tested;
+        if (router.breakers.admit({First, Crashing}, now, tested)) {
             router.breakers.recordAnswer({First, Session}, now);
             continue;
         }
