The hold of a crashing prompt part is bounded by ten minutes

Callers of a part that had been at many crashes would be refused for hours after it became harmless: each crash beyond the third doubles the hold without a bound, twelve crashes make it 2.8 hours.

Cause: no upper bound of an exponential backoff. Change: MaxHold, ten minutes. Evidence: APartWithManyCrashesIsTestedWithinTenMinutes failed before with "Value of: router.breakers.findOpen({Crashing}, last + std::chrono::minutes(10)); Actual: true".

--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -30,9 +30,13 @@
 constexpr std::size_t CrashesToOpenAtOnce = 6;
 
 /// Time from the last crash until an open part is tested with a request. Each further crash doubles
-/// it.
+/// it, up to MaxHold.
 constexpr milliseconds FirstHold{20'000};
 
+/// Longest time from the last crash until an open part is tested, so that a part which has become
+/// harmless returns.
+constexpr milliseconds MaxHold{600'000};
+
 /// After this time without a test, four times as many routers may test a half-open part, because
 /// the first ones may have left or get no request with the part.
 constexpr milliseconds TesterInterval{5000};
@@ -54,7 +58,7 @@
 {
     milliseconds hold = FirstHold;
     for (std::size_t crash = CrashesToOpen; crash < crashes; ++crash)
-        hold *= 2;
+        hold = std::min(hold * 2, MaxHold);
     return hold;
 }
 
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -121,6 +121,15 @@
     EXPECT_EQ(admitted(last + milliseconds(61'100)), 1);
 }
 
+// Guards against a part that was at many crashes being refused for hours after it became harmless.
+TEST(PartBreakers, APartWithManyCrashesIsTestedWithinTenMinutes)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Crashing}, 12);
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + std::chrono::minutes(9)));
+    EXPECT_FALSE(router.breakers.findOpen({Crashing}, last + std::chrono::minutes(10)));
+}
+
 TEST(PartBreakers, ATableOfManyPartsKeepsTheMostSuspected)
 {
     Router router;
