Evidence against prompt parts is repeated in turn

A router that missed the broadcast of a part's crashes, or has just started, learns of them from the state rounds. A round repeated the parts with the most crashes up to a limit and stopped at the first part that didn't fit, so one part with eleven crashes kept all others out for good.

Cause: a fixed order with a limit starves what comes later. Change: takeRepeats returns the parts that were repeated longest ago first, each with all its crashes, and goes on with those that fit. Evidence: EverySuspectIsRepeatedWithAllItsCrashes failed before with 0 crashes of parts 2 to 6 at the second router instead of 10, 8, 6, 4 and 2.

--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -72,9 +72,10 @@
     std::vector<PartEvidence> takeUnsent(std::size_t limit);
     bool hasUnsent() const;
 
-    /// The parts with the most crashes among those with at least two, to repeat to other routers.
-    /// `limit` is that of takeUnsent.
-    std::vector<PartEvidence> mostSuspected(std::size_t limit) const;
+    /// Evidence to repeat to other routers: parts with at least two crashes in turn, those that were
+    /// repeated longest ago first. `limit` is that of takeUnsent; it must allow the crashes that are
+    /// kept of one part.
+    std::vector<PartEvidence> takeRepeats(std::size_t limit);
 
     /// Drops evidence that is too old, and counts the parts that opened or closed.
     void refresh(SteadyTime now);
@@ -90,6 +91,7 @@
         /// the time would become later by the delay of the message.
         std::optional<SteadyTime> answeredAt;
         SteadyTime testUntil; ///< Until then a request of this router tests the half-open part.
+        std::uint64_t lastRepeat = 0; ///< Call of takeRepeats that returned the part last.
         bool isUnsent = false;
         bool wasOpen = false;
     };
@@ -114,6 +116,7 @@
     std::uint64_t m_self;
     std::vector<std::uint64_t> m_routers; ///< Hashes of the names of the other routers.
     absl::flat_hash_map<PartHash, Entry> m_entries;
+    std::uint64_t m_repeats = 0; ///< Calls of takeRepeats.
     std::function<void()> m_onCrash;
     Counter &m_crashes;
     Counter &m_opened;
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -84,7 +84,7 @@
     boost::asio::awaitable<void> publishEvidenceAfterDelay();
     void publishEvidence();
     /// Evidence to repeat to the peers of a round; empty when there is none.
-    std::string describeEvidence(SteadyTime now) const;
+    std::string describeRepeats(SteadyTime now);
     void handlePlacements(const std::vector<BroadcastPlacement> &placements);
     void forwardToChildren(const std::string &origin, std::string_view bytes);
     std::vector<PeerMessage::Weights> describeWeights(SteadyTime now) const;
--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -240,23 +240,28 @@
                        [](const auto &entry) { return entry.second.isUnsent; });
 }
 
-std::vector<PartEvidence> PartBreakers::mostSuspected(std::size_t limit) const
+std::vector<PartEvidence> PartBreakers::takeRepeats(std::size_t limit)
 {
-    std::vector<PartEvidence> evidence;
-    for (const auto &[part, entry] : m_entries) {
+    std::vector<Entry *> suspects;
+    for (auto &[part, entry] : m_entries) {
         if (suspicionOf(entry.evidence).crashes >= CrashesToStopRetries)
-            evidence.push_back(entry.evidence);
+            suspects.push_back(&entry);
     }
-    std::sort(evidence.begin(), evidence.end(),
-              [](const PartEvidence &first, const PartEvidence &second) {
-                  return suspicionOf(first).crashes > suspicionOf(second).crashes;
-              });
-    std::size_t size = 0;
-    const auto end = std::find_if(evidence.begin(), evidence.end(), [&](const PartEvidence &part) {
-        size += sizeOf(part);
-        return size > limit;
+    std::sort(suspects.begin(), suspects.end(), [](const Entry *first, const Entry *second) {
+        if (first->lastRepeat != second->lastRepeat)
+            return first->lastRepeat < second->lastRepeat;
+        return suspicionOf(first->evidence).crashes > suspicionOf(second->evidence).crashes;
     });
-    evidence.erase(end, evidence.end());
+    ++m_repeats;
+    std::vector<PartEvidence> evidence;
+    std::size_t size = 0;
+    for (Entry *entry : suspects) {
+        if (size + sizeOf(entry->evidence) > limit)
+            continue;
+        size += sizeOf(entry->evidence);
+        entry->lastRepeat = m_repeats;
+        evidence.push_back(entry->evidence);
+    }
     return evidence;
 }
 
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -270,7 +270,7 @@
         if (m_roundRobin.empty())
             continue;
         const std::string bytes = encodePeerMessage(describeState(now));
-        const std::string evidence = describeEvidence(now);
+        const std::string evidence = describeRepeats(now);
         const std::size_t receivers =
                 m_context.partLookups.usesOwners() ? PeersPerRoundInLargeFleet : PeersPerRound;
         for (std::size_t sent = 0; sent < std::min(receivers, m_roundRobin.size()); ++sent) {
@@ -395,10 +395,10 @@
         publishEvidenceSoon();
 }
 
-std::string PeerExchange::describeEvidence(SteadyTime now) const
+std::string PeerExchange::describeRepeats(SteadyTime now)
 {
     PartEvidenceMessage message;
-    message.evidence = m_context.partBreakers.mostSuspected(EvidencePerRound);
+    message.evidence = m_context.partBreakers.takeRepeats(EvidencePerRound);
     return message.evidence.empty() ? std::string() : encodePartEvidence(message, now);
 }
 
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -130,6 +130,29 @@
     EXPECT_FALSE(router.breakers.findOpen({Crashing}, last + std::chrono::minutes(10)));
 }
 
+// Guards against a part with many crashes keeping all other suspects out of the repeated evidence,
+// and against a router that knows only repeats testing a part earlier than the others.
+TEST(PartBreakers, EverySuspectIsRepeatedWithAllItsCrashes)
+{
+    constexpr std::size_t Limit = 16;
+    constexpr std::size_t Rounds = 6;
+    Router first("router-1");
+    Router second("router-2");
+    SteadyTime now = Start;
+    for (PartHash part = 1; part <= Rounds; ++part)
+        now = crash(first.breakers, {part}, 14 - 2 * part, now);
+    for (std::size_t round = 0; round < Rounds; ++round) {
+        const auto evidence = first.breakers.takeRepeats(Limit);
+        std::size_t size = 0;
+        for (const PartEvidence &part : evidence)
+            size += 1 + part.crashes.size();
+        EXPECT_LE(size, Limit);
+        second.breakers.merge(evidence, now);
+    }
+    for (PartHash part = 1; part <= Rounds; ++part)
+        EXPECT_EQ(second.breakers.crashesOf({part}), first.breakers.crashesOf({part})) << part;
+}
+
 TEST(PartBreakers, ATableOfManyPartsKeepsTheMostSuspected)
 {
     Router router;
@@ -192,7 +215,7 @@
     first.breakers.recordAnswer({Crashing}, Start + milliseconds(1));
     SteadyTime now = crash(first.breakers, {Crashing}, 4, Start + milliseconds(2));
     const auto exchange = [&](PartBreakers &from, PartBreakers &to) {
-        const auto evidence = from.mostSuspected(75);
+        const auto evidence = from.takeRepeats(75);
         const auto bytes = encodePartEvidence({"", 0, 0, evidence}, now);
         now += milliseconds(7);
         to.merge(decodePartEvidence(bytes, now)->evidence, now);
