Callers that were refused for an open prompt part come back spread

All callers that were refused for an open part were told the time until the end of its hold, so all of them came back in the same moment, before the part's test had an answer, and were refused once more.

Cause: Retry-After without a spread, unlike that of paused endpoints. Change: up to five seconds by the request's id are added, the time between two tests of a part. Evidence: RefusedCallersAreToldToComeBackAtDifferentTimes failed before with "Expected: (latest - earliest) > (2.0), actual: 0.000917892 vs 2".

--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -32,11 +32,14 @@
 /// Retry-After while the router has no configuration yet.
 constexpr milliseconds RetryAfterNoConfiguration{500};
 
-/// Spreads the callers that a pause turned away over the time in which the endpoint resumes.
-milliseconds retrySpread(std::string_view requestId)
+/// Time over which callers that were refused for an open part come back: the test of the part takes
+/// until its answer has begun.
+constexpr milliseconds PartReturnTime{5000};
+
+/// Spreads callers that were turned away over the time within which they may come back.
+milliseconds retrySpread(std::string_view requestId, milliseconds spreadTime)
 {
-    constexpr auto SpreadTime = EndpointAvailability::ResumeTime;
-    return milliseconds(hash64(requestId) % std::uint64_t(SpreadTime.count()));
+    return milliseconds(hash64(requestId) % std::uint64_t(spreadTime.count()));
 }
 
 /// Comma-separated "ID:TOKENS" of the prompt parts that other requests may share, in prompt order.
@@ -79,7 +82,7 @@
     if (refusal.status == ServiceUnavailable)
         retryAfter = timeToRetryAfter(ClockTimes::now());
     if (refusal.status == ServiceUnavailable && m_openPart)
-        retryAfter = m_openPart->retryAfter;
+        retryAfter = m_openPart->retryAfter + retrySpread(m_request.id, PartReturnTime);
     std::string text = m_context.adapter->codec().encodeOwnAnswer(refusal.status, m_request.id,
                                                                   retryAfter, refusal.reason,
                                                                   m_session.closesAfterAnswer());
@@ -95,7 +98,8 @@
     const auto returnsAt = m_route ? m_planner.earliestReturn(placed(), now) : std::nullopt;
     if (!returnsAt)
         return RetryAfterNoCapacity;
-    return std::chrono::ceil<milliseconds>(*returnsAt - now.boot) + retrySpread(m_request.id);
+    return std::chrono::ceil<milliseconds>(*returnsAt - now.boot)
+           + retrySpread(m_request.id, EndpointAvailability::ResumeTime);
 }
 
 void ForwardedRequest::logSend(const AttemptParameters &send, const EndpointView &view) const
--- a/tests/failure-crashingparts.cpp
+++ b/tests/failure-crashingparts.cpp
@@ -8,8 +8,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
+#include <limits>
 #include <thread>
 
 namespace almondmill::test {
@@ -60,11 +62,15 @@
     std::deque<RawEndpoint> m_engines;
 };
 
-std::string prompt(ForwardingHarness &harness, const std::string &route, const std::string &parts)
+std::string prompt(ForwardingHarness &harness, const std::string &route, const std::string &parts,
+                   const std::string &id = "r1")
 {
-    return sendRequest(harness, requestText("POST", "/" + route + "/x",
-                                            "Model: m\r\nToken-Usage: 30,5\r\nPrompt-Prefix: "
-                                                    + parts + "\r\n"));
+    const std::string idField = "Request-Id: r1\r\n";
+    std::string text = requestText("POST", "/" + route + "/x",
+                                   "Model: m\r\nToken-Usage: 30,5\r\nPrompt-Prefix: " + parts
+                                           + "\r\n");
+    text.replace(text.find(idField), idField.size(), "Request-Id: " + id + "\r\n");
+    return sendRequest(harness, text);
 }
 
 bool isServed(const std::string &answer)
@@ -111,6 +117,28 @@
     EXPECT_LE(engines.crashes(), 5);
 }
 
+// Guards against all callers that were refused for a part coming back in the same moment.
+TEST(CrashingParts, RefusedCallersAreToldToComeBackAtDifferentTimes)
+{
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    const CrashingEngines engines(harness, "resume", 16);
+    sendBoth(harness, "resume");
+    double earliest = std::numeric_limits<double>::max();
+    double latest = 0;
+    const auto start = std::chrono::steady_clock::now();
+    for (int index = 0; index < 20; ++index) {
+        const std::string id = "caller-" + std::to_string(index);
+        const auto answer = prompt(harness, "resume", "f1:10,dead:15,e1:5", id);
+        ASSERT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+        const std::chrono::duration<double> now = std::chrono::steady_clock::now() - start;
+        const double returnsAt = now.count() + std::stod(headerOf(answer, "Retry-After"));
+        earliest = std::min(earliest, returnsAt);
+        latest = std::max(latest, returnsAt);
+    }
+    EXPECT_GT(latest - earliest, 2.0);
+}
+
 // Guards against blaming a part for connections that were reset while the engine went on.
 TEST(CrashingParts, ResetConnectionsOfARunningEngineOpenNoPart)
 {
