A crash that an open prompt part explains does not count against others

Cause: each part of a request that waited at a crash became a suspect of its own, also when an open part was at all of these crashes. Only sound answers could clear it, and an open part gets none.

Change: the suspicion of a part is derived from the evidence of all parts (updateSuspicions): a part with three crashes or more, none of them answered since, explains the crashes that it was at to parts with fewer crashes. Those are suspected only by crashes without it: one stops retries, two open the part. It is a function of the merged evidence, so it doesn't depend on the order of messages. A second crashing part can hide only behind crashes at which the open one waited too; as that one's requests are refused from then on, two more crashes show it. An explaining part that is answered explains nothing any more, and one that was ever answered after a crash (one that many requests share) never does. Parts with equally many crashes can't be told apart and are both refused, as before.

Ruled out: counting each crash only against the part with the most crashes of all (trial): it closed a part that was open before, when a second part got more crashes. Evidence: ACrashThatAnOpenPartExplainsDoesNotCountAgainstOthers failed before with "router.breakers.findOpen({Session}, later); Actual: true", TwoCrashesWithoutTheFirstPartOpenASecondOne and AnAnsweredPartNoLongerExplainsCrashes failed too; RoutersThatExchangeEvidenceAgree now also has crashes of two parts at once and passes (ten times 2000 cases).

--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -4,6 +4,7 @@
 #include "almondmill/kernel/time.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <chrono>
 #include <cstddef>
@@ -21,7 +22,8 @@
 /// Circuit breakers for prompt parts. A part that waited at several engines when they crashed, and
 /// has not been answered since, is open: requests with it are refused. The state follows from the
 /// evidence alone, so routers that know the same evidence open and close the same parts. Evidence
-/// may be merged in any order and repeatedly. Must be used on the event loop only.
+/// may be merged in any order and repeatedly. A part is not suspected for crashes at which an
+/// open part waited that was at more crashes. Must be used on the event loop only.
 class PartBreakers
 {
 public:
@@ -72,9 +74,9 @@
     std::vector<PartEvidence> takeUnsent(std::size_t limit);
     bool hasUnsent() const;
 
-    /// Evidence to repeat to other routers: parts with at least two crashes in turn, those that were
-    /// repeated longest ago first. `limit` is that of takeUnsent; it must allow the crashes that are
-    /// kept of one part.
+    /// Evidence to repeat to other routers: parts with at least two crashes in turn, those that
+    /// were repeated longest ago first. `limit` is that of takeUnsent; it must allow the crashes
+    /// that are kept of one part.
     std::vector<PartEvidence> takeRepeats(std::size_t limit);
 
     /// Drops evidence that is too old, and counts the parts that opened or closed.
@@ -84,9 +86,18 @@
     std::vector<OpenPart> openParts(SteadyTime now) const;
 
 private:
+    /// Crashes since the part was last answered; fewer when other parts explain some of them.
+    struct Suspicion
+    {
+        std::size_t crashes = 0; ///< Simultaneous crashes count as one.
+        SteadyTime firstAt;
+        SteadyTime lastAt;
+    };
+
     struct Entry
     {
         PartEvidence evidence;
+        Suspicion suspicion; ///< As of the last call of updateSuspicions.
         /// Start of the latest sound answer that this router saw. It is not sent: at each router
         /// the time would become later by the delay of the message.
         std::optional<SteadyTime> answeredAt;
@@ -96,15 +107,15 @@
         bool wasOpen = false;
     };
 
-    /// Crashes since the part was last answered.
-    struct Suspicion
-    {
-        std::size_t crashes = 0; ///< Simultaneous crashes count as one.
-        SteadyTime firstAt;
-        SteadyTime lastAt;
-    };
+    using Engines = absl::flat_hash_set<std::uint64_t>;
 
-    static Suspicion suspicionOf(const PartEvidence &evidence);
+    static Suspicion suspicionOf(const PartEvidence &evidence, const Engines &explained);
+    /// Derives the suspicions from the evidence. An open part explains the crashes that it was at
+    /// to all parts with fewer crashes, so that they are not suspected for waiting beside it.
+    void updateSuspicions();
+    /// Whether the part is so suspect that crashes need no other cause. A part that was ever
+    /// answered after a crash is not: many requests share it, and it would hide the cause.
+    static bool explainsCrashes(const Entry &entry);
     static bool isOpen(const Suspicion &suspicion, SteadyTime now);
     static bool addCrash(Entry &entry, const EngineCrash &crash);
     bool mergeEntry(const PartEvidence &evidence, SteadyTime now);
--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/observe/eventline.h"
 
 #include <algorithm>
+#include <map>
 
 namespace almondmill {
 
@@ -18,6 +19,12 @@
 /// A request whose part was at this many crashes is not sent to another engine.
 constexpr std::size_t CrashesToStopRetries = 2;
 
+/// A part that waited at crashes beside a more suspected part: for each crash that the other one
+/// was not at, so many of its crashes count. The first one stops retries, and the second one opens
+/// the part; so one crash without guilt refuses nobody, and a second crashing part hides for long
+/// behind no other.
+constexpr std::size_t CrashesPerUnexplained = 2;
+
 /// Engines that share a rack or a power supply end together; such crashes count as one.
 constexpr milliseconds SimultaneousCrashes{30};
 
@@ -109,7 +116,7 @@
     const auto found = m_entries.find(part);
     if (found == m_entries.end())
         return std::nullopt;
-    const Suspicion suspicion = suspicionOf(found->second.evidence);
+    const Suspicion suspicion = found->second.suspicion;
     if (!isOpen(suspicion, now))
         return std::nullopt;
     const bool isTested = now < found->second.testUntil;
@@ -126,7 +133,7 @@
         return open;
     for (const PartHash part : parts) {
         const auto found = m_entries.find(part);
-        if (found != m_entries.end() && isOpen(suspicionOf(found->second.evidence), now))
+        if (found != m_entries.end() && isOpen(found->second.suspicion, now))
             found->second.testUntil = now + TestTimeout;
     }
     return std::nullopt;
@@ -143,7 +150,7 @@
     for (const PartHash part : parts) {
         const auto found = m_entries.find(part);
         if (found != m_entries.end())
-            most = std::max(most, suspicionOf(found->second.evidence).crashes);
+            most = std::max(most, found->second.suspicion.crashes);
     }
     return most;
 }
@@ -166,6 +173,7 @@
         if (addCrash(entry, {engine, now}))
             entry.isUnsent = true;
     }
+    updateSuspicions();
     refresh(now);
     if (m_onCrash)
         m_onCrash();
@@ -173,6 +181,7 @@
 
 void PartBreakers::recordAnswer(const Parts &parts, SteadyTime startedAt)
 {
+    bool isChanged = false;
     for (const PartHash part : parts) {
         const auto found = m_entries.find(part);
         if (found == m_entries.end())
@@ -188,7 +197,10 @@
             continue;
         entry.isUnsent = true;
         m_cleared.add();
+        isChanged = true;
     }
+    if (isChanged)
+        updateSuspicions();
 }
 
 bool PartBreakers::merge(const std::vector<PartEvidence> &evidence, SteadyTime now)
@@ -196,6 +208,7 @@
     bool isNews = false;
     for (const PartEvidence &part : evidence)
         isNews = mergeEntry(part, now) || isNews;
+    updateSuspicions();
     refresh(now);
     return isNews;
 }
@@ -203,7 +216,7 @@
 bool PartBreakers::mergeEntry(const PartEvidence &evidence, SteadyTime now)
 {
     const bool isKnown = m_entries.contains(evidence.part);
-    if (!isKnown && suspicionOf(evidence).crashes == 0)
+    if (!isKnown && suspicionOf(evidence, {}).crashes == 0)
         return false;
     Entry &entry = entryOf(evidence.part);
     bool isNews = false;
@@ -220,7 +233,7 @@
             unsent.push_back(&entry);
     }
     std::sort(unsent.begin(), unsent.end(), [](const Entry *first, const Entry *second) {
-        return suspicionOf(first->evidence).crashes > suspicionOf(second->evidence).crashes;
+        return first->suspicion.crashes > second->suspicion.crashes;
     });
     std::vector<PartEvidence> evidence;
     std::size_t size = 0;
@@ -244,13 +257,13 @@
 {
     std::vector<Entry *> suspects;
     for (auto &[part, entry] : m_entries) {
-        if (suspicionOf(entry.evidence).crashes >= CrashesToStopRetries)
+        if (entry.suspicion.crashes >= CrashesToStopRetries)
             suspects.push_back(&entry);
     }
     std::sort(suspects.begin(), suspects.end(), [](const Entry *first, const Entry *second) {
         if (first->lastRepeat != second->lastRepeat)
             return first->lastRepeat < second->lastRepeat;
-        return suspicionOf(first->evidence).crashes > suspicionOf(second->evidence).crashes;
+        return first->suspicion.crashes > second->suspicion.crashes;
     });
     ++m_repeats;
     std::vector<PartEvidence> evidence;
@@ -268,7 +281,7 @@
 void PartBreakers::refresh(SteadyTime now)
 {
     for (auto &[part, entry] : m_entries) {
-        const Suspicion suspicion = suspicionOf(entry.evidence);
+        const Suspicion suspicion = entry.suspicion;
         const bool open = isOpen(suspicion, now);
         if (open == entry.wasOpen)
             continue;
@@ -279,19 +292,21 @@
                 .add("crashes", std::uint64_t(suspicion.crashes))
                 .add("hold", open ? holdAfter(suspicion.crashes) : milliseconds(0));
     }
-    absl::erase_if(m_entries, [&](const auto &entry) {
+    const std::size_t erased = absl::erase_if(m_entries, [&](const auto &entry) {
         const PartEvidence &evidence = entry.second.evidence;
-        const std::size_t crashes = suspicionOf(evidence).crashes;
+        const std::size_t crashes = entry.second.suspicion.crashes;
         return evidence.crashes.empty()
                || now - evidence.crashes.back().at > retentionAfter(crashes);
     });
+    if (erased != 0)
+        updateSuspicions();
 }
 
 std::vector<PartBreakers::OpenPart> PartBreakers::openParts(SteadyTime now) const
 {
     std::vector<OpenPart> open;
     for (const auto &[part, entry] : m_entries) {
-        const Suspicion suspicion = suspicionOf(entry.evidence);
+        const Suspicion suspicion = entry.suspicion;
         if (!isOpen(suspicion, now))
             continue;
         const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
@@ -300,11 +315,12 @@
     return open;
 }
 
-PartBreakers::Suspicion PartBreakers::suspicionOf(const PartEvidence &evidence)
+PartBreakers::Suspicion PartBreakers::suspicionOf(const PartEvidence &evidence,
+                                                  const Engines &explained)
 {
     Suspicion suspicion;
     for (const EngineCrash &crash : evidence.crashes) {
-        if (crash.answered)
+        if (crash.answered || explained.contains(crash.engine))
             continue;
         if (suspicion.crashes == 0)
             suspicion.firstAt = crash.at;
@@ -316,6 +332,36 @@
     return suspicion;
 }
 
+void PartBreakers::updateSuspicions()
+{
+    std::map<std::size_t, std::vector<Entry *>, std::greater<>> byCrashes;
+    for (auto &[part, entry] : m_entries)
+        byCrashes[suspicionOf(entry.evidence, {}).crashes].push_back(&entry);
+    Engines explained;
+    for (const auto &[crashes, entries] : byCrashes) {
+        for (Entry *entry : entries) {
+            entry->suspicion = suspicionOf(entry->evidence, {});
+            const std::size_t unexplained = suspicionOf(entry->evidence, explained).crashes;
+            entry->suspicion.crashes = std::min(crashes, unexplained * CrashesPerUnexplained);
+        }
+        // Only now, since parts with the same number of crashes cannot be told apart.
+        for (const Entry *entry : entries) {
+            if (!explainsCrashes(*entry))
+                continue;
+            for (const EngineCrash &crash : entry->evidence.crashes)
+                explained.insert(crash.engine);
+        }
+    }
+}
+
+bool PartBreakers::explainsCrashes(const Entry &entry)
+{
+    const auto &crashes = entry.evidence.crashes;
+    return entry.suspicion.crashes >= CrashesToOpen
+           && std::none_of(crashes.begin(), crashes.end(),
+                           [](const EngineCrash &crash) { return crash.answered; });
+}
+
 bool PartBreakers::isOpen(const Suspicion &suspicion, SteadyTime now)
 {
     return suspicion.crashes >= CrashesToOpenAtOnce
@@ -379,7 +425,7 @@
 {
     const auto rankOf = [](const Entry &entry) {
         const auto &crashes = entry.evidence.crashes;
-        return std::pair(suspicionOf(entry.evidence).crashes,
+        return std::pair(entry.suspicion.crashes,
                          crashes.empty() ? SteadyTime() : crashes.back().at);
     };
     const auto least = std::min_element(m_entries.begin(), m_entries.end(),
--- a/tests/failure-crashingparts.cpp
+++ b/tests/failure-crashingparts.cpp
@@ -66,9 +66,9 @@
                    const std::string &id = "r1")
 {
     const std::string idField = "Request-Id: r1\r\n";
-    std::string text = requestText("POST", "/" + route + "/x",
-                                   "Model: m\r\nToken-Usage: 30,5\r\nPrompt-Prefix: " + parts
-                                           + "\r\n");
+    std::string text =
+            requestText("POST", "/" + route + "/x",
+                        "Model: m\r\nToken-Usage: 30,5\r\nPrompt-Prefix: " + parts + "\r\n");
     text.replace(text.find(idField), idField.size(), "Request-Id: " + id + "\r\n");
     return sendRequest(harness, text);
 }
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -121,6 +121,59 @@
     EXPECT_EQ(admitted(last + milliseconds(61'100)), 1);
 }
 
+// Guards against sound requests being refused that share a part only with crashing ones.
+TEST(PartBreakers, ACrashThatAnOpenPartExplainsDoesNotCountAgainstOthers)
+{
+    Router router;
+    crash(router.breakers, {Session, Crashing}, 2);
+    router.breakers.recordCrash(3, {Crashing}, Start + seconds(2));
+    router.breakers.recordCrash(4, {Session, Crashing}, Start + seconds(3));
+    const SteadyTime later = Start + seconds(5);
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, later));
+    EXPECT_FALSE(router.breakers.findOpen({Session}, later));
+    EXPECT_TRUE(router.breakers.mayRetry({Session}));
+}
+
+// Guards against a second crashing part hiding behind the first one that was there at its crashes.
+TEST(PartBreakers, TwoCrashesWithoutTheFirstPartOpenASecondOne)
+{
+    constexpr PartHash Second = 4;
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Crashing, Second}, 3);
+    router.breakers.recordCrash(4, {Crashing}, last + milliseconds(100));
+    router.breakers.recordCrash(5, {Crashing}, last + milliseconds(200));
+    EXPECT_TRUE(router.breakers.mayRetry({Second}));
+    router.breakers.recordCrash(6, {Second}, last + milliseconds(300));
+    EXPECT_FALSE(router.breakers.mayRetry({Second}));
+    EXPECT_FALSE(router.breakers.findOpen({Second}, last + seconds(2)));
+    router.breakers.recordCrash(7, {Second}, last + milliseconds(400));
+    EXPECT_TRUE(router.breakers.findOpen({Second}, last + seconds(2)));
+}
+
+// Guards against a wrongly suspected part hiding the crashing one after it was answered.
+TEST(PartBreakers, AnAnsweredPartNoLongerExplainsCrashes)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {First, Crashing}, 3);
+    router.breakers.recordCrash(4, {First}, last + seconds(1));
+    EXPECT_FALSE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+    router.breakers.recordAnswer({First, Session}, last + milliseconds(1100));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+    EXPECT_FALSE(router.breakers.findOpen({First}, last + seconds(2)));
+}
+
+// Guards against a part that many requests share, and that no answer has cleared of its latest
+// crashes yet, hiding the crashing part.
+TEST(PartBreakers, APartThatWasAnsweredBeforeExplainsNoCrashes)
+{
+    Router router;
+    router.breakers.recordCrash(20, {First}, Start);
+    router.breakers.recordAnswer({First, Session}, Start + milliseconds(1));
+    const SteadyTime last = crash(router.breakers, {First, Crashing}, 3);
+    router.breakers.recordCrash(21, {First}, last + milliseconds(100));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+}
+
 // Guards against a part that was at many crashes being refused for hours after it became harmless.
 TEST(PartBreakers, APartWithManyCrashesIsTestedWithinTenMinutes)
 {
@@ -242,7 +295,9 @@
     for (int step = 0; step < steps; ++step) {
         now += milliseconds(*rc::gen::inRange(1, 800));
         PartBreakers &breakers = routers[*rc::gen::inRange<std::size_t>(0, Routers)].breakers;
-        const PartBreakers::Parts parts{*rc::gen::inRange<PartHash>(1, 5)};
+        PartBreakers::Parts parts{*rc::gen::inRange<PartHash>(1, 5)};
+        if (*rc::gen::inRange(0, 2) == 0)
+            parts.push_back(*rc::gen::inRange<PartHash>(1, 5));
         switch (*rc::gen::inRange(0, 4)) {
         case 0:
         case 1:
