--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/observe/eventline.h"
 
 #include <algorithm>
+#include <map>
 
 namespace almondmill {
 
@@ -18,6 +19,12 @@
 /// A request whose part was at this many crashes is not sent to another engine.
 constexpr std::size_t CrashesToStopRetries = 2;
 
+/// A part that waited at crashes beside a more suspected part: for each crash that the other one
+/// was not at, so many of its crashes count. The first one stops retries, and the second one opens
+/// the part; so one crash without guilt refuses nobody, and a second crashing part hides for long
+/// behind no other.
+constexpr std::size_t CrashesPerUnexplained = 2;
+
 /// Engines that share a rack or a power supply end together; such crashes count as one.
 constexpr milliseconds SimultaneousCrashes{30};
 
@@ -30,9 +37,13 @@
 constexpr std::size_t CrashesToOpenAtOnce = 6;
 
 /// Time from the last crash until an open part is tested with a request. Each further crash doubles
-/// it.
+/// it, up to MaxHold.
 constexpr milliseconds FirstHold{20'000};
 
+/// Longest time from the last crash until an open part is tested, so that a part which has become
+/// harmless returns.
+constexpr milliseconds MaxHold{600'000};
+
 /// Routers take turns of this length in testing a half-open part, because some may have left or get
 /// no request with the part.
 constexpr milliseconds TestTurn{5000};
@@ -58,7 +69,7 @@
 {
     milliseconds hold = FirstHold;
     for (std::size_t crash = CrashesToOpen; crash < crashes; ++crash)
-        hold *= 2;
+        hold = std::min(hold * 2, MaxHold);
     return hold;
 }
 
@@ -118,7 +129,7 @@
     const auto found = m_entries.find(part);
     if (found == m_entries.end())
         return std::nullopt;
-    const Suspicion suspicion = suspicionOf(found->second.evidence);
+    const Suspicion suspicion = found->second.suspicion;
     if (!isOpen(suspicion, now))
         return std::nullopt;
     const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
@@ -137,7 +148,7 @@
         return open;
     for (const PartHash part : parts) {
         const auto found = m_entries.find(part);
-        if (found == m_entries.end() || !isOpen(suspicionOf(found->second.evidence), now))
+        if (found == m_entries.end() || !isOpen(found->second.suspicion, now))
             continue;
         found->second.testUntil = now + TestTimeout;
         tested.push_back(part);
@@ -165,7 +176,7 @@
     for (const PartHash part : parts) {
         const auto found = m_entries.find(part);
         if (found != m_entries.end())
-            most = std::max(most, suspicionOf(found->second.evidence).crashes);
+            most = std::max(most, found->second.suspicion.crashes);
     }
     return most;
 }
@@ -188,6 +199,7 @@
         if (addCrash(entry, {engine, now}))
             entry.isUnsent = true;
     }
+    updateSuspicions();
     refresh(now);
     if (m_onCrash)
         m_onCrash();
@@ -195,6 +207,7 @@
 
 void PartBreakers::recordAnswer(const Parts &parts, SteadyTime startedAt)
 {
+    bool isChanged = false;
     for (const PartHash part : parts) {
         const auto found = m_entries.find(part);
         if (found == m_entries.end())
@@ -210,7 +223,10 @@
             continue;
         entry.isUnsent = true;
         m_cleared.add();
+        isChanged = true;
     }
+    if (isChanged)
+        updateSuspicions();
 }
 
 bool PartBreakers::merge(const std::vector<PartEvidence> &evidence, SteadyTime now)
@@ -218,6 +234,7 @@
     bool isNews = false;
     for (const PartEvidence &part : evidence)
         isNews = mergeEntry(part, now) || isNews;
+    updateSuspicions();
     refresh(now);
     return isNews;
 }
@@ -225,7 +242,7 @@
 bool PartBreakers::mergeEntry(const PartEvidence &evidence, SteadyTime now)
 {
     const bool isKnown = m_entries.contains(evidence.part);
-    if (!isKnown && suspicionOf(evidence).crashes == 0)
+    if (!isKnown && suspicionOf(evidence, {}).crashes == 0)
         return false;
     Entry &entry = entryOf(evidence.part);
     bool isNews = false;
@@ -242,7 +259,7 @@
             unsent.push_back(&entry);
     }
     std::sort(unsent.begin(), unsent.end(), [](const Entry *first, const Entry *second) {
-        return suspicionOf(first->evidence).crashes > suspicionOf(second->evidence).crashes;
+        return first->suspicion.crashes > second->suspicion.crashes;
     });
     std::vector<PartEvidence> evidence;
     std::size_t size = 0;
@@ -262,30 +279,35 @@
                        [](const auto &entry) { return entry.second.isUnsent; });
 }
 
-std::vector<PartEvidence> PartBreakers::mostSuspected(std::size_t limit) const
+std::vector<PartEvidence> PartBreakers::takeRepeats(std::size_t limit)
 {
-    std::vector<PartEvidence> evidence;
-    for (const auto &[part, entry] : m_entries) {
-        if (suspicionOf(entry.evidence).crashes >= CrashesToStopRetries)
-            evidence.push_back(entry.evidence);
+    std::vector<Entry *> suspects;
+    for (auto &[part, entry] : m_entries) {
+        if (entry.suspicion.crashes >= CrashesToStopRetries)
+            suspects.push_back(&entry);
     }
-    std::sort(evidence.begin(), evidence.end(),
-              [](const PartEvidence &first, const PartEvidence &second) {
-                  return suspicionOf(first).crashes > suspicionOf(second).crashes;
-              });
-    std::size_t size = 0;
-    const auto end = std::find_if(evidence.begin(), evidence.end(), [&](const PartEvidence &part) {
-        size += sizeOf(part);
-        return size > limit;
+    std::sort(suspects.begin(), suspects.end(), [](const Entry *first, const Entry *second) {
+        if (first->lastRepeat != second->lastRepeat)
+            return first->lastRepeat < second->lastRepeat;
+        return first->suspicion.crashes > second->suspicion.crashes;
     });
-    evidence.erase(end, evidence.end());
+    ++m_repeats;
+    std::vector<PartEvidence> evidence;
+    std::size_t size = 0;
+    for (Entry *entry : suspects) {
+        if (size + sizeOf(entry->evidence) > limit)
+            continue;
+        size += sizeOf(entry->evidence);
+        entry->lastRepeat = m_repeats;
+        evidence.push_back(entry->evidence);
+    }
     return evidence;
 }
 
 void PartBreakers::refresh(SteadyTime now)
 {
     for (auto &[part, entry] : m_entries) {
-        const Suspicion suspicion = suspicionOf(entry.evidence);
+        const Suspicion suspicion = entry.suspicion;
         const bool open = isOpen(suspicion, now);
         if (open == entry.wasOpen)
             continue;
@@ -296,16 +318,18 @@
                 .add("crashes", std::uint64_t(suspicion.crashes))
                 .add("hold", open ? holdAfter(suspicion.crashes) : milliseconds(0));
     }
-    absl::erase_if(m_entries, [&](const auto &entry) {
+    const std::size_t erased = absl::erase_if(m_entries, [&](const auto &entry) {
         return !entry.second.isUnsent && hasExpired(entry.second.evidence, now);
     });
+    if (erased != 0)
+        updateSuspicions();
 }
 
 std::vector<PartBreakers::OpenPart> PartBreakers::openParts(SteadyTime now) const
 {
     std::vector<OpenPart> open;
     for (const auto &[part, entry] : m_entries) {
-        const Suspicion suspicion = suspicionOf(entry.evidence);
+        const Suspicion suspicion = entry.suspicion;
         if (!isOpen(suspicion, now))
             continue;
         const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
@@ -314,11 +338,12 @@
     return open;
 }
 
-PartBreakers::Suspicion PartBreakers::suspicionOf(const PartEvidence &evidence)
+PartBreakers::Suspicion PartBreakers::suspicionOf(const PartEvidence &evidence,
+                                                  const Engines &explained)
 {
     Suspicion suspicion;
     for (const EngineCrash &crash : evidence.crashes) {
-        if (crash.answered)
+        if (crash.answered || explained.contains(crash.engine))
             continue;
         if (suspicion.crashes == 0)
             suspicion.firstAt = crash.at;
@@ -330,6 +355,36 @@
     return suspicion;
 }
 
+void PartBreakers::updateSuspicions()
+{
+    std::map<std::size_t, std::vector<Entry *>, std::greater<>> byCrashes;
+    for (auto &[part, entry] : m_entries)
+        byCrashes[suspicionOf(entry.evidence, {}).crashes].push_back(&entry);
+    Engines explained;
+    for (const auto &[crashes, entries] : byCrashes) {
+        for (Entry *entry : entries) {
+            entry->suspicion = suspicionOf(entry->evidence, {});
+            const std::size_t unexplained = suspicionOf(entry->evidence, explained).crashes;
+            entry->suspicion.crashes = std::min(crashes, unexplained * CrashesPerUnexplained);
+        }
+        // Only now, since parts with the same number of crashes cannot be told apart.
+        for (const Entry *entry : entries) {
+            if (!explainsCrashes(*entry))
+                continue;
+            for (const EngineCrash &crash : entry->evidence.crashes)
+                explained.insert(crash.engine);
+        }
+    }
+}
+
+bool PartBreakers::explainsCrashes(const Entry &entry)
+{
+    const auto &crashes = entry.evidence.crashes;
+    return entry.suspicion.crashes >= CrashesToOpen
+           && std::none_of(crashes.begin(), crashes.end(),
+                           [](const EngineCrash &crash) { return crash.answered; });
+}
+
 bool PartBreakers::isOpen(const Suspicion &suspicion, SteadyTime now)
 {
     return suspicion.crashes >= CrashesToOpenAtOnce
@@ -392,7 +447,7 @@
 {
     const auto rankOf = [](const Entry &entry) {
         const auto &crashes = entry.evidence.crashes;
-        return std::pair(suspicionOf(entry.evidence).crashes,
+        return std::pair(entry.suspicion.crashes,
                          crashes.empty() ? SteadyTime() : crashes.back().at);
     };
     const auto least = std::min_element(m_entries.begin(), m_entries.end(),
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -89,7 +89,7 @@
     tester.breakers.recordAnswer({Crashing}, tested);
     tester.breakers.refresh(tested + milliseconds(250));
     other.breakers.merge(tester.breakers.takeUnsent(75), tested + milliseconds(260));
-    tester.breakers.merge(other.breakers.mostSuspected(16), tested + milliseconds(500));
+    tester.breakers.merge(other.breakers.takeRepeats(16), tested + milliseconds(500));
     EXPECT_TRUE(tester.breakers.openParts(tested + milliseconds(600)).empty());
     EXPECT_TRUE(other.breakers.openParts(tested + milliseconds(600)).empty());
 }
@@ -106,7 +106,7 @@
     tester.breakers.recordAnswer({Crashing}, tested);
     EXPECT_FALSE(tester.breakers.takeUnsent(75).empty());
     tester.breakers.refresh(tested + seconds(10));
-    tester.breakers.merge(other.breakers.mostSuspected(16), tested + seconds(10));
+    tester.breakers.merge(other.breakers.takeRepeats(16), tested + seconds(10));
     EXPECT_TRUE(tester.breakers.openParts(tested + seconds(11)).empty());
     EXPECT_TRUE(tester.breakers.hasUnsent());
 }
@@ -188,6 +188,91 @@
     EXPECT_GT(testers.size(), 10U); // One that has left delays the test only for its turn.
 }
 
+// Guards against sound requests being refused that share a part only with crashing ones.
+TEST(PartBreakers, ACrashThatAnOpenPartExplainsDoesNotCountAgainstOthers)
+{
+    Router router;
+    crash(router.breakers, {Session, Crashing}, 2);
+    router.breakers.recordCrash(3, {Crashing}, Start + seconds(2));
+    router.breakers.recordCrash(4, {Session, Crashing}, Start + seconds(3));
+    const SteadyTime later = Start + seconds(5);
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, later));
+    EXPECT_FALSE(router.breakers.findOpen({Session}, later));
+    EXPECT_TRUE(router.breakers.mayRetry({Session}));
+}
+
+// Guards against a second crashing part hiding behind the first one that was there at its crashes.
+TEST(PartBreakers, TwoCrashesWithoutTheFirstPartOpenASecondOne)
+{
+    constexpr PartHash Second = 4;
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Crashing, Second}, 3);
+    router.breakers.recordCrash(4, {Crashing}, last + milliseconds(100));
+    router.breakers.recordCrash(5, {Crashing}, last + milliseconds(200));
+    EXPECT_TRUE(router.breakers.mayRetry({Second}));
+    router.breakers.recordCrash(6, {Second}, last + milliseconds(300));
+    EXPECT_FALSE(router.breakers.mayRetry({Second}));
+    EXPECT_FALSE(router.breakers.findOpen({Second}, last + seconds(2)));
+    router.breakers.recordCrash(7, {Second}, last + milliseconds(400));
+    EXPECT_TRUE(router.breakers.findOpen({Second}, last + seconds(2)));
+}
+
+// Guards against a wrongly suspected part hiding the crashing one after it was answered.
+TEST(PartBreakers, AnAnsweredPartNoLongerExplainsCrashes)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {First, Crashing}, 3);
+    router.breakers.recordCrash(4, {First}, last + seconds(1));
+    EXPECT_FALSE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+    router.breakers.recordAnswer({First, Session}, last + milliseconds(1100));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+    EXPECT_FALSE(router.breakers.findOpen({First}, last + seconds(2)));
+}
+
+// Guards against a part that many requests share, and that no answer has cleared of its latest
+// crashes yet, hiding the crashing part.
+TEST(PartBreakers, APartThatWasAnsweredBeforeExplainsNoCrashes)
+{
+    Router router;
+    router.breakers.recordCrash(20, {First}, Start);
+    router.breakers.recordAnswer({First, Session}, Start + milliseconds(1));
+    const SteadyTime last = crash(router.breakers, {First, Crashing}, 3);
+    router.breakers.recordCrash(21, {First}, last + milliseconds(100));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+}
+
+// Guards against a part that was at many crashes being refused for hours after it became harmless.
+TEST(PartBreakers, APartWithManyCrashesIsTestedWithinTenMinutes)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Crashing}, 12);
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + std::chrono::minutes(9)));
+    EXPECT_FALSE(router.breakers.findOpen({Crashing}, last + std::chrono::minutes(10)));
+}
+
+// Guards against a part with many crashes keeping all other suspects out of the repeated evidence,
+// and against a router that knows only repeats testing a part earlier than the others.
+TEST(PartBreakers, EverySuspectIsRepeatedWithAllItsCrashes)
+{
+    constexpr std::size_t Limit = 16;
+    constexpr std::size_t Rounds = 6;
+    Router first("router-1");
+    Router second("router-2");
+    SteadyTime now = Start;
+    for (PartHash part = 1; part <= Rounds; ++part)
+        now = crash(first.breakers, {part}, 14 - 2 * part, now);
+    for (std::size_t round = 0; round < Rounds; ++round) {
+        const auto evidence = first.breakers.takeRepeats(Limit);
+        std::size_t size = 0;
+        for (const PartEvidence &part : evidence)
+            size += 1 + part.crashes.size();
+        EXPECT_LE(size, Limit);
+        second.breakers.merge(evidence, now);
+    }
+    for (PartHash part = 1; part <= Rounds; ++part)
+        EXPECT_EQ(second.breakers.crashesOf({part}), first.breakers.crashesOf({part})) << part;
+}
+
 TEST(PartBreakers, ATableOfManyPartsKeepsTheMostSuspected)
 {
     Router router;
@@ -250,7 +335,7 @@
     first.breakers.recordAnswer({Crashing}, Start + milliseconds(1));
     SteadyTime now = crash(first.breakers, {Crashing}, 4, Start + milliseconds(2));
     const auto exchange = [&](PartBreakers &from, PartBreakers &to) {
-        const auto evidence = from.mostSuspected(75);
+        const auto evidence = from.takeRepeats(75);
         const auto bytes = encodePartEvidence({"", 0, 0, evidence}, now);
         now += milliseconds(7);
         to.merge(decodePartEvidence(bytes, now)->evidence, now);
@@ -277,7 +362,9 @@
     for (int step = 0; step < steps; ++step) {
         now += milliseconds(*rc::gen::inRange(1, 800));
         PartBreakers &breakers = routers[*rc::gen::inRange<std::size_t>(0, Routers)].breakers;
-        const PartBreakers::Parts parts{*rc::gen::inRange<PartHash>(1, 5)};
+        PartBreakers::Parts parts{*rc::gen::inRange<PartHash>(1, 5)};
+        if (*rc::gen::inRange(0, 2) == 0)
+            parts.push_back(*rc::gen::inRange<PartHash>(1, 5));
         switch (*rc::gen::inRange(0, 4)) {
         case 0:
         case 1:
