--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -4,6 +4,7 @@
 #include "almondmill/kernel/time.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <chrono>
 #include <cstddef>
@@ -21,7 +22,8 @@
 /// Circuit breakers for prompt parts. A part that waited at several engines when they crashed, and
 /// has not been answered since, is open: requests with it are refused. The state follows from the
 /// evidence alone, so routers that know the same evidence open and close the same parts. Evidence
-/// may be merged in any order and repeatedly. Must be used on the event loop only.
+/// may be merged in any order and repeatedly. A part is not suspected for crashes at which an
+/// open part waited that was at more crashes. Must be used on the event loop only.
 class PartBreakers
 {
 public:
@@ -43,11 +45,17 @@
     /// Adds a router that may let requests through open parts.
     void addRouter(const std::string &name);
 
-    /// The first of the parts that is open for this router; nothing when the request may be sent.
-    std::optional<OpenPart> findOpen(const Parts &parts, SteadyTime now) const;
+    /// The first of the parts that is open for a request; nothing when it may be sent. `tested` are
+    /// the half-open parts whose test the request has taken.
+    std::optional<OpenPart> findOpen(const Parts &parts, SteadyTime now,
+                                     const Parts &tested = {}) const;
 
-    /// Like findOpen. A request that may be sent takes this router's test of its half-open parts.
-    std::optional<OpenPart> admit(const Parts &parts, SteadyTime now);
+    /// Like findOpen. A request that may be sent takes this router's test of its half-open parts;
+    /// they are added to `tested`.
+    std::optional<OpenPart> admit(const Parts &parts, SteadyTime now, Parts &tested);
+
+    /// Gives tests back that ended without showing whether the parts crash engines.
+    void releaseTests(const Parts &tested);
 
     /// Whether a request that was at an engine's crash may be sent to another engine.
     bool mayRetry(const Parts &parts) const;
@@ -72,9 +80,10 @@
     std::vector<PartEvidence> takeUnsent(std::size_t limit);
     bool hasUnsent() const;
 
-    /// The parts with the most crashes among those with at least two, to repeat to other routers.
-    /// `limit` is that of takeUnsent.
-    std::vector<PartEvidence> mostSuspected(std::size_t limit) const;
+    /// Evidence to repeat to other routers: parts with at least two crashes in turn, those that
+    /// were repeated longest ago first. `limit` is that of takeUnsent; it must allow the crashes
+    /// that are kept of one part.
+    std::vector<PartEvidence> takeRepeats(std::size_t limit);
 
     /// Drops evidence that is too old, and counts the parts that opened or closed.
     void refresh(SteadyTime now);
@@ -83,37 +92,48 @@
     std::vector<OpenPart> openParts(SteadyTime now) const;
 
 private:
+    /// Crashes since the part was last answered; fewer when other parts explain some of them.
+    struct Suspicion
+    {
+        std::size_t crashes = 0; ///< Simultaneous crashes count as one.
+        SteadyTime firstAt;
+        SteadyTime lastAt;
+    };
+
     struct Entry
     {
         PartEvidence evidence;
+        Suspicion suspicion; ///< As of the last call of updateSuspicions.
         /// Start of the latest sound answer that this router saw. It is not sent: at each router
         /// the time would become later by the delay of the message.
         std::optional<SteadyTime> answeredAt;
         SteadyTime testUntil; ///< Until then a request of this router tests the half-open part.
+        std::uint64_t lastRepeat = 0; ///< Call of takeRepeats that returned the part last.
         bool isUnsent = false;
         bool wasOpen = false;
     };
 
-    /// Crashes since the part was last answered.
-    struct Suspicion
-    {
-        std::size_t crashes = 0; ///< Simultaneous crashes count as one.
-        SteadyTime firstAt;
-        SteadyTime lastAt;
-    };
+    using Engines = absl::flat_hash_set<std::uint64_t>;
 
-    static Suspicion suspicionOf(const PartEvidence &evidence);
+    static Suspicion suspicionOf(const PartEvidence &evidence, const Engines &explained);
+    /// Derives the suspicions from the evidence. An open part explains the crashes that it was at
+    /// to all parts with fewer crashes, so that they are not suspected for waiting beside it.
+    void updateSuspicions();
+    /// Whether the part is so suspect that crashes need no other cause. A part that was ever
+    /// answered after a crash is not: many requests share it, and it would hide the cause.
+    static bool explainsCrashes(const Entry &entry);
     static bool isOpen(const Suspicion &suspicion, SteadyTime now);
     static bool addCrash(Entry &entry, const EngineCrash &crash);
     bool mergeEntry(const PartEvidence &evidence, SteadyTime now);
     bool isTester(PartHash part, const Suspicion &suspicion, SteadyTime now) const;
-    std::optional<OpenPart> openPart(PartHash part, SteadyTime now) const;
+    std::optional<OpenPart> openPart(PartHash part, SteadyTime now, const Parts &tested) const;
     Entry &entryOf(PartHash part);
     void evict();
 
     std::uint64_t m_self;
     std::vector<std::uint64_t> m_routers; ///< Hashes of the names of the other routers.
     absl::flat_hash_map<PartHash, Entry> m_entries;
+    std::uint64_t m_repeats = 0; ///< Calls of takeRepeats.
     std::function<void()> m_onCrash;
     Counter &m_crashes;
     Counter &m_opened;
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -9,6 +9,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <deque>
+#include <set>
 
 namespace almondmill::test {
 
@@ -76,6 +77,40 @@
     EXPECT_TRUE(router.breakers.mayRetry({First, Session}));
 }
 
+// Guards against sound requests that other routers refuse for long after a test was answered, and
+// against their evidence opening the part again at the router that tested it.
+TEST(PartBreakers, AnAnswerLongAfterTheCrashesClosesThePartAtAllRouters)
+{
+    Router tester("router-1");
+    Router other("router-2");
+    const SteadyTime last = crash(tester.breakers, {Crashing}, 6);
+    other.breakers.merge(tester.breakers.takeUnsent(75), last);
+    const SteadyTime tested = last + seconds(165);
+    tester.breakers.recordAnswer({Crashing}, tested);
+    tester.breakers.refresh(tested + milliseconds(250));
+    other.breakers.merge(tester.breakers.takeUnsent(75), tested + milliseconds(260));
+    tester.breakers.merge(other.breakers.takeRepeats(16), tested + milliseconds(500));
+    EXPECT_TRUE(tester.breakers.openParts(tested + milliseconds(600)).empty());
+    EXPECT_TRUE(other.breakers.openParts(tested + milliseconds(600)).empty());
+}
+
+// Guards against the same when the message with the answer is lost: late evidence of another router
+// is still known to be answered.
+TEST(PartBreakers, AnsweredCrashesAreKnownAsLongAsOthersMayRepeatThem)
+{
+    Router tester("router-1");
+    Router other("router-2");
+    const SteadyTime last = crash(tester.breakers, {Crashing}, 6);
+    other.breakers.merge(tester.breakers.takeUnsent(75), last);
+    const SteadyTime tested = last + seconds(165);
+    tester.breakers.recordAnswer({Crashing}, tested);
+    EXPECT_FALSE(tester.breakers.takeUnsent(75).empty());
+    tester.breakers.refresh(tested + seconds(10));
+    tester.breakers.merge(other.breakers.takeRepeats(16), tested + seconds(10));
+    EXPECT_TRUE(tester.breakers.openParts(tested + seconds(11)).empty());
+    EXPECT_TRUE(tester.breakers.hasUnsent());
+}
+
 TEST(PartBreakers, EnginesOfOneRackThatEndTogetherAreOneCrash)
 {
     Router router;
@@ -108,8 +143,10 @@
     }
     const auto admitted = [&](SteadyTime now) {
         int count = 0;
-        for (Router &router : routers)
-            count += router.breakers.admit({Crashing}, now) ? 0 : 1;
+        for (Router &router : routers) {
+            PartBreakers::Parts tested;
+            count += router.breakers.admit({Crashing}, now, tested) ? 0 : 1;
+        }
         return count;
     };
     EXPECT_EQ(admitted(last + milliseconds(19'900)), 0);
@@ -121,6 +158,121 @@
     EXPECT_EQ(admitted(last + milliseconds(61'100)), 1);
 }
 
+// Guards against an engine crash for each router when requests with a part return after a pause.
+TEST(PartBreakers, FewRoutersTestAPartAtOnceHoweverLongNoRequestCame)
+{
+    constexpr std::size_t Routers = 100;
+    std::deque<Router> routers;
+    for (std::size_t index = 0; index < Routers; ++index)
+        routers.emplace_back("router-" + std::to_string(index));
+    SteadyTime last;
+    for (std::size_t index = 0; index < Routers; ++index) {
+        for (std::size_t other = 0; other < Routers; ++other) {
+            if (other != index)
+                routers[index].breakers.addRouter("router-" + std::to_string(other));
+        }
+        last = crash(routers[index].breakers, {Crashing}, 3);
+    }
+    std::set<std::size_t> testers;
+    for (milliseconds after{20'100}; after < seconds(110); after += milliseconds(5000)) {
+        std::size_t atOnce = 0;
+        for (std::size_t index = 0; index < Routers; ++index) {
+            if (routers[index].breakers.findOpen({Crashing}, last + after))
+                continue;
+            ++atOnce;
+            testers.insert(index);
+        }
+        EXPECT_GE(atOnce, 1U);
+        EXPECT_LE(atOnce, 2U);
+    }
+    EXPECT_GT(testers.size(), 10U); // One that has left delays the test only for its turn.
+}
+
+// Guards against sound requests being refused that share a part only with crashing ones.
+TEST(PartBreakers, ACrashThatAnOpenPartExplainsDoesNotCountAgainstOthers)
+{
+    Router router;
+    crash(router.breakers, {Session, Crashing}, 2);
+    router.breakers.recordCrash(3, {Crashing}, Start + seconds(2));
+    router.breakers.recordCrash(4, {Session, Crashing}, Start + seconds(3));
+    const SteadyTime later = Start + seconds(5);
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, later));
+    EXPECT_FALSE(router.breakers.findOpen({Session}, later));
+    EXPECT_TRUE(router.breakers.mayRetry({Session}));
+}
+
+// Guards against a second crashing part hiding behind the first one that was there at its crashes.
+TEST(PartBreakers, TwoCrashesWithoutTheFirstPartOpenASecondOne)
+{
+    constexpr PartHash Second = 4;
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Crashing, Second}, 3);
+    router.breakers.recordCrash(4, {Crashing}, last + milliseconds(100));
+    router.breakers.recordCrash(5, {Crashing}, last + milliseconds(200));
+    EXPECT_TRUE(router.breakers.mayRetry({Second}));
+    router.breakers.recordCrash(6, {Second}, last + milliseconds(300));
+    EXPECT_FALSE(router.breakers.mayRetry({Second}));
+    EXPECT_FALSE(router.breakers.findOpen({Second}, last + seconds(2)));
+    router.breakers.recordCrash(7, {Second}, last + milliseconds(400));
+    EXPECT_TRUE(router.breakers.findOpen({Second}, last + seconds(2)));
+}
+
+// Guards against a wrongly suspected part hiding the crashing one after it was answered.
+TEST(PartBreakers, AnAnsweredPartNoLongerExplainsCrashes)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {First, Crashing}, 3);
+    router.breakers.recordCrash(4, {First}, last + seconds(1));
+    EXPECT_FALSE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+    router.breakers.recordAnswer({First, Session}, last + milliseconds(1100));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+    EXPECT_FALSE(router.breakers.findOpen({First}, last + seconds(2)));
+}
+
+// Guards against a part that many requests share, and that no answer has cleared of its latest
+// crashes yet, hiding the crashing part.
+TEST(PartBreakers, APartThatWasAnsweredBeforeExplainsNoCrashes)
+{
+    Router router;
+    router.breakers.recordCrash(20, {First}, Start);
+    router.breakers.recordAnswer({First, Session}, Start + milliseconds(1));
+    const SteadyTime last = crash(router.breakers, {First, Crashing}, 3);
+    router.breakers.recordCrash(21, {First}, last + milliseconds(100));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + seconds(2)));
+}
+
+// Guards against a part that was at many crashes being refused for hours after it became harmless.
+TEST(PartBreakers, APartWithManyCrashesIsTestedWithinTenMinutes)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Crashing}, 12);
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + std::chrono::minutes(9)));
+    EXPECT_FALSE(router.breakers.findOpen({Crashing}, last + std::chrono::minutes(10)));
+}
+
+// Guards against a part with many crashes keeping all other suspects out of the repeated evidence,
+// and against a router that knows only repeats testing a part earlier than the others.
+TEST(PartBreakers, EverySuspectIsRepeatedWithAllItsCrashes)
+{
+    constexpr std::size_t Limit = 16;
+    constexpr std::size_t Rounds = 6;
+    Router first("router-1");
+    Router second("router-2");
+    SteadyTime now = Start;
+    for (PartHash part = 1; part <= Rounds; ++part)
+        now = crash(first.breakers, {part}, 14 - 2 * part, now);
+    for (std::size_t round = 0; round < Rounds; ++round) {
+        const auto evidence = first.breakers.takeRepeats(Limit);
+        std::size_t size = 0;
+        for (const PartEvidence &part : evidence)
+            size += 1 + part.crashes.size();
+        EXPECT_LE(size, Limit);
+        second.breakers.merge(evidence, now);
+    }
+    for (PartHash part = 1; part <= Rounds; ++part)
+        EXPECT_EQ(second.breakers.crashesOf({part}), first.breakers.crashesOf({part})) << part;
+}
+
 TEST(PartBreakers, ATableOfManyPartsKeepsTheMostSuspected)
 {
     Router router;
@@ -183,7 +335,7 @@
     first.breakers.recordAnswer({Crashing}, Start + milliseconds(1));
     SteadyTime now = crash(first.breakers, {Crashing}, 4, Start + milliseconds(2));
     const auto exchange = [&](PartBreakers &from, PartBreakers &to) {
-        const auto evidence = from.mostSuspected(75);
+        const auto evidence = from.takeRepeats(75);
         const auto bytes = encodePartEvidence({"", 0, 0, evidence}, now);
         now += milliseconds(7);
         to.merge(decodePartEvidence(bytes, now)->evidence, now);
@@ -210,7 +362,9 @@
     for (int step = 0; step < steps; ++step) {
         now += milliseconds(*rc::gen::inRange(1, 800));
         PartBreakers &breakers = routers[*rc::gen::inRange<std::size_t>(0, Routers)].breakers;
-        const PartBreakers::Parts parts{*rc::gen::inRange<PartHash>(1, 5)};
+        PartBreakers::Parts parts{*rc::gen::inRange<PartHash>(1, 5)};
+        if (*rc::gen::inRange(0, 2) == 0)
+            parts.push_back(*rc::gen::inRange<PartHash>(1, 5));
         switch (*rc::gen::inRange(0, 4)) {
         case 0:
         case 1:
@@ -260,7 +414,8 @@
     int lateSends = 0;
     while (now < Start + seconds(300)) {
         now += milliseconds(*rc::gen::inRange(50, 4000));
-        if (router.breakers.admit({First, Crashing}, now)) {
+        PartBreakers::Parts tested;
+        if (router.breakers.admit({First, Crashing}, now, tested)) {
             router.breakers.recordAnswer({First, Session}, now);
             continue;
         }
