Requests that only wait leave retry budget for failures

Callers saw: 502 for requests whose connection really broke, beside requests that merely waited at a silent endpoint; and processor time for the latter.

Cause: a request at a silent endpoint asked for another one every 100 ms and took each retry out of the budget as it appeared. With 16 or more routers one router's burst is one to a few retries, so nothing was left. The endpoint was chosen before the budget was looked at. A begun stream that found only full endpoints asked the next one at once or every 100 ms, a retry each time.

Ruled out: the refill.

Change: a retry states its reason. The budget is looked at before an endpoint is chosen; the interval between tries at a silent endpoint doubles from 100 ms to 800 ms, as does the pause after a refusal of what may have run.

--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -2,6 +2,7 @@
 
 #include "almondmill/forward/answermetadata.h"
 #include "almondmill/http/messageparser.h"
+#include "almondmill/kernel/growinginterval.h"
 #include "almondmill/kernel/time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -90,8 +91,8 @@
     /// stays open, so that a late answer is still received.
     void onSilence(std::function<bool()> mayGiveUp) { m_mayGiveUp = std::move(mayGiveUp); }
 
-    /// Asks that function when the endpoint has sent nothing until `at`, and from then on at short
-    /// intervals. Each call replaces the previous time; SteadyTime::max() means never.
+    /// Asks that function when the endpoint has sent nothing until `at`, and from then on at
+    /// growing intervals. Each call replaces the previous time; SteadyTime::max() means never.
     void expectBytesBy(SteadyTime at);
 
     /// Returns the connection to the pool if the answer is complete and the connection can be
@@ -114,6 +115,7 @@
     std::optional<AnswerParser> m_parser;
     AnswerMetadata m_metadata;
     std::function<bool()> m_mayGiveUp;
+    GrowingInterval m_silenceChecks;
     bool m_isConnectionUsed = false; ///< Another request or answer went over the connection before.
     bool m_sent = false;
     bool m_asksForHeadOnly = false; ///< The request's method is HEAD.
--- a/include/almondmill/forward/serviceretrybudgets.h
+++ b/include/almondmill/forward/serviceretrybudgets.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/admission/retryreason.h"
 #include "almondmill/kernel/time.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -34,8 +35,14 @@
 
     void requestStarted(const std::string &service, SteadyTime now);
 
-    /// Takes one retry out of the service's budget; false when the budget is exhausted.
-    bool take(const std::string &service, SteadyTime now);
+    /// Whether `take` would succeed.
+    bool canTake(const std::string &service, SteadyTime now,
+                 RetryReason reason = RetryReason::Failure);
+
+    /// Takes one retry out of the service's budget; false when the budget for that reason is
+    /// exhausted.
+    bool take(const std::string &service, SteadyTime now,
+              RetryReason reason = RetryReason::Failure);
 
 private:
     RetryBudget &budgetOf(const std::string &service, SteadyTime now);
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -29,8 +29,9 @@
 /// Informational answers, and answers to other requests, that are skipped before the answer.
 constexpr int MaxSkippedAnswers = 16;
 
-/// How often another endpoint is looked for while the current one is silent.
-constexpr std::chrono::milliseconds SilenceCheckInterval{100};
+/// Intervals at which another endpoint is looked for while the current one is silent.
+constexpr std::chrono::milliseconds FirstSilenceCheckInterval{100};
+constexpr std::chrono::milliseconds LongestSilenceCheckInterval{800};
 
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
@@ -46,6 +47,7 @@
 EndpointExchange::EndpointExchange(std::shared_ptr<EndpointView> endpoint, const WireCodec &codec)
     : m_endpoint(std::move(endpoint))
     , m_codec(codec)
+    , m_silenceChecks(FirstSilenceCheckInterval, LongestSilenceCheckInterval)
 {
     m_parser.emplace();
 }
@@ -193,6 +195,7 @@
     const bool isNever = at == SteadyTime::max();
     m_socket->setStallCheck(isNever ? TimedSocket::StallCheck()
                                     : [this] { return checkSilence(); });
+    m_silenceChecks.reset();
     m_socket->checkForStallAt(at);
 }
 
@@ -205,7 +208,7 @@
         m_socket->abort();
         return SteadyTime::max();
     }
-    return std::chrono::steady_clock::now() + SilenceCheckInterval;
+    return std::chrono::steady_clock::now() + m_silenceChecks.next();
 }
 
 void EndpointExchange::finish(SteadyTime now)
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -43,6 +43,10 @@
 /// one too early makes both engines prefill it.
 constexpr int PromptAttemptTimeoutFactor = 4;
 
+/// Pauses after refusals of a request that is looked after until its deadline.
+constexpr milliseconds FirstRefusalPause{100};
+constexpr milliseconds LongestRefusalPause{800};
+
 /// How long an endpoint that rejected a request for lack of capacity is avoided.
 constexpr milliseconds FullEndpointBackoff{50};
 
@@ -71,6 +75,7 @@
     , m_session(session)
     , m_table(context.table.snapshot())
     , m_startedAt(steadyNow())
+    , m_refusalPauses(FirstRefusalPause, LongestRefusalPause)
 {}
 
 ForwardedRequest::~ForwardedRequest() = default;
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "almondmill/admission/retryreason.h"
 #include "almondmill/forward/callerrequest.h"
 #include "almondmill/forward/endpointexchange.h"
 #include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/sendplanner.h"
 #include "almondmill/forward/streamcontinuity.h"
+#include "almondmill/kernel/growinginterval.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/request/eventsplitter.h"
 #include "almondmill/route/routingtable.h"
@@ -91,8 +93,11 @@
                                        SteadyTime now);
     bool mayRetry(AttemptOutcome outcome);
     Awaitable<SendPlanner::View> nextEndpoint();
+    /// Waits that long, at most until the deadline.
+    Awaitable<void> pauseSearch(std::chrono::milliseconds pause);
+    /// Chooses an endpoint that isn't excluded and takes the retry budget for it, if it needs any.
     SendPlanner::View takeEndpoint(const std::vector<SendPlanner::View> &excluded,
-                                   const ClockTimes &now);
+                                   RetryReason reason, const ClockTimes &now);
     bool secureReplacement(const ClockTimes &now);
     void recordSilence(EndpointHealth &health, SteadyTime now);
     AttemptOutcome handleBrokenStream(const char *reason, EndpointExchange &exchange,
@@ -127,6 +132,8 @@
     std::uint32_t m_refusals = 0; ///< Attempts sent that the endpoint refused for lack of capacity.
     bool m_mayHaveRun = false;
     bool m_needsRetryBudget = false; ///< The next attempt repeats one that was sent.
+    bool m_wasRefused = false;       ///< The last attempt, while an earlier one may have run.
+    GrowingInterval m_refusalPauses;
     bool m_silenceRecorded = false;  ///< For the current attempt.
     SendPlanner::View m_replacement; ///< Endpoint of the next attempt, with its retry budget taken.
     const char *m_lastReason = "no_endpoint";
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -10,6 +10,7 @@
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace almondmill {
@@ -29,6 +30,7 @@
         return true;
     if (outcome == AttemptOutcome::Failed) {
         m_mayHaveRun = true;
+        m_refusalPauses.reset();
         if (!mayRunAgain(m_route->retrySafety))
             return false;
         if (m_streamStarted && !m_continuity.canResume())
@@ -38,6 +40,7 @@
             return false;
         }
     }
+    m_wasRefused = outcome == AttemptOutcome::NotRun && m_mayHaveRun;
     m_needsRetryBudget = true;
     return hasAttemptsLeft();
 }
@@ -56,27 +59,40 @@
         m_needsRetryBudget = false;
         co_return std::exchange(m_replacement, nullptr);
     }
-    auto view = takeEndpoint(m_triedEndpoints, ClockTimes::now());
+    if (std::exchange(m_wasRefused, false))
+        co_await pauseSearch(m_refusalPauses.next());
+    if (m_session.hasDisconnected())
+        co_return nullptr;
+    auto view = takeEndpoint(m_triedEndpoints, RetryReason::Failure, ClockTimes::now());
     // A stream that has begun cannot be refused any more. Endpoints tried before may be free again.
     while (!view && m_streamStarted && steadyNow() < m_deadline && !m_session.hasDisconnected()) {
-        co_await sleepFor(m_context.loop, SearchInterval);
-        view = takeEndpoint({}, ClockTimes::now());
+        co_await pauseSearch(SearchInterval);
+        view = takeEndpoint({}, RetryReason::Failure, ClockTimes::now());
     }
     co_return view;
 }
 
+ForwardedRequest::Awaitable<void> ForwardedRequest::pauseSearch(milliseconds pause)
+{
+    const auto left = std::chrono::ceil<milliseconds>(m_deadline - steadyNow());
+    co_await sleepFor(m_context.loop, std::min(pause, left));
+}
+
 SendPlanner::View ForwardedRequest::takeEndpoint(const std::vector<SendPlanner::View> &excluded,
-                                                 const ClockTimes &now)
+                                                 RetryReason reason, const ClockTimes &now)
 {
     if (now.steady >= m_deadline)
         return nullptr;
+    ServiceRetryBudgets &budgets = m_context.retryBudgets;
+    if (m_needsRetryBudget && !budgets.canTake(m_service, now.steady, reason)) {
+        m_lastReason = "retry_budget";
+        return nullptr;
+    }
     auto view = m_planner.pick(placed(), excluded, now);
     if (!view || !m_needsRetryBudget)
         return view;
-    if (!m_context.retryBudgets.take(m_service, now.steady)) {
-        m_lastReason = "retry_budget";
+    if (!budgets.take(m_service, now.steady, reason))
         return nullptr;
-    }
     m_needsRetryBudget = false;
     return view;
 }
@@ -89,7 +105,7 @@
     m_needsRetryBudget = true;
     const bool mayContinue = m_continuity.canResume() && hasAttemptsLeft();
     if (mayContinue && !m_context.partBreakers.findOpen(m_parts, now.steady))
-        m_replacement = takeEndpoint(m_triedEndpoints, now);
+        m_replacement = takeEndpoint(m_triedEndpoints, RetryReason::Silence, now);
     if (!m_replacement)
         m_mayHaveRun = mayHaveRunBefore;
     if (isFirst || m_replacement) {
--- a/src/forward/serviceretrybudgets.cpp
+++ b/src/forward/serviceretrybudgets.cpp
@@ -36,9 +36,14 @@
     budgetOf(service, now).requestStarted(now);
 }
 
-bool ServiceRetryBudgets::take(const std::string &service, SteadyTime now)
+bool ServiceRetryBudgets::canTake(const std::string &service, SteadyTime now, RetryReason reason)
 {
-    return budgetOf(service, now).take(now);
+    return budgetOf(service, now).canTake(now, reason);
+}
+
+bool ServiceRetryBudgets::take(const std::string &service, SteadyTime now, RetryReason reason)
+{
+    return budgetOf(service, now).take(now, reason);
 }
 
 RetryBudget &ServiceRetryBudgets::budgetOf(const std::string &service, SteadyTime now)
