A silent endpoint is left only for one that is connected

Callers saw: 502 at once for a request that may run again, although its slow endpoint would have answered and most of its time was left, when the endpoint that was chosen instead couldn't be reached or was full.

Cause: the first endpoint was given up when budget and another endpoint were chosen, before that one was connected; a refusal by it ended the request, as only begun streams looked on for an endpoint.

Change: the connection to the other endpoint is opened while the silent one still waits. Only if that succeeds, the endpoint still takes requests, the first one is still silent and a retry can be taken, the first connection is closed and the request is sent on the new one. A request that may have run and that a full endpoint refused looks on until its deadline, with growing pauses, as long as some endpoint is available or returns from its pause in time; else it is answered at once. Closing comes before sending, as before, so no two endpoints work on one request.

What remains: an endpoint that refuses is known to be full only after the first one was closed, so an answer that the first one alone would have given is still lost when all others stay full until the deadline.

--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -29,7 +29,7 @@
     ConnectFailed,    ///< No connection could be made; nothing was sent.
     ConnectionBroken, ///< The connection closed or the answer could not be parsed; it may have run.
     DeadlineExceeded, ///< The deadline passed; it may have run.
-    GivenUp,          ///< The stall check gave the endpoint up; it may have run.
+    GivenUp,          ///< `giveUp` was called; it may have run.
     Cancelled,        ///< `cancel` was called; it may have run.
 };
 
@@ -47,6 +47,7 @@
     EndpointExchange &operator=(const EndpointExchange &) = delete;
 
     EndpointView &endpoint() { return *m_endpoint; }
+    const std::shared_ptr<EndpointView> &sharedEndpoint() const { return m_endpoint; }
 
     /// Head of the answer and its decoded fields; empty until `readHead` succeeds.
     const HttpHead &head() const { return m_parser->head(); }
@@ -63,7 +64,8 @@
     /// Whether sending started, so that the endpoint may have received the request.
     bool wasSent() const { return m_sent; }
 
-    /// Takes a connection from the pool or opens a new one before `deadline`.
+    /// Takes a connection from the pool or opens a new one before `deadline`. Does nothing if the
+    /// exchange is connected.
     Awaitable<ExchangeError> connect(boost::asio::any_io_executor executor, SteadyTime deadline);
 
     Awaitable<ExchangeError> send(const CallerRequest &request, const AttemptParameters &send,
@@ -87,14 +89,20 @@
     Awaitable<ExchangeError> readBodySome(SteadyTime deadline);
     Awaitable<ExchangeError> readBody(SteadyTime deadline);
 
-    /// Decides, while the endpoint is silent, whether to give it up. Until then the connection
-    /// stays open, so that a late answer is still received.
-    void onSilence(std::function<bool()> mayGiveUp) { m_mayGiveUp = std::move(mayGiveUp); }
+    /// Sets the function that is called while the endpoint is silent. It may call `giveUp`; until
+    /// then the connection stays open, so that a late answer is still received.
+    void onSilence(std::function<void()> callback) { m_onSilence = std::move(callback); }
 
-    /// Asks that function when the endpoint has sent nothing until `at`, and from then on at
+    /// Calls that function when the endpoint has sent nothing until `at`, and from then on at
     /// growing intervals. Each call replaces the previous time; SteadyTime::max() means never.
     void expectBytesBy(SteadyTime at);
 
+    /// Whether the endpoint has sent nothing until the time passed to `expectBytesBy`, nor since.
+    bool isSilent();
+
+    /// Closes the connection; the pending operation returns `GivenUp`.
+    void giveUp();
+
     /// Returns the connection to the pool if the answer is complete and the connection can be
     /// reused; otherwise closes it.
     void finish(SteadyTime now);
@@ -114,12 +122,13 @@
     std::shared_ptr<TimedSocket> m_socket;
     std::optional<AnswerParser> m_parser;
     AnswerMetadata m_metadata;
-    std::function<bool()> m_mayGiveUp;
+    std::function<void()> m_onSilence;
     GrowingInterval m_silenceChecks;
     bool m_isConnectionUsed = false; ///< Another request or answer went over the connection before.
     bool m_sent = false;
     bool m_asksForHeadOnly = false; ///< The request's method is HEAD.
     bool m_cancelled = false;
+    bool m_wasSilent = false; ///< When the time passed to `expectBytesBy` was reached.
     bool m_givenUp = false;
 };
 
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -63,6 +63,8 @@
 EndpointExchange::Awaitable<ExchangeError>
 EndpointExchange::connect(boost::asio::any_io_executor executor, SteadyTime deadline)
 {
+    if (m_socket)
+        co_return ExchangeError::None;
     m_socket = m_endpoint->connections().take(std::chrono::steady_clock::now());
     m_isConnectionUsed = m_socket != nullptr;
     if (m_socket)
@@ -195,22 +197,33 @@
     const bool isNever = at == SteadyTime::max();
     m_socket->setStallCheck(isNever ? TimedSocket::StallCheck()
                                     : [this] { return checkSilence(); });
+    m_wasSilent = false;
     m_silenceChecks.reset();
     m_socket->checkForStallAt(at);
 }
 
 SteadyTime EndpointExchange::checkSilence()
 {
-    // Bytes or an end that have arrived are read next, for example after a pause of this VM.
-    const bool isSilent = m_socket->peek() == TimedSocket::PeekResult::Nothing;
-    if (isSilent && m_mayGiveUp && m_mayGiveUp()) {
-        m_givenUp = true;
-        m_socket->abort();
+    m_wasSilent = true;
+    if (isSilent() && m_onSilence)
+        m_onSilence();
+    if (m_givenUp)
         return SteadyTime::max();
-    }
     return std::chrono::steady_clock::now() + m_silenceChecks.next();
 }
 
+bool EndpointExchange::isSilent()
+{
+    // Bytes or an end that have arrived are read next, for example after a pause of this VM.
+    return m_wasSilent && m_socket->peek() == TimedSocket::PeekResult::Nothing;
+}
+
+void EndpointExchange::giveUp()
+{
+    m_givenUp = true;
+    m_socket->abort();
+}
+
 void EndpointExchange::finish(SteadyTime now)
 {
     if (m_socket)
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -15,6 +15,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace almondmill {
 
@@ -31,10 +32,6 @@
 constexpr unsigned ServerError = 500;
 constexpr unsigned ServiceUnavailable = 503;
 
-/// Connecting within a region takes a few milliseconds. When a packet is lost, TCP retransmits it
-/// only after a second; trying another endpoint is faster.
-constexpr milliseconds ConnectTimeout{250};
-
 /// A repeatable request without an answer after this multiple of the route's target latency is
 /// sent to another endpoint.
 constexpr int AttemptTimeoutFactor = 2;
@@ -186,12 +183,17 @@
     m_hasBroken = false;
     m_answerStartedAt.reset();
     m_isAnswerRecorded = false;
-    EndpointExchange exchange(view, m_context.adapter->codec());
-    exchange.onSilence([this] { return secureReplacement(ClockTimes::now()); });
+    const auto connected = std::exchange(m_nextExchange, nullptr);
+    const auto shared =
+            connected ? connected
+                      : std::make_shared<EndpointExchange>(view, m_context.adapter->codec());
+    EndpointExchange &exchange = *shared;
+    exchange.onSilence([this] { seekReplacement(ClockTimes::now()); });
     m_exchange = &exchange;
     const std::uint64_t tokens = heldTokens();
     view->requestOpened(tokens);
     const AttemptOutcome outcome = co_await exchangeAnswer(exchange);
+    m_replacement.drop();
     view->requestClosed(tokens);
     endPrefill();
     exchange.finish(steadyNow());
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -4,6 +4,7 @@
 #include "almondmill/forward/callerrequest.h"
 #include "almondmill/forward/endpointexchange.h"
 #include "almondmill/forward/partbreakers.h"
+#include "almondmill/forward/replacementexchange.h"
 #include "almondmill/forward/sendplanner.h"
 #include "almondmill/forward/streamcontinuity.h"
 #include "almondmill/kernel/growinginterval.h"
@@ -41,6 +42,10 @@
     Awaitable<bool> run();
 
 private:
+    /// Connecting within a region takes a few milliseconds. When a packet is lost, TCP retransmits
+    /// it only after a second; trying another endpoint is faster.
+    static constexpr std::chrono::milliseconds ConnectTimeout{250};
+
     /// Result of an attempt.
     enum class AttemptOutcome {
         Answered, ///< The complete answer was sent to the caller.
@@ -98,12 +103,19 @@
     /// Chooses an endpoint that isn't excluded and takes the retry budget for it, if it needs any.
     SendPlanner::View takeEndpoint(const std::vector<SendPlanner::View> &excluded,
                                    RetryReason reason, const ClockTimes &now);
-    bool secureReplacement(const ClockTimes &now);
+    /// Looks for another endpoint while that of the current attempt is silent.
+    void seekReplacement(const ClockTimes &now);
+    /// Gives the silent endpoint up if the other one is connected and may be sent the request.
+    void useReplacement(ExchangeError error, const ClockTimes &now);
+    bool mayBeReplaced(SteadyTime now) const;
+    bool maySendTo(const SendPlanner::View &view, const ClockTimes &now) const;
+    /// Whether a request that found no endpoint waits for one.
+    bool waitsForEndpoint(const ClockTimes &now) const;
     void recordSilence(EndpointHealth &health, SteadyTime now);
     AttemptOutcome handleBrokenStream(const char *reason, EndpointExchange &exchange,
                                       SteadyTime now);
     std::uint64_t heldTokens() const;
-    bool hasAttemptsLeft() const;
+    bool hasAttemptsLeft(bool mayHaveRun) const;
     bool isUsableSuccess(const EndpointExchange &exchange) const;
     static bool mayHaveEvents(const EndpointExchange &exchange);
     SteadyTime attemptDeadline(std::chrono::milliseconds timeout, SteadyTime now) const;
@@ -134,8 +146,10 @@
     bool m_needsRetryBudget = false; ///< The next attempt repeats one that was sent.
     bool m_wasRefused = false;       ///< The last attempt, while an earlier one may have run.
     GrowingInterval m_refusalPauses;
-    bool m_silenceRecorded = false;  ///< For the current attempt.
-    SendPlanner::View m_replacement; ///< Endpoint of the next attempt, with its retry budget taken.
+    bool m_silenceRecorded = false; ///< For the current attempt.
+    ReplacementExchange m_replacement;
+    /// Connected for the next attempt, with its retry budget taken.
+    std::shared_ptr<EndpointExchange> m_nextExchange;
     const char *m_lastReason = "no_endpoint";
     std::optional<EndpointFailure> m_failure;
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/forward/callersession.h"
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/platformadapter.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/steadynow.h"
@@ -42,36 +43,50 @@
     }
     m_wasRefused = outcome == AttemptOutcome::NotRun && m_mayHaveRun;
     m_needsRetryBudget = true;
-    return hasAttemptsLeft();
+    return hasAttemptsLeft(m_mayHaveRun);
 }
 
-bool ForwardedRequest::hasAttemptsLeft() const
+bool ForwardedRequest::hasAttemptsLeft(bool mayHaveRun) const
 {
     // Only endpoints that may have run the request are limited. A request that no endpoint has run
     // is refused early instead, so that its caller can go to another router.
-    const std::uint32_t counted = m_mayHaveRun ? m_sendCount - m_refusals : m_sendCount;
+    const std::uint32_t counted = mayHaveRun ? m_sendCount - m_refusals : m_sendCount;
     return counted < m_route->maxAttempts;
 }
 
 ForwardedRequest::Awaitable<SendPlanner::View> ForwardedRequest::nextEndpoint()
 {
-    if (m_replacement) {
+    if (m_nextExchange) {
         m_needsRetryBudget = false;
-        co_return std::exchange(m_replacement, nullptr);
+        co_return m_nextExchange->sharedEndpoint();
     }
     if (std::exchange(m_wasRefused, false))
         co_await pauseSearch(m_refusalPauses.next());
     if (m_session.hasDisconnected())
         co_return nullptr;
     auto view = takeEndpoint(m_triedEndpoints, RetryReason::Failure, ClockTimes::now());
-    // A stream that has begun cannot be refused any more. Endpoints tried before may be free again.
-    while (!view && m_streamStarted && steadyNow() < m_deadline && !m_session.hasDisconnected()) {
-        co_await pauseSearch(SearchInterval);
+    // Endpoints tried before may be free again.
+    while (!view && waitsForEndpoint(ClockTimes::now())) {
+        co_await pauseSearch(m_streamStarted ? SearchInterval : m_refusalPauses.next());
         view = takeEndpoint({}, RetryReason::Failure, ClockTimes::now());
     }
     co_return view;
 }
 
+bool ForwardedRequest::waitsForEndpoint(const ClockTimes &now) const
+{
+    if (now.steady >= m_deadline || m_session.hasDisconnected())
+        return false;
+    if (m_streamStarted)
+        return true; // It cannot be refused any more.
+    if (!m_mayHaveRun || m_refusals == 0 || m_failure)
+        return false;
+    if (m_planner.canPick(placed(), {}, now))
+        return true;
+    const auto returnsAt = m_planner.earliestReturn(placed(), now);
+    return returnsAt && *returnsAt - now.boot < m_deadline - now.steady;
+}
+
 ForwardedRequest::Awaitable<void> ForwardedRequest::pauseSearch(milliseconds pause)
 {
     const auto left = std::chrono::ceil<milliseconds>(m_deadline - steadyNow());
@@ -97,27 +112,67 @@
     return view;
 }
 
-bool ForwardedRequest::secureReplacement(const ClockTimes &now)
+void ForwardedRequest::seekReplacement(const ClockTimes &now)
 {
     const bool isFirst = !m_silenceRecorded;
     recordSilence(m_exchange->endpoint().health(), now.steady);
-    const bool mayHaveRunBefore = std::exchange(m_mayHaveRun, true);
-    m_needsRetryBudget = true;
-    const bool mayContinue = m_continuity.canResume() && hasAttemptsLeft();
-    if (mayContinue && !m_context.partBreakers.findOpen(m_parts, now.steady))
-        m_replacement = takeEndpoint(m_triedEndpoints, RetryReason::Silence, now);
-    if (!m_replacement)
-        m_mayHaveRun = mayHaveRunBefore;
-    if (isFirst || m_replacement) {
+    if (m_replacement.exists())
+        return;
+    const bool isAllowed =
+            mayBeReplaced(now.steady)
+            && m_context.retryBudgets.canTake(m_service, now.steady, RetryReason::Silence);
+    const auto view = isAllowed ? m_planner.pick(placed(), m_triedEndpoints, now) : nullptr;
+    if (isFirst || view) {
         EventLine("request.silence")
                 .add("id", m_request.id)
                 .add("endpoint", m_exchange->endpoint().id())
                 .add("begun", m_streamStarted)
                 .add("sends", m_sendCount)
                 .add("refusals", m_refusals)
-                .add("replacement", m_replacement ? m_replacement->id() : std::string());
+                .add("replacement", view ? view->id() : std::string());
     }
-    return m_replacement != nullptr;
+    if (!view)
+        return;
+    m_replacement.open(view, m_context.adapter->codec(), m_context.loop.get_executor(),
+                       attemptDeadline(ConnectTimeout, now.steady),
+                       [this](ExchangeError error) { useReplacement(error, ClockTimes::now()); });
+}
+
+void ForwardedRequest::useReplacement(ExchangeError error, const ClockTimes &now)
+{
+    const SendPlanner::View view = m_replacement.exchange().sharedEndpoint();
+    if (error == ExchangeError::ConnectFailed)
+        view->health().recordNoAnswer(now.steady);
+    const bool isUsed = error == ExchangeError::None && m_exchange->isSilent()
+                        && mayBeReplaced(now.steady) && maySendTo(view, now)
+                        && m_context.retryBudgets.take(m_service, now.steady, RetryReason::Silence);
+    EventLine("request.replacement")
+            .add("id", m_request.id)
+            .add("endpoint", view->id())
+            .add("connected", error == ExchangeError::None)
+            .add("used", isUsed);
+    if (!isUsed) {
+        m_replacement.drop();
+        return;
+    }
+    m_nextExchange = m_replacement.take();
+    m_exchange->giveUp();
+}
+
+bool ForwardedRequest::mayBeReplaced(SteadyTime now) const
+{
+    return now < m_deadline && m_continuity.canResume() && hasAttemptsLeft(true)
+           && !m_context.partBreakers.findOpen(m_parts, now);
+}
+
+bool ForwardedRequest::maySendTo(const SendPlanner::View &view, const ClockTimes &now) const
+{
+    std::vector<SendPlanner::View> tried = m_triedEndpoints;
+    tried.push_back(view);
+    view->requestOpened(0);
+    const bool isAllowed = m_planner.maySend(placed(), *view, tried, now);
+    view->requestClosed(0);
+    return isAllowed;
 }
 
 void ForwardedRequest::recordSilence(EndpointHealth &health, SteadyTime now)
--- a/tests/failure-retries.cpp
+++ b/tests/failure-retries.cpp
@@ -10,6 +10,8 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <future>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -191,4 +193,106 @@
     EXPECT_TRUE(isLeft) << full.calls() << " arrivals at full endpoints";
 }
 
+// Guards against a 502 for a request whose endpoint answers late, when the endpoint that was chosen
+// to replace it can't be reached.
+TEST(Retries, ALateAnswerIsDeliveredWhenTheReplacementIsGone)
+{
+    const RawEndpoint slow([](int socket, const std::string &call, unsigned) {
+        std::this_thread::sleep_for(milliseconds(900));
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", "late", "Connection: close\r\n"));
+    });
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "any", slow.address());
+    std::string answer;
+    std::thread caller([&] { answer = ask(harness, "/any/x"); });
+    std::this_thread::sleep_for(milliseconds(100));
+    harness.addEndpoint("e2", "any", "127.0.0.1:9");
+    caller.join();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    EXPECT_EQ(slow.calls(), 1U);
+}
+
+// Guards against a 502 for a request that left its silent endpoint for one that is full at first.
+TEST(Retries, ARequestWhoseReplacementIsFullIsTakenLater)
+{
+    std::atomic<int> calls{0};
+    const RawEndpoint::Behaviour behave = [&](int socket, const std::string &call, unsigned) {
+        const int before = calls++;
+        if (before == 0)
+            RawEndpoint::waitForClose(socket);
+        else if (before <= 2)
+            RawEndpoint::write(socket, fullAnswer(call));
+        else
+            RawEndpoint::write(socket, signedAnswer(call, "200 OK", "x", "Connection: close\r\n"));
+    };
+    const RawEndpoint first(behave);
+    const RawEndpoint second(behave);
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "any", first.address());
+    harness.addEndpoint("e2", "any", second.address());
+    const std::string answer = ask(harness, "/any/x");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    EXPECT_EQ(calls, 4);
+}
+
+// Guards against holding a request until its deadline when no endpoint is left that could take it.
+TEST(Retries, ARequestThatNoEndpointCanTakeAnyMoreIsAnsweredAtOnce)
+{
+    std::atomic<int> calls{0};
+    ForwardingHarness *router = nullptr;
+    const RawEndpoint::Behaviour behave = [&](int socket, const std::string &call, unsigned) {
+        if (calls++ == 0) {
+            RawEndpoint::waitForClose(socket);
+            return;
+        }
+        router->onLoop([](ForwardingContext &context) {
+            context.directory.remove("e1");
+            context.directory.remove("e2");
+        });
+        RawEndpoint::write(socket, fullAnswer(call));
+    };
+    const RawEndpoint first(behave);
+    const RawEndpoint second(behave);
+    ForwardingHarness harness;
+    router = &harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "any", first.address());
+    harness.addEndpoint("e2", "any", second.address());
+    const SteadyTime start = steadyNow();
+    const std::string answer = ask(harness, "/any/x");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+    EXPECT_LT(steadyNow() - start, milliseconds(2000));
+}
+
+// Guards against two endpoints that work on one stream: the connection to the silent one is closed
+// before the stream goes on elsewhere.
+TEST(Retries, ASilentEndpointIsLeftBeforeTheStreamGoesOnElsewhere)
+{
+    std::atomic<int> calls{0};
+    std::promise<void> left;
+    std::future_status wasLeft = std::future_status::timeout;
+    const RawEndpoint::Behaviour behave = [&](int socket, const std::string &call, unsigned) {
+        if (calls++ == 0) {
+            RawEndpoint::write(socket, streamHeadAndEvent(call));
+            RawEndpoint::waitForClose(socket);
+            left.set_value();
+            return;
+        }
+        wasLeft = left.get_future().wait_for(milliseconds(400));
+        RawEndpoint::write(socket, streamHeadAndEvent(call) + "0\r\n\r\n");
+    };
+    const RawEndpoint first(behave);
+    const RawEndpoint second(behave);
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "resume", first.address());
+    harness.addEndpoint("e2", "resume", second.address());
+    const std::string answer = ask(harness, "/resume/x");
+    EXPECT_TRUE(answer.ends_with("\r\n0\r\n\r\n")) << answer;
+    EXPECT_EQ(wasLeft, std::future_status::ready);
+    EXPECT_EQ(calls, 2);
+}
+
 } // namespace almondmill::test
