--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -15,6 +15,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace almondmill {
 
@@ -31,10 +32,6 @@
 constexpr unsigned ServerError = 500;
 constexpr unsigned ServiceUnavailable = 503;
 
-/// Connecting within a region takes a few milliseconds. When a packet is lost, TCP retransmits it
-/// only after a second; trying another endpoint is faster.
-constexpr milliseconds ConnectTimeout{250};
-
 /// A repeatable request without an answer after this multiple of the route's target latency is
 /// sent to another endpoint.
 constexpr int AttemptTimeoutFactor = 2;
@@ -43,6 +40,10 @@
 /// one too early makes both engines prefill it.
 constexpr int PromptAttemptTimeoutFactor = 4;
 
+/// Pauses after refusals of a request that is looked after until its deadline.
+constexpr milliseconds FirstRefusalPause{100};
+constexpr milliseconds LongestRefusalPause{800};
+
 /// How long an endpoint that rejected a request for lack of capacity is avoided.
 constexpr milliseconds FullEndpointBackoff{50};
 
@@ -71,6 +72,7 @@
     , m_session(session)
     , m_table(context.table.snapshot())
     , m_startedAt(steadyNow())
+    , m_refusalPauses(FirstRefusalPause, LongestRefusalPause)
 {}
 
 ForwardedRequest::~ForwardedRequest()
@@ -189,11 +191,16 @@
     m_hasBroken = false;
     m_answerStartedAt.reset();
     m_isAnswerRecorded = false;
-    EndpointExchange exchange(view, m_context.adapter->codec());
-    exchange.onSilence([this] { return secureReplacement(ClockTimes::now()); });
+    const auto connected = std::exchange(m_nextExchange, nullptr);
+    const auto shared =
+            connected ? connected
+                      : std::make_shared<EndpointExchange>(view, m_context.adapter->codec());
+    EndpointExchange &exchange = *shared;
+    exchange.onSilence([this] { seekReplacement(ClockTimes::now()); });
     m_exchange = &exchange;
     m_load.emplace(view, heldTokens());
     const AttemptOutcome outcome = co_await exchangeAnswer(exchange);
+    m_replacement.drop();
     m_load.reset();
     exchange.finish(steadyNow());
     m_exchange = nullptr;
