Fetch no prompt parts from an endpoint past the drain deadline of its announcement

PartSources asks isPastDrainDeadline on the boot clock, for the recorded holders as well as for the assigned engine; the last resort of the planner uses the same function. Until the deadline a leaving engine stays a source: it serves, and its cache is often the only one with the part. A paused engine stays one too: a fetch goes from engine to engine. Ruled out: lookups, which go to routers only, and the check of broken connections, which opens one without a request.

PartSourcesTest.EnginesThatLeaveProvidePartsUntilTheDrainDeadline before: "Value of: canFetch(deadline) Actual: true", and 127.0.0.1:802 instead of the KV cache store 127.0.0.9:9.

--- a/include/almondmill/forward/endpointavailability.h
+++ b/include/almondmill/forward/endpointavailability.h
@@ -66,6 +66,10 @@
 
     bool isLeaving() const { return m_leavingSince.has_value(); }
 
+    /// Whether the endpoint may have exited: it announced its shutdown `drainDeadline` ago or
+    /// earlier.
+    bool isPastDrainDeadline(std::chrono::milliseconds drainDeadline, SteadyTime now) const;
+
     /// Counts a choice or an attempt that left out the endpoint.
     void recordWithheld() { ++m_withheld; }
 
--- a/include/almondmill/forward/partsources.h
+++ b/include/almondmill/forward/partsources.h
@@ -14,6 +14,7 @@
 
 class EndpointView;
 struct ForwardingContext;
+struct ClockTimes;
 struct RoutedRequest;
 
 /// Determines from where an engine can fetch the shared parts of a prompt within a cache scope.
@@ -31,13 +32,13 @@
 
     /// Where the longest shared part is cached, if its location is known.
     LongestSharedPart longestSharedPart(const RoutedRequest &placed, const std::string &cacheScope,
-                                        std::uint64_t weightsVersion, SteadyTime now) const;
+                                        std::uint64_t weightsVersion, const ClockTimes &now) const;
 
     /// Address from which the engine `endpointId` can fetch parts that it has not cached; empty
     /// when there is none.
     std::string addressFor(const RoutedRequest &placed, const std::string &cacheScope,
                            std::uint64_t weightsVersion, const std::string &endpointId,
-                           SteadyTime now) const;
+                           const ClockTimes &now) const;
 
     /// Records that the prompt is sent to an engine, which caches the parts that it did not have.
     void recordPromptSent(const RoutedRequest &placed, bool hasSharedParts, SteadyTime now);
@@ -52,13 +53,17 @@
 
     Source sourceOf(const RoutedRequest &placed, const PartLocations::Location &location,
                     std::uint64_t weightsVersion, const std::string &exceptEndpoint,
-                    SteadyTime now) const;
+                    const ClockTimes &now) const;
     std::string engineAddress(const PartLocations::Holder &holder, std::uint64_t weightsVersion,
                               const std::string &model, const std::string &exceptEndpoint,
-                              SteadyTime now) const;
+                              const ClockTimes &now) const;
     /// Address of the engine that is assigned to the prompt's longest shared part.
     std::string assignedEngineAddress(const RoutedRequest &placed, std::uint64_t weightsVersion,
-                                      const std::string &exceptEndpoint, SteadyTime now) const;
+                                      const std::string &exceptEndpoint,
+                                      const ClockTimes &now) const;
+    /// Whether the engine may be asked for parts with that version of the weights.
+    bool canProvide(const EndpointView &view, std::uint64_t weightsVersion,
+                    const std::string &model, const ClockTimes &now) const;
     /// Expected time for which engines of the service cache an unused part.
     std::chrono::milliseconds cacheRetention(const RoutedRequest &placed, SteadyTime now) const;
 
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -55,7 +55,7 @@
 
     /// The values that the router adds to the request for an attempt at that endpoint.
     AttemptParameters planAttempt(const RoutedRequest &placed, const EndpointView &view,
-                                  std::chrono::milliseconds timeLeft, SteadyTime now);
+                                  std::chrono::milliseconds timeLeft, const ClockTimes &now);
 
     /// Applies another router's report of where it sent a prompt part.
     void learn(const PartPlacement &placement, SteadyTime now);
@@ -91,11 +91,12 @@
     bool isLastResort(const EndpointView &view, const ClockTimes &now) const;
     bool isUsable(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const;
     EndpointCandidate makeCandidate(const RoutedRequest &placed, const EndpointView &view,
-                                    std::vector<VersionedParts> &known, SteadyTime now) const;
+                                    std::vector<VersionedParts> &known,
+                                    const ClockTimes &now) const;
     const PartSources::LongestSharedPart &longestSharedPart(const RoutedRequest &placed,
                                                             std::uint64_t weightsVersion,
                                                             std::vector<VersionedParts> &known,
-                                                            SteadyTime now) const;
+                                                            const ClockTimes &now) const;
 
     /// Estimates, from this router's own change since `reported`, the load that the other routers
     /// have added to an endpoint and not reported yet.
@@ -108,7 +109,7 @@
 
     /// Decides where the engine fetches the shared parts from and where it saves them to.
     void planCache(const RoutedRequest &placed, const EndpointView &view, AttemptParameters &send,
-                   SteadyTime now);
+                   const ClockTimes &now);
     /// Records that the endpoint gets the shared parts, and announces the longer ones.
     void recordPlacements(const RoutedRequest &placed, const EndpointView &view,
                           const AttemptParameters &send, SteadyTime now);
--- a/src/forward/endpointavailability.cpp
+++ b/src/forward/endpointavailability.cpp
@@ -75,6 +75,11 @@
     return Resuming{maxOpenRequests, *m_pausedUntil + ResumeStep * (step + 1)};
 }
 
+bool EndpointAvailability::isPastDrainDeadline(milliseconds drainDeadline, SteadyTime now) const
+{
+    return m_leavingSince && now >= *m_leavingSince + drainDeadline;
+}
+
 std::optional<std::uint64_t> EndpointAvailability::takeEndedPause(SteadyTime now)
 {
     if (m_isPauseReported || !m_pausedUntil || now < *m_pausedUntil)
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -213,19 +213,19 @@
     auto error = co_await exchange.connect(m_context.loop.get_executor(), connectBy);
     if (error != ExchangeError::None)
         co_return handleExchangeError(error, exchange, steadyNow());
-    if (!m_planner.maySend(placed(), view, m_triedEndpoints, ClockTimes::now())) {
+    const ClockTimes now = ClockTimes::now();
+    if (!m_planner.maySend(placed(), view, m_triedEndpoints, now)) {
         m_lastReason = view.takesRequests() ? "endpoint_withheld" : "endpoint_left";
         co_return AttemptOutcome::NotSent;
     }
-    const SteadyTime now = steadyNow();
-    if (now >= m_deadline) {
+    if (now.steady >= m_deadline) {
         m_lastReason = "timeout"; // This VM may have been paused while the connection was opened.
         co_return AttemptOutcome::NotSent;
     }
-    if (findsOpenPart(m_context.partBreakers.admit(m_parts, now)))
+    if (findsOpenPart(m_context.partBreakers.admit(m_parts, now.steady)))
         co_return AttemptOutcome::NotSent;
     const AttemptParameters parameters =
-            m_planner.planAttempt(placed(), view, timeUntil(m_deadline, now), now);
+            m_planner.planAttempt(placed(), view, timeUntil(m_deadline, now.steady), now);
     ++m_sendCount;
     m_context.requestMetrics.recordSend(m_sendCount > 1);
     logSend(parameters, view);
--- a/src/forward/partsources.cpp
+++ b/src/forward/partsources.cpp
@@ -7,6 +7,7 @@
 #include "almondmill/forward/promptrequest.h"
 #include "almondmill/forward/sendplanner.h"
 #include "almondmill/forward/storeretention.h"
+#include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/route/routingtable.h"
 
@@ -19,7 +20,7 @@
 PartSources::LongestSharedPart PartSources::longestSharedPart(const RoutedRequest &placed,
                                                               const std::string &cacheScope,
                                                               std::uint64_t weightsVersion,
-                                                              SteadyTime now) const
+                                                              const ClockTimes &now) const
 {
     const auto &parts = placed.request.prompt->parts;
     if (parts.size() < 2)
@@ -34,7 +35,7 @@
 
 std::string PartSources::addressFor(const RoutedRequest &placed, const std::string &cacheScope,
                                     std::uint64_t weightsVersion, const std::string &endpointId,
-                                    SteadyTime now) const
+                                    const ClockTimes &now) const
 {
     const PromptRequest &prompt = *placed.request.prompt;
     std::string unlikelyAddress;
@@ -71,10 +72,11 @@
 PartSources::Source PartSources::sourceOf(const RoutedRequest &placed,
                                           const PartLocations::Location &location,
                                           std::uint64_t weightsVersion,
-                                          const std::string &exceptEndpoint, SteadyTime now) const
+                                          const std::string &exceptEndpoint,
+                                          const ClockTimes &now) const
 {
     const std::string &model = placed.request.prompt->model;
-    const auto retention = cacheRetention(placed, now);
+    const auto retention = cacheRetention(placed, now.steady);
     std::string staleAddress;
     for (const auto *holder :
          {&location.current, location.previous ? &*location.previous : nullptr}) {
@@ -83,7 +85,7 @@
         std::string address = engineAddress(*holder, weightsVersion, model, exceptEndpoint, now);
         if (address.empty())
             continue;
-        if (now - holder->lastUsedAt < retention)
+        if (now.steady - holder->lastUsedAt < retention)
             return {std::move(address), true};
         if (staleAddress.empty())
             staleAddress = std::move(address);
@@ -91,8 +93,9 @@
     const auto &saved = location.saved;
     const RoutedService *service = placed.table.service(placed.service);
     const KvCacheStore *store = saved ? placed.table.kvCacheStoreByHash(saved->store) : nullptr;
-    const bool isStored = store && service && service->engine && now >= saved->availableAt
-                          && now - saved->availableAt < storeRetention(*store, *service->engine);
+    const bool isStored =
+            store && service && service->engine && now.steady >= saved->availableAt
+            && now.steady - saved->availableAt < storeRetention(*store, *service->engine);
     if (isStored)
         return {store->address, true};
     return {std::move(staleAddress), false};
@@ -100,19 +103,19 @@
 
 std::string PartSources::engineAddress(const PartLocations::Holder &holder,
                                        std::uint64_t weightsVersion, const std::string &model,
-                                       const std::string &exceptEndpoint, SteadyTime now) const
+                                       const std::string &exceptEndpoint,
+                                       const ClockTimes &now) const
 {
     const auto view = m_context.endpoints.findByShortHash(holder.endpoint);
-    const bool canProvide = view && view->id() != exceptEndpoint && now >= holder.availableAt
-                            && view->weightsVersion(model) == weightsVersion
-                            && view->health().isReachable(now);
-    return canProvide ? view->registration().address : std::string();
+    const bool hasPart = view && view->id() != exceptEndpoint && now.steady >= holder.availableAt;
+    const bool isSource = hasPart && canProvide(*view, weightsVersion, model, now);
+    return isSource ? view->registration().address : std::string();
 }
 
 std::string PartSources::assignedEngineAddress(const RoutedRequest &placed,
                                                std::uint64_t weightsVersion,
                                                const std::string &exceptEndpoint,
-                                               SteadyTime now) const
+                                               const ClockTimes &now) const
 {
     const PromptRequest &prompt = *placed.request.prompt;
     const std::uint64_t part = sharedPartHash(prompt);
@@ -125,10 +128,17 @@
         assigned = view.get();
         lowestRank = rank;
     }
-    const bool canProvide = assigned && assigned->id() != exceptEndpoint
-                            && assigned->weightsVersion(prompt.model) == weightsVersion
-                            && assigned->health().isReachable(now);
-    return canProvide ? assigned->registration().address : std::string();
+    const bool isSource = assigned && assigned->id() != exceptEndpoint
+                          && canProvide(*assigned, weightsVersion, prompt.model, now);
+    return isSource ? assigned->registration().address : std::string();
+}
+
+bool PartSources::canProvide(const EndpointView &view, std::uint64_t weightsVersion,
+                             const std::string &model, const ClockTimes &now) const
+{
+    const auto drainDeadline = m_context.settings.drainDeadline;
+    return view.weightsVersion(model) == weightsVersion && view.health().isReachable(now.steady)
+           && !view.availability().isPastDrainDeadline(drainDeadline, now.boot);
 }
 
 std::chrono::milliseconds PartSources::cacheRetention(const RoutedRequest &placed,
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -215,7 +215,7 @@
     std::vector<VersionedParts> known;
     candidates.reserve(views.size());
     for (const View &view : views)
-        candidates.push_back(makeCandidate(placed, *view, known, now.steady));
+        candidates.push_back(makeCandidate(placed, *view, known, now));
     PlacementRule rule = LeastExpectedTime{hash64(placed.request.id)};
     if (placed.request.prompt)
         rule = promptRule(placed);
@@ -250,8 +250,8 @@
 bool SendPlanner::isLastResort(const EndpointView &view, const ClockTimes &now) const
 {
     const Availability state = view.availability().stateAt(now.boot);
-    const auto *leaving = std::get_if<Leaving>(&state);
-    return leaving && now.boot < leaving->since + m_context.settings.drainDeadline;
+    return std::holds_alternative<Leaving>(state)
+           && !view.availability().isPastDrainDeadline(m_context.settings.drainDeadline, now.boot);
 }
 
 bool SendPlanner::maySend(const RoutedRequest &placed, EndpointView &view,
@@ -306,7 +306,7 @@
 
 EndpointCandidate SendPlanner::makeCandidate(const RoutedRequest &placed, const EndpointView &view,
                                              std::vector<VersionedParts> &known,
-                                             SteadyTime now) const
+                                             const ClockTimes &now) const
 {
     const std::uint32_t endpointHash = shortHash(view.id());
     EndpointCandidate candidate;
@@ -316,9 +316,10 @@
     candidate.load += view.peerLoad();
     candidate.load += expectedPeerLoadChange(view.load(), view.lastAverage());
     candidate.latency = view.health().latency();
-    candidate.failureShare = view.health().failureShare(now);
-    candidate.isAvoided = view.health().isAvoided(now);
-    candidate.isLoading = now < view.loadingUntil() || m_context.peers.isLoading(endpointHash, now);
+    candidate.failureShare = view.health().failureShare(now.steady);
+    candidate.isAvoided = view.health().isAvoided(now.steady);
+    candidate.isLoading =
+            now.steady < view.loadingUntil() || m_context.peers.isLoading(endpointHash, now.steady);
     candidate.isLocal = view.registration().dataCentre == m_context.settings.dataCentre;
     if (!placed.request.prompt)
         return candidate;
@@ -328,7 +329,8 @@
     const auto version = view.weightsVersion(placed.request.prompt->model).value_or(0);
     const auto outdatedSince =
             m_context.weights.outdatedSince(placed.request.prompt->model, version);
-    candidate.hasOutdatedWeights = outdatedSince && now >= *outdatedSince + OutdatedWeightsGrace;
+    candidate.hasOutdatedWeights =
+            outdatedSince && now.steady >= *outdatedSince + OutdatedWeightsGrace;
     const PartSources::LongestSharedPart &longest = longestSharedPart(placed, version, known, now);
     candidate.hasSharedParts = longest.holder == endpointHash;
     candidate.canFetchParts = longest.canFetch;
@@ -337,7 +339,7 @@
 
 const PartSources::LongestSharedPart &
 SendPlanner::longestSharedPart(const RoutedRequest &placed, std::uint64_t weightsVersion,
-                               std::vector<VersionedParts> &known, SteadyTime now) const
+                               std::vector<VersionedParts> &known, const ClockTimes &now) const
 {
     for (const VersionedParts &entry : known) {
         if (entry.weightsVersion == weightsVersion)
@@ -350,7 +352,8 @@
 }
 
 AttemptParameters SendPlanner::planAttempt(const RoutedRequest &placed, const EndpointView &view,
-                                           std::chrono::milliseconds timeLeft, SteadyTime now)
+                                           std::chrono::milliseconds timeLeft,
+                                           const ClockTimes &now)
 {
     AttemptParameters send;
     send.endpointId = view.id();
@@ -376,7 +379,7 @@
 }
 
 void SendPlanner::planCache(const RoutedRequest &placed, const EndpointView &view,
-                            AttemptParameters &send, SteadyTime now)
+                            AttemptParameters &send, const ClockTimes &now)
 {
     const PromptRequest &prompt = *placed.request.prompt;
     const auto &parts = prompt.parts;
@@ -388,11 +391,12 @@
     const auto *known = m_context.partLocations.find(longest);
     send.fetchFrom =
             m_sources.addressFor(placed, send.cacheScope, *send.weightsVersion, view.id(), now);
-    const bool isSaved = store && isExpectedIn(*store, placed, known, now);
-    if (store && !isSaved && isWorthSaving(prompt) && takeSaveBudget(placed, now))
+    const bool isSaved = store && isExpectedIn(*store, placed, known, now.steady);
+    if (store && !isSaved && isWorthSaving(prompt) && takeSaveBudget(placed, now.steady))
         send.saveTo = store->address;
-    m_sources.recordPromptSent(placed, known && known->current.endpoint == endpointHash, now);
-    recordPlacements(placed, view, send, now);
+    m_sources.recordPromptSent(placed, known && known->current.endpoint == endpointHash,
+                               now.steady);
+    recordPlacements(placed, view, send, now.steady);
 }
 
 void SendPlanner::recordPlacements(const RoutedRequest &placed, const EndpointView &view,
--- a/tests/unit-partsources.cpp
+++ b/tests/unit-partsources.cpp
@@ -8,6 +8,7 @@
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/sendplanner.h"
+#include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/hash.h"
 #include "support/forwardingharness.h"
 
@@ -93,12 +94,12 @@
 
     std::string addressFor(const char *engine, SteadyTime now) const
     {
-        return sources.addressFor(placed(), Scope, 1, engine, now);
+        return sources.addressFor(placed(), Scope, 1, engine, {now, now});
     }
 
     bool canFetch(SteadyTime now) const
     {
-        return sources.longestSharedPart(placed(), Scope, 1, now).canFetch;
+        return sources.longestSharedPart(placed(), Scope, 1, {now, now}).canFetch;
     }
 
     boost::asio::io_context loop;
@@ -171,4 +172,21 @@
     EXPECT_FALSE(canFetch(Start + seconds(1)));
 }
 
+// Guards against fetches from an engine that may have exited after it announced its shutdown.
+TEST_F(PartSourcesTest, EnginesThatLeaveProvidePartsUntilTheDrainDeadline)
+{
+    const std::string assigned = assignedEngine(*request.prompt);
+    const SteadyTime left = Start + seconds(1);
+    const SteadyTime deadline = left + context.settings.drainDeadline;
+    place("b2", assigned.c_str(), false, Start);
+    const auto view = context.endpoints.find(assigned);
+    view->availability().recordLeaving(left);
+    view->availability().recordPause(seconds(10), left);
+    const char *other = assigned == "e1" ? "e2" : "e1";
+    EXPECT_TRUE(canFetch(deadline - milliseconds(1)));
+    EXPECT_EQ(addressFor(other, deadline - milliseconds(1)), addressOf(assigned));
+    EXPECT_FALSE(canFetch(deadline));
+    EXPECT_EQ(addressFor(other, deadline), CacheStoreAddress);
+}
+
 } // namespace almondmill::test
