Spread the callers of a service whose endpoints all leave

When every endpoint of a service had announced its shutdown, all callers got the same Retry-After of 0.3 s: there is no earliest return to take it from, and only the time of a return was spread. Callers that were refused at once came back at once.

The base stays 0.3 s: a new endpoint may register at any time. Ruled out: waiting; the refusals were immediate before as well.

--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -65,6 +65,9 @@
     std::optional<SteadyTime> earliestReturn(const RoutedRequest &placed,
                                              const ClockTimes &now) const;
 
+    /// Whether every endpoint that serves the request leaves, so that only a new one could take it.
+    bool needsNewEndpoint(const RoutedRequest &placed, const ClockTimes &now) const;
+
     /// Whether an endpoint other than those in `tried` may take the request.
     bool canPick(const RoutedRequest &placed, const std::vector<View> &tried,
                  const ClockTimes &now) const;
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -32,7 +32,8 @@
 /// Retry-After while the router has no configuration yet.
 constexpr milliseconds RetryAfterNoConfiguration{500};
 
-/// Spreads the callers that a pause turned away over the time in which the endpoint resumes.
+/// Spreads the callers that were turned away because all endpoints pause or leave over the time in
+/// which an endpoint resumes.
 milliseconds retrySpread(std::string_view requestId)
 {
     constexpr auto SpreadTime = EndpointAvailability::ResumeTime;
@@ -93,6 +94,8 @@
     if (!m_table)
         return RetryAfterNoConfiguration;
     const auto returnsAt = m_route ? m_planner.earliestReturn(placed(), now) : std::nullopt;
+    if (!returnsAt && m_route && m_planner.needsNewEndpoint(placed(), now))
+        return RetryAfterNoCapacity + retrySpread(m_request.id);
     if (!returnsAt)
         return RetryAfterNoCapacity;
     return std::chrono::ceil<milliseconds>(*returnsAt - now.boot) + retrySpread(m_request.id);
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -288,6 +288,14 @@
     return earliest;
 }
 
+bool SendPlanner::needsNewEndpoint(const RoutedRequest &placed, const ClockTimes &now) const
+{
+    const auto &views = m_context.endpoints.ofService(placed.service);
+    return std::all_of(views.begin(), views.end(), [&](const View &view) {
+        return view->availability().isLeaving() || !isUsable(placed, *view, now.steady);
+    });
+}
+
 bool SendPlanner::isUsable(const RoutedRequest &placed, const EndpointView &view,
                            SteadyTime now) const
 {
--- a/tests/failure-endpointavailability.cpp
+++ b/tests/failure-endpointavailability.cpp
@@ -166,6 +166,27 @@
     EXPECT_EQ(leaving.arrivals(), 2U);
 }
 
+// Guards against callers that all return at the same moment when every endpoint has left.
+TEST(LeavingEndpoints, RefusalsAfterTheDrainDeadlineAreImmediateAndSpread)
+{
+    const CountingEndpoint leaving("200 OK", LeavingField);
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("leaving", "any", leaving.address());
+    ask(harness, "/any/x", "first");
+    std::this_thread::sleep_for(ForwarderSettings().drainDeadline);
+    std::set<std::string> times;
+    for (int i = 0; i < 20; ++i) {
+        const auto sentAt = Clock::now();
+        const std::string answer = ask(harness, "/any/x", "later" + std::to_string(i));
+        EXPECT_LT(Clock::now() - sentAt, milliseconds(1000));
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+        times.insert(headerOf(answer, "Retry-After"));
+    }
+    EXPECT_GT(times.size(), 10U);
+    EXPECT_EQ(leaving.arrivals(), 1U);
+}
+
 // Guards against requests in a pause to the only endpoint because it leaves as well.
 TEST(LeavingEndpoints, TheOnlyEndpointGetsNothingInAPauseThatItAsksFor)
 {
@@ -259,6 +280,40 @@
     EXPECT_EQ(paused.lateArrivals(), 0U);
 }
 
+// Guards against requests to an endpoint that turns requests away without stating that it didn't
+// run them, and against such a refusal being passed on as a promise.
+TEST(PausedEndpoint, GetsNothingAfterARefusalThatDoesNotSayWhetherItRan)
+{
+    const CountingEndpoint paused(RefusalLine, "Retry-After: 5\r\n");
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("paused", "once", paused.address());
+    EXPECT_TRUE(ask(harness, "/once/x", "first").starts_with("HTTP/1.1 502 "));
+    for (int i = 0; i < 5; ++i)
+        EXPECT_TRUE(ask(harness, "/once/x", "r" + std::to_string(i)).starts_with("HTTP/1.1 503 "));
+    EXPECT_EQ(paused.arrivals(), 1U);
+}
+
+// Guards against a mark or a pause that a new process at the same id and address inherits.
+TEST(LeavingEndpoints, ARestartWithTheSameIdAndAddressIsAvailable)
+{
+    const CountingEndpoint endpoint(
+            RefusalLine, std::string(LeavingField) + "Not-Executed: 1\r\nRetry-After: 60\r\n");
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("endpoint", "any", endpoint.address());
+    ask(harness, "/any/x", "first");
+    ask(harness, "/any/x", "second");
+    EXPECT_EQ(endpoint.arrivals(), 1U);
+    harness.onLoop([&](ForwardingContext &context) {
+        Registration restarted = context.endpoints.find("endpoint")->registration();
+        restarted.startedAt += milliseconds(1);
+        context.directory.put(restarted);
+    });
+    ask(harness, "/any/x", "third");
+    EXPECT_EQ(endpoint.arrivals(), 2U);
+}
+
 // Guards against callers that wait for nothing, or all return at the same moment, while every
 // endpoint of their route pauses.
 TEST(PausedEndpoint, RefusesAtOnceWithTheSpreadTimeOfItsReturn)
