Soak: only an end or a suspension of the router excuses a request to a leaving endpoint

The check of leaving endpoints passed over every request near a disturbance of the store, a link or an endpoint, though the rule holds with and without the store; and every endpoint that said so in its answers also registered as draining, so the registrations alone kept requests away. The check of pauses passed over store outages.

Half of the replaced endpoints now only say in their answers that they leave (announceLeaving), so that no registration helps the router. Disturbances of a router's process and of the store have scopes of their own. A request to a leaving endpoint is excused only by an end or a suspension of the router's process since the answer; requests in a pause by a disturbance of router, endpoint or soak, no longer by one of the store. The one expectation of SoakChecks that a cut link excuses a request to a leaving endpoint was wrong by the users' rule ("in touch or not"); in its place, store, link, endpoint and site are each tested to excuse nothing.

The soak itself was not yet run with these checks when this was committed.

--- a/soak/boundchecks.cpp
+++ b/soak/boundchecks.cpp
@@ -224,6 +224,7 @@
                                    return isActive || justEnded;
                                return justEnded
                                       && (disturbance.name == order.holder
+                                          || disturbance.scope == Disturbance::Scope::Store
                                           || disturbance.scope == Disturbance::Scope::Site);
                            });
     }
--- a/soak/endpointgroup.cpp
+++ b/soak/endpointgroup.cpp
@@ -122,19 +122,18 @@
 }
 
 boost::asio::awaitable<void> EndpointGroup::replace(std::size_t index,
-                                                    milliseconds serveAfterDeadline)
+                                                    milliseconds serveAfterDeadline,
+                                                    bool isRegisteredAsDraining)
 {
     Replica &replica = *m_replicas[index];
     if (replica.isRestarting)
         co_return;
     replica.isRestarting = true;
     Incarnation &draining = *replica.incarnation;
-    draining.drain();
-    const SteadyTime reportBy = steadyNow() + ReportTimeout;
-    while (!isReportedDraining(draining.plan().id) && steadyNow() < reportBy)
-        co_await sleepFor(m_loop, DrainCheck);
-    if (isReportedDraining(draining.plan().id))
-        m_history.drainings.push_back({draining.plan().id, steadyNow()});
+    if (isRegisteredAsDraining)
+        co_await registerAsDraining(draining);
+    else
+        draining.announceLeaving();
     co_await sleepFor(m_loop, DrainTime + serveAfterDeadline);
     const auto disturbance =
             m_history.beginDisturbance(Disturbance::Scope::Endpoint, replica.name, steadyNow());
@@ -159,6 +158,17 @@
     m_history.endDisturbance(disturbance, steadyNow());
 }
 
+boost::asio::awaitable<void> EndpointGroup::registerAsDraining(Incarnation &incarnation)
+{
+    incarnation.drain();
+    const std::string &id = incarnation.plan().id;
+    const SteadyTime reportBy = steadyNow() + ReportTimeout;
+    while (!isReportedDraining(id) && steadyNow() < reportBy)
+        co_await sleepFor(m_loop, DrainCheck);
+    if (isReportedDraining(id))
+        m_history.drainings.push_back({id, steadyNow()});
+}
+
 std::vector<std::string> EndpointGroup::outdatedEngines(std::uint64_t version) const
 {
     std::vector<std::string> outdated;
--- a/soak/endpointgroup.h
+++ b/soak/endpointgroup.h
@@ -48,10 +48,11 @@
     boost::asio::awaitable<void> crash(std::size_t replica, std::chrono::milliseconds downtime,
                                        bool sameId, bool otherService);
 
-    /// Drains the incarnation and ends it `serveAfterDeadline` after its drain deadline; the next
-    /// one starts then.
+    /// Lets the incarnation say that it leaves, in its answers and if wanted in its registration,
+    /// and ends it `serveAfterDeadline` after its drain deadline; the next one starts then.
     boost::asio::awaitable<void> replace(std::size_t replica,
-                                         std::chrono::milliseconds serveAfterDeadline);
+                                         std::chrono::milliseconds serveAfterDeadline,
+                                         bool isRegisteredAsDraining);
 
     /// Makes `ratio` of the requests fail for `duration`.
     boost::asio::awaitable<void> failRequests(std::size_t replica, double ratio,
@@ -73,6 +74,8 @@
                     const standin::rietwerk::TakenOrder &order) override;
 
     void startIncarnation(Replica &replica, bool sameId);
+    /// Waits until the store has the incarnation's state "draining", for a bounded time.
+    boost::asio::awaitable<void> registerAsDraining(Incarnation &incarnation);
     bool isReportedDraining(const std::string &id) const;
 
     boost::asio::io_context &m_loop;
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -116,7 +116,8 @@
     }
     Awaitable operator()(const ReplaceEndpoint &fault) const
     {
-        return self.m_endpoints.replace(fault.endpoint, fault.serveAfterDeadline);
+        return self.m_endpoints.replace(fault.endpoint, fault.serveAfterDeadline,
+                                        fault.isRegisteredAsDraining);
     }
     Awaitable operator()(const FailRequests &fault) const
     {
@@ -183,7 +184,7 @@
 FaultInjector::Awaitable FaultInjector::disturbStore(DisturbStore fault)
 {
     const auto disturbance =
-            m_history.beginDisturbance(Disturbance::Scope::Site, "store", steadyNow());
+            m_history.beginDisturbance(Disturbance::Scope::Store, "store", steadyNow());
     if (fault.fault == StoreFault::ForgetHistory) {
         m_store.store().forgetHistory();
     } else {
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -127,7 +127,7 @@
         case 14:
             return CrashEndpoint{endpoint(), between(200, 4000), chance(0.3), chance(0.3)};
         case 15:
-            return ReplaceEndpoint{endpoint(), between(0, 3000)};
+            return ReplaceEndpoint{endpoint(), between(0, 3000), chance(0.5)};
         case 16:
             return FailRequests{endpoint(), 0.1 + 0.1 * static_cast<double>(pick(5)),
                                 between(500, 4000)};
@@ -246,7 +246,8 @@
     std::string operator()(const ReplaceEndpoint &fault) const
     {
         return absl::StrCat("replace endpoint ", fault.endpoint + 1, ", serving for ",
-                            fault.serveAfterDeadline.count(), " ms after its drain deadline");
+                            fault.serveAfterDeadline.count(), " ms after its drain deadline",
+                            fault.isRegisteredAsDraining ? "" : ", not registered as draining");
     }
     std::string operator()(const FailRequests &fault) const
     {
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -86,11 +86,13 @@
     bool otherService = false; ///< A plain endpoint changes to the other plain service.
 };
 
-/// An endpoint drains and ends, and a new incarnation starts at its address.
+/// An endpoint says in its answers that it leaves, serves on and ends, and a new incarnation starts
+/// at its address.
 struct ReplaceEndpoint
 {
     std::size_t endpoint = 0;
     std::chrono::milliseconds serveAfterDeadline{0}; ///< Until the endpoint ends.
+    bool isRegisteredAsDraining = true; ///< Otherwise its registration remains as it was.
 };
 
 /// An endpoint fails a part of its requests.
--- a/soak/records.h
+++ b/soak/records.h
@@ -88,11 +88,17 @@
     SteadyTime at;
 };
 
-/// A period in which a router, an endpoint or the whole site was disturbed, by an injected fault or
-/// by a delay of the soak process itself.
+/// A period in which a router, an endpoint, the store or the whole site was disturbed, by an
+/// injected fault or by a delay of the soak process itself.
 struct Disturbance
 {
-    enum class Scope { Router, Endpoint, Site };
+    enum class Scope {
+        RouterProcess, ///< A router's process ended or was suspended.
+        Router,        ///< Connections of a router.
+        Endpoint,
+        Store,
+        Site,
+    };
 
     Scope scope = Scope::Site;
     std::string name; ///< Of the router ("router-1") or of the endpoint's replica ("desk-1").
--- a/soak/routergroup.cpp
+++ b/soak/routergroup.cpp
@@ -137,7 +137,7 @@
     if (!router.process)
         co_return;
     const auto disturbance =
-            m_history.beginDisturbance(Disturbance::Scope::Router, router.name, steadyNow());
+            m_history.beginDisturbance(Disturbance::Scope::RouterProcess, router.name, steadyNow());
     router.process.reset();
     co_await sleepFor(m_loop, downtime);
     launch(router);
@@ -151,7 +151,7 @@
         co_return;
     const SteadyTime begun = steadyNow();
     const auto disturbance =
-            m_history.beginDisturbance(Disturbance::Scope::Router, router.name, begun, true);
+            m_history.beginDisturbance(Disturbance::Scope::RouterProcess, router.name, begun, true);
     const auto process = std::move(router.process);
     process->signal(SIGTERM);
     const SteadyTime until = begun + GraceTime + GraceSlack;
@@ -177,7 +177,7 @@
     if (!router.process)
         co_return;
     const auto disturbance =
-            m_history.beginDisturbance(Disturbance::Scope::Router, router.name, steadyNow());
+            m_history.beginDisturbance(Disturbance::Scope::RouterProcess, router.name, steadyNow());
     const pid_t paused = router.process->pid();
     router.process->signal(SIGSTOP);
     co_await sleepFor(m_loop, duration);
@@ -202,7 +202,7 @@
                 {"keeps-running", absl::StrCat(router->name, " exited unexpectedly with code ",
                                                router->process->exitCode())});
         const auto disturbance =
-                m_history.beginDisturbance(Disturbance::Scope::Router, router->name, now);
+                m_history.beginDisturbance(Disturbance::Scope::RouterProcess, router->name, now);
         launch(*router);
         m_history.endDisturbance(disturbance, now);
     }
--- a/soak/soakhistory.cpp
+++ b/soak/soakhistory.cpp
@@ -15,6 +15,24 @@
     return disturbance.from <= until && disturbance.until >= from;
 }
 
+bool concernsSite(const Disturbance &disturbance)
+{
+    return disturbance.scope == Disturbance::Scope::Site
+           || disturbance.scope == Disturbance::Scope::Store;
+}
+
+bool concernsRouter(const Disturbance &disturbance, const std::string &name)
+{
+    const bool isOfRouter = disturbance.scope == Disturbance::Scope::Router
+                            || disturbance.scope == Disturbance::Scope::RouterProcess;
+    return isOfRouter && disturbance.name == name;
+}
+
+bool concernsReplica(const Disturbance &disturbance, const std::string &replica)
+{
+    return disturbance.scope == Disturbance::Scope::Endpoint && disturbance.name == replica;
+}
+
 template<typename Concerns>
 bool isUndisturbed(const std::vector<Disturbance> &disturbances, SteadyTime from, SteadyTime until,
                    Concerns &&concerns)
@@ -58,24 +76,42 @@
                          [&](const Disturbance &disturbance) {
                              if (disturbance.planned && !includePlanned)
                                  return false;
-                             return disturbance.scope == Disturbance::Scope::Site
-                                    || (disturbance.scope == Disturbance::Scope::Router
-                                        && disturbance.name == name);
+                             return concernsSite(disturbance) || concernsRouter(disturbance, name);
                          });
 }
 
-bool SoakHistory::isEndpointUndisturbed(const std::string &endpoint, SteadyTime from,
-                                        SteadyTime until, milliseconds settleTime) const
+bool SoakHistory::hasRouterRunThrough(std::size_t router, SteadyTime from, SteadyTime until) const
 {
+    const std::string name = routerName(router);
+    return isUndisturbed(disturbances, from, until, [&](const Disturbance &disturbance) {
+        return disturbance.scope == Disturbance::Scope::RouterProcess && disturbance.name == name;
+    });
+}
+
+bool SoakHistory::isExchangeUndisturbed(std::size_t router, const std::string &endpoint,
+                                        SteadyTime from, SteadyTime until,
+                                        milliseconds settleTime) const
+{
+    const std::string name = routerName(router);
     const std::string replica = replicaOf(endpoint);
     return isUndisturbed(disturbances, from - settleTime, until,
                          [&](const Disturbance &disturbance) {
                              return disturbance.scope == Disturbance::Scope::Site
-                                    || (disturbance.scope == Disturbance::Scope::Endpoint
-                                        && disturbance.name == replica);
+                                    || concernsRouter(disturbance, name)
+                                    || concernsReplica(disturbance, replica);
                          });
 }
 
+bool SoakHistory::isEndpointUndisturbed(const std::string &endpoint, SteadyTime from,
+                                        SteadyTime until, milliseconds settleTime) const
+{
+    const std::string replica = replicaOf(endpoint);
+    return isUndisturbed(
+            disturbances, from - settleTime, until, [&](const Disturbance &disturbance) {
+                return concernsSite(disturbance) || concernsReplica(disturbance, replica);
+            });
+}
+
 bool SoakHistory::isSiteUndisturbed(SteadyTime from, SteadyTime until,
                                     milliseconds settleTime) const
 {
--- a/soak/soakhistory.h
+++ b/soak/soakhistory.h
@@ -34,6 +34,15 @@
     bool isEndpointUndisturbed(const std::string &endpoint, SteadyTime from, SteadyTime until,
                                std::chrono::milliseconds settleTime) const;
 
+    /// Whether the router's process neither ended nor was suspended in that period.
+    bool hasRouterRunThrough(std::size_t router, SteadyTime from, SteadyTime until) const;
+
+    /// Whether no disturbance of the router, of the endpoint's replica or of the soak itself
+    /// overlaps the period from `settleTime` before `from` to `until`. Those of the store don't
+    /// count.
+    bool isExchangeUndisturbed(std::size_t router, const std::string &endpoint, SteadyTime from,
+                               SteadyTime until, std::chrono::milliseconds settleTime) const;
+
     /// Whether no disturbance of any kind overlaps that period.
     bool isSiteUndisturbed(SteadyTime from, SteadyTime until,
                            std::chrono::milliseconds settleTime) const;
--- a/soak/statementchecks.cpp
+++ b/soak/statementchecks.cpp
@@ -69,13 +69,8 @@
             m_arrivals[endpoint].push_back({found->second, endpoint, at});
     }
 
-    bool areUndisturbed(std::size_t router, const std::string &endpoint, SteadyTime from,
-                        SteadyTime until) const
-    {
-        return m_history.isRouterUndisturbed(router, from, until, m_bounds.settleTime)
-               && m_history.isEndpointUndisturbed(endpoint, from, until, m_bounds.settleTime);
-    }
-
+    /// Only an end or a suspension of the router's process excuses a request: the router needs
+    /// neither the store nor the endpoint to keep what it was told.
     void checkLeaving(const Attempt &announced)
     {
         const std::string endpoint = signerOf(announced.signature);
@@ -83,7 +78,8 @@
             const Attempt &attempt = *arrival.attempt;
             const bool isLate = attempt.router == announced.router
                                 && attempt.sentAt > *announced.headAt + m_bounds.drain;
-            if (isLate && areUndisturbed(attempt.router, endpoint, *announced.headAt, arrival.at))
+            if (isLate
+                && m_history.hasRouterRunThrough(attempt.router, announced.sentAt, arrival.at))
                 m_violations.push_back(violationOf(
                         "leaving", attempt,
                         absl::StrCat("sent ", msBetween(*announced.headAt, attempt.sentAt),
@@ -106,7 +102,8 @@
                            && arrival.at < until;
                 }));
         if (count > m_bounds.maxRequestsInPause
-            && areUndisturbed(router, refusal.endpoint, refusal.at, until))
+            && m_history.isExchangeUndisturbed(router, refusal.endpoint, refusal.at, until,
+                                               m_bounds.settleTime))
             m_violations.push_back(
                     violationOf("pause", *refused->second,
                                 absl::StrCat(count, " requests reached ", refusal.endpoint,
--- a/standins/rietwerk/registeredendpoint.cpp
+++ b/standins/rietwerk/registeredendpoint.cpp
@@ -78,6 +78,7 @@
 void RegisteredEndpoint::drain()
 {
     m_draining = true;
+    m_leaving = true;
     m_heartbeatTimer.cancel();
 }
 
@@ -157,7 +158,7 @@
     HttpAnswer answer(http::status::ok, 11);
     answer.set("Request-Id", requestId);
     answer.set("Server-Signature", signatureOf(m_plan.id, requestId));
-    if (m_draining)
+    if (m_leaving)
         answer.set("Server-Leaving", "1");
     answer.body() = bodyFor(request);
     if (occursWithProbability(m_faults.cutAnswerRatio)) {
@@ -182,7 +183,7 @@
     const std::string head = absl::StrCat(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: ", requestId,
             "\r\nServer-Signature: ", signatureOf(m_plan.id, requestId),
-            "\r\nWeight-Versions: ", version, m_draining ? "\r\nServer-Leaving: 1" : "",
+            "\r\nWeight-Versions: ", version, m_leaving ? "\r\nServer-Leaving: 1" : "",
             "\r\nTransfer-Encoding: chunked\r\n\r\n");
     if (!co_await connection.write(head))
         co_return false;
@@ -288,7 +289,7 @@
     HttpAnswer answer(http::int_to_status(status), 11);
     answer.set("Request-Id", headerOf(request, "Request-Id"));
     answer.set("Instance-Id", m_plan.id);
-    if (m_draining)
+    if (m_leaving)
         answer.set("Server-Leaving", "1");
     return answer;
 }
--- a/standins/rietwerk/registeredendpoint.h
+++ b/standins/rietwerk/registeredendpoint.h
@@ -40,7 +40,10 @@
 
     void setFaults(const EndpointFaults &faults) { m_faults = faults; }
 
-    /// Registers as draining and continues to serve.
+    /// Says in its answers that it leaves and continues to serve; its registration doesn't change.
+    void announceLeaving() { m_leaving = true; }
+
+    /// Registers as draining, says so in its answers and continues to serve.
     void drain();
 
     /// Stops writing its registration and continues to serve.
@@ -89,6 +92,7 @@
     std::uint32_t m_running = 0;
     bool m_loading = false;
     bool m_draining = false;
+    bool m_leaving = false;
     std::chrono::steady_clock::time_point m_pausedUntil;
     bool m_sendsHeartbeats = true;
     bool m_alive = true;
--- a/tests/unit-soakchecks.cpp
+++ b/tests/unit-soakchecks.cpp
@@ -223,8 +223,13 @@
     announced.router = 5;
     EXPECT_EQ(checksAfter(milliseconds(2100)), Checks()) << "another router was told";
     announced.router = attempt.router;
-    disturb(Disturbance::Scope::Router, "router-1");
-    EXPECT_EQ(checksAfter(milliseconds(2100)), Checks());
+    for (const auto scope : {Disturbance::Scope::Store, Disturbance::Scope::Router,
+                             Disturbance::Scope::Endpoint, Disturbance::Scope::Site}) {
+        disturb(scope, scope == Disturbance::Scope::Endpoint ? "desk-1" : "router-1");
+        EXPECT_EQ(checksAfter(milliseconds(2100)), Checks{"leaving"}) << "no excuse";
+    }
+    disturb(Disturbance::Scope::RouterProcess, "router-1");
+    EXPECT_EQ(checksAfter(milliseconds(2100)), Checks()) << "restarted or suspended";
 }
 
 TEST_F(SoakChecks, RequestsToAnEndpointInItsPause)
@@ -235,6 +240,8 @@
     EXPECT_EQ(violatedChecks(), Checks()) << "two are allowed";
     history.refusals.push_back({"r1", "desk-1.1", refusedAt + milliseconds(990), std::nullopt});
     EXPECT_EQ(violatedChecks(), Checks{"pause"});
+    disturb(Disturbance::Scope::Store, "store");
+    EXPECT_EQ(violatedChecks(), Checks{"pause"}) << "a store outage is no excuse";
     disturb(Disturbance::Scope::Endpoint, "desk-1");
     EXPECT_EQ(violatedChecks(), Checks());
     history.disturbances.clear();
