--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -89,6 +89,9 @@
     if (!m_table)
         return RetryAfterNoConfiguration;
     const auto returnsAt = m_route ? m_planner.earliestReturn(placed(), now) : std::nullopt;
+    if (!returnsAt && m_route && m_planner.needsNewEndpoint(placed(), now))
+        return RetryAfterNoCapacity
+               + retrySpread(m_request.id, EndpointAvailability::ResumeTime);
     if (!returnsAt)
         return RetryAfterNoCapacity;
     return std::chrono::ceil<milliseconds>(*returnsAt - now.boot)
