Withhold revisions from the other routers while a removed entry is retained

Only the two readers logged endpoint.gone, at the end of the retention; the twelve other routers never did.

Cause: for 2.2 s after an outage a reader retains entries whose removal it sees, as they may have expired. It published the revision of the removal, with the entry as unchanged, and the list that ended the retention was no news for the others. Class: a state that was true when it was announced and is not any more. While a removal is retained, the reader now publishes that it is up to date as far as before the removal. The list at the end of the retention then shows a gap, and the others read the store once. Other changes of that time reach them by that list too, up to 2.2 s later than before.

StoreStateSync.AnEntryRemovedAfterAnOutageIsRemovedAtTheOtherRoutersToo failed before: the follower still had "leaving".

--- a/include/almondmill/forward/storestatesync.h
+++ b/include/almondmill/forward/storestatesync.h
@@ -88,6 +88,10 @@
     std::uint64_t m_reportedConfiguration = 0; ///< Newest version that another router reported.
     std::uint64_t m_missingConfiguration = 0;  ///< Reported version that the store does not have.
     SteadyTime m_retainMissingUntil;           ///< Until then missing entries are retained.
+    /// An entry is retained although its removal was seen. Until it is known whether the entry
+    /// comes back, no later revision is published, as the other routers would never learn of the
+    /// removal.
+    bool m_retainsRemoval = false;
     std::shared_ptr<StoreWatcher> m_routing;
     std::shared_ptr<StoreWatcher> m_registrations;
     std::shared_ptr<StoreWatcher> m_weights;
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -237,7 +237,8 @@
     handlers.changed = [this](const ObjectEvents &events) {
         const std::uint64_t from = m_context.directory.revision();
         applyRegistrationEvents(events);
-        publishEvents(events, from);
+        // The other routers find the gap, and read the store, at the next update after the wait.
+        publishEvents(m_retainsRemoval ? ObjectEvents{{}, from} : events, from);
     };
     m_registrations = follow(std::move(options), std::move(handlers));
 }
@@ -307,13 +308,16 @@
     m_context.directory.replaceAll(std::move(entries), list.revision,
                                    retainsMissing() ? EndpointDirectory::UnlistedEntries::Keep
                                                     : EndpointDirectory::UnlistedEntries::Remove);
+    m_retainsRemoval = m_retainsRemoval && retainsMissing();
 }
 
 void StoreStateSync::applyRegistrationEvents(const ObjectEvents &events)
 {
     for (const ObjectEvent &event : events.events) {
-        if (event.deleted && retainsMissing())
+        if (event.deleted && retainsMissing()) {
+            m_retainsRemoval = true;
             continue;
+        }
         if (event.deleted) {
             m_context.directory.remove(event.object.name);
             continue;
@@ -323,7 +327,8 @@
         else
             m_context.directory.remove(event.object.name);
     }
-    m_context.directory.advance(events.revision);
+    if (!m_retainsRemoval)
+        m_context.directory.advance(events.revision);
 }
 
 void StoreStateSync::applyWeightsTarget(const StoredObject &object, SteadyTime since)
