Answers to prompt parts are reported by a few routers, crashes without what is known

Under a crashing part the routers of a large fleet would send each other far more than the 2 KB per second that a router may use for control traffic.

Cause: every router that saw an answer to a part of a crash broadcast it, so did every router that heard another one still suspect it; each message held all crashes of the part, and each state round of a large fleet repeated evidence.

Change: two routers report an answer, the first ones in the part's rendezvous order, and after each 250 ms without a report four times as many (fleets below 32 peers: all, as before). What a broadcast said isn't sent again; repeats, which one router receives, do not count as said. A crash is reported alone, without the part's other crashes.

--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -66,13 +66,19 @@
     /// Records a sound answer to a request with these parts that started at `startedAt`.
     void recordAnswer(const Parts &parts, SteadyTime startedAt);
 
-    /// Merges evidence of another router. Returns whether it was news.
-    bool merge(const std::vector<PartEvidence> &evidence, SteadyTime now);
+    /// Who receives evidence: all routers, or this one alone.
+    enum class Audience { AllRouters, ThisRouter };
 
-    /// Evidence to be sent to all routers, most crashes first. Each change is returned once.
-    /// `limit` bounds the number of parts and crashes in the result.
-    std::vector<PartEvidence> takeUnsent(std::size_t limit);
-    bool hasUnsent() const;
+    /// Merges evidence of another router. Returns whether it was news. What all routers receive is
+    /// not sent again.
+    bool merge(const std::vector<PartEvidence> &evidence, Audience audience, SteadyTime now);
+
+    /// Evidence to be sent to all routers, most crashes first. Each change is returned once;
+    /// answers that other routers may have seen too are returned after a while, by the part's
+    /// rendezvous order, unless another router reports them. `limit` bounds the number of parts and
+    /// crashes in the result.
+    std::vector<PartEvidence> takeUnsent(std::size_t limit, SteadyTime now);
+    bool hasUnsent(SteadyTime now) const;
 
     /// Evidence to repeat to other routers: parts with at least two crashes in turn, those that
     /// were repeated longest ago first. `limit` is that of takeUnsent; it must allow the crashes
@@ -102,8 +108,10 @@
         /// the time would become later by the delay of the message.
         std::optional<SteadyTime> answeredAt;
         SteadyTime testUntil; ///< Until then a request of this router tests the half-open part.
+        std::vector<std::uint64_t> unsentCrashes; ///< Engines whose crash no router has reported.
         std::uint64_t lastRepeat = 0; ///< Call of takeRepeats that returned the part last.
-        bool isUnsent = false;
+        bool hasUnsentAnswer = false; ///< It knows of an answer that may not have been reported.
+        std::optional<SteadyTime> unsentSince; ///< First call of takeUnsent with such an answer.
         bool wasOpen = false;
     };
 
@@ -119,6 +127,15 @@
     static bool isOpen(const Suspicion &suspicion, SteadyTime now);
     static bool addCrash(Entry &entry, const EngineCrash &crash);
     bool mergeEntry(const PartEvidence &evidence, SteadyTime now);
+    /// Waits with this router's report of an answer to the part if the evidence, which all routers
+    /// receive, reports one, and drops what the evidence says completely.
+    void postponeReport(const PartEvidence &evidence, SteadyTime now);
+    bool isDue(const Entry &entry, SteadyTime now) const;
+    bool isAnswerDue(const Entry &entry, SteadyTime now) const;
+    /// What is to be sent of the part: all evidence when an answer is due, else the new crashes.
+    PartEvidence unsentOf(const Entry &entry, SteadyTime now) const;
+    /// Number of other routers that come before this one in the part's rendezvous order.
+    std::size_t rankFor(PartHash part) const;
     bool isTester(PartHash part, const Suspicion &suspicion, SteadyTime now) const;
     std::optional<OpenPart> openPart(PartHash part, SteadyTime now) const;
     Entry &entryOf(PartHash part);
--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -49,6 +49,15 @@
 constexpr milliseconds TesterInterval{5000};
 constexpr std::size_t TesterGrowth = 4;
 
+/// So many routers report a sound answer to all others at first, and the next routers only if none
+/// of these did: many routers see answers to a part that many requests share.
+constexpr std::size_t FirstReporters = 2;
+constexpr std::size_t ReporterGrowth = 4;
+constexpr milliseconds ReporterInterval{250};
+
+/// With fewer peers all routers report at once.
+constexpr std::size_t MinPeersToWait = 32;
+
 /// A test without a result ends after this time.
 constexpr milliseconds TestTimeout{10'000};
 
@@ -80,6 +89,13 @@
     return std::max(std::chrono::duration_cast<milliseconds>(time - now), milliseconds(1000));
 }
 
+/// Whether a sound answer with the part started after one of its crashes.
+bool isAnswered(const PartEvidence &evidence)
+{
+    return std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
+                       [](const EngineCrash &crash) { return crash.answered; });
+}
+
 /// What the evidence adds to the size of a message: the part and its crashes.
 std::size_t sizeOf(const PartEvidence &evidence)
 {
@@ -171,7 +187,7 @@
     for (const PartHash part : parts) {
         Entry &entry = entryOf(part);
         if (addCrash(entry, {engine, now}))
-            entry.isUnsent = true;
+            entry.unsentCrashes.push_back(engine);
     }
     updateSuspicions();
     refresh(now);
@@ -195,7 +211,7 @@
         }
         if (!isNews)
             continue;
-        entry.isUnsent = true;
+        entry.hasUnsentAnswer = true;
         m_cleared.add();
         isChanged = true;
     }
@@ -203,16 +219,43 @@
         updateSuspicions();
 }
 
-bool PartBreakers::merge(const std::vector<PartEvidence> &evidence, SteadyTime now)
+bool PartBreakers::merge(const std::vector<PartEvidence> &evidence, Audience audience,
+                         SteadyTime now)
 {
     bool isNews = false;
-    for (const PartEvidence &part : evidence)
+    for (const PartEvidence &part : evidence) {
         isNews = mergeEntry(part, now) || isNews;
+        if (audience == Audience::AllRouters)
+            postponeReport(part, now);
+    }
     updateSuspicions();
     refresh(now);
     return isNews;
 }
 
+void PartBreakers::postponeReport(const PartEvidence &evidence, SteadyTime now)
+{
+    const auto found = m_entries.find(evidence.part);
+    if (found == m_entries.end())
+        return;
+    Entry &entry = found->second;
+    if (entry.unsentSince && isAnswered(evidence))
+        entry.unsentSince = now;
+    for (const EngineCrash &crash : evidence.crashes)
+        std::erase(entry.unsentCrashes, crash.engine);
+    const auto isReported = [&](const EngineCrash &own) {
+        return std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
+                           [&](const EngineCrash &crash) {
+                               return crash.engine == own.engine && crash.answered == own.answered;
+                           });
+    };
+    const auto &crashes = entry.evidence.crashes;
+    if (!std::all_of(crashes.begin(), crashes.end(), isReported))
+        return;
+    entry.hasUnsentAnswer = false;
+    entry.unsentSince.reset();
+}
+
 bool PartBreakers::mergeEntry(const PartEvidence &evidence, SteadyTime now)
 {
     const bool isKnown = m_entries.contains(evidence.part);
@@ -225,32 +268,68 @@
     return isNews;
 }
 
-std::vector<PartEvidence> PartBreakers::takeUnsent(std::size_t limit)
+std::vector<PartEvidence> PartBreakers::takeUnsent(std::size_t limit, SteadyTime now)
 {
-    std::vector<Entry *> unsent;
+    std::vector<Entry *> due;
     for (auto &[part, entry] : m_entries) {
-        if (entry.isUnsent)
-            unsent.push_back(&entry);
+        if (entry.hasUnsentAnswer && !entry.unsentSince)
+            entry.unsentSince = now;
+        if (isDue(entry, now))
+            due.push_back(&entry);
     }
-    std::sort(unsent.begin(), unsent.end(), [](const Entry *first, const Entry *second) {
+    std::sort(due.begin(), due.end(), [](const Entry *first, const Entry *second) {
         return first->suspicion.crashes > second->suspicion.crashes;
     });
     std::vector<PartEvidence> evidence;
     std::size_t size = 0;
-    for (Entry *entry : unsent) {
-        size += sizeOf(entry->evidence);
+    for (Entry *entry : due) {
+        PartEvidence unsent = unsentOf(*entry, now);
+        size += sizeOf(unsent);
         if (size > limit && !evidence.empty())
             break;
-        entry->isUnsent = false;
-        evidence.push_back(entry->evidence);
+        if (isAnswerDue(*entry, now)) {
+            entry->hasUnsentAnswer = false;
+            entry->unsentSince.reset();
+        }
+        entry->unsentCrashes.clear();
+        evidence.push_back(std::move(unsent));
     }
     return evidence;
 }
 
-bool PartBreakers::hasUnsent() const
+PartEvidence PartBreakers::unsentOf(const Entry &entry, SteadyTime now) const
+{
+    PartEvidence unsent = entry.evidence;
+    if (isAnswerDue(entry, now))
+        return unsent;
+    std::erase_if(unsent.crashes, [&](const EngineCrash &crash) {
+        return std::count(entry.unsentCrashes.begin(), entry.unsentCrashes.end(), crash.engine)
+               == 0;
+    });
+    return unsent;
+}
+
+bool PartBreakers::hasUnsent(SteadyTime now) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(),
-                       [](const auto &entry) { return entry.second.isUnsent; });
+                       [&](const auto &entry) { return isDue(entry.second, now); });
+}
+
+bool PartBreakers::isDue(const Entry &entry, SteadyTime now) const
+{
+    return !entry.unsentCrashes.empty() || isAnswerDue(entry, now);
+}
+
+bool PartBreakers::isAnswerDue(const Entry &entry, SteadyTime now) const
+{
+    if (!entry.hasUnsentAnswer || m_routers.size() < MinPeersToWait)
+        return entry.hasUnsentAnswer;
+    const SteadyTime since = entry.unsentSince.value_or(now);
+    std::size_t reporters = FirstReporters;
+    for (SteadyTime next = since + ReporterInterval; next <= now && reporters <= m_routers.size();
+         next += ReporterInterval)
+        reporters *= ReporterGrowth;
+    return rankFor(entry.evidence.part) < reporters;
 }
 
 std::vector<PartEvidence> PartBreakers::takeRepeats(std::size_t limit)
@@ -356,10 +435,7 @@
 
 bool PartBreakers::explainsCrashes(const Entry &entry)
 {
-    const auto &crashes = entry.evidence.crashes;
-    return entry.suspicion.crashes >= CrashesToOpen
-           && std::none_of(crashes.begin(), crashes.end(),
-                           [](const EngineCrash &crash) { return crash.answered; });
+    return entry.suspicion.crashes >= CrashesToOpen && !isAnswered(entry.evidence);
 }
 
 bool PartBreakers::isOpen(const Suspicion &suspicion, SteadyTime now)
@@ -386,7 +462,7 @@
             wasAnswered || crash.answered || (entry.answeredAt && known->at < *entry.answeredAt);
     const bool isNews = isNew || known->answered != wasAnswered;
     // Tells a router that suspects a part which has been answered since.
-    entry.isUnsent = entry.isUnsent || (known->answered && !crash.answered);
+    entry.hasUnsentAnswer = entry.hasUnsentAnswer || (known->answered && !crash.answered);
     std::sort(crashes.begin(), crashes.end(),
               [](const EngineCrash &first, const EngineCrash &second) {
                   return first.at < second.at;
@@ -405,11 +481,16 @@
     for (SteadyTime next = heldUntil + TesterInterval; next <= now && testers <= m_routers.size();
          next += TesterInterval)
         testers *= TesterGrowth;
+    return rankFor(part) < testers;
+}
+
+std::size_t PartBreakers::rankFor(PartHash part) const
+{
     const std::uint64_t rank = mixHash(part, m_self);
     const auto before =
             std::count_if(m_routers.begin(), m_routers.end(),
                           [&](std::uint64_t router) { return mixHash(part, router) < rank; });
-    return static_cast<std::size_t>(before) < testers;
+    return static_cast<std::size_t>(before);
 }
 
 PartBreakers::Entry &PartBreakers::entryOf(PartHash part)
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -62,6 +62,10 @@
 /// Parts and crashes that are repeated to the peers of a round.
 constexpr std::size_t EvidencePerRound = 16;
 
+/// In a large fleet evidence is repeated in one of so many rounds. A router still gets one from
+/// some peer each second.
+constexpr std::uint64_t RoundsPerRepeatInLargeFleet = 4;
+
 /// Datagrams up to this size are not fragmented on an Ethernet link.
 constexpr std::size_t MaxDatagramBytes = 1400;
 
@@ -257,7 +261,7 @@
 
 asio::awaitable<void> PeerExchange::sendState()
 {
-    for (;;) {
+    for (std::uint64_t round = 0;; ++round) {
         co_await sleepFor(m_context.loop, StateInterval);
         const SteadyTime now = std::chrono::steady_clock::now();
         for (const auto &[id, view] : m_context.endpoints.all())
@@ -270,9 +274,10 @@
         if (m_roundRobin.empty())
             continue;
         const std::string bytes = encodePeerMessage(describeState(now));
-        const std::string evidence = describeRepeats(now);
-        const std::size_t receivers =
-                m_context.partLookups.usesOwners() ? PeersPerRoundInLargeFleet : PeersPerRound;
+        const bool isLarge = m_context.partLookups.usesOwners();
+        const bool repeats = !isLarge || round % RoundsPerRepeatInLargeFleet == 0;
+        const std::string evidence = repeats ? describeRepeats(now) : std::string();
+        const std::size_t receivers = isLarge ? PeersPerRoundInLargeFleet : PeersPerRound;
         for (std::size_t sent = 0; sent < std::min(receivers, m_roundRobin.size()); ++sent) {
             m_nextPeer = (m_nextPeer + 1) % m_roundRobin.size();
             const Address &peer = m_peers[m_roundRobin[m_nextPeer]];
@@ -362,7 +367,10 @@
         last = {message.incarnation, message.sequence};
         forwardToChildren(message.origin, bytes);
     }
-    m_context.partBreakers.merge(message.evidence, now);
+    m_context.partBreakers.merge(message.evidence,
+                                 isBroadcast ? PartBreakers::Audience::AllRouters
+                                             : PartBreakers::Audience::ThisRouter,
+                                 now);
 }
 
 void PeerExchange::publishEvidenceSoon()
@@ -382,16 +390,16 @@
 
 void PeerExchange::publishEvidence()
 {
+    const SteadyTime now = std::chrono::steady_clock::now();
     PartEvidenceMessage message;
-    message.evidence = m_context.partBreakers.takeUnsent(EvidencePerMessage);
+    message.evidence = m_context.partBreakers.takeUnsent(EvidencePerMessage, now);
     if (message.evidence.empty())
         return;
     message.origin = m_context.settings.name;
     message.incarnation = m_incarnation;
     message.sequence = ++m_sequence;
-    const SteadyTime now = std::chrono::steady_clock::now();
     forwardToChildren(message.origin, encodePartEvidence(message, now));
-    if (m_context.partBreakers.hasUnsent())
+    if (m_context.partBreakers.hasUnsent(now))
         publishEvidenceSoon();
 }
 
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -23,6 +23,9 @@
 
 const SteadyTime Start{seconds(1000)};
 
+constexpr auto ToAllRouters = PartBreakers::Audience::AllRouters;
+constexpr auto ToThisRouter = PartBreakers::Audience::ThisRouter;
+
 /// The breakers of one router, with the metrics that they count in.
 struct Router
 {
@@ -200,7 +203,7 @@
         for (const PartEvidence &part : evidence)
             size += 1 + part.crashes.size();
         EXPECT_LE(size, Limit);
-        second.breakers.merge(evidence, now);
+        second.breakers.merge(evidence, ToThisRouter, now);
     }
     for (PartHash part = 1; part <= Rounds; ++part)
         EXPECT_EQ(second.breakers.crashesOf({part}), first.breakers.crashesOf({part})) << part;
@@ -225,10 +228,44 @@
     message.origin = "front-lvn-a-1";
     message.incarnation = ~std::uint64_t(0);
     message.sequence = ~std::uint64_t(0);
-    message.evidence = router.breakers.takeUnsent(75);
+    message.evidence = router.breakers.takeUnsent(75, Start);
     EXPECT_FALSE(message.evidence.empty());
     EXPECT_LE(encodePartEvidence(message, Start + std::chrono::hours(20)).size(), 1400U);
-    EXPECT_TRUE(router.breakers.hasUnsent());
+    EXPECT_TRUE(router.breakers.hasUnsent(Start));
+}
+
+// Guards against all routers of a large fleet reporting an answer that each of them saw.
+TEST(PartBreakers, AnAnswerThatManyRoutersSawIsReportedByFew)
+{
+    constexpr std::size_t Routers = 100;
+    std::deque<Router> routers;
+    for (std::size_t index = 0; index < Routers; ++index)
+        routers.emplace_back("router-" + std::to_string(index));
+    for (std::size_t index = 0; index < Routers; ++index) {
+        for (std::size_t other = 0; other < Routers; ++other) {
+            if (other != index)
+                routers[index].breakers.addRouter("router-" + std::to_string(other));
+        }
+        const PartEvidence crashed{First, {{1, Start}}};
+        routers[index].breakers.merge({crashed}, ToAllRouters, Start);
+        routers[index].breakers.recordAnswer({First}, Start + milliseconds(1));
+    }
+    std::vector<PartEvidence> reported;
+    const auto report = [&](SteadyTime now) {
+        std::size_t reporters = 0;
+        for (Router &router : routers) {
+            const auto unsent = router.breakers.takeUnsent(75, now);
+            reporters += unsent.empty() ? 0 : 1;
+            reported.insert(reported.end(), unsent.begin(), unsent.end());
+        }
+        return reporters;
+    };
+    EXPECT_EQ(report(Start + milliseconds(10)), 2U);
+    EXPECT_EQ(report(Start + milliseconds(100)), 0U);
+    EXPECT_EQ(report(Start + milliseconds(270)), 6U); // The first two were not heard.
+    for (Router &router : routers)
+        router.breakers.merge(reported, ToAllRouters, Start + milliseconds(280));
+    EXPECT_EQ(report(Start + seconds(10)), 0U);
 }
 
 TEST(PartEvidenceMessage, RoundTripsThroughEncoding)
@@ -271,7 +308,7 @@
         const auto evidence = from.takeRepeats(75);
         const auto bytes = encodePartEvidence({"", 0, 0, evidence}, now);
         now += milliseconds(7);
-        to.merge(decodePartEvidence(bytes, now)->evidence, now);
+        to.merge(decodePartEvidence(bytes, now)->evidence, ToThisRouter, now);
     };
     for (int round = 0; round < 500; ++round) {
         exchange(first.breakers, second.breakers);
@@ -308,17 +345,18 @@
             break;
         default: // A message that was delayed, and may come more than once.
             if (!sent.empty())
-                breakers.merge(sent[*rc::gen::inRange<std::size_t>(0, sent.size())], now);
+                breakers.merge(sent[*rc::gen::inRange<std::size_t>(0, sent.size())], ToAllRouters,
+                               now);
             break;
         }
-        auto unsent = breakers.takeUnsent(75);
+        auto unsent = breakers.takeUnsent(75, now);
         if (!unsent.empty())
             sent.push_back(std::move(unsent));
     }
     for (std::size_t message = 0; message < sent.size(); ++message) {
         for (Router &router : routers) {
-            router.breakers.merge(sent[message], now);
-            auto unsent = router.breakers.takeUnsent(75);
+            router.breakers.merge(sent[message], ToAllRouters, now);
+            auto unsent = router.breakers.takeUnsent(75, now);
             if (!unsent.empty())
                 sent.push_back(std::move(unsent));
         }
@@ -331,9 +369,9 @@
     }
     const PartHash answered = *rc::gen::inRange<PartHash>(1, 5);
     routers[0].breakers.recordAnswer({answered}, now + milliseconds(1));
-    const auto cleared = routers[0].breakers.takeUnsent(75);
+    const auto cleared = routers[0].breakers.takeUnsent(75, now + milliseconds(1));
     for (Router &router : routers) {
-        router.breakers.merge(cleared, now + milliseconds(2));
+        router.breakers.merge(cleared, ToAllRouters, now + milliseconds(2));
         RC_ASSERT(!router.breakers.findOpen({answered}, now + seconds(5)));
     }
 }
