Parts that were at the same three crashes are told apart by an early test

Cause: without answers, evidence alone can't tell apart parts that were always together, and the next evidence came only after the hold of 20 s. Change: such parts (twins) are tested 2 s after the last crash, by a request that holds only one of them; testers grow each second. A sound answer closes that part; a crash counts against one part only, so it explains the other one's crashes and closes it. Only with three crashes, so there is one such test, and its price is one engine at most per tester at that moment. Evidence: PartsWithTheSameCrashesAreToldApartByAnEarlyTest failed before with "router.breakers.admit({First, Session}, later); Actual: true", AnEarlyTestThatCrashesAnEngineClearsThePartBesideIt with "router.breakers.admit({First, Crashing}, later); Actual: true".

--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -98,6 +98,8 @@
         std::size_t crashes = 0; ///< Simultaneous crashes count as one.
         SteadyTime firstAt;
         SteadyTime lastAt;
+        std::uint64_t engines = 0; ///< Sum of the engines' hashes; tells sets of crashes apart.
+        bool isTwin = false;       ///< Another part was at the same crashes.
     };
 
     struct Entry
@@ -137,7 +139,14 @@
     /// Number of other routers that come before this one in the part's rendezvous order.
     std::size_t rankFor(PartHash part) const;
     bool isTester(PartHash part, const Suspicion &suspicion, SteadyTime now) const;
-    std::optional<OpenPart> openPart(PartHash part, SteadyTime now) const;
+    /// Whether the part is open for a request with these parts.
+    std::optional<OpenPart> openPart(PartHash part, const Parts &parts, SteadyTime now) const;
+    /// Whether one of the other parts was at the same crashes as `part`.
+    bool hasTwins(PartHash part, const Parts &parts) const;
+    /// Time from the last crash until the part is tested.
+    static std::chrono::milliseconds holdOf(const Suspicion &suspicion);
+    /// Marks those of the parts, which have equally many crashes, that were at the same ones.
+    static void markTwins(const std::vector<Entry *> &entries);
     Entry &entryOf(PartHash part);
     void evict();
 
--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -44,6 +44,11 @@
 /// harmless returns.
 constexpr milliseconds MaxHold{600'000};
 
+/// The same for parts that were at the same crashes, the first time that they are open: one request
+/// with only one of them tells which of them it is.
+constexpr milliseconds FirstHoldOfTwins{2000};
+constexpr milliseconds TwinTesterInterval{1000};
+
 /// After this time without a test, four times as many routers may test a half-open part, because
 /// the first ones may have left or get no request with the part.
 constexpr milliseconds TesterInterval{5000};
@@ -121,13 +126,30 @@
                                                              SteadyTime now) const
 {
     for (const PartHash part : parts) {
-        if (const auto open = openPart(part, now))
+        if (const auto open = openPart(part, parts, now))
             return open;
     }
     return std::nullopt;
 }
 
-std::optional<PartBreakers::OpenPart> PartBreakers::openPart(PartHash part, SteadyTime now) const
+bool PartBreakers::hasTwins(PartHash part, const Parts &parts) const
+{
+    const Suspicion &suspicion = m_entries.at(part).suspicion;
+    return std::any_of(parts.begin(), parts.end(), [&](PartHash other) {
+        const auto found = m_entries.find(other);
+        return other != part && found != m_entries.end()
+               && found->second.suspicion.engines == suspicion.engines;
+    });
+}
+
+milliseconds PartBreakers::holdOf(const Suspicion &suspicion)
+{
+    const bool isShort = suspicion.isTwin && suspicion.crashes == CrashesToOpen;
+    return isShort ? FirstHoldOfTwins : holdAfter(suspicion.crashes);
+}
+
+std::optional<PartBreakers::OpenPart> PartBreakers::openPart(PartHash part, const Parts &parts,
+                                                             SteadyTime now) const
 {
     const auto found = m_entries.find(part);
     if (found == m_entries.end())
@@ -136,9 +158,10 @@
     if (!isOpen(suspicion, now))
         return std::nullopt;
     const bool isTested = now < found->second.testUntil;
-    if (!isTested && isTester(part, suspicion, now))
+    const bool tellsApart = !suspicion.isTwin || !hasTwins(part, parts);
+    if (!isTested && tellsApart && isTester(part, suspicion, now))
         return std::nullopt;
-    const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+    const SteadyTime heldUntil = suspicion.lastAt + holdOf(suspicion);
     return OpenPart{part, suspicion.crashes, timeUntil(heldUntil, now)};
 }
 
@@ -369,7 +392,7 @@
         EventLine(open ? "part.opened" : "part.closed")
                 .add("part", part)
                 .add("crashes", std::uint64_t(suspicion.crashes))
-                .add("hold", open ? holdAfter(suspicion.crashes) : milliseconds(0));
+                .add("hold", open ? holdOf(suspicion) : milliseconds(0));
     }
     const std::size_t erased = absl::erase_if(m_entries, [&](const auto &entry) {
         const PartEvidence &evidence = entry.second.evidence;
@@ -388,7 +411,7 @@
         const Suspicion suspicion = entry.suspicion;
         if (!isOpen(suspicion, now))
             continue;
-        const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+        const SteadyTime heldUntil = suspicion.lastAt + holdOf(suspicion);
         open.push_back({part, suspicion.crashes, timeUntil(heldUntil, now)});
     }
     return open;
@@ -401,6 +424,7 @@
     for (const EngineCrash &crash : evidence.crashes) {
         if (crash.answered || explained.contains(crash.engine))
             continue;
+        suspicion.engines += crash.engine;
         if (suspicion.crashes == 0)
             suspicion.firstAt = crash.at;
         if (suspicion.crashes == 0 || crash.at - suspicion.lastAt >= SimultaneousCrashes) {
@@ -423,6 +447,7 @@
             const std::size_t unexplained = suspicionOf(entry->evidence, explained).crashes;
             entry->suspicion.crashes = std::min(crashes, unexplained * CrashesPerUnexplained);
         }
+        markTwins(entries);
         // Only now, since parts with the same number of crashes cannot be told apart.
         for (const Entry *entry : entries) {
             if (!explainsCrashes(*entry))
@@ -433,6 +458,17 @@
     }
 }
 
+void PartBreakers::markTwins(const std::vector<Entry *> &entries)
+{
+    std::map<std::uint64_t, std::vector<Entry *>> byEngines;
+    for (Entry *entry : entries)
+        byEngines[entry->suspicion.engines].push_back(entry);
+    for (const auto &[engines, twins] : byEngines) {
+        for (Entry *entry : twins)
+            entry->suspicion.isTwin = twins.size() > 1;
+    }
+}
+
 bool PartBreakers::explainsCrashes(const Entry &entry)
 {
     return entry.suspicion.crashes >= CrashesToOpen && !isAnswered(entry.evidence);
@@ -474,12 +510,13 @@
 
 bool PartBreakers::isTester(PartHash part, const Suspicion &suspicion, SteadyTime now) const
 {
-    const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+    const SteadyTime heldUntil = suspicion.lastAt + holdOf(suspicion);
     if (now < heldUntil)
         return false;
+    const milliseconds interval = suspicion.isTwin ? TwinTesterInterval : TesterInterval;
     std::size_t testers = 1;
-    for (SteadyTime next = heldUntil + TesterInterval; next <= now && testers <= m_routers.size();
-         next += TesterInterval)
+    for (SteadyTime next = heldUntil + interval; next <= now && testers <= m_routers.size();
+         next += interval)
         testers *= TesterGrowth;
     return rankFor(part) < testers;
 }
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -177,6 +177,34 @@
     EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + seconds(2)));
 }
 
+// Guards against sound requests being refused for long that share a part which was at the same
+// three crashes as the crashing one.
+TEST(PartBreakers, PartsWithTheSameCrashesAreToldApartByAnEarlyTest)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Session, Crashing}, 3);
+    const SteadyTime later = last + milliseconds(2100);
+    EXPECT_TRUE(router.breakers.findOpen({Session}, last + milliseconds(1900)));
+    EXPECT_TRUE(router.breakers.admit({Session, Crashing}, later)); // It would tell nothing.
+    EXPECT_FALSE(router.breakers.admit({First, Session}, later));
+    router.breakers.recordAnswer({First, Session}, later);
+    EXPECT_FALSE(router.breakers.findOpen({Session}, later));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + milliseconds(19'900)));
+}
+
+// Guards against more than one early test that ends an engine.
+TEST(PartBreakers, AnEarlyTestThatCrashesAnEngineClearsThePartBesideIt)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Session, Crashing}, 3);
+    const SteadyTime later = last + milliseconds(2100);
+    EXPECT_FALSE(router.breakers.admit({First, Crashing}, later));
+    EXPECT_TRUE(router.breakers.admit({First, Crashing}, later));
+    router.breakers.recordCrash(4, {First, Crashing}, later);
+    EXPECT_FALSE(router.breakers.findOpen({Session}, later));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, later + milliseconds(39'900)));
+}
+
 // Guards against a part that was at many crashes being refused for hours after it became harmless.
 TEST(PartBreakers, APartWithManyCrashesIsTestedWithinTenMinutes)
 {
