A router that has just started gets the evidence against prompt parts at once

A router that starts while a part crashes engines knew nothing of it until the round of a peer reached it, in a large fleet with one peer a round, and sent engines what all others refused.

Cause: evidence was sent when it was new, or by the rounds, never because the receiver was new. Change: a router that hears of another incarnation of a peer, or of an unknown one, sends it a message of the most suspected parts, to as many routers per round as it sends its state to. Evidence: ComesAtOnceToARouterThatHasJustStarted (60 other peers) failed before with "isToldAsNew(1); Actual: false" and "isToldAsNew(2); Actual: false". What remains: a router hears of its first peer only by that peer's round or 1.5 s after its registration.

--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -75,6 +75,11 @@
     boost::asio::awaitable<void> publishAfterDelay();
     void handleDatagram(std::string_view bytes, const Address &from);
     void handleMessage(const PeerMessage &message, const Address &from, SteadyTime now);
+    /// Records the sender's incarnation. Returns whether another or none was known.
+    bool isNewIncarnation(const PeerMessage &message);
+    /// Sends the evidence against prompt parts to a router that has just started.
+    void sendEvidenceTo(const Address &router, SteadyTime now);
+    std::size_t peersPerRound() const;
     void handleStoreUpdate(const StoreUpdate &update, std::string_view bytes, SteadyTime now);
     void handlePartEvidence(const PartEvidenceMessage &message, std::string_view bytes,
                             SteadyTime now);
@@ -107,6 +112,8 @@
     absl::flat_hash_map<std::string, UpdatePosition> m_lastUpdates; ///< By origin.
     bool m_evidenceScheduled = false;
     absl::flat_hash_map<std::string, UpdatePosition> m_lastEvidence; ///< By origin.
+    absl::flat_hash_map<std::string, std::uint64_t> m_incarnations;  ///< Of the peers, by name.
+    std::size_t m_toldInRound = 0;         ///< Evidence sent to new routers since the last round.
     std::vector<std::string> m_roundRobin; ///< Peer names in round-robin order.
     std::size_t m_nextPeer = 0;            ///< Index into `m_roundRobin`.
     absl::flat_hash_map<std::string, Address> m_peers;
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -26,6 +26,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace almondmill {
 
@@ -263,6 +264,7 @@
 {
     for (std::uint64_t round = 0;; ++round) {
         co_await sleepFor(m_context.loop, StateInterval);
+        m_toldInRound = 0;
         const SteadyTime now = std::chrono::steady_clock::now();
         for (const auto &[id, view] : m_context.endpoints.all())
             view->averageLoad(now);
@@ -277,7 +279,7 @@
         const bool isLarge = m_context.partLookups.usesOwners();
         const bool repeats = !isLarge || round % RoundsPerRepeatInLargeFleet == 0;
         const std::string evidence = repeats ? describeRepeats(now) : std::string();
-        const std::size_t receivers = isLarge ? PeersPerRoundInLargeFleet : PeersPerRound;
+        const std::size_t receivers = peersPerRound();
         for (std::size_t sent = 0; sent < std::min(receivers, m_roundRobin.size()); ++sent) {
             m_nextPeer = (m_nextPeer + 1) % m_roundRobin.size();
             const Address &peer = m_peers[m_roundRobin[m_nextPeer]];
@@ -335,10 +337,35 @@
 void PeerExchange::handleMessage(const PeerMessage &message, const Address &from, SteadyTime now)
 {
     addPeer(message.sender, from);
+    if (isNewIncarnation(message))
+        sendEvidenceTo(from, now);
     if (m_context.peers.applyMessage(message, now))
         m_onMessage(message);
 }
 
+bool PeerExchange::isNewIncarnation(const PeerMessage &message)
+{
+    const auto [last, isNew] = m_incarnations.try_emplace(message.sender, message.incarnation);
+    return std::exchange(last->second, message.incarnation) != message.incarnation || isNew;
+}
+
+void PeerExchange::sendEvidenceTo(const Address &router, SteadyTime now)
+{
+    // When many routers start at once, the rounds and the other routers tell the rest of them.
+    if (m_toldInRound >= peersPerRound())
+        return;
+    const std::string evidence = describeRepeats(now);
+    if (evidence.empty())
+        return;
+    ++m_toldInRound;
+    sendTo(router, evidence);
+}
+
+std::size_t PeerExchange::peersPerRound() const
+{
+    return m_context.partLookups.usesOwners() ? PeersPerRoundInLargeFleet : PeersPerRound;
+}
+
 void PeerExchange::handleStoreUpdate(const StoreUpdate &update, std::string_view bytes,
                                      SteadyTime now)
 {
--- a/tests/failure-malformedmessages.cpp
+++ b/tests/failure-malformedmessages.cpp
@@ -236,6 +236,50 @@
     EXPECT_TRUE(waitUntil([&] { return isOpen(first) && isOpen(second); }, seconds(3)));
 }
 
+// Guards against a router that has just started sending a crashing part to engines until the rounds
+// of one of many peers reach it.
+TEST(PartEvidenceMessage, ComesAtOnceToARouterThatHasJustStarted)
+{
+    constexpr int Peers = 60;
+    StoreThread store;
+    store.put("config", "main", smallConfiguration(1));
+    const std::string host = nextLoopbackAddress();
+    RouterThread router(settingsFor(store.address(), host));
+    ASSERT_TRUE(waitUntil([&] { return router.dumped("/config_version") == 1; }, seconds(8)));
+    PeerMessage state;
+    state.sequence = 1;
+    for (int peer = 0; peer < Peers; ++peer) {
+        state.sender = "peer-" + std::to_string(peer);
+        state.incarnation = 1;
+        sendDatagram(host + ":8103", encodePeerMessage(state));
+    }
+    const SteadyTime now = std::chrono::steady_clock::now();
+    PartEvidenceMessage message;
+    message.evidence = {{7, {{1, now - seconds(3)}, {2, now - seconds(2)}, {3, now - seconds(1)}}}};
+    sendDatagram(host + ":8103", encodePartEvidence(message, now));
+    ASSERT_TRUE(waitUntil([&] { return router.dumped("/open_parts/0/part") == 7; }, seconds(3)));
+    boost::asio::io_context loop;
+    const auto own = parseSocketAddress(nextLoopbackAddress() + ":8103");
+    boost::asio::ip::udp::socket socket(loop, {own.address(), own.port()});
+    socket.non_blocking(true);
+    const auto isToldAsNew = [&](std::uint64_t incarnation) {
+        state.sender = "router-2";
+        state.incarnation = incarnation;
+        const auto to = parseSocketAddress(host + ":8103");
+        socket.send_to(boost::asio::buffer(encodePeerMessage(state)), {to.address(), to.port()});
+        return waitUntil(
+                [&] {
+                    std::string bytes(1400, '\0');
+                    boost::system::error_code error;
+                    bytes.resize(socket.receive(boost::asio::buffer(bytes), 0, error));
+                    return decodePartEvidence(bytes, now).has_value();
+                },
+                milliseconds(200));
+    };
+    EXPECT_TRUE(isToldAsNew(1));
+    EXPECT_TRUE(isToldAsNew(2));
+}
+
 TEST(MalformedMessages, LoadsThatAreNoCountsAreRejected)
 {
     for (const json &value :
