--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -44,15 +44,29 @@
 /// harmless returns.
 constexpr milliseconds MaxHold{600'000};
 
+/// The same for parts that were at the same crashes, the first time that they are open: one request
+/// with only one of them tells which of them it is.
+constexpr milliseconds FirstHoldOfTwins{2000};
+
 /// Routers take turns of this length in testing a half-open part, because some may have left or get
 /// no request with the part.
 constexpr milliseconds TestTurn{5000};
+constexpr milliseconds TestTurnOfTwins{1000};
 
 /// Routers that may test a part in one turn: one in the first, and more in the later ones. A bound,
 /// because requests with the part may return at all routers at once after a pause.
 constexpr std::size_t MaxTestersInFirstTurn = 1;
 constexpr std::size_t MaxTesters = 2;
 
+/// So many routers report a sound answer to all others at first, and the next routers only if none
+/// of these did: many routers see answers to a part that many requests share.
+constexpr std::size_t FirstReporters = 2;
+constexpr std::size_t ReporterGrowth = 4;
+constexpr milliseconds ReporterInterval{250};
+
+/// With fewer peers all routers report at once.
+constexpr std::size_t MinPeersToWait = 32;
+
 /// A test without a result ends after this time.
 constexpr milliseconds TestTimeout{10'000};
 
@@ -92,6 +106,13 @@
     return crashes.empty() || now - crashes.back().at > retentionAfter(crashes.size());
 }
 
+/// Whether a sound answer with the part started after one of its crashes.
+bool isAnswered(const PartEvidence &evidence)
+{
+    return std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
+                       [](const EngineCrash &crash) { return crash.answered; });
+}
+
 /// What the evidence adds to the size of a message: the part and its crashes.
 std::size_t sizeOf(const PartEvidence &evidence)
 {
@@ -117,14 +138,30 @@
                                                              const Parts &tested) const
 {
     for (const PartHash part : parts) {
-        if (const auto open = openPart(part, now, tested))
+        if (const auto open = openPart(part, parts, now, tested))
             return open;
     }
     return std::nullopt;
 }
 
-std::optional<PartBreakers::OpenPart> PartBreakers::openPart(PartHash part, SteadyTime now,
-                                                             const Parts &tested) const
+bool PartBreakers::hasTwins(PartHash part, const Parts &parts) const
+{
+    const Suspicion &suspicion = m_entries.at(part).suspicion;
+    return std::any_of(parts.begin(), parts.end(), [&](PartHash other) {
+        const auto found = m_entries.find(other);
+        return other != part && found != m_entries.end()
+               && found->second.suspicion.engines == suspicion.engines;
+    });
+}
+
+milliseconds PartBreakers::holdOf(const Suspicion &suspicion)
+{
+    const bool isShort = suspicion.isTwin && suspicion.crashes == CrashesToOpen;
+    return isShort ? FirstHoldOfTwins : holdAfter(suspicion.crashes);
+}
+
+std::optional<PartBreakers::OpenPart>
+PartBreakers::openPart(PartHash part, const Parts &parts, SteadyTime now, const Parts &tested) const
 {
     const auto found = m_entries.find(part);
     if (found == m_entries.end())
@@ -132,10 +169,12 @@
     const Suspicion suspicion = found->second.suspicion;
     if (!isOpen(suspicion, now))
         return std::nullopt;
-    const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+    const SteadyTime heldUntil = suspicion.lastAt + holdOf(suspicion);
     const bool holdsTest = std::find(tested.begin(), tested.end(), part) != tested.end();
-    const bool isTestFree = now >= found->second.testUntil && isTester(part, suspicion, now);
-    if (now >= heldUntil && (holdsTest || isTestFree))
+    const bool tellsApart = !suspicion.isTwin || !hasTwins(part, parts);
+    const bool mayTakeTest =
+            now >= found->second.testUntil && tellsApart && isTester(part, suspicion, now);
+    if (now >= heldUntil && (holdsTest || mayTakeTest))
         return std::nullopt;
     return OpenPart{part, suspicion.crashes, timeUntil(heldUntil, now)};
 }
@@ -197,7 +236,7 @@
     for (const PartHash part : parts) {
         Entry &entry = entryOf(part);
         if (addCrash(entry, {engine, now}))
-            entry.isUnsent = true;
+            entry.unsentCrashes.push_back(engine);
     }
     updateSuspicions();
     refresh(now);
@@ -221,7 +260,7 @@
         }
         if (!isNews)
             continue;
-        entry.isUnsent = true;
+        entry.hasUnsentAnswer = true;
         m_cleared.add();
         isChanged = true;
     }
@@ -229,16 +268,43 @@
         updateSuspicions();
 }
 
-bool PartBreakers::merge(const std::vector<PartEvidence> &evidence, SteadyTime now)
+bool PartBreakers::merge(const std::vector<PartEvidence> &evidence, Audience audience,
+                         SteadyTime now)
 {
     bool isNews = false;
-    for (const PartEvidence &part : evidence)
+    for (const PartEvidence &part : evidence) {
         isNews = mergeEntry(part, now) || isNews;
+        if (audience == Audience::AllRouters)
+            postponeReport(part, now);
+    }
     updateSuspicions();
     refresh(now);
     return isNews;
 }
 
+void PartBreakers::postponeReport(const PartEvidence &evidence, SteadyTime now)
+{
+    const auto found = m_entries.find(evidence.part);
+    if (found == m_entries.end())
+        return;
+    Entry &entry = found->second;
+    if (entry.unsentSince && isAnswered(evidence))
+        entry.unsentSince = now;
+    for (const EngineCrash &crash : evidence.crashes)
+        std::erase(entry.unsentCrashes, crash.engine);
+    const auto isReported = [&](const EngineCrash &own) {
+        return std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
+                           [&](const EngineCrash &crash) {
+                               return crash.engine == own.engine && crash.answered == own.answered;
+                           });
+    };
+    const auto &crashes = entry.evidence.crashes;
+    if (!std::all_of(crashes.begin(), crashes.end(), isReported))
+        return;
+    entry.hasUnsentAnswer = false;
+    entry.unsentSince.reset();
+}
+
 bool PartBreakers::mergeEntry(const PartEvidence &evidence, SteadyTime now)
 {
     const bool isKnown = m_entries.contains(evidence.part);
@@ -251,32 +317,68 @@
     return isNews;
 }
 
-std::vector<PartEvidence> PartBreakers::takeUnsent(std::size_t limit)
+std::vector<PartEvidence> PartBreakers::takeUnsent(std::size_t limit, SteadyTime now)
 {
-    std::vector<Entry *> unsent;
+    std::vector<Entry *> due;
     for (auto &[part, entry] : m_entries) {
-        if (entry.isUnsent)
-            unsent.push_back(&entry);
+        if (entry.hasUnsentAnswer && !entry.unsentSince)
+            entry.unsentSince = now;
+        if (isDue(entry, now))
+            due.push_back(&entry);
     }
-    std::sort(unsent.begin(), unsent.end(), [](const Entry *first, const Entry *second) {
+    std::sort(due.begin(), due.end(), [](const Entry *first, const Entry *second) {
         return first->suspicion.crashes > second->suspicion.crashes;
     });
     std::vector<PartEvidence> evidence;
     std::size_t size = 0;
-    for (Entry *entry : unsent) {
-        size += sizeOf(entry->evidence);
+    for (Entry *entry : due) {
+        PartEvidence unsent = unsentOf(*entry, now);
+        size += sizeOf(unsent);
         if (size > limit && !evidence.empty())
             break;
-        entry->isUnsent = false;
-        evidence.push_back(entry->evidence);
+        if (isAnswerDue(*entry, now)) {
+            entry->hasUnsentAnswer = false;
+            entry->unsentSince.reset();
+        }
+        entry->unsentCrashes.clear();
+        evidence.push_back(std::move(unsent));
     }
     return evidence;
 }
 
-bool PartBreakers::hasUnsent() const
+PartEvidence PartBreakers::unsentOf(const Entry &entry, SteadyTime now) const
+{
+    PartEvidence unsent = entry.evidence;
+    if (isAnswerDue(entry, now))
+        return unsent;
+    std::erase_if(unsent.crashes, [&](const EngineCrash &crash) {
+        return std::count(entry.unsentCrashes.begin(), entry.unsentCrashes.end(), crash.engine)
+               == 0;
+    });
+    return unsent;
+}
+
+bool PartBreakers::hasUnsent(SteadyTime now) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(),
-                       [](const auto &entry) { return entry.second.isUnsent; });
+                       [&](const auto &entry) { return isDue(entry.second, now); });
+}
+
+bool PartBreakers::isDue(const Entry &entry, SteadyTime now) const
+{
+    return !entry.unsentCrashes.empty() || isAnswerDue(entry, now);
+}
+
+bool PartBreakers::isAnswerDue(const Entry &entry, SteadyTime now) const
+{
+    if (!entry.hasUnsentAnswer || m_routers.size() < MinPeersToWait)
+        return entry.hasUnsentAnswer;
+    const SteadyTime since = entry.unsentSince.value_or(now);
+    std::size_t reporters = FirstReporters;
+    for (SteadyTime next = since + ReporterInterval; next <= now && reporters <= m_routers.size();
+         next += ReporterInterval)
+        reporters *= ReporterGrowth;
+    return rankFor(entry.evidence.part) < reporters;
 }
 
 std::vector<PartEvidence> PartBreakers::takeRepeats(std::size_t limit)
@@ -316,10 +418,12 @@
         EventLine(open ? "part.opened" : "part.closed")
                 .add("part", part)
                 .add("crashes", std::uint64_t(suspicion.crashes))
-                .add("hold", open ? holdAfter(suspicion.crashes) : milliseconds(0));
+                .add("hold", open ? holdOf(suspicion) : milliseconds(0));
     }
     const std::size_t erased = absl::erase_if(m_entries, [&](const auto &entry) {
-        return !entry.second.isUnsent && hasExpired(entry.second.evidence, now);
+        const Entry &kept = entry.second;
+        const bool isUnsent = kept.hasUnsentAnswer || !kept.unsentCrashes.empty();
+        return !isUnsent && hasExpired(kept.evidence, now);
     });
     if (erased != 0)
         updateSuspicions();
@@ -332,7 +436,7 @@
         const Suspicion suspicion = entry.suspicion;
         if (!isOpen(suspicion, now))
             continue;
-        const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+        const SteadyTime heldUntil = suspicion.lastAt + holdOf(suspicion);
         open.push_back({part, suspicion.crashes, timeUntil(heldUntil, now)});
     }
     return open;
@@ -345,6 +449,7 @@
     for (const EngineCrash &crash : evidence.crashes) {
         if (crash.answered || explained.contains(crash.engine))
             continue;
+        suspicion.engines += crash.engine;
         if (suspicion.crashes == 0)
             suspicion.firstAt = crash.at;
         if (suspicion.crashes == 0 || crash.at - suspicion.lastAt >= SimultaneousCrashes) {
@@ -367,6 +472,7 @@
             const std::size_t unexplained = suspicionOf(entry->evidence, explained).crashes;
             entry->suspicion.crashes = std::min(crashes, unexplained * CrashesPerUnexplained);
         }
+        markTwins(entries);
         // Only now, since parts with the same number of crashes cannot be told apart.
         for (const Entry *entry : entries) {
             if (!explainsCrashes(*entry))
@@ -377,12 +483,20 @@
     }
 }
 
+void PartBreakers::markTwins(const std::vector<Entry *> &entries)
+{
+    std::map<std::uint64_t, std::vector<Entry *>> byEngines;
+    for (Entry *entry : entries)
+        byEngines[entry->suspicion.engines].push_back(entry);
+    for (const auto &[engines, twins] : byEngines) {
+        for (Entry *entry : twins)
+            entry->suspicion.isTwin = twins.size() > 1;
+    }
+}
+
 bool PartBreakers::explainsCrashes(const Entry &entry)
 {
-    const auto &crashes = entry.evidence.crashes;
-    return entry.suspicion.crashes >= CrashesToOpen
-           && std::none_of(crashes.begin(), crashes.end(),
-                           [](const EngineCrash &crash) { return crash.answered; });
+    return entry.suspicion.crashes >= CrashesToOpen && !isAnswered(entry.evidence);
 }
 
 bool PartBreakers::isOpen(const Suspicion &suspicion, SteadyTime now)
@@ -409,7 +523,7 @@
             wasAnswered || crash.answered || (entry.answeredAt && known->at < *entry.answeredAt);
     const bool isNews = isNew || known->answered != wasAnswered;
     // Tells a router that suspects a part which has been answered since.
-    entry.isUnsent = entry.isUnsent || (known->answered && !crash.answered);
+    entry.hasUnsentAnswer = entry.hasUnsentAnswer || (known->answered && !crash.answered);
     std::sort(crashes.begin(), crashes.end(),
               [](const EngineCrash &first, const EngineCrash &second) {
                   return first.at < second.at;
@@ -421,17 +535,21 @@
 
 bool PartBreakers::isTester(PartHash part, const Suspicion &suspicion, SteadyTime now) const
 {
-    const SteadyTime heldUntil = suspicion.lastAt + holdAfter(suspicion.crashes);
+    const SteadyTime heldUntil = suspicion.lastAt + holdOf(suspicion);
     if (now < heldUntil)
         return false;
-    const auto turn = static_cast<std::uint64_t>((now - heldUntil) / TestTurn);
-    const std::size_t testers = turn == 0 ? MaxTestersInFirstTurn : MaxTesters;
-    const std::uint64_t order = mixHash(part, turn);
-    const std::uint64_t rank = mixHash(order, m_self);
+    const milliseconds length = suspicion.isTwin ? TestTurnOfTwins : TestTurn;
+    const auto turn = static_cast<std::uint64_t>((now - heldUntil) / length);
+    return rankFor(mixHash(part, turn)) < (turn == 0 ? MaxTestersInFirstTurn : MaxTesters);
+}
+
+std::size_t PartBreakers::rankFor(std::uint64_t key) const
+{
+    const std::uint64_t rank = mixHash(key, m_self);
     const auto before =
             std::count_if(m_routers.begin(), m_routers.end(),
-                          [&](std::uint64_t router) { return mixHash(order, router) < rank; });
-    return static_cast<std::size_t>(before) < testers;
+                          [&](std::uint64_t router) { return mixHash(key, router) < rank; });
+    return static_cast<std::size_t>(before);
 }
 
 PartBreakers::Entry &PartBreakers::entryOf(PartHash part)
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -90,8 +90,7 @@
         return RetryAfterNoConfiguration;
     const auto returnsAt = m_route ? m_planner.earliestReturn(placed(), now) : std::nullopt;
     if (!returnsAt && m_route && m_planner.needsNewEndpoint(placed(), now))
-        return RetryAfterNoCapacity
-               + retrySpread(m_request.id, EndpointAvailability::ResumeTime);
+        return RetryAfterNoCapacity + retrySpread(m_request.id, EndpointAvailability::ResumeTime);
     if (!returnsAt)
         return RetryAfterNoCapacity;
     return std::chrono::ceil<milliseconds>(*returnsAt - now.boot)
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -24,6 +24,9 @@
 
 const SteadyTime Start{seconds(1000)};
 
+constexpr auto ToAllRouters = PartBreakers::Audience::AllRouters;
+constexpr auto ToThisRouter = PartBreakers::Audience::ThisRouter;
+
 /// The breakers of one router, with the metrics that they count in.
 struct Router
 {
@@ -84,12 +87,13 @@
     Router tester("router-1");
     Router other("router-2");
     const SteadyTime last = crash(tester.breakers, {Crashing}, 6);
-    other.breakers.merge(tester.breakers.takeUnsent(75), last);
+    other.breakers.merge(tester.breakers.takeUnsent(75, last), ToAllRouters, last);
     const SteadyTime tested = last + seconds(165);
     tester.breakers.recordAnswer({Crashing}, tested);
     tester.breakers.refresh(tested + milliseconds(250));
-    other.breakers.merge(tester.breakers.takeUnsent(75), tested + milliseconds(260));
-    tester.breakers.merge(other.breakers.takeRepeats(16), tested + milliseconds(500));
+    other.breakers.merge(tester.breakers.takeUnsent(75, tested + milliseconds(250)), ToAllRouters,
+                         tested + milliseconds(260));
+    tester.breakers.merge(other.breakers.takeRepeats(16), ToThisRouter, tested + milliseconds(500));
     EXPECT_TRUE(tester.breakers.openParts(tested + milliseconds(600)).empty());
     EXPECT_TRUE(other.breakers.openParts(tested + milliseconds(600)).empty());
 }
@@ -101,14 +105,14 @@
     Router tester("router-1");
     Router other("router-2");
     const SteadyTime last = crash(tester.breakers, {Crashing}, 6);
-    other.breakers.merge(tester.breakers.takeUnsent(75), last);
+    other.breakers.merge(tester.breakers.takeUnsent(75, last), ToAllRouters, last);
     const SteadyTime tested = last + seconds(165);
     tester.breakers.recordAnswer({Crashing}, tested);
-    EXPECT_FALSE(tester.breakers.takeUnsent(75).empty());
+    EXPECT_FALSE(tester.breakers.takeUnsent(75, tested).empty());
     tester.breakers.refresh(tested + seconds(10));
-    tester.breakers.merge(other.breakers.takeRepeats(16), tested + seconds(10));
+    tester.breakers.merge(other.breakers.takeRepeats(16), ToThisRouter, tested + seconds(10));
     EXPECT_TRUE(tester.breakers.openParts(tested + seconds(11)).empty());
-    EXPECT_TRUE(tester.breakers.hasUnsent());
+    EXPECT_TRUE(tester.breakers.hasUnsent(tested + seconds(10)));
 }
 
 TEST(PartBreakers, EnginesOfOneRackThatEndTogetherAreOneCrash)
@@ -241,6 +245,38 @@
     EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + seconds(2)));
 }
 
+// Guards against sound requests being refused for long that share a part which was at the same
+// three crashes as the crashing one.
+TEST(PartBreakers, PartsWithTheSameCrashesAreToldApartByAnEarlyTest)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Session, Crashing}, 3);
+    const SteadyTime later = last + milliseconds(2100);
+    EXPECT_TRUE(router.breakers.findOpen({Session}, last + milliseconds(1900)));
+    PartBreakers::Parts tested;
+    EXPECT_TRUE(
+            router.breakers.admit({Session, Crashing}, later, tested)); // It would tell nothing.
+    EXPECT_FALSE(router.breakers.admit({First, Session}, later, tested));
+    router.breakers.recordAnswer({First, Session}, later);
+    EXPECT_FALSE(router.breakers.findOpen({Session}, later));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + milliseconds(19'900)));
+}
+
+// Guards against more than one early test that ends an engine.
+TEST(PartBreakers, AnEarlyTestThatCrashesAnEngineClearsThePartBesideIt)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Session, Crashing}, 3);
+    const SteadyTime later = last + milliseconds(2100);
+    PartBreakers::Parts tested;
+    PartBreakers::Parts testedByOther;
+    EXPECT_FALSE(router.breakers.admit({First, Crashing}, later, tested));
+    EXPECT_TRUE(router.breakers.admit({First, Crashing}, later, testedByOther));
+    router.breakers.recordCrash(4, {First, Crashing}, later);
+    EXPECT_FALSE(router.breakers.findOpen({Session}, later));
+    EXPECT_TRUE(router.breakers.findOpen({Crashing}, later + milliseconds(39'900)));
+}
+
 // Guards against a part that was at many crashes being refused for hours after it became harmless.
 TEST(PartBreakers, APartWithManyCrashesIsTestedWithinTenMinutes)
 {
@@ -267,7 +303,7 @@
         for (const PartEvidence &part : evidence)
             size += 1 + part.crashes.size();
         EXPECT_LE(size, Limit);
-        second.breakers.merge(evidence, now);
+        second.breakers.merge(evidence, ToThisRouter, now);
     }
     for (PartHash part = 1; part <= Rounds; ++part)
         EXPECT_EQ(second.breakers.crashesOf({part}), first.breakers.crashesOf({part})) << part;
@@ -292,10 +328,44 @@
     message.origin = "front-lvn-a-1";
     message.incarnation = ~std::uint64_t(0);
     message.sequence = ~std::uint64_t(0);
-    message.evidence = router.breakers.takeUnsent(75);
+    message.evidence = router.breakers.takeUnsent(75, Start);
     EXPECT_FALSE(message.evidence.empty());
     EXPECT_LE(encodePartEvidence(message, Start + std::chrono::hours(20)).size(), 1400U);
-    EXPECT_TRUE(router.breakers.hasUnsent());
+    EXPECT_TRUE(router.breakers.hasUnsent(Start));
+}
+
+// Guards against all routers of a large fleet reporting an answer that each of them saw.
+TEST(PartBreakers, AnAnswerThatManyRoutersSawIsReportedByFew)
+{
+    constexpr std::size_t Routers = 100;
+    std::deque<Router> routers;
+    for (std::size_t index = 0; index < Routers; ++index)
+        routers.emplace_back("router-" + std::to_string(index));
+    for (std::size_t index = 0; index < Routers; ++index) {
+        for (std::size_t other = 0; other < Routers; ++other) {
+            if (other != index)
+                routers[index].breakers.addRouter("router-" + std::to_string(other));
+        }
+        const PartEvidence crashed{First, {{1, Start}}};
+        routers[index].breakers.merge({crashed}, ToAllRouters, Start);
+        routers[index].breakers.recordAnswer({First}, Start + milliseconds(1));
+    }
+    std::vector<PartEvidence> reported;
+    const auto report = [&](SteadyTime now) {
+        std::size_t reporters = 0;
+        for (Router &router : routers) {
+            const auto unsent = router.breakers.takeUnsent(75, now);
+            reporters += unsent.empty() ? 0 : 1;
+            reported.insert(reported.end(), unsent.begin(), unsent.end());
+        }
+        return reporters;
+    };
+    EXPECT_EQ(report(Start + milliseconds(10)), 2U);
+    EXPECT_EQ(report(Start + milliseconds(100)), 0U);
+    EXPECT_EQ(report(Start + milliseconds(270)), 6U); // The first two were not heard.
+    for (Router &router : routers)
+        router.breakers.merge(reported, ToAllRouters, Start + milliseconds(280));
+    EXPECT_EQ(report(Start + seconds(10)), 0U);
 }
 
 TEST(PartEvidenceMessage, RoundTripsThroughEncoding)
@@ -338,7 +408,7 @@
         const auto evidence = from.takeRepeats(75);
         const auto bytes = encodePartEvidence({"", 0, 0, evidence}, now);
         now += milliseconds(7);
-        to.merge(decodePartEvidence(bytes, now)->evidence, now);
+        to.merge(decodePartEvidence(bytes, now)->evidence, ToThisRouter, now);
     };
     for (int round = 0; round < 500; ++round) {
         exchange(first.breakers, second.breakers);
@@ -375,17 +445,18 @@
             break;
         default: // A message that was delayed, and may come more than once.
             if (!sent.empty())
-                breakers.merge(sent[*rc::gen::inRange<std::size_t>(0, sent.size())], now);
+                breakers.merge(sent[*rc::gen::inRange<std::size_t>(0, sent.size())], ToAllRouters,
+                               now);
             break;
         }
-        auto unsent = breakers.takeUnsent(75);
+        auto unsent = breakers.takeUnsent(75, now);
         if (!unsent.empty())
             sent.push_back(std::move(unsent));
     }
     for (std::size_t message = 0; message < sent.size(); ++message) {
         for (Router &router : routers) {
-            router.breakers.merge(sent[message], now);
-            auto unsent = router.breakers.takeUnsent(75);
+            router.breakers.merge(sent[message], ToAllRouters, now);
+            auto unsent = router.breakers.takeUnsent(75, now);
             if (!unsent.empty())
                 sent.push_back(std::move(unsent));
         }
@@ -398,9 +469,9 @@
     }
     const PartHash answered = *rc::gen::inRange<PartHash>(1, 5);
     routers[0].breakers.recordAnswer({answered}, now + milliseconds(1));
-    const auto cleared = routers[0].breakers.takeUnsent(75);
+    const auto cleared = routers[0].breakers.takeUnsent(75, now + milliseconds(1));
     for (Router &router : routers) {
-        router.breakers.merge(cleared, now + milliseconds(2));
+        router.breakers.merge(cleared, ToAllRouters, now + milliseconds(2));
         RC_ASSERT(!router.breakers.findOpen({answered}, now + seconds(5)));
     }
 }
