--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -171,7 +171,8 @@
         return std::nullopt;
     const SteadyTime heldUntil = suspicion.lastAt + holdOf(suspicion);
     const bool holdsTest = std::find(tested.begin(), tested.end(), part) != tested.end();
-    const bool tellsApart = !suspicion.isTwin || !hasTwins(part, parts);
+    const bool isEarly = now < suspicion.lastAt + holdAfter(suspicion.crashes);
+    const bool tellsApart = !isEarly || !hasTwins(part, parts);
     const bool mayTakeTest =
             now >= found->second.testUntil && tellsApart && isTester(part, suspicion, now);
     if (now >= heldUntil && (holdsTest || mayTakeTest))
--- a/tests/unit-partbreakers.cpp
+++ b/tests/unit-partbreakers.cpp
@@ -262,6 +262,16 @@
     EXPECT_TRUE(router.breakers.findOpen({Crashing}, last + milliseconds(19'900)));
 }
 
+// Guards against parts that all requests hold together staying open for good, because no request
+// tells them apart.
+TEST(PartBreakers, PartsThatAlwaysComeTogetherAreTestedAfterTheirHold)
+{
+    Router router;
+    const SteadyTime last = crash(router.breakers, {Session, Crashing}, 3);
+    EXPECT_TRUE(router.breakers.findOpen({Session, Crashing}, last + milliseconds(19'900)));
+    EXPECT_FALSE(router.breakers.findOpen({Session, Crashing}, last + milliseconds(20'100)));
+}
+
 // Guards against more than one early test that ends an engine.
 TEST(PartBreakers, AnEarlyTestThatCrashesAnEngineClearsThePartBesideIt)
 {
