--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -35,6 +35,9 @@
 /// Longest time that bytes sent to a caller may stay unacknowledged (TCP_USER_TIMEOUT).
 constexpr milliseconds AcknowledgementTimeout{4000};
 
+/// A caller has this long to receive the last answer of a connection and to close it.
+constexpr milliseconds LingerTimeout{1000};
+
 unsigned statusOf(const boost::system::error_code &error)
 {
     namespace http = boost::beast::http;
@@ -68,16 +71,18 @@
 {
     const auto self = shared_from_this();
     m_socket->enableDeadPeerDetection(AcknowledgementTimeout);
+    bool isAnswered = false;
     for (;;) {
         CallerRequest request;
         m_idle = true;
+        isAnswered = false;
         const Next next = co_await readRequest(request);
         if (next == Next::Close)
             break;
         m_requestId = request.id;
         m_answerBytes = 0;
         m_isServing = true;
-        const bool isAnswered = co_await serve(request);
+        isAnswered = co_await serve(request);
         m_isServing = false;
         m_socket->stopWatching();
         if (isAnswered && m_endsWithConnection) {
@@ -95,6 +100,8 @@
     // A regular end would be the end of a body that ends with its connection.
     if (!m_endsWithConnection)
         m_socket->shutdownSending();
+    if (isAnswered)
+        co_await m_socket->discardInput(std::chrono::steady_clock::now() + LingerTimeout);
     m_socket->abort();
 }
 
@@ -281,6 +288,7 @@
             m_context.adapter->codec().encodeOwnAnswer(status, {}, std::nullopt, text, true);
     co_await send(answer);
     m_socket->shutdownSending();
+    co_await m_socket->discardInput(std::chrono::steady_clock::now() + LingerTimeout);
     co_return Next::Close;
 }
 
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -248,6 +248,16 @@
     setOption(m_socket.native_handle(), SOL_SOCKET, SO_LINGER, linger{isReset ? 1 : 0, 0});
 }
 
+asio::awaitable<void> TimedSocket::discardInput(SteadyTime deadline)
+{
+    setDeadline(deadline);
+    ErrorCode error;
+    while (!error) {
+        m_input.clear();
+        error = co_await readSome();
+    }
+}
+
 void TimedSocket::abort()
 {
     close(CloseReason::Aborted);
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -313,6 +313,32 @@
     EXPECT_TRUE(answers.ends_with(StreamEnd)) << answers;
 }
 
+// Guards against a reset that destroys the rest of a long answer, when the connection is closed
+// while a request that the caller has sent early is unread.
+TEST(LostAnswers, AnAnswerOfAPlannedStopIsNotDestroyedByAnUnreadRequest)
+{
+    const std::string body(1500000, 'b');
+    const RawEndpoint endpoint([&](int socket, const std::string &call, unsigned) {
+        std::this_thread::sleep_for(milliseconds(150));
+        RawEndpoint::write(socket, signedAnswer(call, "200 OK", body, "Connection: close\r\n"));
+    });
+    ForwardingHarness harness;
+    harness.configure(withShortLimits());
+    harness.addEndpoint("e1", "any", endpoint.address());
+    harness.beginDraining();
+    const RawCaller caller(harness.url());
+    const std::string call = "POST /any/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                             "Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n";
+    caller.send(call);
+    std::this_thread::sleep_for(milliseconds(50));
+    caller.send(call);
+    std::this_thread::sleep_for(milliseconds(500));
+    const std::string answer = caller.readToEnd();
+    EXPECT_TRUE(answer.ends_with(body)) << answer.size();
+    EXPECT_FALSE(caller.wasReset());
+    EXPECT_EQ(endpoint.calls(), 1U);
+}
+
 /// A connection that was opened before a planned stop and has an endpoint for each kind of request.
 class LateRequestOfAPlannedStop : public testing::Test
 {
