--- a/tests/support/endlessendpoint.cpp
+++ b/tests/support/endlessendpoint.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-EndlessEndpoint::EndlessEndpoint(std::string start, std::string piece,
+EndlessEndpoint::EndlessEndpoint(std::string start, const std::string &piece,
                                  std::chrono::milliseconds pause)
     : m_start(std::move(start))
     , m_block(blockOf(piece, pause.count() != 0))
--- a/tests/support/endlessendpoint.h
+++ b/tests/support/endlessendpoint.h
@@ -13,7 +13,7 @@
 class EndlessEndpoint
 {
 public:
-    EndlessEndpoint(std::string start, std::string piece,
+    EndlessEndpoint(std::string start, const std::string &piece,
                     std::chrono::milliseconds pause = std::chrono::milliseconds(0));
 
     const std::string &address() const { return m_endpoint.address(); }
