--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -80,10 +80,10 @@
     /// of a message. Holds also when the process ends.
     void setResetOnClose(bool isReset);
 
-    /// Reads and drops what the peer still sends until it closes the connection, or until the
-    /// deadline, which closes it. Closing with unread bytes would reset the connection, and the
-    /// peer could lose what was written last.
-    boost::asio::awaitable<void> discardInput(SteadyTime deadline);
+    /// Reads and drops what the peer still sends until it closes the connection, until the
+    /// deadline, which closes it, or until more than `maxBytes` have arrived. Closing with unread
+    /// bytes would reset the connection, and the peer could lose what was written last.
+    boost::asio::awaitable<void> discardInput(SteadyTime deadline, std::size_t maxBytes);
 
     /// Closes the connection immediately. Bytes that the peer has not read yet may be lost.
     void abort();
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -38,6 +38,9 @@
 /// A caller has this long to receive the last answer of a connection and to close it.
 constexpr milliseconds LingerTimeout{1000};
 
+/// Bytes that are dropped meanwhile, so that a caller which sends without end is disconnected.
+constexpr std::size_t MaxLingerBytes = std::size_t(1) << 20U;
+
 unsigned statusOf(const boost::system::error_code &error)
 {
     namespace http = boost::beast::http;
@@ -101,7 +104,8 @@
     if (!m_endsWithConnection)
         m_socket->shutdownSending();
     if (isAnswered)
-        co_await m_socket->discardInput(std::chrono::steady_clock::now() + LingerTimeout);
+        co_await m_socket->discardInput(std::chrono::steady_clock::now() + LingerTimeout,
+                                        MaxLingerBytes);
     m_socket->abort();
 }
 
@@ -288,7 +292,8 @@
             m_context.adapter->codec().encodeOwnAnswer(status, {}, std::nullopt, text, true);
     co_await send(answer);
     m_socket->shutdownSending();
-    co_await m_socket->discardInput(std::chrono::steady_clock::now() + LingerTimeout);
+    co_await m_socket->discardInput(std::chrono::steady_clock::now() + LingerTimeout,
+                                    MaxLingerBytes);
     co_return Next::Close;
 }
 
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -248,11 +248,13 @@
     setOption(m_socket.native_handle(), SOL_SOCKET, SO_LINGER, linger{isReset ? 1 : 0, 0});
 }
 
-asio::awaitable<void> TimedSocket::discardInput(SteadyTime deadline)
+asio::awaitable<void> TimedSocket::discardInput(SteadyTime deadline, std::size_t maxBytes)
 {
     setDeadline(deadline);
+    std::size_t discarded = 0;
     ErrorCode error;
-    while (!error) {
+    while (!error && discarded <= maxBytes) {
+        discarded += m_input.size();
         m_input.clear();
         error = co_await readSome();
     }
