--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -105,7 +105,7 @@
         SteadyTime firstAt;
         SteadyTime lastAt;
         std::uint64_t engines = 0; ///< Sum of the engines' hashes; tells sets of crashes apart.
-        bool isTwin = false;       ///< Another part was at the same crashes.
+        bool isAmbiguous = false;  ///< Another part was at the same crashes.
     };
 
     struct Entry
@@ -149,11 +149,11 @@
     std::optional<OpenPart> openPart(PartHash part, const Parts &parts, SteadyTime now,
                                      const Parts &tested) const;
     /// Whether one of the other parts was at the same crashes as `part`.
-    bool hasTwins(PartHash part, const Parts &parts) const;
+    bool sharesCrashes(PartHash part, const Parts &parts) const;
     /// Time from the last crash until the part is tested.
     static std::chrono::milliseconds holdOf(const Suspicion &suspicion);
     /// Marks those of the parts, which have equally many crashes, that were at the same ones.
-    static void markTwins(const std::vector<Entry *> &entries);
+    static void markAmbiguous(const std::vector<Entry *> &entries);
     Entry &entryOf(PartHash part);
     void evict();
 
--- a/include/almondmill/forward/partevidence.h
+++ b/include/almondmill/forward/partevidence.h
@@ -34,4 +34,7 @@
     std::vector<EngineCrash> crashes; ///< Ordered by time.
 };
 
+/// Whether a sound answer with the part started after one of its crashes.
+bool isAnswered(const PartEvidence &evidence);
+
 } // namespace almondmill
--- a/src/forward/partbreakers.cpp
+++ b/src/forward/partbreakers.cpp
@@ -44,29 +44,20 @@
 /// harmless returns.
 constexpr milliseconds MaxHold{600'000};
 
-/// The same for parts that were at the same crashes, the first time that they are open: one request
-/// with only one of them tells which of them it is.
-constexpr milliseconds FirstHoldOfTwins{2000};
+/// FirstHold of parts that were at the same three crashes: one request with only one of them tells
+/// which of them it is.
+constexpr milliseconds FirstHoldOfAmbiguousParts{2000};
 
 /// Routers take turns of this length in testing a half-open part, because some may have left or get
 /// no request with the part.
 constexpr milliseconds TestTurn{5000};
-constexpr milliseconds TestTurnOfTwins{1000};
+constexpr milliseconds TestTurnOfAmbiguousParts{1000};
 
 /// Routers that may test a part in one turn: one in the first, and more in the later ones. A bound,
 /// because requests with the part may return at all routers at once after a pause.
 constexpr std::size_t MaxTestersInFirstTurn = 1;
 constexpr std::size_t MaxTesters = 2;
 
-/// So many routers report a sound answer to all others at first, and the next routers only if none
-/// of these did: many routers see answers to a part that many requests share.
-constexpr std::size_t FirstReporters = 2;
-constexpr std::size_t ReporterGrowth = 4;
-constexpr milliseconds ReporterInterval{250};
-
-/// With fewer peers all routers report at once.
-constexpr std::size_t MinPeersToWait = 32;
-
 /// A test without a result ends after this time.
 constexpr milliseconds TestTimeout{10'000};
 
@@ -106,19 +97,6 @@
     return crashes.empty() || now - crashes.back().at > retentionAfter(crashes.size());
 }
 
-/// Whether a sound answer with the part started after one of its crashes.
-bool isAnswered(const PartEvidence &evidence)
-{
-    return std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
-                       [](const EngineCrash &crash) { return crash.answered; });
-}
-
-/// What the evidence adds to the size of a message: the part and its crashes.
-std::size_t sizeOf(const PartEvidence &evidence)
-{
-    return 1 + evidence.crashes.size();
-}
-
 } // namespace
 
 PartBreakers::PartBreakers(const std::string &self, Metrics &metrics)
@@ -144,7 +122,7 @@
     return std::nullopt;
 }
 
-bool PartBreakers::hasTwins(PartHash part, const Parts &parts) const
+bool PartBreakers::sharesCrashes(PartHash part, const Parts &parts) const
 {
     const Suspicion &suspicion = m_entries.at(part).suspicion;
     return std::any_of(parts.begin(), parts.end(), [&](PartHash other) {
@@ -156,8 +134,8 @@
 
 milliseconds PartBreakers::holdOf(const Suspicion &suspicion)
 {
-    const bool isShort = suspicion.isTwin && suspicion.crashes == CrashesToOpen;
-    return isShort ? FirstHoldOfTwins : holdAfter(suspicion.crashes);
+    const bool isShort = suspicion.isAmbiguous && suspicion.crashes == CrashesToOpen;
+    return isShort ? FirstHoldOfAmbiguousParts : holdAfter(suspicion.crashes);
 }
 
 std::optional<PartBreakers::OpenPart>
@@ -172,7 +150,7 @@
     const SteadyTime heldUntil = suspicion.lastAt + holdOf(suspicion);
     const bool holdsTest = std::find(tested.begin(), tested.end(), part) != tested.end();
     const bool isEarly = now < suspicion.lastAt + holdAfter(suspicion.crashes);
-    const bool tellsApart = !isEarly || !hasTwins(part, parts);
+    const bool tellsApart = !isEarly || !sharesCrashes(part, parts);
     const bool mayTakeTest =
             now >= found->second.testUntil && tellsApart && isTester(part, suspicion, now);
     if (now >= heldUntil && (holdsTest || mayTakeTest))
@@ -283,29 +261,6 @@
     return isNews;
 }
 
-void PartBreakers::postponeReport(const PartEvidence &evidence, SteadyTime now)
-{
-    const auto found = m_entries.find(evidence.part);
-    if (found == m_entries.end())
-        return;
-    Entry &entry = found->second;
-    if (entry.unsentSince && isAnswered(evidence))
-        entry.unsentSince = now;
-    for (const EngineCrash &crash : evidence.crashes)
-        std::erase(entry.unsentCrashes, crash.engine);
-    const auto isReported = [&](const EngineCrash &own) {
-        return std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
-                           [&](const EngineCrash &crash) {
-                               return crash.engine == own.engine && crash.answered == own.answered;
-                           });
-    };
-    const auto &crashes = entry.evidence.crashes;
-    if (!std::all_of(crashes.begin(), crashes.end(), isReported))
-        return;
-    entry.hasUnsentAnswer = false;
-    entry.unsentSince.reset();
-}
-
 bool PartBreakers::mergeEntry(const PartEvidence &evidence, SteadyTime now)
 {
     const bool isKnown = m_entries.contains(evidence.part);
@@ -318,95 +273,6 @@
     return isNews;
 }
 
-std::vector<PartEvidence> PartBreakers::takeUnsent(std::size_t limit, SteadyTime now)
-{
-    std::vector<Entry *> due;
-    for (auto &[part, entry] : m_entries) {
-        if (entry.hasUnsentAnswer && !entry.unsentSince)
-            entry.unsentSince = now;
-        if (isDue(entry, now))
-            due.push_back(&entry);
-    }
-    std::sort(due.begin(), due.end(), [](const Entry *first, const Entry *second) {
-        return first->suspicion.crashes > second->suspicion.crashes;
-    });
-    std::vector<PartEvidence> evidence;
-    std::size_t size = 0;
-    for (Entry *entry : due) {
-        PartEvidence unsent = unsentOf(*entry, now);
-        size += sizeOf(unsent);
-        if (size > limit && !evidence.empty())
-            break;
-        if (isAnswerDue(*entry, now)) {
-            entry->hasUnsentAnswer = false;
-            entry->unsentSince.reset();
-        }
-        entry->unsentCrashes.clear();
-        evidence.push_back(std::move(unsent));
-    }
-    return evidence;
-}
-
-PartEvidence PartBreakers::unsentOf(const Entry &entry, SteadyTime now) const
-{
-    PartEvidence unsent = entry.evidence;
-    if (isAnswerDue(entry, now))
-        return unsent;
-    std::erase_if(unsent.crashes, [&](const EngineCrash &crash) {
-        return std::count(entry.unsentCrashes.begin(), entry.unsentCrashes.end(), crash.engine)
-               == 0;
-    });
-    return unsent;
-}
-
-bool PartBreakers::hasUnsent(SteadyTime now) const
-{
-    return std::any_of(m_entries.begin(), m_entries.end(),
-                       [&](const auto &entry) { return isDue(entry.second, now); });
-}
-
-bool PartBreakers::isDue(const Entry &entry, SteadyTime now) const
-{
-    return !entry.unsentCrashes.empty() || isAnswerDue(entry, now);
-}
-
-bool PartBreakers::isAnswerDue(const Entry &entry, SteadyTime now) const
-{
-    if (!entry.hasUnsentAnswer || m_routers.size() < MinPeersToWait)
-        return entry.hasUnsentAnswer;
-    const SteadyTime since = entry.unsentSince.value_or(now);
-    std::size_t reporters = FirstReporters;
-    for (SteadyTime next = since + ReporterInterval; next <= now && reporters <= m_routers.size();
-         next += ReporterInterval)
-        reporters *= ReporterGrowth;
-    return rankFor(entry.evidence.part) < reporters;
-}
-
-std::vector<PartEvidence> PartBreakers::takeRepeats(std::size_t limit)
-{
-    std::vector<Entry *> suspects;
-    for (auto &[part, entry] : m_entries) {
-        if (entry.suspicion.crashes >= CrashesToStopRetries)
-            suspects.push_back(&entry);
-    }
-    std::sort(suspects.begin(), suspects.end(), [](const Entry *first, const Entry *second) {
-        if (first->lastRepeat != second->lastRepeat)
-            return first->lastRepeat < second->lastRepeat;
-        return first->suspicion.crashes > second->suspicion.crashes;
-    });
-    ++m_repeats;
-    std::vector<PartEvidence> evidence;
-    std::size_t size = 0;
-    for (Entry *entry : suspects) {
-        if (size + sizeOf(entry->evidence) > limit)
-            continue;
-        size += sizeOf(entry->evidence);
-        entry->lastRepeat = m_repeats;
-        evidence.push_back(entry->evidence);
-    }
-    return evidence;
-}
-
 void PartBreakers::refresh(SteadyTime now)
 {
     for (auto &[part, entry] : m_entries) {
@@ -473,7 +339,7 @@
             const std::size_t unexplained = suspicionOf(entry->evidence, explained).crashes;
             entry->suspicion.crashes = std::min(crashes, unexplained * CrashesPerUnexplained);
         }
-        markTwins(entries);
+        markAmbiguous(entries);
         // Only now, since parts with the same number of crashes cannot be told apart.
         for (const Entry *entry : entries) {
             if (!explainsCrashes(*entry))
@@ -484,14 +350,14 @@
     }
 }
 
-void PartBreakers::markTwins(const std::vector<Entry *> &entries)
+void PartBreakers::markAmbiguous(const std::vector<Entry *> &entries)
 {
     std::map<std::uint64_t, std::vector<Entry *>> byEngines;
     for (Entry *entry : entries)
         byEngines[entry->suspicion.engines].push_back(entry);
-    for (const auto &[engines, twins] : byEngines) {
-        for (Entry *entry : twins)
-            entry->suspicion.isTwin = twins.size() > 1;
+    for (const auto &[engines, parts] : byEngines) {
+        for (Entry *entry : parts)
+            entry->suspicion.isAmbiguous = parts.size() > 1;
     }
 }
 
@@ -539,7 +405,7 @@
     const SteadyTime heldUntil = suspicion.lastAt + holdOf(suspicion);
     if (now < heldUntil)
         return false;
-    const milliseconds length = suspicion.isTwin ? TestTurnOfTwins : TestTurn;
+    const milliseconds length = suspicion.isAmbiguous ? TestTurnOfAmbiguousParts : TestTurn;
     const auto turn = static_cast<std::uint64_t>((now - heldUntil) / length);
     return rankFor(mixHash(part, turn)) < (turn == 0 ? MaxTestersInFirstTurn : MaxTesters);
 }
--- a/src/forward/partevidence.cpp
+++ b/src/forward/partevidence.cpp
@@ -4,6 +4,8 @@
 #include "almondmill/forward/promptrequest.h"
 #include "almondmill/kernel/hash.h"
 
+#include <algorithm>
+
 namespace almondmill {
 
 std::uint64_t incarnationHash(const Registration &registration)
@@ -21,4 +23,10 @@
     return hashes;
 }
 
+bool isAnswered(const PartEvidence &evidence)
+{
+    return std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
+                       [](const EngineCrash &crash) { return crash.answered; });
+}
+
 } // namespace almondmill
