Read the rate limits that endpoints name, log them and count the sends that they concern

Event lines didn't show whether a router knew of a limit when it sent, nor which attempt a send was. Now endpoint.rate_limit tells when this router heard that a limit began, changed or ended, request.send carries the attempt and the known limit, two counters and a gauge count limits and sends, and /dump shows the limit of each endpoint. Nothing is decided by it yet.

--- a/include/almondmill/forward/answermetadata.h
+++ b/include/almondmill/forward/answermetadata.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "almondmill/forward/ratelimitfield.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -22,6 +24,7 @@
     bool isLeaving = false; ///< The endpoint states that it shuts down.
     /// How long the endpoint wants no requests; empty when it states no usable time.
     std::optional<std::chrono::milliseconds> retryAfter;
+    RateLimitField rateLimit;
     bool closesConnection = false; ///< The endpoint closes the connection after this answer.
     bool mayBeEventStream = true;  ///< The content type is that of an event stream, or missing.
     std::optional<std::chrono::milliseconds> keepAlive; ///< The endpoint's idle timeout.
--- a/include/almondmill/forward/endpointview.h
+++ b/include/almondmill/forward/endpointview.h
@@ -29,6 +29,8 @@
 
     const Registration &registration() const { return m_registration; }
     const std::string &id() const { return m_registration.id; }
+    /// See incarnationHash.
+    std::uint64_t incarnation() const { return m_incarnation; }
     const boost::asio::ip::tcp::endpoint &address() const { return m_address; }
 
     /// Whether `registration` belongs to this incarnation, at the same address.
@@ -82,6 +84,7 @@
 
 private:
     Registration m_registration;
+    std::uint64_t m_incarnation = 0;
     boost::asio::ip::tcp::endpoint m_address;
     /// Versions that answers showed after the registration.
     std::vector<ServedModel> m_observedVersions;
--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -7,6 +7,7 @@
 #include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/forward/plannedstop.h"
+#include "almondmill/forward/ratelimits.h"
 #include "almondmill/forward/serviceretrybudgets.h"
 #include "almondmill/forward/weightstargets.h"
 #include "almondmill/kernel/rcucell.h"
@@ -43,6 +44,7 @@
     RcuCell<RoutingTable> table; ///< Null until the first configuration is in force.
     EndpointViews endpoints;
     EndpointDirectory directory;
+    RateLimits rateLimits;
     WeightsTargets weights;
     PeerViews peers;
     PartLocations partLocations;
--- a/include/almondmill/forward/forwardingmetrics.h
+++ b/include/almondmill/forward/forwardingmetrics.h
@@ -33,6 +33,12 @@
     /// Counts a pause that an endpoint asked for.
     void recordPausedEndpoint() { m_endpointPauses.add(); }
 
+    /// Counts an endpoint that began to name a rate limit.
+    void recordRateLimit() { m_rateLimits.add(); }
+
+    /// Counts a request sent to an endpoint with a rate limit.
+    void recordLimitedSend() { m_limitedSends.add(); }
+
     /// Counts a finished request and adds its latencies. `kind` is empty when no route matched,
     /// `firstByte` when no answer started.
     void recordRequest(std::optional<RetrySafety> kind, std::string_view outcome, Latency total,
@@ -47,6 +53,8 @@
     Counter &m_repeatedSends;
     Counter &m_leavingEndpoints;
     Counter &m_endpointPauses;
+    Counter &m_rateLimits;
+    Counter &m_limitedSends;
     Histogram &m_firstByteLatency;
     Histogram &m_requestLatency;
 };
--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -53,6 +53,8 @@
     StatusServer::Reply operatorsReply(const std::string &path) const;
     nlohmann::json describeConfiguration(SteadyTime now) const;
     nlohmann::json describeEndpoints(SteadyTime bootNow) const;
+    /// Requests per second that the endpoint takes from all routers; null without a limit.
+    nlohmann::json describeRateLimit(const EndpointView &view) const;
     nlohmann::json describeWeights() const;
     nlohmann::json describeOpenParts(SteadyTime now) const;
     void applyPeerMessage(const PeerMessage &message);
--- a/include/almondmill/observe/eventline.h
+++ b/include/almondmill/observe/eventline.h
@@ -24,6 +24,7 @@
     EventLine &add(std::string_view key, std::uint32_t value);
     EventLine &add(std::string_view key, int value);
     EventLine &add(std::string_view key, bool value);
+    EventLine &add(std::string_view key, double value);
     EventLine &add(std::string_view key, std::chrono::milliseconds value);
 
 private:
--- a/src/forward/availabilityrecorder.cpp
+++ b/src/forward/availabilityrecorder.cpp
@@ -11,13 +11,6 @@
 
 constexpr unsigned ServiceUnavailable = 503;
 
-bool isStatementOf(const EndpointView &view, const AnswerMetadata &metadata)
-{
-    const bool namesOther = !metadata.endpointId.empty() && metadata.endpointId != view.id();
-    const bool isSuccess = metadata.status >= 200 && metadata.status < 300;
-    return !namesOther && (!isSuccess || metadata.isSigned);
-}
-
 void recordLeaving(EndpointView &view, std::string_view requestId, ForwardingMetrics &metrics,
                    SteadyTime bootNow)
 {
@@ -47,6 +40,13 @@
 
 } // namespace
 
+bool isStatementOf(const EndpointView &view, const AnswerMetadata &metadata)
+{
+    const bool namesOther = !metadata.endpointId.empty() && metadata.endpointId != view.id();
+    const bool isSuccess = metadata.status >= 200 && metadata.status < 300;
+    return !namesOther && (!isSuccess || metadata.isSigned);
+}
+
 void recordAvailability(EndpointView &view, const AnswerMetadata &metadata,
                         std::string_view requestId, ForwardingMetrics &metrics, SteadyTime bootNow)
 {
--- a/src/forward/endpointview.cpp
+++ b/src/forward/endpointview.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/forward/endpointview.h"
 
+#include "almondmill/forward/partevidence.h"
 #include "almondmill/forward/socketaddress.h"
 
 #include <algorithm>
@@ -28,6 +29,7 @@
 EndpointView::EndpointView(Registration registration,
                            std::shared_ptr<EndpointAvailability> availability)
     : m_registration(std::move(registration))
+    , m_incarnation(incarnationHash(m_registration))
     , m_address(parseSocketAddress(m_registration.address))
     , m_availability(std::move(availability))
 {}
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
+#include "almondmill/forward/ratelimitrecorder.h"
 #include "almondmill/forward/wirecodec.h"
 #include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/clocktimes.h"
@@ -241,6 +242,7 @@
             m_planner.planAttempt(placed(), view, timeUntil(m_deadline, now.steady), now);
     ++m_sendCount;
     m_context.requestMetrics.recordSend(m_sendCount > 1);
+    m_sentAt = now.boot;
     logSend(parameters, view);
     if (m_request.prompt)
         m_load->startPrefill(m_request.prompt->promptTokens);
@@ -266,6 +268,7 @@
     const AnswerMetadata &metadata = exchange.metadata();
     recordAvailability(exchange.endpoint(), metadata, m_request.id, m_context.requestMetrics,
                        bootTime());
+    recordRateLimit(m_context, exchange.endpoint(), metadata, {m_sentAt, bootTime()});
     if (metadata.weightsVersion && m_request.prompt)
         exchange.endpoint().setWeightsVersion(m_request.prompt->model, *metadata.weightsVersion);
     if (metadata.notExecuted)
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -138,6 +138,7 @@
     SteadyTime m_startedAt;
     SteadyTime m_deadline;
     SteadyTime m_attemptStartedAt;
+    SteadyTime m_sentAt; ///< Of the current attempt, on the boot clock.
 
     std::vector<SendPlanner::View> m_triedEndpoints;
     std::uint32_t m_sendCount = 0; ///< Attempts sent, except those answered with "other endpoint".
--- a/src/forward/forwardingmetrics.cpp
+++ b/src/forward/forwardingmetrics.cpp
@@ -42,6 +42,8 @@
     , m_repeatedSends(metrics.counter("almondmill_repeated_sends_total"))
     , m_leavingEndpoints(metrics.counter("almondmill_leaving_endpoints_total"))
     , m_endpointPauses(metrics.counter("almondmill_endpoint_pauses_total"))
+    , m_rateLimits(metrics.counter("almondmill_endpoint_rate_limits_total"))
+    , m_limitedSends(metrics.counter("almondmill_sends_rate_limited_total"))
     , m_firstByteLatency(metrics.histogram("almondmill_first_byte_seconds"))
     , m_requestLatency(metrics.histogram("almondmill_request_seconds"))
 {}
--- a/src/forward/operatorview.cpp
+++ b/src/forward/operatorview.cpp
@@ -44,6 +44,8 @@
     metrics.setGauge("almondmill_endpoints_paused", [this] { return countEndpoints<Paused>(); });
     metrics.setGauge("almondmill_endpoints_resuming",
                      [this] { return countEndpoints<Resuming>(); });
+    metrics.setGauge("almondmill_endpoints_rate_limited",
+                     [this] { return static_cast<double>(m_context.rateLimits.limitedCount()); });
     metrics.setGauge("almondmill_live_peers",
                      [this] { return static_cast<double>(m_context.peers.liveCount()); });
     metrics.setGauge("almondmill_parts_open", [this] {
@@ -87,6 +89,7 @@
                          {"started_at", view->registration().startedAt.count()},
                          {"availability", nameOf(availability.stateAt(bootNow))},
                          {"withheld", availability.withheld()},
+                         {"rate_limit", describeRateLimit(*view)},
                          {"address", view->registration().address},
                          {"takes_requests", view->takesRequests()},
                          {"open_requests", view->openRequests()}};
@@ -94,6 +97,12 @@
     return endpoints;
 }
 
+nlohmann::json ForwardingRouter::describeRateLimit(const EndpointView &view) const
+{
+    const auto perSecond = m_context.rateLimits.perSecond(view.incarnation());
+    return perSecond ? nlohmann::json(*perSecond) : nlohmann::json();
+}
+
 nlohmann::json ForwardingRouter::describeWeights() const
 {
     nlohmann::json weights = nlohmann::json::object();
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -100,7 +100,14 @@
 void ForwardedRequest::logSend(const AttemptParameters &send, const EndpointView &view) const
 {
     EventLine line("request.send");
-    line.add("id", m_request.id).add("endpoint", view.id()).add("time_left", send.timeLeft);
+    line.add("id", m_request.id)
+            .add("endpoint", view.id())
+            .add("time_left", send.timeLeft)
+            .add("attempt", m_sendCount);
+    if (const auto perSecond = m_context.rateLimits.perSecond(view.incarnation())) {
+        line.add("rate_limit", *perSecond);
+        m_context.requestMetrics.recordLimitedSend();
+    }
     if (!m_request.prompt)
         return;
     line.add("scope", send.cacheScope)
--- a/src/observe/eventline.cpp
+++ b/src/observe/eventline.cpp
@@ -75,6 +75,11 @@
     return add(key, std::to_string(value));
 }
 
+EventLine &EventLine::add(std::string_view key, double value)
+{
+    return add(key, absl::StrCat(value));
+}
+
 EventLine &EventLine::add(std::string_view key, bool value)
 {
     return add(key, value ? "true" : "false");
--- a/tests/unit-rietwerk.cpp
+++ b/tests/unit-rietwerk.cpp
@@ -200,8 +200,45 @@
     return adapter().codec().decodeAnswer(head).retryAfter;
 }
 
+RateLimitField rateLimitOf(const std::vector<std::string> &values)
+{
+    HttpHead head;
+    for (const std::string &value : values)
+        head.fields.add("Server-Limit", value);
+    return adapter().codec().decodeAnswer(head).rateLimit;
+}
+
+/// Requests per second of a field that states them; -1 for one that can't be read.
+double limitOf(const std::vector<std::string> &values)
+{
+    const RateLimitField field = rateLimitOf(values);
+    EXPECT_FALSE(std::holds_alternative<NoRateLimit>(field));
+    const auto *limit = std::get_if<RequestsPerSecond>(&field);
+    return limit ? limit->value : -1;
+}
+
 } // namespace
 
+// Guards against limits that are misread: lower than stated, endless, or in place of nonsense.
+TEST(RietwerkCodec, EveryFormOfARateLimitHasADefinedMeaning)
+{
+    EXPECT_TRUE(std::holds_alternative<NoRateLimit>(rateLimitOf({})));
+    EXPECT_EQ(limitOf({"4"}), 4);
+    EXPECT_EQ(limitOf({" 4.25 "}), 4.25);
+    EXPECT_EQ(limitOf({".5"}), 0.5);
+    EXPECT_EQ(limitOf({"0"}), 0);
+    EXPECT_EQ(limitOf({"0.0"}), 0);
+    EXPECT_EQ(limitOf({"0.000001"}), 0.000001);
+    EXPECT_EQ(limitOf({"0." + std::string(400, '0') + "1"}), 0);
+    EXPECT_EQ(limitOf({"1000001"}), 1e6);
+    EXPECT_EQ(limitOf({std::string(400, '9')}), 1e6);
+    for (const char *text : {"", "-1", "-0", "+2", "1e3", "1E-3", "inf", "nan", "0x10", "4 per s",
+                             "1.2.3", ".", "four"})
+        EXPECT_EQ(limitOf({text}), -1) << text;
+    EXPECT_EQ(limitOf({"5", "3"}), 3);
+    EXPECT_EQ(limitOf({"5, 3, nonsense"}), 3);
+}
+
 TEST(RietwerkCodec, EveryFormOfRetryAfterHasADefinedMeaning)
 {
     const milliseconds longest = std::chrono::hours(1);
