--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -136,6 +136,7 @@
         const auto signature = parser.get()["Server-Signature"];
         attempt.signature.assign(signature.data(), signature.size());
         attempt.announcesLeaving = parser.get()["Server-Leaving"] == "1";
+        attempt.namesRateLimit = parser.get().count("Server-Limit") != 0;
         co_await beast::http::async_read(stream, buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         attempt.body = parser.get().body();
--- a/soak/endpointgroup.cpp
+++ b/soak/endpointgroup.cpp
@@ -158,6 +158,22 @@
     m_history.endDisturbance(disturbance, steadyNow());
 }
 
+boost::asio::awaitable<void> EndpointGroup::limitRate(std::size_t index, double perSecond,
+                                                      milliseconds duration)
+{
+    // Incarnations that end are kept until the end of the soak.
+    Incarnation &incarnation = *m_replicas[index]->incarnation;
+    if (incarnation.hasRateLimit())
+        co_return;
+    const std::size_t record = m_history.rateLimits.size();
+    m_history.rateLimits.push_back(
+            {incarnation.plan().id, perSecond, steadyNow(), SteadyTime::max()});
+    incarnation.setRateLimit(perSecond);
+    co_await sleepFor(m_loop, duration);
+    incarnation.setRateLimit(std::nullopt);
+    m_history.rateLimits[record].until = steadyNow();
+}
+
 boost::asio::awaitable<void> EndpointGroup::registerAsDraining(Incarnation &incarnation)
 {
     incarnation.drain();
--- a/soak/endpointgroup.h
+++ b/soak/endpointgroup.h
@@ -58,6 +58,10 @@
     boost::asio::awaitable<void> failRequests(std::size_t replica, double ratio,
                                               std::chrono::milliseconds duration);
 
+    /// Makes the incarnation name a limit of requests per second for `duration`.
+    boost::asio::awaitable<void> limitRate(std::size_t replica, double perSecond,
+                                           std::chrono::milliseconds duration);
+
     /// Engines whose weights are older than `version`.
     std::vector<std::string> outdatedEngines(std::uint64_t version) const;
 
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -123,6 +123,10 @@
     {
         return self.m_endpoints.failRequests(fault.endpoint, fault.ratio, fault.duration);
     }
+    Awaitable operator()(const LimitRate &fault) const
+    {
+        return self.m_endpoints.limitRate(fault.endpoint, fault.perSecond, fault.duration);
+    }
     Awaitable operator()(const ChangeConfiguration &fault) const
     {
         self.m_operator.change(fault.step, steadyNow());
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -53,7 +53,7 @@
     }
 
 private:
-    static constexpr std::size_t KindCount = 20;
+    static constexpr std::size_t KindCount = 22;
 
     std::size_t pick(std::size_t count)
     {
@@ -134,6 +134,9 @@
         case 17:
         case 18:
             return ChangeConfiguration{configurationStep()};
+        case 19:
+        case 20:
+            return LimitRate{endpoint(), 0.5 * static_cast<double>(pick(12)), between(2000, 12000)};
         default:
             return PublishWeights{};
         }
@@ -254,6 +257,11 @@
         return absl::StrCat("endpoint ", fault.endpoint + 1, " fails ", fault.ratio,
                             " of its requests for ", fault.duration.count(), " ms");
     }
+    std::string operator()(const LimitRate &fault) const
+    {
+        return absl::StrCat("endpoint ", fault.endpoint + 1, " names a limit of ", fault.perSecond,
+                            " requests per second for ", fault.duration.count(), " ms");
+    }
     std::string operator()(const ChangeConfiguration &fault) const
     {
         return absl::StrCat("the operator ", nameOf(fault.step));
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -103,6 +103,15 @@
     std::chrono::milliseconds duration{0};
 };
 
+/// An endpoint names a limit of requests per second, for all routers together, and serves as
+/// before.
+struct LimitRate
+{
+    std::size_t endpoint = 0;
+    double perSecond = 0;
+    std::chrono::milliseconds duration{0};
+};
+
 /// Changes that the operator makes to the configuration.
 enum class ConfigurationStep { AddRoute, RemoveRoute, MoveService, AddKey, RemoveKey };
 
@@ -117,8 +126,8 @@
 
 using Fault = std::variant<KillRouter, StopRouter, PauseRouter, ReloadRouter, KillAllRouters,
                            DisturbStoreLink, DisturbCallerLink, DisturbEndpoint, DisturbStore,
-                           CrashEndpoint, ReplaceEndpoint, FailRequests, ChangeConfiguration,
-                           PublishWeights>;
+                           CrashEndpoint, ReplaceEndpoint, FailRequests, LimitRate,
+                           ChangeConfiguration, PublishWeights>;
 
 struct PlannedFault
 {
--- a/soak/records.h
+++ b/soak/records.h
@@ -29,6 +29,7 @@
     unsigned status = 0; ///< Zero without an answer.
     std::string signature;
     bool announcesLeaving = false; ///< The answer states that its endpoint shuts down.
+    bool namesRateLimit = false;   ///< The answer names a limit of its endpoint.
     std::string body;
     bool isComplete = false;         ///< The answer was received up to its end.
     bool callerDisconnected = false; ///< Deliberately, before the answer's end.
@@ -58,6 +59,15 @@
     std::optional<std::chrono::milliseconds> pause; ///< How long it wants no further ones.
 };
 
+/// An endpoint named a limit of requests per second, for all routers together.
+struct RateLimitStated
+{
+    std::string endpoint;
+    double perSecond = 0;
+    SteadyTime from;
+    SteadyTime until = SteadyTime::max();
+};
+
 /// The store acknowledged a configuration at that time.
 struct ConfigurationChange
 {
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -95,7 +95,10 @@
         }
         m_callers->start(m_options.callers);
         const SoakSize size{m_routers.size(), m_endpoints.size()};
-        co_await m_injector.run(planFaults(m_options.seed, m_options.faultsFor, size));
+        std::vector<PlannedFault> faults = m_options.faults;
+        if (faults.empty())
+            faults = planFaults(m_options.seed, m_options.faultsFor, size);
+        co_await m_injector.run(std::move(faults));
         m_lastFaultEnd = steadyNow();
         co_await sleepFor(m_loop, m_options.recovery);
         m_callers->stop();
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -18,6 +18,8 @@
     std::chrono::milliseconds recovery{15000}; ///< Time without faults after them.
     std::size_t routers = 4;
     std::size_t callers = 24;
+    /// The faults to inject; those of the seed when empty.
+    std::vector<PlannedFault> faults;
     std::string folder; ///< For the routers' settings and logs.
 };
 
--- a/soak/soakhistory.h
+++ b/soak/soakhistory.h
@@ -16,6 +16,7 @@
     std::deque<Attempt> attempts;
     std::deque<RequestRun> runs;
     std::deque<RequestRefusal> refusals;
+    std::vector<RateLimitStated> rateLimits;
     std::vector<ConfigurationChange> configurations;
     std::vector<EndpointDraining> drainings;
     std::vector<WeightsPublished> weights;
--- a/soak/statementchecks.cpp
+++ b/soak/statementchecks.cpp
@@ -1,4 +1,5 @@
-// Checks of what endpoints state about themselves: that they leave, or that they want a pause.
+// Checks of what endpoints state about themselves: that they leave, that they want a pause, or how
+// many requests they take.
 
 #include "checks.h"
 
@@ -58,6 +59,8 @@
             if (refusal.pause)
                 checkPause(refusal);
         }
+        for (const RateLimitStated &limit : m_history.rateLimits)
+            checkRateLimit(limit);
         return m_violations;
     }
 
@@ -110,6 +113,61 @@
                                              " in its pause of ", refusal.pause->count(), " ms")));
     }
 
+    /// When each router had passed on an answer with the endpoint's limit.
+    std::map<std::size_t, SteadyTime> routersTold(const RateLimitStated &limit) const
+    {
+        std::map<std::size_t, SteadyTime> told;
+        for (const Attempt &attempt : m_history.attempts) {
+            const bool tells = attempt.namesRateLimit && attempt.headAt
+                               && signerOf(attempt.signature) == limit.endpoint
+                               && *attempt.headAt >= limit.from && *attempt.headAt < limit.until;
+            if (!tells)
+                continue;
+            const auto [at, isNew] = told.try_emplace(attempt.router, *attempt.headAt);
+            at->second = std::min(at->second, *attempt.headAt);
+        }
+        return told;
+    }
+
+    /// Arrivals that count against the limit: of routers that were told and whose process ran on
+    /// undisturbed since the limit began.
+    std::vector<SteadyTime> countedArrivals(const RateLimitStated &limit)
+    {
+        const auto told = routersTold(limit);
+        std::vector<SteadyTime> times;
+        for (const Arrival &arrival : m_arrivals[limit.endpoint]) {
+            const auto toldAt = told.find(arrival.attempt->router);
+            const bool counts =
+                    toldAt != told.end() && arrival.at >= toldAt->second + m_bounds.rateLimitNotice
+                    && arrival.at >= limit.from + m_bounds.settleTime && arrival.at < limit.until;
+            if (counts
+                && m_history.hasRouterRunThrough(arrival.attempt->router, limit.from, arrival.at))
+                times.push_back(arrival.at);
+        }
+        std::sort(times.begin(), times.end());
+        return times;
+    }
+
+    /// The sum over the routers binds in each window, whichever routers are disturbed.
+    void checkRateLimit(const RateLimitStated &limit)
+    {
+        const auto times = countedArrivals(limit);
+        const double seconds = std::chrono::duration<double>(m_bounds.rateLimitWindow).count();
+        const double allowed = m_bounds.rateLimitFactor * seconds * limit.perSecond
+                               + static_cast<double>(m_bounds.rateLimitSlack);
+        std::size_t most = 0;
+        for (auto first = times.begin(); first != times.end(); ++first) {
+            const auto end =
+                    std::lower_bound(first, times.end(), *first + m_bounds.rateLimitWindow);
+            most = std::max(most, static_cast<std::size_t>(end - first));
+        }
+        if (static_cast<double>(most) > allowed)
+            m_violations.push_back(
+                    {"rate-limit", absl::StrCat(limit.endpoint, " got ", most, " requests in ",
+                                                seconds, " s with a limit of ", limit.perSecond,
+                                                " per second; allowed ", allowed)});
+    }
+
     const SoakHistory &m_history;
     const SoakBounds &m_bounds;
     std::map<std::string, const Attempt *> m_attempts;
--- a/standins/rietwerk/registeredendpoint.cpp
+++ b/standins/rietwerk/registeredendpoint.cpp
@@ -158,14 +158,13 @@
     HttpAnswer answer(http::status::ok, 11);
     answer.set("Request-Id", requestId);
     answer.set("Server-Signature", signatureOf(m_plan.id, requestId));
-    if (m_leaving)
-        answer.set("Server-Leaving", "1");
+    addStatements(answer);
     answer.body() = bodyFor(request);
     if (occursWithProbability(m_faults.cutAnswerRatio)) {
-        const std::string head =
-                absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", requestId,
-                             "\r\nServer-Signature: ", signatureOf(m_plan.id, requestId),
-                             "\r\nContent-Length: ", answer.body().size(), "\r\n\r\n");
+        const std::string head = absl::StrCat(
+                "HTTP/1.1 200 OK\r\nRequest-Id: ", requestId,
+                "\r\nServer-Signature: ", signatureOf(m_plan.id, requestId), "\r\n",
+                statementLines(), "Content-Length: ", answer.body().size(), "\r\n\r\n");
         co_await connection.write(head + answer.body().substr(0, answer.body().size() / 2));
         connection.reset();
         co_return false;
@@ -183,8 +182,8 @@
     const std::string head = absl::StrCat(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: ", requestId,
             "\r\nServer-Signature: ", signatureOf(m_plan.id, requestId),
-            "\r\nWeight-Versions: ", version, m_leaving ? "\r\nServer-Leaving: 1" : "",
-            "\r\nTransfer-Encoding: chunked\r\n\r\n");
+            "\r\nWeight-Versions: ", version, "\r\n", statementLines(),
+            "Transfer-Encoding: chunked\r\n\r\n");
     if (!co_await connection.write(head))
         co_return false;
     const auto done = parseNumber(headerOf(request, "Last-Event-Id")).value_or(0);
@@ -289,9 +288,24 @@
     HttpAnswer answer(http::int_to_status(status), 11);
     answer.set("Request-Id", headerOf(request, "Request-Id"));
     answer.set("Instance-Id", m_plan.id);
+    addStatements(answer);
+    return answer;
+}
+
+void RegisteredEndpoint::addStatements(HttpAnswer &answer) const
+{
     if (m_leaving)
         answer.set("Server-Leaving", "1");
-    return answer;
+    if (m_rateLimit)
+        answer.set("Server-Limit", absl::StrCat(*m_rateLimit));
+}
+
+std::string RegisteredEndpoint::statementLines() const
+{
+    std::string lines = m_leaving ? "Server-Leaving: 1\r\n" : "";
+    if (m_rateLimit)
+        absl::StrAppend(&lines, "Server-Limit: ", *m_rateLimit, "\r\n");
+    return lines;
 }
 
 HttpAnswer RegisteredEndpoint::report() const
--- a/standins/rietwerk/registeredendpoint.h
+++ b/standins/rietwerk/registeredendpoint.h
@@ -43,6 +43,11 @@
     /// Says in its answers that it leaves and continues to serve; its registration doesn't change.
     void announceLeaving() { m_leaving = true; }
 
+    /// Names a limit of requests per second in its answers, or none any more; serves as before.
+    void setRateLimit(std::optional<double> perSecond) { m_rateLimit = perSecond; }
+
+    bool hasRateLimit() const { return m_rateLimit.has_value(); }
+
     /// Registers as draining, says so in its answers and continues to serve.
     void drain();
 
@@ -68,6 +73,10 @@
     /// How long the endpoint wants no requests; starts a pause at random.
     std::optional<std::chrono::milliseconds> pause(std::chrono::steady_clock::time_point now);
 
+    /// Header lines of what the endpoint states about itself in each answer.
+    std::string statementLines() const;
+    void addStatements(HttpAnswer &answer) const;
+
     /// Answer without a body that carries the request's and this endpoint's ids.
     HttpAnswer emptyAnswer(unsigned status, const HttpRequest &request) const;
     HttpAnswer report() const;
@@ -93,6 +102,7 @@
     bool m_loading = false;
     bool m_draining = false;
     bool m_leaving = false;
+    std::optional<double> m_rateLimit; ///< Requests per second of all routers.
     std::chrono::steady_clock::time_point m_pausedUntil;
     bool m_sendsHeartbeats = true;
     bool m_alive = true;
--- a/tests/unit-soakchecks.cpp
+++ b/tests/unit-soakchecks.cpp
@@ -115,6 +115,30 @@
     EXPECT_EQ(violatedChecks(), Checks{"unchanged-request"});
 }
 
+// The sum over the routers counts, not what one of them sends.
+TEST_F(SoakChecks, MoreRequestsThanALimitAllowsFromAllRouters)
+{
+    constexpr std::size_t Allowed = 17; // 1.5 times 4 s of 2 per second, and 5.
+    history.rateLimits.push_back({"desk-1.1", 2, attempt.sentAt, attempt.sentAt + seconds(10)});
+    attempt.namesRateLimit = true;
+    attempt.endedAt = attempt.sentAt + seconds(9);
+    const auto sendFrom = [&](std::size_t requests) {
+        history.runs.assign(requests, run);
+        for (std::size_t index = 0; index < requests; ++index)
+            history.runs[index].beganAt =
+                    attempt.sentAt + seconds(4) + milliseconds(static_cast<int>(index) * 100);
+        history.attempts = {attempt};
+        return checkStatements(history, SoakBounds()).size();
+    };
+    EXPECT_EQ(sendFrom(Allowed), 0U);
+    EXPECT_EQ(sendFrom(Allowed + 1), 1U);
+    attempt.namesRateLimit = false;
+    EXPECT_EQ(sendFrom(Allowed + 1), 0U);
+    attempt.namesRateLimit = true;
+    disturb(Disturbance::Scope::RouterProcess, "router-1");
+    EXPECT_EQ(sendFrom(Allowed + 1), 0U);
+}
+
 TEST_F(SoakChecks, HeadersThatOnlyTheRouterMaySet)
 {
     run.hasForgedHeaders = true;
