--- a/include/almondmill/peers/partlookups.h
+++ b/include/almondmill/peers/partlookups.h
@@ -2,7 +2,7 @@
 
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/kernel/time.h"
-#include "almondmill/peers/partowners.h"
+#include "almondmill/peers/keyowners.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -72,7 +72,7 @@
     PartLocations &m_locations;
     Counter &m_answered;
     Counter &m_unanswered;
-    PartOwners m_owners;
+    KeyOwners m_owners;
     std::string m_self;
     Sender m_send;
     std::size_t m_routers = 0;
--- a/tests/unit-partlookups.cpp
+++ b/tests/unit-partlookups.cpp
@@ -3,9 +3,9 @@
 
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/metrics/metrics.h"
+#include "almondmill/peers/keyowners.h"
 #include "almondmill/peers/partlookupmessages.h"
 #include "almondmill/peers/partlookups.h"
-#include "almondmill/peers/partowners.h"
 #include "almondmill/peers/placementbroadcastqueue.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -38,9 +38,9 @@
     return "front-" + std::to_string(router);
 }
 
-PartOwners ownersInFleet(std::size_t routers)
+KeyOwners ownersInFleet(std::size_t routers)
 {
-    PartOwners owners;
+    KeyOwners owners;
     for (std::size_t router = 0; router < routers; ++router)
         owners.addRouter(nameOf(router));
     return owners;
@@ -136,10 +136,10 @@
 
 } // namespace
 
-TEST(PartOwners, RoutersThatLearnTheFleetInAnyOrderAgree)
+TEST(KeyOwners, RoutersThatLearnTheFleetInAnyOrderAgree)
 {
-    PartOwners one;
-    PartOwners other;
+    KeyOwners one;
+    KeyOwners other;
     for (std::size_t router = 0; router < FleetSize; ++router) {
         one.addRouter(nameOf(router));
         other.addRouter(nameOf(FleetSize - 1 - router));
@@ -148,11 +148,11 @@
         EXPECT_EQ(one.ownersOf(part), other.ownersOf(part));
 }
 
-TEST(PartOwners, PartsAreSpreadOverTheFleet)
+TEST(KeyOwners, PartsAreSpreadOverTheFleet)
 {
     constexpr PartKey Parts = 32000;
     constexpr std::size_t Share = Parts / FleetSize;
-    const PartOwners owners = ownersInFleet(FleetSize);
+    const KeyOwners owners = ownersInFleet(FleetSize);
     std::map<std::string, std::size_t> counts;
     for (PartKey part = 0; part < Parts; ++part)
         ++counts[owners.ownersOf(part).front()];
@@ -161,9 +161,9 @@
         EXPECT_LT(count, 2 * Share) << name;
 }
 
-TEST(PartOwners, AnOwnerThatDoesNotAnswerIsPassedOverForAWhile)
+TEST(KeyOwners, AnOwnerThatDoesNotAnswerIsPassedOverForAWhile)
 {
-    PartOwners owners = ownersInFleet(FleetSize);
+    KeyOwners owners = ownersInFleet(FleetSize);
     const auto [first, second] = owners.ownersOf(7);
     EXPECT_EQ(owners.ownerToAsk(7, Now), first);
     owners.recordUnanswered(first, Now);
@@ -173,9 +173,9 @@
     EXPECT_EQ(owners.ownerToAsk(7, Now + seconds(10)), first);
 }
 
-TEST(PartOwners, AFleetOfOneHasOneOwner)
+TEST(KeyOwners, AFleetOfOneHasOneOwner)
 {
-    const PartOwners owners = ownersInFleet(1);
+    const KeyOwners owners = ownersInFleet(1);
     EXPECT_EQ(owners.ownersOf(7).front(), nameOf(0));
     EXPECT_TRUE(owners.ownersOf(7).back().empty());
 }
