Requests to an endpoint with a rate limit need a permit of one issuer for all routers

What callers saw: endpoints that had named a limit got many times what it allows.

Cause: nothing read the limit; and a limit that each router kept for itself would have been broken as well, since the sum over the routers binds and no router sees what the others send. Class of fault: a bound meant for the fleet that is kept, at best, by each router.

Change: one router issues the permits for an endpoint, from one token bucket that begins empty; every send needs a permit, asked for again once the connection is open. The largest prompts use the permits.

--- a/include/almondmill/forward/endpointcandidate.h
+++ b/include/almondmill/forward/endpointcandidate.h
@@ -18,6 +18,7 @@
     double failureShare = 0;              ///< Share of recent requests that failed.
     bool isAvoided = false;               ///< In backoff after no answer or a refusal.
     bool isLoading = false;               ///< Loads weights and refuses requests meanwhile.
+    bool isRateLimited = false;           ///< Takes a limited number of requests per second.
     bool isLocal = false;                 ///< In the data centre of this router.
     bool hasSharedParts = false;          ///< The request's shared parts were last sent there.
     bool canFetchParts = false;      ///< Can fetch the shared parts from an engine or the store.
--- a/include/almondmill/forward/endpointchoice.h
+++ b/include/almondmill/forward/endpointchoice.h
@@ -28,6 +28,9 @@
     double sharedTokens = 0;          ///< Cached at the last engine, else fetched or computed.
     double outputTokens = 0;
     std::chrono::milliseconds targetLatency{1000};
+    /// The request is one of the largest ones, which are to use the permits of engines with a rate
+    /// limit.
+    bool prefersLimitedEngines = true;
 };
 
 using PlacementRule = std::variant<LeastExpectedTime, SoonestFirstEvent>;
--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "almondmill/directory/endpointdirectory.h"
+#include "almondmill/forward/callerreturns.h"
 #include "almondmill/forward/endpointviews.h"
 #include "almondmill/forward/forwardersettings.h"
 #include "almondmill/forward/forwardingmetrics.h"
 #include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/partlocations.h"
+#include "almondmill/forward/permitpreference.h"
 #include "almondmill/forward/plannedstop.h"
 #include "almondmill/forward/ratelimits.h"
 #include "almondmill/forward/serviceretrybudgets.h"
@@ -15,12 +17,16 @@
 #include "almondmill/peers/partlookups.h"
 #include "almondmill/peers/peerviews.h"
 #include "almondmill/peers/placementbroadcastqueue.h"
+#include "almondmill/peers/sendpermits.h"
 #include "almondmill/route/routingtable.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace almondmill {
 
@@ -52,6 +58,9 @@
     PlacementBroadcastQueue
             placements; ///< Placements of prompt parts to be sent to the other routers.
     PartLookups partLookups;
+    SendPermits sendPermits;
+    CallerReturns callerReturns;
+    absl::flat_hash_map<std::string, PermitPreference> permitPreferences; ///< By service.
     ServiceRetryBudgets retryBudgets;
 
     /// Set on SIGTERM: the router is not ready, and connections close after the current answer.
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -53,6 +53,23 @@
     bool maySend(const RoutedRequest &placed, EndpointView &view, const std::vector<View> &tried,
                  const ClockTimes &now) const;
 
+    /// Whether a request to the endpoint needs a permit, because it has a rate limit.
+    bool needsPermit(const EndpointView &view) const;
+
+    /// How long a request may wait for a permit: not at all while an endpoint without a limit,
+    /// other than those in `tried`, may take it.
+    std::chrono::milliseconds longestPermitWait(const RoutedRequest &placed,
+                                                const std::vector<View> &tried,
+                                                const ClockTimes &now) const;
+
+    /// Endpoints of the service that have a rate limit.
+    std::vector<View> limitedEndpoints(const RoutedRequest &placed) const;
+
+    /// Requests per second that the endpoints with a rate limit take from this router, if all
+    /// routers have the same part of them; empty when an endpoint without a limit may take the
+    /// request.
+    std::optional<double> ownPartOfLimits(const RoutedRequest &placed, const ClockTimes &now) const;
+
     /// The values that the router adds to the request for an attempt at that endpoint.
     AttemptParameters planAttempt(const RoutedRequest &placed, const EndpointView &view,
                                   std::chrono::milliseconds timeLeft, const ClockTimes &now);
@@ -60,8 +77,9 @@
     /// Applies another router's report of where it sent a prompt part.
     void learn(const PartPlacement &placement, SteadyTime now);
 
-    /// When the first endpoint of the service that pauses or resumes takes more requests, on the
-    /// boot clock. Empty when an endpoint of the service is available or none will be.
+    /// When the first endpoint of the service that pauses, resumes or has no permits left takes
+    /// more requests, on the boot clock. Empty when an endpoint of the service is available or none
+    /// will be.
     std::optional<SteadyTime> earliestReturn(const RoutedRequest &placed,
                                              const ClockTimes &now) const;
 
@@ -91,6 +109,9 @@
     /// drain deadline has not passed.
     Selection select(const RoutedRequest &placed, const std::vector<View> &tried,
                      const ClockTimes &now) const;
+    /// Whether the prompt is one of the largest ones, which are to use the permits of engines with
+    /// a rate limit.
+    bool prefersLimitedEngines(const RoutedRequest &placed) const;
     bool isLastResort(const EndpointView &view, const ClockTimes &now) const;
     bool isUsable(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const;
     EndpointCandidate makeCandidate(const RoutedRequest &placed, const EndpointView &view,
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -4,6 +4,7 @@
 #include "almondmill/kernel/time.h"
 #include "almondmill/peers/peerdiscovery.h"
 #include "almondmill/peers/peermessage.h"
+#include "almondmill/peers/ratelimitgossip.h"
 #include "almondmill/peers/storeupdate.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -23,6 +24,7 @@
 struct ForwardingContext;
 struct BroadcastPlacement;
 struct PartEvidenceMessage;
+struct PermitReply;
 struct RegisteredPeer;
 
 /// Exchanges state with the other routers over UDP. Routers discover each other through the
@@ -75,8 +77,11 @@
     void handleMessage(const PeerMessage &message, const Address &from, SteadyTime now);
     /// Records the sender's incarnation. Returns whether another or none was known.
     bool isNewIncarnation(const PeerMessage &message);
-    /// Sends the evidence against prompt parts to a router that has just started.
-    void sendEvidenceTo(const Address &router, SteadyTime now);
+    /// Sends the evidence against prompt parts and the rate limits to a router that has just
+    /// started.
+    void informNewRouter(const Address &router, SteadyTime now);
+    void handlePermitReply(const PermitReply &reply, const Address &issuer);
+    void handlePermitDatagram(std::string_view bytes, const Address &from);
     std::size_t peersPerRound() const;
     void handleStoreUpdate(const StoreUpdate &update, std::string_view bytes, SteadyTime now);
     void handlePartEvidence(const PartEvidenceMessage &message, std::string_view bytes,
@@ -104,6 +109,7 @@
     PlacementHandler m_onPlacement;
     boost::asio::ip::udp::socket m_socket;
     const std::uint64_t m_incarnation;
+    RateLimitGossip m_rateLimits;
     Counter &m_bytesSent;
     std::uint64_t m_sequence = 0;
     bool m_publishScheduled = false;
@@ -111,7 +117,7 @@
     bool m_evidenceScheduled = false;
     absl::flat_hash_map<std::string, UpdatePosition> m_lastEvidence; ///< By origin.
     absl::flat_hash_map<std::string, std::uint64_t> m_incarnations;  ///< Of the peers, by name.
-    std::size_t m_toldInRound = 0;         ///< Evidence sent to new routers since the last round.
+    std::size_t m_toldInRound = 0;         ///< New routers informed since the last round.
     std::vector<std::string> m_roundRobin; ///< Peer names in round-robin order.
     std::size_t m_nextPeer = 0;            ///< Index into `m_roundRobin`.
     absl::flat_hash_map<std::string, Address> m_peers;
--- a/soak/endpointgroup.cpp
+++ b/soak/endpointgroup.cpp
@@ -36,7 +36,6 @@
 constexpr std::uint32_t PlainSlots = 6;
 constexpr std::uint32_t EngineSlots = 12;
 constexpr milliseconds PlainWork{30};
-constexpr double PauseRatio = 0.002;
 constexpr milliseconds Prefill{40};
 
 constexpr std::array RouterHeaders{"Hold",       "Tenant",     "Kv-From",
@@ -236,7 +235,7 @@
     plan.listen = absl::StrCat(replica.ip, ":", ServingPort);
     plan.announced = replica.link->address();
     plan.slots = replica.isEngine ? EngineSlots : PlainSlots;
-    plan.pauseRatio = PauseRatio;
+    plan.pauseRatio = m_pauseRatio;
     plan.work = replica.isEngine ? Prefill : PlainWork;
     if (replica.isEngine) {
         plan.model = ModelName;
--- a/soak/endpointgroup.h
+++ b/soak/endpointgroup.h
@@ -33,6 +33,9 @@
                   standin::rietwerk::MetadataStore &store, std::string storeAddress);
     ~EndpointGroup() override;
 
+    /// Endpoints that start later ask for no pauses.
+    void disablePauses() { m_pauseRatio = 0; }
+
     /// Adds a replica of that service and starts its first incarnation.
     void add(const std::string &replica, const std::string &service, bool isEngine);
 
@@ -87,6 +90,7 @@
     standin::rietwerk::MetadataStore &m_store;
     std::string m_storeAddress;
     std::uint64_t m_weightsVersion = 1;
+    double m_pauseRatio = 0.002; ///< Of requests that begin a pause.
     std::vector<std::unique_ptr<Replica>> m_replicas;
     std::vector<std::unique_ptr<Incarnation>> m_incarnations; ///< Includes ended ones.
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -38,6 +38,8 @@
 constexpr milliseconds MaxTimerDelay{100};
 constexpr milliseconds MonitorInterval{50};
 
+constexpr unsigned ServiceUnavailable = 503;
+
 constexpr milliseconds EndCheck{20};
 constexpr std::size_t PlainEndpoints = 3;
 constexpr std::size_t Engines = 4;
@@ -63,6 +65,8 @@
     SoakReport run()
     {
         m_operator.writeInitialState(steadyNow());
+        if (!m_options.endpointsPause)
+            m_endpoints.disablePauses();
         for (std::size_t number = 1; number <= PlainEndpoints; ++number) {
             m_endpoints.add(absl::StrCat("desk-", number), "desk", false);
             m_endpoints.add(absl::StrCat("annex-", number), "annex", false);
@@ -176,6 +180,7 @@
         report.orders = m_history.orders.size();
         for (const Attempt &attempt : m_history.attempts) {
             report.answered += attempt.status == 200 && attempt.isComplete ? 1 : 0;
+            report.refused += attempt.status == ServiceUnavailable ? 1 : 0;
             report.checkedForBounds +=
                     m_history.isRouterUndisturbed(attempt.router, attempt.sentAt, attempt.endedAt,
                                                   bounds.settleTime)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -18,6 +18,7 @@
     std::chrono::milliseconds recovery{15000}; ///< Time without faults after them.
     std::size_t routers = 4;
     std::size_t callers = 24;
+    bool endpointsPause = true; ///< Endpoints ask for pauses at random.
     /// The faults to inject; those of the seed when empty.
     std::vector<PlannedFault> faults;
     std::string folder; ///< For the routers' settings and logs.
@@ -30,6 +31,7 @@
     std::vector<Violation> boundViolations;   ///< Of time bounds, recovery and router processes.
     std::size_t attempts = 0;
     std::size_t answered = 0; ///< Completely and with status 200.
+    std::size_t refused = 0;  ///< With status 503.
     std::size_t runs = 0;
     std::size_t orders = 0;
     std::size_t checkedForBounds = 0; ///< Attempts to which time bounds apply.
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -57,6 +57,9 @@
 /// Cost of missing the target latency: a late answer keeps about a third of its value.
 constexpr double MissedTargetCost = 0.7;
 
+/// Cost of an engine with a rate limit for requests that should leave its permits to larger ones.
+constexpr double LimitedEngineCost = 10;
+
 /// Wait for each request beyond the engine's slots, until a running request ends.
 constexpr double SlotWaitMs = 20;
 
@@ -125,9 +128,10 @@
     const double memory = candidate.memoryTokens > 0
                                   ? (candidate.load.heldTokens + needed) / candidate.memoryTokens
                                   : 0;
+    const bool leavesPermit = candidate.isRateLimited && !rule.prefersLimitedEngines;
     return targets + (targets > 1 ? MissedTargetCost : 0) + sharedPartsCost(parts)
            + MemoryPressureCost * std::max(0.0, memory - FreeMemoryRatio)
-           + (candidate.isAvoided ? AvoidedCost : 0)
+           + (candidate.isAvoided ? AvoidedCost : 0) + (leavesPermit ? LimitedEngineCost : 0)
            + (candidate.hasOutdatedWeights ? OutdatedWeightsCost : 0)
            + EngineFailureCost * candidate.failureShare;
 }
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -93,6 +93,9 @@
     if (findsOpenPart(m_context.partBreakers.findOpen(m_parts, m_startedAt)))
         co_return co_await answerAfterFailures();
     m_context.retryBudgets.requestStarted(m_service, m_startedAt);
+    if (m_request.prompt)
+        m_context.permitPreferences[m_service].recordRequest(m_request.prompt->promptTokens,
+                                                             m_startedAt);
     m_session.onDisconnect([this] {
         if (m_exchange)
             m_exchange->cancel();
@@ -109,7 +112,9 @@
             co_return false;
         }
     }
-    co_return co_await tryEndpoints();
+    const bool isReusable = co_await tryEndpoints();
+    returnPermit();
+    co_return isReusable;
 }
 
 std::optional<ForwardedRequest::Refusal> ForwardedRequest::resolveRoute()
@@ -227,6 +232,8 @@
     auto error = co_await exchange.connect(m_context.loop.get_executor(), connectBy);
     if (error != ExchangeError::None)
         co_return handleExchangeError(error, exchange, steadyNow());
+    if (!co_await obtainPermit(exchange.sharedEndpoint(), {}))
+        co_return AttemptOutcome::NotSent;
     const ClockTimes now = ClockTimes::now();
     if (!m_planner.maySend(placed(), view, m_triedEndpoints, now)) {
         m_lastReason = view.takesRequests() ? "endpoint_withheld" : "endpoint_left";
@@ -243,6 +250,7 @@
     ++m_sendCount;
     m_context.requestMetrics.recordSend(m_sendCount > 1);
     m_sentAt = now.boot;
+    m_permit.reset();
     logSend(parameters, view);
     if (m_request.prompt)
         m_load->startPrefill(m_request.prompt->promptTokens);
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -10,6 +10,7 @@
 #include "almondmill/forward/streamcontinuity.h"
 #include "almondmill/kernel/growinginterval.h"
 #include "almondmill/kernel/time.h"
+#include "almondmill/peers/sendpermits.h"
 #include "almondmill/request/eventsplitter.h"
 #include "almondmill/route/routingtable.h"
 
@@ -99,6 +100,13 @@
                                        SteadyTime now);
     bool mayRetry(AttemptOutcome outcome);
     Awaitable<SendPlanner::View> nextEndpoint();
+    /// Chooses an endpoint that isn't excluded and gets a permit for it, if it needs one.
+    Awaitable<SendPlanner::View> takePermittedEndpoint(std::vector<SendPlanner::View> excluded);
+    /// Gets a permit for the endpoint unless it needs none or one is at hand. Endpoints in
+    /// `excluded` and those tried are no alternatives for this request.
+    Awaitable<bool> obtainPermit(SendPlanner::View view, std::vector<SendPlanner::View> excluded);
+    /// Gives back a permit that was not used.
+    void returnPermit();
     /// Waits that long, at most until the deadline.
     Awaitable<void> pauseSearch(std::chrono::milliseconds pause);
     /// Chooses an endpoint that isn't excluded and takes the retry budget for it, if it needs any.
@@ -151,6 +159,7 @@
     ReplacementExchange m_replacement;
     /// Connected for the next attempt, with its retry budget taken.
     std::shared_ptr<EndpointExchange> m_nextExchange;
+    std::optional<SendPermit> m_permit; ///< For the next send.
     const char *m_lastReason = "no_endpoint";
     std::optional<EndpointFailure> m_failure;
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
--- a/src/forward/forwardingcontext.cpp
+++ b/src/forward/forwardingcontext.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/forward/forwardingcontext.h"
 
 #include "almondmill/forward/platformadapter.h"
+#include "almondmill/kernel/clocktimes.h"
 
 namespace almondmill {
 
@@ -15,6 +16,7 @@
     , directory([this](const RegistrationChange &change) { endpoints.changed(change); })
     , partBreakers(settings.name, metrics)
     , partLookups(eventLoop, partLocations, metrics)
+    , sendPermits(eventLoop, settings.name, rateLimits, metrics, ClockTimes::now())
     , retryBudgets({settings.retryBudgetRatio, settings.retryBudgetMinRetries,
                     settings.retryBudgetWindow})
 {}
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -158,6 +158,7 @@
     const auto end = startedAt + m_context.settings.shutdownGrace - ExitMargin;
     m_context.plannedStop.emplace(startedAt, end);
     m_leader.resign();
+    m_context.sendPermits.leave();
     m_peers.announce();
     co_await sleepFor(m_loop, BalancerRemovalDelay);
     m_callers.stopAccepting();
--- a/src/forward/ratelimitrecorder.cpp
+++ b/src/forward/ratelimitrecorder.cpp
@@ -56,7 +56,8 @@
     const auto statement = std::visit(StatementOf{metadata, times}, metadata.rateLimit);
     if (!statement)
         return;
-    const RateLimitChange change = context.rateLimits.record({view.incarnation(), *statement});
+    const RateLimitChange change = context.rateLimits.record({view.incarnation(), *statement},
+                                                             RateLimits::Source::OwnAnswer);
     logChange(view, change, *statement);
     if (change == RateLimitChange::Began)
         context.requestMetrics.recordRateLimit();
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -89,6 +89,12 @@
     if (!m_table)
         return RetryAfterNoConfiguration;
     const auto returnsAt = m_route ? m_planner.earliestReturn(placed(), now) : std::nullopt;
+    const auto ownPart = m_route ? m_planner.ownPartOfLimits(placed(), now) : std::nullopt;
+    if (ownPart) {
+        const auto earliest =
+                std::chrono::ceil<milliseconds>(returnsAt.value_or(now.boot) - now.boot);
+        return m_context.callerReturns.next(m_service, *ownPart, earliest, now.steady);
+    }
     if (!returnsAt && m_route && m_planner.needsNewEndpoint(placed(), now))
         return RetryAfterNoCapacity + retrySpread(m_request.id, EndpointAvailability::ResumeTime);
     if (!returnsAt)
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -20,6 +20,10 @@
 
 using std::chrono::milliseconds;
 
+/// After this many refused permits a request goes only to endpoints without a rate limit: each
+/// refusal takes a round trip to another router.
+constexpr int MaxPermitsDenied = 6;
+
 /// Pause between two searches for an endpoint that continues a stream.
 constexpr milliseconds SearchInterval{100};
 
@@ -56,6 +60,7 @@
 
 ForwardedRequest::Awaitable<SendPlanner::View> ForwardedRequest::nextEndpoint()
 {
+    returnPermit();
     if (m_nextExchange) {
         m_needsRetryBudget = false;
         co_return m_nextExchange->sharedEndpoint();
@@ -64,11 +69,11 @@
         co_await pauseSearch(m_refusalPauses.next());
     if (m_session.hasDisconnected())
         co_return nullptr;
-    auto view = takeEndpoint(m_triedEndpoints, RetryReason::Failure, ClockTimes::now());
+    auto view = co_await takePermittedEndpoint(m_triedEndpoints);
     // Endpoints tried before may be free again.
     while (!view && waitsForEndpoint(ClockTimes::now())) {
         co_await pauseSearch(m_streamStarted ? SearchInterval : m_refusalPauses.next());
-        view = takeEndpoint({}, RetryReason::Failure, ClockTimes::now());
+        view = co_await takePermittedEndpoint({});
     }
     co_return view;
 }
@@ -112,6 +117,50 @@
     return view;
 }
 
+ForwardedRequest::Awaitable<SendPlanner::View>
+ForwardedRequest::takePermittedEndpoint(std::vector<SendPlanner::View> excluded)
+{
+    for (int denied = 0;; ++denied) {
+        if (denied == MaxPermitsDenied) {
+            const auto limited = m_planner.limitedEndpoints(placed());
+            excluded.insert(excluded.end(), limited.begin(), limited.end());
+        }
+        auto view = takeEndpoint(excluded, RetryReason::Failure, ClockTimes::now());
+        if (!view || m_session.hasDisconnected())
+            co_return view;
+        if (co_await obtainPermit(view, excluded))
+            co_return view;
+        excluded.push_back(std::move(view));
+    }
+}
+
+ForwardedRequest::Awaitable<bool>
+ForwardedRequest::obtainPermit(SendPlanner::View view, std::vector<SendPlanner::View> excluded)
+{
+    if (!m_planner.needsPermit(*view))
+        co_return true;
+    const ClockTimes now = ClockTimes::now();
+    const bool isAtHand =
+            m_permit && m_permit->endpoint == view->incarnation() && now.boot < m_permit->expiresAt;
+    if (isAtHand)
+        co_return true;
+    returnPermit();
+    excluded.insert(excluded.end(), m_triedEndpoints.begin(), m_triedEndpoints.end());
+    excluded.push_back(view);
+    const milliseconds maxWait = m_planner.longestPermitWait(placed(), excluded, now);
+    m_permit = co_await m_context.sendPermits.obtain(view->incarnation(), maxWait);
+    if (!m_permit)
+        m_lastReason = "endpoint_rate_limited";
+    co_return m_permit.has_value();
+}
+
+void ForwardedRequest::returnPermit()
+{
+    const auto unused = std::exchange(m_permit, std::nullopt);
+    if (unused)
+        m_context.sendPermits.giveBack(*unused);
+}
+
 void ForwardedRequest::seekReplacement(const ClockTimes &now)
 {
     const bool isFirst = !m_silenceRecorded;
@@ -121,7 +170,10 @@
     const bool isAllowed =
             mayBeReplaced(now.steady)
             && m_context.retryBudgets.canTake(m_service, now.steady, RetryReason::Silence);
-    const auto view = isAllowed ? m_planner.pick(placed(), m_triedEndpoints, now) : nullptr;
+    // An endpoint with a rate limit is not used while another one still has the request.
+    std::vector<SendPlanner::View> excluded = m_planner.limitedEndpoints(placed());
+    excluded.insert(excluded.end(), m_triedEndpoints.begin(), m_triedEndpoints.end());
+    const auto view = isAllowed ? m_planner.pick(placed(), excluded, now) : nullptr;
     if (isFirst || view) {
         EventLine("request.silence")
                 .add("id", m_request.id)
@@ -145,6 +197,7 @@
         view->health().recordNoAnswer(now.steady);
     const bool isUsed = error == ExchangeError::None && m_exchange->isSilent()
                         && mayBeReplaced(now.steady) && maySendTo(view, now)
+                        && !m_planner.needsPermit(*view)
                         && m_context.retryBudgets.take(m_service, now.steady, RetryReason::Silence);
     EventLine("request.replacement")
             .add("id", m_request.id)
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -72,7 +72,7 @@
     return store ? shortHash(store->address) : 0;
 }
 
-SoonestFirstEvent promptRule(const RoutedRequest &placed)
+SoonestFirstEvent promptRule(const RoutedRequest &placed, bool prefersLimitedEngines)
 {
     const PromptRequest &prompt = *placed.request.prompt;
     SoonestFirstEvent rule;
@@ -82,6 +82,7 @@
     rule.ownTokens = std::max(0.0, prompt.promptTokens - rule.sharedTokens);
     rule.outputTokens = prompt.maxOutputTokens;
     rule.targetLatency = std::max(placed.route.targetLatency, MinTargetLatency);
+    rule.prefersLimitedEngines = prefersLimitedEngines;
     return rule;
 }
 
@@ -121,6 +122,9 @@
     return scope;
 }
 
+/// Longest wait for a permit, as a part of the target latency: the answer takes most of it.
+constexpr int PermitWaitDivisor = 4;
+
 /// Whether an endpoint in a state takes another request besides `openRequests`.
 struct Admission
 {
@@ -218,11 +222,23 @@
         candidates.push_back(makeCandidate(placed, *view, known, now));
     PlacementRule rule = LeastExpectedTime{hash64(placed.request.id)};
     if (placed.request.prompt)
-        rule = promptRule(placed);
+        rule = promptRule(placed, prefersLimitedEngines(placed));
     const auto chosen = chooseEndpoint(rule, candidates);
     return chosen ? views[*chosen] : nullptr;
 }
 
+bool SendPlanner::prefersLimitedEngines(const RoutedRequest &placed) const
+{
+    const auto preference = m_context.permitPreferences.find(placed.service);
+    double permits = 0;
+    for (const View &view : limitedEndpoints(placed))
+        permits += m_context.rateLimits.perSecond(view->incarnation()).value_or(0);
+    if (permits == 0 || preference == m_context.permitPreferences.end())
+        return true;
+    const auto routers = static_cast<double>(m_context.peers.routerCount());
+    return preference->second.isPreferred(placed.request.prompt->promptTokens, permits / routers);
+}
+
 SendPlanner::Selection SendPlanner::select(const RoutedRequest &placed,
                                            const std::vector<View> &tried,
                                            const ClockTimes &now) const
@@ -233,7 +249,11 @@
         const bool wasTried = std::find(tried.begin(), tried.end(), view) != tried.end();
         if (wasTried || !isUsable(placed, *view, now.steady))
             continue;
-        if (admits(*view, view->openRequests(), now.boot))
+        const bool hasNoPermit =
+                m_context.rateLimits.withheldUntil(view->incarnation(), now.boot).has_value();
+        if (hasNoPermit)
+            selection.withheld.push_back(view);
+        else if (admits(*view, view->openRequests(), now.boot))
             selection.selectable.push_back(view);
         else if (isLastResort(*view, now))
             lastResort.push_back(view);
@@ -279,15 +299,63 @@
     for (const View &view : m_context.endpoints.ofService(placed.service)) {
         if (!isUsable(placed, *view, now.steady))
             continue;
-        if (admits(*view, view->openRequests(), now.boot))
+        const auto withheldUntil =
+                m_context.rateLimits.withheldUntil(view->incarnation(), now.boot);
+        const bool isAdmitted = admits(*view, view->openRequests(), now.boot);
+        if (isAdmitted && !withheldUntil)
             return std::nullopt;
-        const auto returnsAt = std::visit(ReturnTime(), view->availability().stateAt(now.boot));
+        auto returnsAt = std::visit(ReturnTime(), view->availability().stateAt(now.boot));
+        if (withheldUntil)
+            returnsAt = std::max(returnsAt.value_or(*withheldUntil), *withheldUntil);
         if (returnsAt && !view->availability().isLeaving())
             earliest = std::min(earliest.value_or(*returnsAt), *returnsAt);
     }
     return earliest;
 }
 
+bool SendPlanner::needsPermit(const EndpointView &view) const
+{
+    return m_context.rateLimits.perSecond(view.incarnation()).has_value();
+}
+
+std::vector<SendPlanner::View> SendPlanner::limitedEndpoints(const RoutedRequest &placed) const
+{
+    std::vector<View> limited;
+    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+        if (needsPermit(*view))
+            limited.push_back(view);
+    }
+    return limited;
+}
+
+std::chrono::milliseconds SendPlanner::longestPermitWait(const RoutedRequest &placed,
+                                                         const std::vector<View> &tried,
+                                                         const ClockTimes &now) const
+{
+    std::vector<View> excluded = limitedEndpoints(placed);
+    excluded.insert(excluded.end(), tried.begin(), tried.end());
+    if (canPick(placed, excluded, now))
+        return std::chrono::milliseconds(0);
+    return placed.route.targetLatency / PermitWaitDivisor;
+}
+
+std::optional<double> SendPlanner::ownPartOfLimits(const RoutedRequest &placed,
+                                                   const ClockTimes &now) const
+{
+    double sum = 0;
+    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+        if (!isUsable(placed, *view, now.steady))
+            continue;
+        const auto perSecond = m_context.rateLimits.perSecond(view->incarnation());
+        if (!perSecond && admits(*view, view->openRequests(), now.boot))
+            return std::nullopt;
+        sum += perSecond.value_or(0);
+    }
+    if (sum == 0)
+        return std::nullopt;
+    return sum / static_cast<double>(m_context.peers.routerCount());
+}
+
 bool SendPlanner::needsNewEndpoint(const RoutedRequest &placed, const ClockTimes &now) const
 {
     const auto &views = m_context.endpoints.ofService(placed.service);
@@ -328,6 +396,7 @@
     candidate.isAvoided = view.health().isAvoided(now.steady);
     candidate.isLoading =
             now.steady < view.loadingUntil() || m_context.peers.isLoading(endpointHash, now.steady);
+    candidate.isRateLimited = needsPermit(view);
     candidate.isLocal = view.registration().dataCentre == m_context.settings.dataCentre;
     if (!placed.request.prompt)
         return candidate;
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -5,6 +5,8 @@
 #include "almondmill/forward/peerloads.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/supervisedtask.h"
+#include "almondmill/kernel/boottime.h"
+#include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
@@ -12,7 +14,9 @@
 #include "almondmill/peers/datagramaddress.h"
 #include "almondmill/peers/partevidencemessage.h"
 #include "almondmill/peers/partlookupmessages.h"
+#include "almondmill/peers/permitmessages.h"
 #include "almondmill/peers/placementbroadcastqueue.h"
+#include "almondmill/peers/ratelimitmessage.h"
 #include "almondmill/peers/registeredpeer.h"
 
 #include <boost/asio/buffer.hpp>
@@ -79,6 +83,10 @@
     , m_onPlacement(std::move(onPlacement))
     , m_socket(context.loop)
     , m_incarnation(randomIncarnation())
+    , m_rateLimits(context.loop, context.rateLimits, context.settings.name, m_incarnation,
+                   [this](const std::string &origin, std::string_view bytes) {
+                       forwardToChildren(origin, bytes);
+                   })
     , m_bytesSent(context.metrics.counter("almondmill_peer_bytes_sent_total"))
     , m_ring{context.settings.name}
 {}
@@ -92,6 +100,9 @@
     m_context.partLookups.start(
             m_context.settings.name,
             [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); });
+    m_context.sendPermits.start(
+            [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); });
+    m_rateLimits.start();
     m_context.partBreakers.start([this] { publishEvidenceSoon(); });
     startSupervised(m_context.loop, "peers.discover", [this] { return m_discovery.run(); });
     startSupervised(m_context.loop, "peers.receive", [this] { return receive(); });
@@ -180,6 +191,8 @@
         const bool isLarge = m_context.partLookups.usesOwners();
         const bool repeats = !isLarge || round % RoundsPerRepeatInLargeFleet == 0;
         const std::string evidence = repeats ? describeRepeats(now) : std::string();
+        const std::string limits =
+                repeats ? m_rateLimits.describeRepeats(bootTime()) : std::string();
         const std::size_t receivers = peersPerRound();
         for (std::size_t sent = 0; sent < std::min(receivers, m_roundRobin.size()); ++sent) {
             m_nextPeer = (m_nextPeer + 1) % m_roundRobin.size();
@@ -187,6 +200,8 @@
             sendTo(peer, bytes);
             if (!evidence.empty())
                 sendTo(peer, evidence);
+            if (!limits.empty())
+                sendTo(peer, limits);
         }
     }
 }
@@ -231,15 +246,38 @@
         m_context.partLookups.handleReply(*reply, now);
     else if (const auto evidence = decodePartEvidence(bytes, now))
         handlePartEvidence(*evidence, bytes, now);
+    else
+        handlePermitDatagram(bytes, from);
+}
+
+void PeerExchange::handlePermitDatagram(std::string_view bytes, const Address &from)
+{
+    const ClockTimes now = ClockTimes::now();
+    if (const auto limits = decodeRateLimits(bytes, now.boot))
+        m_rateLimits.handle(*limits, bytes);
+    else if (const auto request = decodePermitRequest(bytes, now.boot))
+        sendTo(from, encodePermit(m_context.sendPermits.answer(*request, now), now.boot));
+    else if (const auto reply = decodePermitReply(bytes, now.boot))
+        handlePermitReply(*reply, from);
+    else if (const auto returned = decodePermitReturn(bytes))
+        m_context.sendPermits.handleReturn(*returned);
     else
         m_context.metrics.counter("almondmill_peer_messages_unreadable_total").add();
 }
 
+void PeerExchange::handlePermitReply(const PermitReply &reply, const Address &issuer)
+{
+    const bool isAwaited = m_context.sendPermits.handleReply(reply);
+    if (!isAwaited && std::holds_alternative<PermitGranted>(reply.result))
+        sendTo(issuer, encodePermit(PermitReturn{reply.known.endpoint}));
+}
+
 void PeerExchange::handleMessage(const PeerMessage &message, const Address &from, SteadyTime now)
 {
     addPeer(message.sender, from);
+    m_context.sendPermits.recordMessage(message.sender, message.leaving, now);
     if (isNewIncarnation(message))
-        sendEvidenceTo(from, now);
+        informNewRouter(from, now);
     if (m_context.peers.applyMessage(message, now))
         m_onMessage(message);
 }
@@ -250,16 +288,20 @@
     return std::exchange(last->second, message.incarnation) != message.incarnation || isNew;
 }
 
-void PeerExchange::sendEvidenceTo(const Address &router, SteadyTime now)
+void PeerExchange::informNewRouter(const Address &router, SteadyTime now)
 {
     // When many routers start at once, the rounds and the other routers tell the rest of them.
     if (m_toldInRound >= peersPerRound())
         return;
     const std::string evidence = describeRepeats(now);
-    if (evidence.empty())
+    const std::string limits = m_rateLimits.describeRepeats(bootTime());
+    if (evidence.empty() && limits.empty())
         return;
     ++m_toldInRound;
-    sendTo(router, evidence);
+    if (!evidence.empty())
+        sendTo(router, evidence);
+    if (!limits.empty())
+        sendTo(router, limits);
 }
 
 std::size_t PeerExchange::peersPerRound() const
@@ -365,6 +407,7 @@
     m_ring.insert(std::lower_bound(m_ring.begin(), m_ring.end(), name), name);
     m_context.partLookups.addRouter(name);
     m_context.partBreakers.addRouter(name);
+    m_context.sendPermits.addRouter(name);
 }
 
 void PeerExchange::sendTo(const std::string &router, std::string_view bytes)
--- a/tests/failure-ratelimits.cpp
+++ b/tests/failure-ratelimits.cpp
@@ -27,6 +27,7 @@
     options.recovery = milliseconds(0);
     options.routers = 6;
     options.callers = 40;
+    options.endpointsPause = false;
     const auto folder = std::filesystem::temp_directory_path() / ("almondmill-limits-" + name);
     std::filesystem::create_directories(folder);
     options.folder = folder;
@@ -57,7 +58,7 @@
                             {milliseconds(300), LimitRate{SecondEngine, 0, Duration}}});
     expectNoViolation(report);
     // The endpoints without a limit take the rest.
-    EXPECT_GE(report.answered * 10, report.attempts * 9);
+    EXPECT_LE(report.refused * 100, report.attempts);
 }
 
 // Issue 28: the same while routers end and others start, so that the limit's share of each changes.
--- a/tests/unit-statedratelimit.cpp
+++ b/tests/unit-statedratelimit.cpp
@@ -84,7 +84,7 @@
 TEST(RateLimits, AnotherIncarnationHasNoLimit)
 {
     RateLimits limits;
-    limits.record({1, statement(2, 0, 10)});
+    limits.record({1, statement(2, 0, 10)}, RateLimits::Source::Peer);
     EXPECT_EQ(limits.perSecond(1), 2.0);
     EXPECT_EQ(limits.perSecond(2), std::nullopt);
     EXPECT_EQ(limits.limitedCount(), 1U);
@@ -94,7 +94,7 @@
 {
     RateLimits limits;
     for (std::size_t key = 0; key <= RateLimits::MaxEndpoints; ++key)
-        limits.record({key, statement(2, 0, static_cast<int>(key))});
+        limits.record({key, statement(2, 0, static_cast<int>(key))}, RateLimits::Source::Peer);
     EXPECT_EQ(limits.limitedCount(), RateLimits::MaxEndpoints);
     EXPECT_EQ(limits.perSecond(0), std::nullopt);
     EXPECT_EQ(limits.perSecond(RateLimits::MaxEndpoints), 2.0);
