--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -249,13 +249,10 @@
         const bool wasTried = std::find(tried.begin(), tried.end(), view) != tried.end();
         if (wasTried || !isUsable(placed, *view, now.steady))
             continue;
-        const bool hasNoPermit =
-                m_context.rateLimits.withheldUntil(view->incarnation(), now.boot).has_value();
-        if (hasNoPermit)
-            selection.withheld.push_back(view);
-        else if (admits(*view, view->openRequests(), now.boot))
+        const bool hasPermits = !m_context.rateLimits.withheldUntil(view->incarnation(), now.boot);
+        if (hasPermits && admits(*view, view->openRequests(), now.boot))
             selection.selectable.push_back(view);
-        else if (isLastResort(*view, now))
+        else if (hasPermits && isLastResort(*view, now))
             lastResort.push_back(view);
         else
             selection.withheld.push_back(view);
