Refuse prompts at once whose callers would leave before the first event

Where limits leave too little for all prompts, they queued at the endpoints without a limit until their callers had left.

Change: a prompt that was not sent yet is refused when its best endpoint is expected to begin the answer later than callers wait; Retry-After is the excess plus up to a second by the request's id.

--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -62,6 +62,11 @@
                                                 const std::vector<View> &tried,
                                                 const ClockTimes &now) const;
 
+    /// By how much the expected time to the first event of a prompt at `view` exceeds the time
+    /// after which callers leave. Empty when it doesn't.
+    std::optional<std::chrono::milliseconds> excessWait(const RoutedRequest &placed,
+                                                        const EndpointView &view) const;
+
     /// Endpoints of the service that have a rate limit.
     std::vector<View> limitedEndpoints(const RoutedRequest &placed) const;
 
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -159,7 +159,8 @@
     ReplacementExchange m_replacement;
     /// Connected for the next attempt, with its retry budget taken.
     std::shared_ptr<EndpointExchange> m_nextExchange;
-    std::optional<SendPermit> m_permit; ///< For the next send.
+    std::optional<std::chrono::milliseconds> m_excessWait; ///< At the best endpoint, if too long.
+    std::optional<SendPermit> m_permit;                    ///< For the next send.
     const char *m_lastReason = "no_endpoint";
     std::optional<EndpointFailure> m_failure;
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -34,6 +34,9 @@
 /// until its answer has begun.
 constexpr milliseconds PartReturnTime{5000};
 
+/// Time over which callers that were refused for overload come back.
+constexpr milliseconds OverloadReturnTime{1000};
+
 /// Spreads callers that were turned away over the time within which they may come back.
 milliseconds retrySpread(std::string_view requestId, milliseconds spreadTime)
 {
@@ -88,6 +91,9 @@
 {
     if (!m_table)
         return RetryAfterNoConfiguration;
+    if (m_excessWait)
+        return std::max(*m_excessWait, RetryAfterNoCapacity)
+               + retrySpread(m_request.id, OverloadReturnTime);
     const auto returnsAt = m_route ? m_planner.earliestReturn(placed(), now) : std::nullopt;
     const auto ownPart = m_route ? m_planner.ownPartOfLimits(placed(), now) : std::nullopt;
     if (ownPart) {
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -128,6 +128,13 @@
         auto view = takeEndpoint(excluded, RetryReason::Failure, ClockTimes::now());
         if (!view || m_session.hasDisconnected())
             co_return view;
+        if (!m_mayHaveRun && !m_streamStarted) {
+            m_excessWait = m_planner.excessWait(placed(), *view);
+            if (m_excessWait) {
+                m_lastReason = "overloaded";
+                co_return nullptr;
+            }
+        }
         if (co_await obtainPermit(view, excluded))
             co_return view;
         excluded.push_back(std::move(view));
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -63,6 +63,18 @@
     return prefillTime(static_cast<std::uint64_t>(load.pendingPrefillTokens));
 }
 
+/// Callers leave a stream after this time without an event, or after a multiple of the route's
+/// targets if that is longer.
+constexpr std::chrono::milliseconds MinCallerPatience{2000};
+constexpr int TargetLatenciesOfPatience = 4;
+constexpr int TargetGapsOfPatience = 8;
+
+std::chrono::milliseconds callerPatience(const Route &route)
+{
+    return std::max({MinCallerPatience, TargetLatenciesOfPatience * route.targetLatency,
+                     TargetGapsOfPatience * route.targetEventGap});
+}
+
 /// Short hash of the address of the KV cache store that the engine saves to; 0 when there is none.
 std::uint32_t storeHash(const ForwardingContext &context, const EndpointView &view)
 {
@@ -315,6 +327,15 @@
     return m_context.rateLimits.perSecond(view.incarnation()).has_value();
 }
 
+std::optional<std::chrono::milliseconds> SendPlanner::excessWait(const RoutedRequest &placed,
+                                                                 const EndpointView &view) const
+{
+    if (!placed.request.prompt)
+        return std::nullopt;
+    const auto excess = expectedWait(view) - callerPatience(placed.route);
+    return excess > std::chrono::milliseconds(0) ? std::optional(excess) : std::nullopt;
+}
+
 std::vector<SendPlanner::View> SendPlanner::limitedEndpoints(const RoutedRequest &placed) const
 {
     std::vector<View> limited;
