Prompts that use permits may fetch their shared parts

The largest prompts are to use the permits of engines with a limit; the cost of fetching kept them at engines without one, whose queues grew. LIMIT is kept in each.

--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -129,7 +129,9 @@
                                   ? (candidate.load.heldTokens + needed) / candidate.memoryTokens
                                   : 0;
     const bool leavesPermit = candidate.isRateLimited && !rule.prefersLimitedEngines;
-    return targets + (targets > 1 ? MissedTargetCost : 0) + sharedPartsCost(parts)
+    const bool usesPermit = candidate.isRateLimited && rule.prefersLimitedEngines;
+    return targets + (targets > 1 ? MissedTargetCost : 0)
+           + (usesPermit && parts == SharedParts::Fetched ? 0 : sharedPartsCost(parts))
            + MemoryPressureCost * std::max(0.0, memory - FreeMemoryRatio)
            + (candidate.isAvoided ? AvoidedCost : 0) + (leavesPermit ? LimitedEngineCost : 0)
            + (candidate.hasOutdatedWeights ? OutdatedWeightsCost : 0)
