Answer requests that are taken in a planned stop before the process ends

Requests that come late in the grace period are refused here already (LateRequestOfAPlannedStop). But one taken in the first three seconds, with a deadline after the end of the process, was cut with no answer when its endpoint stayed silent.

Change: its deadline is brought forward to just before the end, so that it ends with 504.

Failed before: LostAnswers.ARequestOfAPlannedStopIsAnsweredBeforeTheProcessEnds (answered after 20 s).

--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -52,6 +52,9 @@
 /// registration is read again within this time.
 constexpr milliseconds MismatchBackoff{500};
 
+/// A request that is taken in a planned stop is answered this long before the end of the process.
+constexpr milliseconds LastAnswerTime{100};
+
 milliseconds timeUntil(SteadyTime deadline, SteadyTime now)
 {
     return std::max(std::chrono::duration_cast<milliseconds>(deadline - now), milliseconds(1));
@@ -134,6 +137,8 @@
     const auto &stop = m_context.plannedStop;
     if (stop && stop->mustRefuse(m_deadline, m_startedAt))
         return Refusal{ServiceUnavailable, "stopping"};
+    if (stop)
+        m_deadline = std::min(m_deadline, stop->endsAt() - LastAnswerTime);
     return std::nullopt;
 }
 
--- a/tests/failure-lostanswers.cpp
+++ b/tests/failure-lostanswers.cpp
@@ -388,6 +388,24 @@
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
 }
 
+// Guards against a request that was taken before the last arrivals and whose endpoint is silent: it
+// got no answer before the end of the process cut it.
+TEST(LostAnswers, ARequestOfAPlannedStopIsAnsweredBeforeTheProcessEnds)
+{
+    constexpr milliseconds Ago{2900};
+    const RawEndpoint silent(
+            [](int socket, const std::string &, unsigned) { RawEndpoint::waitForClose(socket); });
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("e1", "once", silent.address());
+    harness.beginDraining(Ago);
+    const auto sentAt = std::chrono::steady_clock::now();
+    const std::string answer = sendRequest(harness, requestText("POST", "/once/x"));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 504 ")) << answer;
+    EXPECT_LT(std::chrono::steady_clock::now() - sentAt,
+              ForwarderSettings().shutdownGrace - Ago + milliseconds(500));
+}
+
 // Guards against refusals at the beginning of a planned stop, while the load balancer still sends
 // callers to the router.
 TEST_F(LateRequestOfAPlannedStop, IsServedWhileCallersStillCome)
