A growing fleet doesn't refill the retry budgets

Each time another router became known, the budgets of all services were made anew and full.

Change: what is left of a budget is carried over, cut down to the smaller share.

--- a/include/almondmill/admission/retrybudget.h
+++ b/include/almondmill/admission/retrybudget.h
@@ -20,8 +20,12 @@
         double maxAvailable = 20; ///< Largest number of retries that can accumulate.
     };
 
+    /// A budget that is full.
     RetryBudget(const Options &options, SteadyTime now);
 
+    /// A budget that takes the place of another one, of which `available` retries are left.
+    RetryBudget(const Options &options, SteadyTime now, double available);
+
     /// Number of retries that can be taken now after failures.
     double available() const;
 
--- a/include/almondmill/forward/serviceretrybudgets.h
+++ b/include/almondmill/forward/serviceretrybudgets.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace almondmill {
@@ -30,7 +31,8 @@
     explicit ServiceRetryBudgets(const Options &options);
     ~ServiceRetryBudgets();
 
-    /// Raises the number of routers that share the budgets; a lower number has no effect.
+    /// Raises the number of routers that share the budgets; a lower number has no effect. What was
+    /// spent stays spent.
     void setRouters(std::uint32_t routers);
 
     void requestStarted(const std::string &service, SteadyTime now);
@@ -45,10 +47,17 @@
               RetryReason reason = RetryReason::Failure);
 
 private:
+    /// The budget of a service, with what was left of it when the number of routers rose.
+    struct Entry
+    {
+        std::unique_ptr<RetryBudget> budget; ///< Null until it is used with the present share.
+        std::optional<double> left;
+    };
+
     RetryBudget &budgetOf(const std::string &service, SteadyTime now);
 
     Options m_options;
-    absl::flat_hash_map<std::string, std::unique_ptr<RetryBudget>> m_budgets;
+    absl::flat_hash_map<std::string, Entry> m_budgets;
 };
 
 } // namespace almondmill
--- a/src/admission/retrybudget.cpp
+++ b/src/admission/retrybudget.cpp
@@ -21,9 +21,13 @@
 } // namespace
 
 RetryBudget::RetryBudget(const Options &options, SteadyTime now)
+    : RetryBudget(options, now, options.maxAvailable)
+{}
+
+RetryBudget::RetryBudget(const Options &options, SteadyTime now, double available)
     : m_options(options)
     , m_reserve(reserveOf(options))
-    , m_accumulated(options.maxAvailable)
+    , m_accumulated(std::min(available, options.maxAvailable))
     , m_refilledAt(now)
 {}
 
--- a/src/forward/serviceretrybudgets.cpp
+++ b/src/forward/serviceretrybudgets.cpp
@@ -28,7 +28,12 @@
     if (routers <= m_options.routerCount)
         return;
     m_options.routerCount = routers;
-    m_budgets.clear(); // They are recreated with the smaller share.
+    for (auto &[service, entry] : m_budgets) {
+        if (!entry.budget)
+            continue;
+        entry.left = entry.budget->available();
+        entry.budget.reset(); // It is made anew with the smaller share.
+    }
 }
 
 void ServiceRetryBudgets::requestStarted(const std::string &service, SteadyTime now)
@@ -48,17 +53,18 @@
 
 RetryBudget &ServiceRetryBudgets::budgetOf(const std::string &service, SteadyTime now)
 {
-    auto &budget = m_budgets[service];
-    if (budget)
-        return *budget;
+    Entry &entry = m_budgets[service];
+    if (entry.budget)
+        return *entry.budget;
     const double ownMinRetries = static_cast<double>(m_options.minRetries) / m_options.routerCount;
     RetryBudget::Options options;
     options.share = m_options.retryRatio * RetryRatioMargin;
     options.maxAvailable = std::max(ownMinRetries * BurstRatio, 1.0);
     options.minPerSecond = ownMinRetries * (1 - BurstRatio)
                            / std::chrono::duration<double>(m_options.window).count();
-    budget = std::make_unique<RetryBudget>(options, now);
-    return *budget;
+    entry.budget =
+            std::make_unique<RetryBudget>(options, now, entry.left.value_or(options.maxAvailable));
+    return *entry.budget;
 }
 
 } // namespace almondmill
--- a/tests/unit-endpointhealth.cpp
+++ b/tests/unit-endpointhealth.cpp
@@ -69,4 +69,36 @@
     EXPECT_GT(retries, 0U);
 }
 
+// The class of issue 28: a bound for all routers that each router keeps for itself. A budget that
+// is full again whenever another router becomes known lets the fleet exceed the users' bound.
+TEST(ServiceRetryBudgets, AGrowingFleetDoesNotRefillWhatWasSpent)
+{
+    ServiceRetryBudgets::Options options;
+    options.minRetries = 640;
+    options.routerCount = 16;
+    ServiceRetryBudgets budgets(options);
+    int retries = 0;
+    for (std::uint32_t routers = 16; routers <= 320; ++routers) {
+        budgets.setRouters(routers);
+        while (budgets.take("s", Start))
+            ++retries;
+    }
+    EXPECT_LE(retries, 20);
+}
+
+// A budget that was not spent is cut down to the share of a larger fleet.
+TEST(ServiceRetryBudgets, AnUnspentBudgetShrinksToTheShareOfALargerFleet)
+{
+    ServiceRetryBudgets::Options options;
+    options.minRetries = 640;
+    options.routerCount = 16;
+    ServiceRetryBudgets budgets(options);
+    ASSERT_TRUE(budgets.take("s", Start));
+    budgets.setRouters(160);
+    int retries = 0;
+    while (budgets.take("s", Start))
+        ++retries;
+    EXPECT_EQ(retries, 2);
+}
+
 } // namespace almondmill::test
