--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -164,7 +164,8 @@
         }
         if (!view) {
             if (m_triedEndpoints.empty() && m_planner.earliestReturn(placed(), ClockTimes::now()))
-                m_lastReason = "endpoints_paused";
+                m_lastReason = m_planner.limitedEndpoints(placed()).empty() ? "endpoints_paused"
+                                                                            : "endpoints_limited";
             co_return co_await answerAfterFailures();
         }
         const AttemptOutcome outcome = co_await attempt(view);
