Positions of broadcasts in a class of their own; a refused permit is logged

The same check for broadcasts that arrive twice stood in three places. request.no_permit names the request and the endpoint that had no permit for it.

--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -2,6 +2,7 @@
 
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/kernel/time.h"
+#include "almondmill/peers/broadcastpositions.h"
 #include "almondmill/peers/peerdiscovery.h"
 #include "almondmill/peers/peermessage.h"
 #include "almondmill/peers/ratelimitgossip.h"
@@ -60,12 +61,6 @@
 private:
     using Address = boost::asio::ip::udp::endpoint;
 
-    struct UpdatePosition
-    {
-        std::uint64_t incarnation = 0;
-        std::uint64_t sequence = 0;
-    };
-
     /// Adds the routers that are registered in the store; announces this one when any is new.
     void addPeers(const std::vector<RegisteredPeer> &peers);
     boost::asio::awaitable<void> receive();
@@ -113,10 +108,10 @@
     Counter &m_bytesSent;
     std::uint64_t m_sequence = 0;
     bool m_publishScheduled = false;
-    absl::flat_hash_map<std::string, UpdatePosition> m_lastUpdates; ///< By origin.
+    BroadcastPositions m_lastUpdates;
     bool m_evidenceScheduled = false;
-    absl::flat_hash_map<std::string, UpdatePosition> m_lastEvidence; ///< By origin.
-    absl::flat_hash_map<std::string, std::uint64_t> m_incarnations;  ///< Of the peers, by name.
+    BroadcastPositions m_lastEvidence;
+    absl::flat_hash_map<std::string, std::uint64_t> m_incarnations; ///< Of the peers, by name.
     std::size_t m_toldInRound = 0;         ///< New routers informed since the last round.
     std::vector<std::string> m_roundRobin; ///< Peer names in round-robin order.
     std::size_t m_nextPeer = 0;            ///< Index into `m_roundRobin`.
--- a/include/almondmill/peers/ratelimitgossip.h
+++ b/include/almondmill/peers/ratelimitgossip.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "almondmill/kernel/time.h"
+#include "almondmill/peers/broadcastpositions.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -39,17 +38,9 @@
     std::string describeRepeats(SteadyTime bootNow);
 
 private:
-    struct Position
-    {
-        std::uint64_t incarnation = 0;
-        std::uint64_t sequence = 0;
-    };
-
     void publishSoon();
     boost::asio::awaitable<void> publishAfterDelay();
     void publish(SteadyTime bootNow);
-    /// Whether the broadcast is newer than the last one of its origin; records it if so.
-    bool isNew(const RateLimitMessage &message);
 
     boost::asio::io_context &m_loop;
     RateLimits &m_limits;
@@ -58,7 +49,7 @@
     const Forwarder m_forward;
     std::uint64_t m_sequence = 0;
     bool m_isScheduled = false;
-    absl::flat_hash_map<std::string, Position> m_lastBroadcasts; ///< By origin.
+    BroadcastPositions m_lastBroadcasts;
 };
 
 } // namespace almondmill
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -156,8 +156,13 @@
     excluded.push_back(view);
     const milliseconds maxWait = m_planner.longestPermitWait(placed(), excluded, now);
     m_permit = co_await m_context.sendPermits.obtain(view->incarnation(), maxWait);
-    if (!m_permit)
+    if (!m_permit) {
         m_lastReason = "endpoint_rate_limited";
+        EventLine("request.no_permit")
+                .add("id", m_request.id)
+                .add("endpoint", view->id())
+                .add("longest_wait", maxWait);
+    }
     co_return m_permit.has_value();
 }
 
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -312,12 +312,9 @@
 void PeerExchange::handleStoreUpdate(const StoreUpdate &update, std::string_view bytes,
                                      SteadyTime now)
 {
-    UpdatePosition &last = m_lastUpdates[update.origin];
-    const bool sameIncarnation = last.incarnation == update.incarnation;
     if (update.origin == m_context.settings.name
-        || (sameIncarnation && update.sequence <= last.sequence))
+        || !m_lastUpdates.record(update.origin, update.incarnation, update.sequence))
         return;
-    last = {update.incarnation, update.sequence};
     forwardToChildren(update.origin, bytes);
     m_context.peers.applyLoading(update.origin, update.loading, now);
     m_onStoreUpdate(update);
@@ -328,15 +325,12 @@
 {
     if (message.origin == m_context.settings.name)
         return;
-    UpdatePosition &last = m_lastEvidence[message.origin];
-    const bool sameIncarnation = last.incarnation == message.incarnation;
     const bool isBroadcast = !message.origin.empty();
-    if (isBroadcast && sameIncarnation && message.sequence <= last.sequence)
+    if (isBroadcast
+        && !m_lastEvidence.record(message.origin, message.incarnation, message.sequence))
         return;
-    if (isBroadcast) {
-        last = {message.incarnation, message.sequence};
+    if (isBroadcast)
         forwardToChildren(message.origin, bytes);
-    }
     m_context.partBreakers.merge(message.evidence,
                                  isBroadcast ? PartBreakers::Audience::AllRouters
                                              : PartBreakers::Audience::ThisRouter,
--- a/src/peers/ratelimitgossip.cpp
+++ b/src/peers/ratelimitgossip.cpp
@@ -68,7 +68,10 @@
 void RateLimitGossip::handle(const RateLimitMessage &message, std::string_view bytes)
 {
     const bool isBroadcast = !message.origin.empty();
-    if (isBroadcast && !isNew(message))
+    const bool isOwn = message.origin == m_self;
+    if (isBroadcast
+        && (isOwn
+            || !m_lastBroadcasts.record(message.origin, message.incarnation, message.sequence)))
         return;
     if (isBroadcast)
         m_forward(message.origin, bytes);
@@ -76,16 +79,6 @@
         m_limits.record(report, RateLimits::Source::Peer);
 }
 
-bool RateLimitGossip::isNew(const RateLimitMessage &message)
-{
-    Position &last = m_lastBroadcasts[message.origin];
-    const bool sameIncarnation = last.incarnation == message.incarnation;
-    if (message.origin == m_self || (sameIncarnation && message.sequence <= last.sequence))
-        return false;
-    last = {message.incarnation, message.sequence};
-    return true;
-}
-
 std::string RateLimitGossip::describeRepeats(SteadyTime bootNow)
 {
     RateLimitMessage message;
