--- a/src/kernel/jsonsanitizer.cpp
+++ b/src/kernel/jsonsanitizer.cpp
@@ -95,18 +95,21 @@
             readString();
         else if (next == '{' || next == '[')
             openValue();
-        else if (next == '-' && Letters.find(byteAfterSign()) != std::string_view::npos)
+        else if (isWord())
             readWord();
         else if (NumberCharacters.substr(0, NumberCharacters.find('.')).find(next)
                  != std::string_view::npos)
             readNumber();
-        else if (Letters.find(next) != std::string_view::npos)
-            readWord();
         else
             copy(next == '}' || next == ']' ? closeValue() : 1);
     }
 
-    char byteAfterSign() const { return m_at + 1 < m_text.size() ? m_text[m_at + 1] : '\0'; }
+    /// A word may have a sign, as in "-Infinity".
+    bool isWord() const
+    {
+        const std::size_t first = m_at + (m_text[m_at] == '-' ? 1 : 0);
+        return first < m_text.size() && Letters.find(m_text[first]) != std::string_view::npos;
+    }
 
     void openValue()
     {
