--- a/tests/failure-limitedsends.cpp
+++ b/tests/failure-limitedsends.cpp
@@ -6,6 +6,7 @@
 #include "support/rawendpoint.h"
 #include "support/waituntil.h"
 
+#include "almondmill/forward/endpointview.h"
 #include "almondmill/peers/sendpermits.h"
 
 #include <gtest/gtest.h>
@@ -211,6 +212,24 @@
     EXPECT_TRUE(isServed(ask(harness, "/any/x", 1000)));
 }
 
+// Prompts queued at engines until their callers had left, which then got no answer.
+TEST(LimitedSends, APromptWhoseCallerWouldLeaveFirstIsRefusedAtOnce)
+{
+    constexpr std::uint64_t TokensOfLongWait = 1'000'000;
+    const StatingEndpoint busy("200 OK", "");
+    ForwardingHarness harness;
+    harness.configure(withShortTargets());
+    harness.addEndpoint("busy", "stream", busy.address(), 1);
+    harness.onLoop([](ForwardingContext &context) {
+        context.endpoints.find("busy")->prefillStarted(TokensOfLongWait);
+    });
+    const std::string prompt = "Model: m\r\nToken-Usage: 30,5\r\nPrompt-Prefix: a:10,b:20\r\n";
+    const std::string answer = sendRequest(harness, requestText("POST", "/stream/x", prompt));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_GT(std::stod("0" + headerOf(answer, "Retry-After")), 5.0) << answer;
+    EXPECT_EQ(busy.arrivals(), 0U);
+}
+
 // A new incarnation begins without the limit of the one before.
 TEST(LimitedSends, AnotherIncarnationAtTheAddressHasNoLimit)
 {
