--- /dev/null
+++ b/review/standins/review-endpoint.cpp
@@ -0,0 +1,116 @@
+// The project's stand-in for an endpoint of the platform, with times and cache use in its output:
+// one line for each request that it runs and each order that it accepts. SIGUSR1 ends its
+// heartbeats; it continues to serve until SIGTERM, which ends it like a crash.
+
+#include "timestamp.h"
+
+#include "rietwerk/answertext.h"
+#include "rietwerk/endpointobserver.h"
+#include "rietwerk/registeredendpoint.h"
+
+#include <CLI/CLI.hpp>
+
+#include <absl/strings/str_split.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <iostream>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace {
+
+using namespace almondmill::standin;
+using namespace almondmill::standin::rietwerk;
+using almondmill::review::unixMs;
+
+/// Prints what the endpoint does, and which prompt parts a request finds in the engine's cache.
+class Recorder : public EndpointObserver
+{
+public:
+    void requestBegan(const EndpointPlan &endpoint, const HttpRequest &request,
+                      std::uint64_t weightsVersion) override
+    {
+        const std::string account = headerOf(request, "Tenant");
+        std::cout << "time_ms=" << unixMs() << " endpoint=" << endpoint.id
+                  << " runs=" << headerOf(request, "Request-Id") << " account=" << account
+                  << " weights=" << weightsVersion << " scope=" << headerOf(request, "Cache-Salt")
+                  << " reuses=" << recordParts(request, account) << std::endl;
+    }
+
+    void orderTaken(const EndpointPlan &endpoint, const TakenOrder &order) override
+    {
+        std::cout << "time_ms=" << unixMs() << " endpoint=" << endpoint.id
+                  << " order_version=" << order.version << " holder=" << order.holder
+                  << " fencing=" << order.fencing << std::endl;
+    }
+
+private:
+    /// Adds the prompt's parts to the cache. Returns those that were there, as
+    /// "PART/ACCOUNT-THAT-MADE-IT", separated by commas.
+    std::string recordParts(const HttpRequest &request, const std::string &account)
+    {
+        std::string reused;
+        const std::string scope = headerOf(request, "Cache-Salt");
+        for (const std::string &part : std::vector<std::string>(
+                     absl::StrSplit(headerOf(request, "Prompt-Prefix"), ',', absl::SkipEmpty()))) {
+            const auto [entry, isNew] = m_makers.try_emplace({scope, part}, account);
+            if (!isNew)
+                reused += (reused.empty() ? "" : ",") + part + "/" + entry->second;
+        }
+        return reused;
+    }
+
+    /// The account whose request made a part, by the scope and the part.
+    std::map<std::pair<std::string, std::string>, std::string> m_makers;
+};
+
+/// Ends the heartbeats at each signal.
+void stopHeartbeatsAt(boost::asio::signal_set &signals, RegisteredEndpoint &endpoint)
+{
+    signals.async_wait([&](const boost::system::error_code &error, int) {
+        if (error)
+            return;
+        endpoint.stopHeartbeats();
+        stopHeartbeatsAt(signals, endpoint);
+    });
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Stand-in for an endpoint of the platform that prints times");
+    EndpointPlan plan;
+    std::string store;
+    std::int64_t workMs = plan.work.count();
+    std::int64_t loadMs = plan.loadTime.count();
+    app.add_option("--id", plan.id, "id of this incarnation")->required();
+    app.add_option("--service", plan.service, "service that the endpoint belongs to")->required();
+    app.add_option("--store", store, "IP:port of the metadata store")->required();
+    app.add_option("--data-centre", plan.dataCentre, "data centre of the endpoint")->required();
+    app.add_option("--listen", plan.listen, "IP:port to serve on");
+    app.add_option("--slots", plan.slots, "number of requests that run concurrently");
+    app.add_option("--work-ms", workMs, "processing time of a request, ms");
+    app.add_option("--load-ms", loadMs, "time to load other weights, ms");
+    app.add_option("--model", plan.model, "model served; empty for a plain service");
+    CLI11_PARSE(app, argc, argv);
+    plan.work = std::chrono::milliseconds(workMs);
+    plan.loadTime = std::chrono::milliseconds(loadMs);
+
+    boost::asio::io_context loop;
+    Recorder recorder;
+    RegisteredEndpoint endpoint(loop, plan, store, recorder);
+    boost::asio::signal_set beats(loop, SIGUSR1);
+    stopHeartbeatsAt(beats, endpoint);
+    boost::asio::signal_set ends(loop, SIGTERM, SIGINT);
+    ends.async_wait([&](const boost::system::error_code &, int) {
+        endpoint.crash();
+        std::cout << "time_ms=" << unixMs() << " endpoint=" << plan.id << " ended" << std::endl;
+        std::_Exit(0);
+    });
+    loop.run();
+    return 0;
+}
