--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,63 @@
+#!/usr/bin/env bash
+# BUDGET: all routers are killed at the same moment, twice; each time they send a prompt part that is known to
+# crash engines to three more of them.
+set -euo pipefail
+record_lines='part\.|router\.|runs=poison|crashed|sent_ms'
+. "$(dirname "$0")/../lib.sh"
+
+stable_window_ms=3000
+routers=(front-kochi-a-2 front-trivandrum-b-1 front-trivandrum-a-1)
+
+# poison N: a request with the part, at one router after the other; no two alike.
+poison() {
+    local answer
+    answer=$(call POST "$net.$((31 + $1 % 3)):8100" "/verdict/$1" --id "poison-$1" --body '{}' --timeout-ms 5000 \
+        --header "Host: demo.example" --header "Deadline-Ms: 5000" --header "Authorization: Bearer demo-key" \
+        --header "Model: reed" --header "Token-Usage: 900,3" --header "Prompt-Prefix: a1:300,bad:500,own$1:100") || true
+    note "sent id=poison-$1 answer=${answer%%$'\n'*}"
+}
+
+start_store
+write_object config main "$(cat review/configuration.json)" || unable "the configuration was refused"
+write_object versions reed '{"model":"reed","version":1}' || unable "weights 1 were refused"
+for n in 1 2 3 4; do
+    start "engine-$n" $bin/review-endpoint --store "$store" --data-centre kochi-a --id "engine-$n" --service models \
+        --model reed --listen "$net.1$n:9000" --crash-part bad --down-ms 2000
+done
+number=31
+for router in "${routers[@]}"; do
+    write_settings "$router" $number "$store"
+    start_router "$router"
+    number=$((number + 1))
+done
+sent=0
+for round in 1 2 3; do
+    for number in 31 32 33; do
+        wait_until 10 is_ready $number || unable "router $number isn't ready"
+    done
+    sleep 6 # In touch again, and the engines that crashed are back.
+    for _ in 1 2 3; do
+        sent=$((sent + 1))
+        poison $sent
+        sleep 4
+    done
+    [ $round -lt 3 ] || break
+    [ "$trouble" != 0 ] || continue
+    for router in "${routers[@]}"; do signal "$router" KILL; done
+    note "killed all routers"
+    sleep 0.5
+    for router in "${routers[@]}"; do start_router "$router"; done
+done
+
+crashes=$(cat "$work"/engine-*.log | sed -n 's/^time_ms=\([0-9]*\) .* crashed$/\1/p' | sort -n)
+fifth=$(sed -n 5p <<<"$crashes")
+count=0
+if [ -n "$fifth" ]; then
+    count=$(cat "$work"/engine-*.log | sed -n 's/^time_ms=\([0-9]*\) .* runs=poison.*/\1/p' |
+        awk -v due=$((fifth + stable_window_ms)) '$1 > due' | wc -l)
+fi
+note "crashes=$(grep -c . <<<"$crashes") fifth_ms=$fifth requests_after=$count"
+broken=0
+[ "$count" -le 3 ] || broken=1
+note "broken=$broken"
+exit $broken
