--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -45,11 +45,12 @@
     for number in 31 32 33; do
         sent=$(now_ms)
         answer=$(call GET "$net.$number:8100" "/lookup/$round" --id "late-$number-$round" \
-            --header "Host: demo.example" --header "Deadline-Ms: 1200" --header "Authorization: Bearer second-key")
+            --timeout-ms 2000 --header "Host: demo.example" --header "Deadline-Ms: 1200" --header "Authorization: Bearer second-key") || true
         note "sent_ms=$sent after_ack_ms=$((sent - acked)) router=$number id=late-$number-$round answer=${answer%%$'\n'*}"
-        [[ $answer == 401* ]] || broken=1
     done
     sleep 1
 done
-note "broken=$broken"
-exit $broken
+# Only a run at the endpoint shows that the older version allowed it.
+sleep 0.2
+if grep -q "runs=late-" "$work/desk-1.log"; then broken=1; fi
+conclude $broken
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -60,5 +60,4 @@
 note "removed_ms=$removed counted_from_ms=$due requests_at_endpoint_that_left=$count without_success=$lost"
 broken=0
 [ "$count" -eq 0 ] || broken=1
-note "broken=$broken"
-exit $broken
+conclude $broken
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -64,5 +64,4 @@
 while read -r line; do [ -z "$line" ] || note "$line"; done <<<"$late"
 broken=0
 [ "$count" -eq 0 ] || broken=1
-note "broken=$broken"
-exit $broken
+conclude $broken
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -11,7 +11,7 @@
 # poison N: a request with the part, at one router after the other; no two alike.
 poison() {
     local answer
-    answer=$(call POST "$net.$((31 + $1 % 3)):8100" "/verdict/$1" --id "poison-$1" --body '{}' --timeout-ms 5000 \
+    answer=$(call POST "$net.$((31 + $1 % 3)):8100" "/verdict/$1" --id "poison-$1" --body '{}' --timeout-ms 2500 \
         --header "Host: demo.example" --header "Deadline-Ms: 5000" --header "Authorization: Bearer demo-key" \
         --header "Model: reed" --header "Token-Usage: 900,3" --header "Prompt-Prefix: a1:300,bad:500,own$1:100") || true
     note "sent id=poison-$1 answer=${answer%%$'\n'*}"
@@ -38,6 +38,7 @@
         --header "Prompt-Prefix: s1:200,u1:100"
 }
 
+now_ms >"$work/starts"
 sent=0
 for round in 1 2 3; do
     for number in 31 32 33; do
@@ -56,6 +57,7 @@
     note "killed all routers"
     sleep 0.5
     for router in "${routers[@]}"; do start_router "$router"; done
+    now_ms >>"$work/starts"
 done
 
 crashes=$(cat "$work"/engine-*.log | sed -n 's/^time_ms=\([0-9]*\) .* crashed$/\1/p' | sort -n)
@@ -63,7 +65,10 @@
 count=0
 if [ -n "$fifth" ]; then
     count=$(cat "$work"/engine-*.log | sed -n 's/^time_ms=\([0-9]*\) .* runs=poison.*/\1/p' |
-        awk -v due=$((fifth + stable_window_ms)) '$1 > due' | wc -l)
+        awk -v due=$((fifth + stable_window_ms)) -v window=$stable_window_ms '
+            NR == FNR { starts[NR] = $1; next }
+            { in_touch = 1; for (n in starts) if ($1 >= starts[n] && $1 < starts[n] + window) in_touch = 0 }
+            $1 > due && in_touch' "$work/starts" - | wc -l)
 fi
 lost=0
 if [ -n "$fifth" ]; then
@@ -74,5 +79,4 @@
 note "crashes=$(grep -c . <<<"$crashes") fifth_ms=$fifth requests_after=$count"
 broken=0
 [ "$count" -le 3 ] || broken=1
-note "broken=$broken"
-exit $broken
+conclude $broken
--- a/review/build.sh
+++ b/review/build.sh
@@ -8,10 +8,13 @@
 mkdir -p "$out"
 mapfile -t objects < <(find target/CMakeFiles/almondmill_core.dir target/CMakeFiles/almondmill_generated.dir -name '*.o')
 [ ${#objects[@]} -gt 0 ] || { echo "build.sh: run the deploy file's build first" >&2; exit 2; }
-read -r -a libraries < <(pkg-config --libs grpc++ protobuf liburcu-bp libxxhash log4cplus libcrypto cpp-httplib \
+packages=(grpc++ protobuf liburcu-bp libxxhash log4cplus libcrypto cpp-httplib \
     absl_strings absl_flat_hash_map absl_synchronization \
     tomlplusplus)
-compile() { g++ -std=c++20 -O1 -pthread -Iinclude -Istandins -I. -c "$1" -o "$2"; }
+read -r -a flags < <(pkg-config --cflags "${packages[@]}")
+read -r -a libraries < <(pkg-config --libs "${packages[@]}")
+# The flags decide the layout of classes that the libraries share with us.
+compile() { g++ -std=c++20 -O1 -pthread "${flags[@]}" -Iinclude -Istandins -I. -c "$1" -o "$2"; }
 
 standins=()
 builds=()
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -5,6 +5,7 @@
 case_folder=$(cd "$(dirname "$0")" && pwd)
 cd "$case_folder/../.."
 trouble=${TROUBLE:-1}
+verdict=2 # Also when a command fails that should not.
 bin=target/review
 for program in target/almondmilld $bin/standin-metadata $bin/review-endpoint $bin/review-proxy $bin/review-client; do
     [ -x "$program" ] || { echo "$0: $program is missing: run the deploy file's build and review/build.sh" >&2; exit 2; }
@@ -49,6 +50,7 @@
         done
     } >"$record"
     rm -rf "$work"
+    exit "$verdict"
 }
 trap finish EXIT
 
@@ -58,6 +60,13 @@
     exit 2
 }
 
+# conclude BROKEN: ends the script, with 1 if the rule was broken and 0 if it held.
+conclude() {
+    note "broken=$1"
+    verdict="$1"
+    exit "$1"
+}
+
 # wait_until SECONDS COMMAND...: waits for a command to succeed.
 wait_until() {
     local end=$(($(now_ms) + $1 * 1000))
