--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/directory/listrequests.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/store/asyncstore.h"
 
@@ -36,7 +37,8 @@
 
     struct Handlers
     {
-        std::function<void(const ObjectList &, Freshness)> listed;
+        /// Receives a list and the time at which it was requested from the store.
+        std::function<void(const ObjectList &, SteadyTime sentAt)> listed;
         std::function<void(const ObjectEvents &)> changed;
         std::function<void()> recovered; ///< First answer after failures; may be empty.
     };
@@ -61,7 +63,6 @@
 private:
     boost::asio::awaitable<void> backOff();
     boost::asio::awaitable<bool> list();
-    void applyList(const ObjectList &objects, Freshness freshness);
     boost::asio::awaitable<bool> waitForChanges();
     boost::asio::awaitable<void> idle();
     void recordSuccess();
@@ -74,9 +75,7 @@
     std::shared_ptr<StoreOutage> m_outage;
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0; ///< Consecutive failures.
-    bool m_listPending = true;
-    Freshness m_listFreshness;
-    std::uint64_t m_listUpTo = 0; ///< Revision that a stale list must have reached.
+    ListRequests m_lists;
     std::shared_ptr<boost::asio::steady_timer> m_idle; ///< Cancelled by `refresh`.
 };
 
--- a/include/almondmill/forward/storestatesync.h
+++ b/include/almondmill/forward/storestatesync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/directory/refreshlimiter.h"
+#include "almondmill/directory/reportedversion.h"
 #include "almondmill/directory/storewatcher.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/peers/readerelection.h"
@@ -51,9 +52,8 @@
 
 private:
     void applyRouting(const StoredObject &object);
-    /// Notes that the store lacks the version that was reported, so that it is not read for it
-    /// again.
-    void checkReportedConfiguration();
+    /// Compares what a read sent at `sentAt` brought into force with what other routers report.
+    void checkReportedConfiguration(SteadyTime sentAt);
     boost::asio::awaitable<void> readConfigurationAfter(std::chrono::milliseconds delay);
     /// Version of the configuration in force; zero while there is none.
     std::uint64_t configurationInForce() const;
@@ -85,9 +85,8 @@
     SteadyTime m_startedAt;
     std::optional<SteadyTime> m_configurationSince;
     std::string m_configurationError;
-    std::uint64_t m_reportedConfiguration = 0; ///< Newest version that another router reported.
-    std::uint64_t m_missingConfiguration = 0;  ///< Reported version that the store does not have.
-    SteadyTime m_retainMissingUntil;           ///< Until then missing entries are retained.
+    ReportedVersion m_reportedConfiguration;
+    SteadyTime m_retainMissingUntil; ///< Until then missing entries are retained.
     /// An entry is retained although its removal was seen. Until it is known whether the entry
     /// comes back, no later revision is published, as the other routers would never learn of the
     /// removal.
--- /dev/null
+++ b/src/directory/listrequests.cpp
@@ -0,0 +1,51 @@
+#include "almondmill/directory/listrequests.h"
+
+#include <algorithm>
+
+namespace almondmill {
+
+ListRequests::ListRequests(Freshness first)
+    : m_freshness(first)
+{}
+
+void ListRequests::request()
+{
+    m_isPending = true;
+    m_freshness = Freshness::Current;
+    ++m_position;
+}
+
+void ListRequests::requestUpTo(std::uint64_t revision)
+{
+    m_upTo = std::max(m_upTo, revision);
+    if (m_isPending)
+        return;
+    m_isPending = true;
+    m_freshness = Freshness::MayBeStale;
+}
+
+ListRequests::Read ListRequests::begin() const
+{
+    return {m_freshness, m_position, m_upTo};
+}
+
+void ListRequests::fail()
+{
+    m_freshness = Freshness::Current;
+}
+
+bool ListRequests::complete(const Read &read, std::uint64_t revision, std::uint64_t knownRevision)
+{
+    const bool isSuperseded = read.position != m_position;
+    const bool isStale = read.freshness == Freshness::MayBeStale;
+    m_freshness = Freshness::Current;
+    if (isStale && (isSuperseded || revision < std::max(m_upTo, knownRevision)))
+        return false;
+    // A current list that lacks a revision which was requested before it shows that the store has
+    // no such revision.
+    const bool lacksLaterRequest = m_upTo > read.upTo && revision < m_upTo;
+    m_isPending = isSuperseded || lacksLaterRequest;
+    return true;
+}
+
+} // namespace almondmill
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -55,7 +55,7 @@
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
     , m_outage(outage ? std::move(outage) : std::make_shared<StoreOutage>())
-    , m_listFreshness(m_options.firstList)
+    , m_lists(m_options.firstList)
     , m_idle(std::make_shared<asio::steady_timer>(loop))
 {}
 
@@ -63,7 +63,7 @@
 {
     for (;;) {
         bool reached = true;
-        if (m_listPending)
+        if (m_lists.isPending())
             reached = co_await list();
         else if (!isReader || isReader())
             reached = co_await waitForChanges();
@@ -90,18 +90,13 @@
 
 void StoreWatcher::refresh()
 {
-    m_listPending = true;
-    m_listFreshness = Freshness::Current;
+    m_lists.request();
     m_idle->cancel();
 }
 
 void StoreWatcher::refreshUpTo(std::uint64_t revision)
 {
-    m_listUpTo = std::max(m_listUpTo, revision);
-    if (m_listPending)
-        return;
-    m_listPending = true;
-    m_listFreshness = Freshness::MayBeStale;
+    m_lists.requestUpTo(revision);
     m_idle->cancel();
 }
 
@@ -119,32 +114,22 @@
 
 asio::awaitable<bool> StoreWatcher::list()
 {
-    const Freshness freshness = m_listFreshness;
-    const auto result = co_await m_store.list(m_options.kind, freshness,
-                                              std::chrono::steady_clock::now() + ListTimeout);
+    const ListRequests::Read read = m_lists.begin();
+    const SteadyTime sentAt = std::chrono::steady_clock::now();
+    const auto result =
+            co_await m_store.list(m_options.kind, read.freshness, sentAt + ListTimeout);
     if (const auto *missing = std::get_if<Unavailable>(&result)) {
         recordFailure(missing->reason);
-        m_listFreshness = Freshness::Current;
+        m_lists.fail();
         co_return false;
     }
     recordSuccess();
     const auto &objects = std::get<ObjectList>(result);
-    const bool isTooOld = freshness == Freshness::MayBeStale
-                          && objects.revision < std::max(m_listUpTo, m_revision);
-    if (isTooOld || m_listFreshness != freshness) {
-        m_listFreshness = Freshness::Current;
+    if (!m_lists.complete(read, objects.revision, m_revision))
         co_return true;
-    }
-    applyList(objects, freshness);
-    co_return true;
-}
-
-void StoreWatcher::applyList(const ObjectList &objects, Freshness freshness)
-{
-    m_listPending = false;
-    m_listFreshness = Freshness::Current;
     m_revision = std::max(m_revision, objects.revision);
-    m_handlers.listed(objects, freshness);
+    m_handlers.listed(objects, sentAt);
+    co_return true;
 }
 
 asio::awaitable<bool> StoreWatcher::waitForChanges()
@@ -154,12 +139,12 @@
             co_await m_store.events(m_options.kind, m_revision, m_options.wait, deadline);
     if (std::holds_alternative<HistoryGone>(result)) {
         EventLine("store.history_gone").add("kind", m_options.label);
-        m_listPending = true;
+        m_lists.request();
         co_return false;
     }
     if (const auto *missing = std::get_if<Unavailable>(&result)) {
         recordFailure(missing->reason);
-        m_listPending = true; // The lost answer may have contained changes.
+        m_lists.request(); // The lost answer may have contained changes.
         co_return false;
     }
     recordSuccess();
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -146,10 +146,10 @@
 
 void StoreStateSync::learnConfigurationVersion(std::uint64_t version)
 {
-    if (version <= configurationInForce() || version == m_missingConfiguration)
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (version <= configurationInForce() || !m_reportedConfiguration.record(version, now))
         return;
-    m_reportedConfiguration = std::max(m_reportedConfiguration, version);
-    const auto delay = m_configurationReads.reported(std::chrono::steady_clock::now());
+    const auto delay = m_configurationReads.reported(now);
     if (!delay)
         return;
     EventLine("configuration.read").add("reported", version).add("in", *delay);
@@ -159,7 +159,7 @@
 asio::awaitable<void> StoreStateSync::readConfigurationAfter(milliseconds delay)
 {
     co_await sleepFor(m_context.loop, delay);
-    if (m_reportedConfiguration > configurationInForce())
+    if (m_reportedConfiguration.isAwaited(configurationInForce()))
         m_routing->refresh();
 }
 
@@ -169,12 +169,12 @@
     return table ? table->version() : 0;
 }
 
-void StoreStateSync::checkReportedConfiguration()
+void StoreStateSync::checkReportedConfiguration(SteadyTime sentAt)
 {
-    if (m_reportedConfiguration <= configurationInForce())
-        return;
-    EventLine("configuration.missing").add("version", m_reportedConfiguration);
-    m_missingConfiguration = std::exchange(m_reportedConfiguration, 0);
+    const auto missing = m_reportedConfiguration.recordRead(configurationInForce(), sentAt,
+                                                            std::chrono::steady_clock::now());
+    if (missing)
+        EventLine("configuration.missing").add("version", *missing);
 }
 
 void StoreStateSync::publishEvents(const ObjectEvents &events, std::uint64_t from)
@@ -204,10 +204,10 @@
     StoreWatcher::Options options{ObjectKind::RoutingConfiguration, "configuration",
                                   m_context.settings.configurationDeadline, milliseconds(0)};
     StoreWatcher::Handlers handlers;
-    handlers.listed = [this](const ObjectList &list, Freshness) {
+    handlers.listed = [this](const ObjectList &list, SteadyTime sentAt) {
         for (const StoredObject &object : list.objects)
             applyRouting(object);
-        checkReportedConfiguration();
+        checkReportedConfiguration(sentAt);
     };
     handlers.changed = [this](const ObjectEvents &events) {
         for (const ObjectEvent &event : events.events) {
@@ -229,7 +229,7 @@
         m_retainMissingUntil = std::chrono::steady_clock::now() + EntryRenewalTime;
         asio::co_spawn(m_context.loop, refreshAfterRetention(), asio::detached);
     };
-    handlers.listed = [this](const ObjectList &list, Freshness) {
+    handlers.listed = [this](const ObjectList &list, SteadyTime) {
         applyRegistrations(list);
         if (isReader())
             publishEvents({{}, list.revision}, list.revision);
@@ -248,7 +248,7 @@
     StoreWatcher::Options options{ObjectKind::WeightsTargets, "weights", WeightsWait,
                                   milliseconds(0), Freshness::MayBeStale};
     StoreWatcher::Handlers handlers;
-    handlers.listed = [this](const ObjectList &list, Freshness) {
+    handlers.listed = [this](const ObjectList &list, SteadyTime) {
         // A list does not contain the time at which a version was named.
         const auto since = std::chrono::steady_clock::now() - AssumedListedAge;
         for (const StoredObject &object : list.objects)
--- a/tests/unit-storewatcher.cpp
+++ b/tests/unit-storewatcher.cpp
@@ -61,7 +61,7 @@
 protected:
     StoreWatcherTest()
         : watcher(loop, store, options(),
-                  {[this](const ObjectList &list, Freshness) { listed.push_back(list.revision); },
+                  {[this](const ObjectList &list, SteadyTime) { listed.push_back(list.revision); },
                    nullptr, nullptr})
     {
         boost::asio::co_spawn(loop, watcher.run([] { return false; }), boost::asio::detached);
@@ -119,7 +119,7 @@
     std::vector<std::unique_ptr<StoreWatcher>> watchers;
     std::size_t answeredLists = 0;
     StoreWatcher::Handlers handlers;
-    handlers.listed = [&](const ObjectList &, Freshness) { ++answeredLists; };
+    handlers.listed = [&](const ObjectList &, SteadyTime) { ++answeredLists; };
     store.isDown = true;
     store.lists.clear();
     for (std::size_t i = 0; i < Watchers; ++i) {
