--- a/include/almondmill/directory/endpointdirectory.h
+++ b/include/almondmill/directory/endpointdirectory.h
@@ -19,8 +19,10 @@
     const Registration *entry = nullptr; ///< Null when the entry was removed.
 };
 
-/// The registered endpoints as of one revision of the platform's store. Must be used on the event
-/// loop only; not thread-safe.
+/// The registered endpoints as of one revision of the platform's store. What is known of an entry
+/// comes from lists, events and other routers, in any order, so each entry has the revision at which
+/// it was written or removed, and older news of it are ignored. Must be used on the event loop only;
+/// not thread-safe.
 class EndpointDirectory
 {
 public:
@@ -35,6 +37,9 @@
     /// Null when there is no such entry.
     const Registration *find(std::string_view id) const;
 
+    /// Removals that are remembered, so that older news of these entries are recognized.
+    static constexpr std::size_t MaxRemovals = 1024;
+
     /// What `replaceAll` does with entries that are not in the list.
     enum class UnlistedEntries { Remove, Keep };
 
@@ -43,15 +48,21 @@
     void replaceAll(std::vector<Registration> entries, std::uint64_t revision,
                     UnlistedEntries unlisted = UnlistedEntries::Remove);
 
+    /// Adds or replaces an entry, unless it was written or removed at a later revision.
     void put(Registration entry);
-    void remove(const std::string &id);
+
+    /// Removes an entry that was absent at `revision`, unless it was written at a later one.
+    void remove(const std::string &id, std::uint64_t revision);
 
     /// Records that all changes up to `revision` were applied. A lower revision has no effect.
     void advance(std::uint64_t revision);
 
 private:
+    void recordRemoval(const std::string &id, std::uint64_t revision);
+
     Observer m_observer;
     absl::flat_hash_map<std::string, Registration> m_entries;
+    absl::flat_hash_map<std::string, std::uint64_t> m_removals; ///< Revisions by id.
     std::uint64_t m_revision = 0;
 };
 
--- a/include/almondmill/directory/registration.h
+++ b/include/almondmill/directory/registration.h
@@ -26,6 +26,7 @@
     bool draining = false;   ///< Takes no new requests.
     std::vector<ServedModel> models;
     std::uint64_t orderCount = 0; ///< Orders that it has accepted in this incarnation.
+    std::uint64_t revision = 0;   ///< Revision of the store at which the entry was written.
 };
 
 } // namespace almondmill
--- a/src/directory/endpointdirectory.cpp
+++ b/src/directory/endpointdirectory.cpp
@@ -33,22 +33,44 @@
             gone.push_back(id);
     }
     for (const std::string &id : gone)
-        remove(id);
+        remove(id, revision);
     advance(revision);
 }
 
 void EndpointDirectory::put(Registration entry)
 {
     const std::string id = entry.id;
+    const auto removal = m_removals.find(id);
+    if (removal != m_removals.end() && entry.revision <= removal->second)
+        return;
     Registration &stored = m_entries[id];
+    if (entry.revision < stored.revision)
+        return;
     stored = std::move(entry);
     m_observer({id, &stored});
 }
 
-void EndpointDirectory::remove(const std::string &id)
+void EndpointDirectory::remove(const std::string &id, std::uint64_t revision)
+{
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end() && found->second.revision > revision)
+        return;
+    recordRemoval(id, revision);
+    if (found == m_entries.end())
+        return;
+    m_entries.erase(found);
+    m_observer({id, nullptr});
+}
+
+void EndpointDirectory::recordRemoval(const std::string &id, std::uint64_t revision)
 {
-    if (m_entries.erase(id) != 0)
-        m_observer({id, nullptr});
+    std::uint64_t &known = m_removals[id];
+    known = std::max(known, revision);
+    if (m_removals.size() <= MaxRemovals)
+        return;
+    m_removals.erase(std::min_element(
+            m_removals.begin(), m_removals.end(),
+            [](const auto &first, const auto &second) { return first.second < second.second; }));
 }
 
 void EndpointDirectory::advance(std::uint64_t revision)
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -50,7 +50,9 @@
 std::optional<Registration> decodeEntry(const PlatformAdapter &adapter, const StoredObject &object)
 {
     try {
-        return adapter.decodeRegistration(object.name, object.value);
+        Registration entry = adapter.decodeRegistration(object.name, object.value);
+        entry.revision = object.version;
+        return entry;
     } catch (const Error &error) {
         EventLine("registration.unreadable")
                 .add("name", object.name)
@@ -116,16 +118,16 @@
         return;
     m_readerElection.recordUpdate(update.origin, std::chrono::steady_clock::now());
     EndpointDirectory &directory = m_context.directory;
+    for (const Registration &entry : update.registrations->changed)
+        directory.put(entry);
+    for (const std::string &id : update.registrations->gone)
+        directory.remove(id, update.registrations->to);
     if (update.registrations->to <= directory.revision())
         return;
     if (update.registrations->from > directory.revision()) {
         m_registrations->refreshUpTo(update.registrations->to); // Updates in between were lost.
         return;
     }
-    for (const Registration &entry : update.registrations->changed)
-        directory.put(entry);
-    for (const std::string &id : update.registrations->gone)
-        directory.remove(id);
     directory.advance(update.registrations->to);
     m_registrations->advance(update.registrations->to);
 }
@@ -319,13 +321,13 @@
             continue;
         }
         if (event.deleted) {
-            m_context.directory.remove(event.object.name);
+            m_context.directory.remove(event.object.name, event.object.version);
             continue;
         }
         if (auto entry = decodeEntry(*m_context.adapter, event.object))
             m_context.directory.put(std::move(*entry));
         else
-            m_context.directory.remove(event.object.name);
+            m_context.directory.remove(event.object.name, event.object.version);
     }
     if (!m_retainsRemoval)
         m_context.directory.advance(events.revision);
--- a/src/peers/storeupdate.cpp
+++ b/src/peers/storeupdate.cpp
@@ -13,7 +13,7 @@
 
 /// Layout version of store updates. It differs from those of the other peer messages, so that the
 /// receiver can tell them apart.
-constexpr std::uint32_t LayoutVersion = 101;
+constexpr std::uint32_t LayoutVersion = 102;
 
 json encodeModels(const std::vector<ServedModel> &models)
 {
@@ -26,7 +26,8 @@
 json encodeRegistration(const Registration &entry)
 {
     return json::array({entry.id, entry.startedAt.count(), entry.service, entry.address,
-                        entry.dataCentre, entry.slots, entry.draining, encodeModels(entry.models)});
+                        entry.dataCentre, entry.slots, entry.draining, encodeModels(entry.models),
+                        entry.revision});
 }
 
 Registration decodeRegistration(const json &fields)
@@ -41,6 +42,7 @@
     entry.draining = fields.at(6).get<bool>();
     for (const json &model : fields.at(7))
         entry.models.push_back({model.at(0).get<std::string>(), model.at(1).get<std::uint64_t>()});
+    entry.revision = fields.at(8).get<std::uint64_t>();
     return entry;
 }
 
--- a/tests/failure-forwarding.cpp
+++ b/tests/failure-forwarding.cpp
@@ -472,7 +472,7 @@
         context.directory.put(entry);
     });
     EXPECT_TRUE(startsWithStatus(sendRequest(harness, requestText("GET", "/any/x")), 503));
-    harness.onLoop([](ForwardingContext &context) { context.directory.remove("e1"); });
+    harness.onLoop([](ForwardingContext &context) { context.directory.remove("e1", 0); });
     EXPECT_TRUE(startsWithStatus(sendRequest(harness, requestText("GET", "/any/x")), 503));
     EXPECT_EQ(endpoint.calls(), 0U);
 }
--- a/tests/failure-limitedsends.cpp
+++ b/tests/failure-limitedsends.cpp
@@ -240,7 +240,7 @@
     ask(harness, "/any/x", 1);
     EXPECT_FALSE(isServed(ask(harness, "/any/x", 2)));
     endpoint.setFields("");
-    harness.onLoop([](ForwardingContext &context) { context.directory.remove("first"); });
+    harness.onLoop([](ForwardingContext &context) { context.directory.remove("first", 0); });
     harness.addEndpoint("second", "any", endpoint.address());
     EXPECT_TRUE(isServed(ask(harness, "/any/x", 3)));
 }
--- a/tests/failure-retries.cpp
+++ b/tests/failure-retries.cpp
@@ -248,8 +248,8 @@
             return;
         }
         router->onLoop([](ForwardingContext &context) {
-            context.directory.remove("e1");
-            context.directory.remove("e2");
+            context.directory.remove("e1", 0);
+            context.directory.remove("e2", 0);
         });
         RawEndpoint::write(socket, fullAnswer(call));
     };
--- a/tests/unit-endpointdirectory.cpp
+++ b/tests/unit-endpointdirectory.cpp
@@ -19,6 +19,13 @@
     return entry;
 }
 
+/// The entry as written at a revision of the store.
+Registration writtenAt(std::uint64_t revision, Registration entry)
+{
+    entry.revision = revision;
+    return entry;
+}
+
 /// A directory whose changes are applied to endpoint views.
 struct ObservedDirectory
 {
@@ -46,17 +53,17 @@
 {
     const SteadyTime now{std::chrono::hours(1)};
     ObservedDirectory observed;
-    observed.directory.put(entryOf("a", 2));
+    observed.directory.put(writtenAt(1, entryOf("a", 2)));
     const auto before = observed.views.find("a");
-    observed.directory.remove("a");
+    observed.directory.remove("a", 2);
     before->availability().recordLeaving(now); // By a request that was still open.
-    observed.directory.put(entryOf("a", 2));
+    observed.directory.put(writtenAt(3, entryOf("a", 2)));
     EXPECT_TRUE(observed.views.find("a")->availability().isLeaving());
-    observed.directory.put(entryOf("a", 1));
+    observed.directory.put(writtenAt(4, entryOf("a", 1)));
     EXPECT_FALSE(observed.views.find("a")->availability().isLeaving());
-    observed.directory.put(entryOf("a", 2));
+    observed.directory.put(writtenAt(5, entryOf("a", 2)));
     EXPECT_TRUE(observed.views.find("a")->availability().isLeaving());
-    observed.directory.put(entryOf("a", 3));
+    observed.directory.put(writtenAt(6, entryOf("a", 3)));
     EXPECT_FALSE(observed.views.find("a")->availability().isLeaving());
 }
 
@@ -92,6 +99,44 @@
     EXPECT_NE(observed.views.find("a"), nullptr);
 }
 
+// Guards against an endpoint that has left and is added again by older news of its entry.
+TEST(EndpointDirectory, OlderNewsOfARemovedEntryAreIgnored)
+{
+    ObservedDirectory observed;
+    observed.directory.put(writtenAt(5, entryOf("a")));
+    observed.directory.remove("a", 7);
+    observed.directory.put(writtenAt(6, entryOf("a")));
+    EXPECT_EQ(observed.views.find("a"), nullptr);
+    observed.directory.put(writtenAt(8, entryOf("a", 2)));
+    EXPECT_NE(observed.views.find("a"), nullptr);
+}
+
+TEST(EndpointDirectory, OlderNewsOfAnEntryAreIgnored)
+{
+    ObservedDirectory observed;
+    Registration draining = entryOf("a");
+    draining.draining = true;
+    observed.directory.put(writtenAt(6, draining));
+    observed.directory.put(writtenAt(5, entryOf("a")));
+    EXPECT_TRUE(observed.directory.find("a")->draining);
+    observed.directory.remove("a", 5);
+    EXPECT_NE(observed.views.find("a"), nullptr);
+    observed.directory.remove("a", 6); // A store may report a removal with the last revision.
+    EXPECT_EQ(observed.views.find("a"), nullptr);
+}
+
+TEST(EndpointDirectory, RememberedRemovalsAreBounded)
+{
+    ObservedDirectory observed;
+    observed.directory.remove("a", 1);
+    for (std::size_t i = 0; i < EndpointDirectory::MaxRemovals; ++i)
+        observed.directory.remove("b" + std::to_string(i), 2 + i);
+    observed.directory.put(writtenAt(1, entryOf("a")));
+    EXPECT_NE(observed.views.find("a"), nullptr);
+    observed.directory.put(writtenAt(1, entryOf("b0")));
+    EXPECT_EQ(observed.views.find("b0"), nullptr);
+}
+
 TEST(EndpointDirectory, ARestartUnderTheSameIdIsANewIncarnation)
 {
     ObservedDirectory observed;
--- a/tests/unit-storestateorder.cpp
+++ b/tests/unit-storestateorder.cpp
@@ -39,6 +39,15 @@
                         R"("idle_timeout_ms":15000},"tenants":[]})");
 }
 
+/// A heartbeat of an endpoint.
+std::string heartbeat(std::uint64_t sequence, bool isDraining = false)
+{
+    return absl::StrCat(R"({"service":"s","address":"127.0.0.1:8000","zone":"dc-1","version":"1",)",
+                        R"("slots":4,"state":")", isDraining ? "draining" : "ready",
+                        R"(","cold_remaining_ms":0,"sequence":)", sequence,
+                        R"(,"born":1700000000000,"models":[]})");
+}
+
 /// A router whose name ranks first or last among those that may read the store.
 ForwarderSettings settingsOfRank(bool isLast)
 {
@@ -103,4 +112,27 @@
     EXPECT_EQ(configurationInForce(), 9U);
 }
 
+// Guards against an endpoint that has left and is added again, for as long as the router runs, by
+// an answer of the store that is older than another router's update.
+TEST_F(StoreOrderTest, ALateAnswerDoesNotBringBackAnEndpointThatHasLeft)
+{
+    store.write(ObjectKind::Registrations, "desk-1", heartbeat(1));
+    store.write(ObjectKind::Registrations, "desk-2", heartbeat(1));
+    start(true);
+    ASSERT_NE(context->directory.find("desk-2"), nullptr);
+    const std::uint64_t known = context->directory.revision();
+    store.delayAnswers(ObjectKind::Registrations, LateAnswer);
+    store.write(ObjectKind::Registrations, "desk-2", heartbeat(2));
+    loop.run_for(milliseconds(250)); // The watch has begun, and its answer is on its way.
+    store.remove(ObjectKind::Registrations, "desk-2");
+    StoreUpdate update;
+    update.origin = "another-reader";
+    update.registrations = StoreUpdate::Registrations{known, store.revision(), {}, {"desk-2"}};
+    sync->learn(update);
+    ASSERT_EQ(context->directory.find("desk-2"), nullptr);
+    loop.run_for(TimeToLearn);
+    EXPECT_EQ(context->directory.find("desk-2"), nullptr);
+    EXPECT_NE(context->directory.find("desk-1"), nullptr);
+}
+
 } // namespace almondmill::test
--- a/tests/unit-storeupdate.cpp
+++ b/tests/unit-storeupdate.cpp
@@ -117,6 +117,7 @@
     entry.slots = 48;
     entry.draining = *rc::gen::arbitrary<bool>();
     entry.models = {{"m", *rc::gen::arbitrary<std::uint32_t>()}};
+    entry.revision = *rc::gen::arbitrary<std::uint64_t>();
     update.registrations = StoreUpdate::Registrations{5, 8, {entry}, {"i-2"}};
     const auto decoded = decodeStoreUpdate(encodeStoreUpdate(update));
     RC_ASSERT(decoded.has_value());
@@ -126,6 +127,7 @@
     const Registration &copy = decoded->registrations->changed.front();
     RC_ASSERT(copy.startedAt == entry.startedAt && copy.draining == entry.draining);
     RC_ASSERT(copy.address == entry.address && copy.slots == entry.slots);
+    RC_ASSERT(copy.revision == entry.revision);
     RC_ASSERT(copy.models.front().weightsVersion == entry.models.front().weightsVersion);
     RC_ASSERT(!decodePeerMessage(encodeStoreUpdate(update)).has_value());
 }
