--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -2,6 +2,7 @@
 
 #include "almondmill/forward/callerlistener.h"
 #include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/partevidencearchive.h"
 #include "almondmill/forward/requestforwarder.h"
 #include "almondmill/forward/sendplanner.h"
 #include "almondmill/forward/statusserver.h"
@@ -71,6 +72,7 @@
     std::unique_ptr<AsyncStore> m_store;
     StoreStateSync m_views;
     PeerExchange m_peers;
+    PartEvidenceArchive m_evidenceArchive;
     WeightsRollout m_rollout;
     RolloutLeader m_leader;
     SendPlanner m_planner;
--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -91,6 +91,10 @@
     /// that are kept of one part.
     std::vector<PartEvidence> takeRepeats(std::size_t limit);
 
+    /// Evidence that refuses requests or their repeats, most crashes first. `limit` bounds the
+    /// number of parts and crashes.
+    std::vector<PartEvidence> decisiveEvidence(std::size_t limit) const;
+
     /// Drops evidence that is too old, and counts the parts that opened or closed.
     void refresh(SteadyTime now);
 
--- /dev/null
+++ b/include/almondmill/forward/partevidencearchive.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "almondmill/store/storedobject.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+
+namespace almondmill {
+
+class AsyncStore;
+class PartBreakers;
+
+/// Keeps the evidence that refuses requests in the platform's store. Routers learn it from each
+/// other; when all of them end at once, the store alone still has it. A router reads it at its
+/// start, and one router at a time writes it when it changes. Must be used on the event loop only.
+class PartEvidenceArchive
+{
+public:
+    using IsWriter = std::function<bool()>;
+
+    /// `isWriter` tells whether this router is the one that writes.
+    PartEvidenceArchive(boost::asio::io_context &loop, AsyncStore &store, PartBreakers &breakers,
+                        IsWriter isWriter);
+
+    /// Reads the stored evidence, then writes changes until the event loop ends.
+    boost::asio::awaitable<void> run();
+
+private:
+    template<typename T>
+    using Awaitable = boost::asio::awaitable<T>;
+
+    /// Merges the stored evidence. Returns whether the store answered.
+    Awaitable<bool> restore();
+    Awaitable<void> restoreUntilAnswered();
+    Awaitable<void> saveIfChanged();
+    Awaitable<void> save();
+    void merge(const StoredObject &object);
+
+    boost::asio::io_context &m_loop;
+    AsyncStore &m_store;
+    PartBreakers &m_breakers;
+    IsWriter m_isWriter;
+    bool m_wasWriter = false;
+    std::uint64_t m_version = 0;      ///< Of the object as last known; zero when there is none.
+    std::uint64_t m_storedDigest = 0; ///< Of its evidence.
+};
+
+} // namespace almondmill
--- a/include/almondmill/forward/storestatesync.h
+++ b/include/almondmill/forward/storestatesync.h
@@ -41,6 +41,9 @@
     /// Why the newest configuration that was read could not be applied; empty when it is in force.
     const std::string &configurationError() const { return m_configurationError; }
 
+    /// Whether this router is the first of those that are elected to read the store.
+    bool isFirstReader(SteadyTime now) const;
+
     /// Starts following the store.
     void start();
 
--- a/include/almondmill/peers/readerelection.h
+++ b/include/almondmill/peers/readerelection.h
@@ -4,6 +4,8 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -25,11 +27,17 @@
     /// Whether fewer than two routers of lower rank have sent an update within the timeout.
     bool isReader(SteadyTime now) const;
 
+    /// Whether no router of lower rank has sent an update within the timeout.
+    bool isFirstReader(SteadyTime now) const { return recentReaders(now) == 0; }
+
     /// Whether this router, after its start, still waits for updates of other readers before it
     /// becomes one itself. Routers of lower rank wait for a shorter time.
     bool inStartupGrace(SteadyTime startedAt, SteadyTime now) const;
 
 private:
+    /// Routers of lower rank that have sent an update within the timeout.
+    std::ptrdiff_t recentReaders(SteadyTime now) const;
+
     std::uint64_t m_rank;
     std::chrono::milliseconds m_timeout;
     absl::flat_hash_map<std::uint64_t, SteadyTime> m_lastUpdates; ///< By rank, only lower ranks.
--- a/include/almondmill/store/asyncstore.h
+++ b/include/almondmill/store/asyncstore.h
@@ -21,6 +21,7 @@
     WeightsTargets,       ///< One object per model: the weights version that engines should serve.
     Leases,               ///< Written by the routers.
     Routers,              ///< Written by the routers: one object per router process.
+    PartEvidence,         ///< Written by the routers: prompt parts that crash engines.
 };
 
 /// How current the answer to a read must be.
--- a/src/forward/evidencereports.cpp
+++ b/src/forward/evidencereports.cpp
@@ -143,4 +143,26 @@
     return evidence;
 }
 
+std::vector<PartEvidence> PartBreakers::decisiveEvidence(std::size_t limit) const
+{
+    std::vector<const Entry *> suspects;
+    for (const auto &[part, entry] : m_entries) {
+        if (entry.suspicion.crashes >= MinCrashesToRepeat)
+            suspects.push_back(&entry);
+    }
+    std::sort(suspects.begin(), suspects.end(), [](const Entry *first, const Entry *second) {
+        return std::pair(first->suspicion.crashes, first->evidence.part)
+               > std::pair(second->suspicion.crashes, second->evidence.part);
+    });
+    std::vector<PartEvidence> evidence;
+    std::size_t size = 0;
+    for (const Entry *entry : suspects) {
+        size += sizeOf(entry->evidence);
+        if (size > limit)
+            break;
+        evidence.push_back(entry->evidence);
+    }
+    return evidence;
+}
+
 } // namespace almondmill
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -45,6 +45,15 @@
 /// How often a draining router checks whether its sessions are closed.
 constexpr milliseconds DrainCheckInterval{100};
 
+/// Lets the signal in that the process blocked until it is handled.
+void unblockReloadSignal()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 } // namespace
 
 ForwardingRouter::ForwardingRouter(asio::io_context &loop, const ForwarderSettings &settings,
@@ -66,6 +75,8 @@
               [this](const PartPlacement &placement) {
                   m_planner.learn(placement, std::chrono::steady_clock::now());
               })
+    , m_evidenceArchive(loop, *m_store, m_context.partBreakers,
+                        [this] { return m_views.isFirstReader(std::chrono::steady_clock::now()); })
     , m_rollout(m_context, [this] { m_peers.publishSoon(); })
     , m_leader(m_context, *m_store, m_rollout)
     , m_planner(m_context)
@@ -92,6 +103,7 @@
             .add("callers", m_context.settings.callersListen);
     m_views.start();
     m_peers.start();
+    startSupervised(m_loop, "parts.archive", [this] { return m_evidenceArchive.run(); });
     m_callers.start();
     m_readiness.start();
     if (m_operators)
@@ -133,6 +145,7 @@
 asio::awaitable<void> ForwardingRouter::awaitReloads()
 {
     asio::signal_set signals(m_loop, SIGHUP);
+    unblockReloadSignal();
     for (;;) {
         co_await signals.async_wait(asio::use_awaitable);
         reload();
--- /dev/null
+++ b/src/forward/partevidencearchive.cpp
@@ -0,0 +1,138 @@
+#include "almondmill/forward/partevidencearchive.h"
+
+#include "almondmill/forward/partbreakers.h"
+#include "almondmill/forward/storedpartevidence.h"
+#include "almondmill/http/asyncsleep.h"
+#include "almondmill/observe/eventline.h"
+#include "almondmill/store/asyncstore.h"
+
+#include <utility>
+
+namespace almondmill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *ObjectName = "current";
+
+constexpr milliseconds StoreTimeout{900};
+
+/// Delay before a failed read is retried.
+constexpr milliseconds RetryDelay{200};
+
+/// Interval at which the writer compares the evidence with what is stored. A part that was at
+/// crashes without guilt is mostly answered within this time, and needs no write.
+constexpr milliseconds CheckInterval{1000};
+
+/// Parts and crashes in the object, of up to 100 bytes each.
+constexpr std::size_t MaxStored = 600;
+
+SteadyTime callDeadline()
+{
+    return std::chrono::steady_clock::now() + StoreTimeout;
+}
+
+} // namespace
+
+PartEvidenceArchive::PartEvidenceArchive(asio::io_context &loop, AsyncStore &store,
+                                         PartBreakers &breakers, IsWriter isWriter)
+    : m_loop(loop)
+    , m_store(store)
+    , m_breakers(breakers)
+    , m_isWriter(std::move(isWriter))
+{}
+
+asio::awaitable<void> PartEvidenceArchive::run()
+{
+    co_await restoreUntilAnswered();
+    for (;;) {
+        co_await sleepFor(m_loop, CheckInterval);
+        const bool wasWriter = std::exchange(m_wasWriter, m_isWriter());
+        if (!m_wasWriter)
+            continue;
+        // The writer before this one may have changed the object.
+        if (!wasWriter)
+            co_await restoreUntilAnswered();
+        co_await saveIfChanged();
+    }
+}
+
+asio::awaitable<void> PartEvidenceArchive::restoreUntilAnswered()
+{
+    for (;;) {
+        const bool isAnswered = co_await restore();
+        if (isAnswered)
+            co_return;
+        co_await sleepFor(m_loop, RetryDelay);
+    }
+}
+
+asio::awaitable<bool> PartEvidenceArchive::restore()
+{
+    const auto result = co_await m_store.read(ObjectKind::PartEvidence, ObjectName,
+                                              Freshness::Current, callDeadline());
+    if (std::holds_alternative<Unavailable>(result))
+        co_return false;
+    if (const auto *object = std::get_if<StoredObject>(&result)) {
+        merge(*object);
+        co_return true;
+    }
+    m_version = 0;
+    m_storedDigest = 0;
+    co_return true;
+}
+
+asio::awaitable<void> PartEvidenceArchive::saveIfChanged()
+{
+    if (digestOf(m_breakers.decisiveEvidence(MaxStored)) != m_storedDigest)
+        co_await save();
+}
+
+asio::awaitable<void> PartEvidenceArchive::save()
+{
+    const auto evidence = m_breakers.decisiveEvidence(MaxStored);
+    const std::string value = encodeStoredEvidence(evidence, EvidenceTime::now());
+    UpdateResult result = NotApplied{};
+    if (m_version == 0)
+        result = co_await m_store.create(ObjectKind::PartEvidence, ObjectName, value,
+                                         callDeadline());
+    else
+        result = co_await m_store.update(ObjectKind::PartEvidence, ObjectName, value, m_version,
+                                         callDeadline());
+    if (const auto *applied = std::get_if<Applied>(&result)) {
+        m_version = applied->version;
+        m_storedDigest = digestOf(evidence);
+        EventLine("part_evidence.saved")
+                .add("parts", std::uint64_t(evidence.size()))
+                .add("revision", m_version);
+        co_return;
+    }
+    // Any other outcome is followed by another attempt at the next check.
+    const auto *conflict = std::get_if<Conflict>(&result);
+    if (conflict && conflict->current)
+        merge(*conflict->current);
+    else if (conflict)
+        m_version = 0;
+}
+
+void PartEvidenceArchive::merge(const StoredObject &object)
+{
+    const EvidenceTime now = EvidenceTime::now();
+    m_version = object.version;
+    m_storedDigest = 0;
+    const auto evidence = decodeStoredEvidence(object.value, now);
+    if (!evidence) {
+        EventLine("part_evidence.unreadable").add("revision", object.version);
+        return;
+    }
+    m_storedDigest = digestOf(*evidence);
+    m_breakers.merge(*evidence, PartBreakers::Audience::ThisRouter, now.steady);
+    EventLine("part_evidence.restored")
+            .add("parts", std::uint64_t(evidence->size()))
+            .add("revision", object.version);
+}
+
+} // namespace almondmill
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -89,6 +89,12 @@
     return m_readerElection.isReader(now) && !m_readerElection.inStartupGrace(m_startedAt, now);
 }
 
+bool StoreStateSync::isFirstReader(SteadyTime now) const
+{
+    return m_readerElection.isFirstReader(now)
+           && !m_readerElection.inStartupGrace(m_startedAt, now);
+}
+
 void StoreStateSync::checkOutage(SteadyTime now)
 {
     const auto outage = m_outage->takeEnded();
--- a/src/peers/readerelection.cpp
+++ b/src/peers/readerelection.cpp
@@ -46,10 +46,13 @@
 
 bool ReaderElection::isReader(SteadyTime now) const
 {
-    const auto recent =
-            std::count_if(m_lastUpdates.begin(), m_lastUpdates.end(),
-                          [&](const auto &entry) { return now - entry.second < m_timeout; });
-    return recent < ReaderCount;
+    return recentReaders(now) < ReaderCount;
+}
+
+std::ptrdiff_t ReaderElection::recentReaders(SteadyTime now) const
+{
+    return std::count_if(m_lastUpdates.begin(), m_lastUpdates.end(),
+                         [&](const auto &entry) { return now - entry.second < m_timeout; });
 }
 
 bool ReaderElection::inStartupGrace(SteadyTime startedAt, SteadyTime now) const
