--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -49,7 +49,8 @@
     /// Watches until the event loop ends, whenever `isReader` returns true.
     boost::asio::awaitable<void> run(IsReader isReader);
 
-    /// Lists the objects as soon as possible, even when this router is not a reader.
+    /// Lists the objects at once, even when this router is not a reader or a call for changes is
+    /// waiting, whose answer may have been lost.
     void refresh();
 
     /// Like `refresh`, when the answer must contain the changes up to `revision`. A stale read is
@@ -62,6 +63,7 @@
 private:
     boost::asio::awaitable<void> backOff();
     boost::asio::awaitable<bool> list();
+    boost::asio::awaitable<void> listDuringWatch();
     boost::asio::awaitable<bool> waitForChanges();
     boost::asio::awaitable<void> idle();
     void recordSuccess();
@@ -75,6 +77,8 @@
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0; ///< Consecutive failures.
     ListRequests m_lists;
+    bool m_isWatching = false;           ///< A call for changes is waiting.
+    bool m_isListingDuringWatch = false; ///< A list was requested meanwhile.
     std::shared_ptr<boost::asio::steady_timer> m_idle; ///< Cancelled by `refresh`.
 };
 
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -4,12 +4,15 @@
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/observe/eventline.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace almondmill {
 
@@ -92,6 +95,18 @@
 {
     m_lists.request();
     m_idle->cancel();
+    if (m_isWatching && !std::exchange(m_isListingDuringWatch, true))
+        asio::co_spawn(m_loop, listDuringWatch(), asio::detached);
+}
+
+asio::awaitable<void> StoreWatcher::listDuringWatch()
+{
+    while (m_isWatching && m_lists.isPending()) {
+        const bool isAnswered = co_await list();
+        if (!isAnswered)
+            co_await sleepFor(m_loop, withJitter(InitialBackoff));
+    }
+    m_isListingDuringWatch = false;
 }
 
 void StoreWatcher::refreshUpTo(std::uint64_t revision)
@@ -135,8 +150,10 @@
 asio::awaitable<bool> StoreWatcher::waitForChanges()
 {
     const auto deadline = std::chrono::steady_clock::now() + m_options.wait + AnswerTimeout;
+    m_isWatching = true;
     const auto result =
             co_await m_store.events(m_options.kind, m_revision, m_options.wait, deadline);
+    m_isWatching = false;
     if (std::holds_alternative<HistoryGone>(result)) {
         EventLine("store.history_gone").add("kind", m_options.label);
         m_lists.request();
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -32,6 +32,10 @@
 constexpr milliseconds RegistrationsWait{300};
 constexpr milliseconds RegistrationsPause{200};
 
+/// Fraction of the time in which a change must be in force for which a watch of the configuration
+/// waits. A watch whose answer is lost fails some time after that, and is followed by a list.
+constexpr int ConfigurationWaitsPerDeadline = 4;
+
 /// Reads of the configuration within the time in which a change must be in force, when one version
 /// follows another.
 constexpr int ConfigurationReadsPerDeadline = 4;
@@ -268,8 +272,10 @@
 
 void StoreStateSync::followRouting()
 {
-    StoreWatcher::Options options{ObjectKind::RoutingConfiguration, "configuration",
-                                  m_context.settings.configurationDeadline, milliseconds(0)};
+    const milliseconds wait =
+            m_context.settings.configurationDeadline / ConfigurationWaitsPerDeadline;
+    StoreWatcher::Options options{ObjectKind::RoutingConfiguration, "configuration", wait,
+                                  milliseconds(0)};
     StoreWatcher::Handlers handlers;
     handlers.listed = [this](const ObjectList &list, SteadyTime sentAt) {
         for (const StoredObject &object : list.objects)
--- a/tests/support/scriptedstore.cpp
+++ b/tests/support/scriptedstore.cpp
@@ -59,15 +59,19 @@
 }
 
 AsyncStore::Awaitable<EventsResult> ScriptedStore::events(ObjectKind kind, std::uint64_t revision,
-                                                          milliseconds wait, SteadyTime)
+                                                          milliseconds wait,
+                                                          SteadyTime deadline)
 {
     const std::size_t cuts = m_cuts[kind];
+    const std::size_t silenced = m_silenced[kind];
     const auto end = std::chrono::steady_clock::now() + wait;
     ObjectEvents found = eventsAfter(kind, revision);
     while (found.events.empty() && std::chrono::steady_clock::now() < end) {
         co_await sleepFor(m_loop, WatchStep);
         if (!m_isAvailable || m_cuts[kind] != cuts)
             co_return Unavailable{"cut"};
+        if (m_silenced[kind] != silenced)
+            co_return co_await loseAnswer(deadline);
         found = eventsAfter(kind, revision);
     }
     if (!m_isAvailable)
@@ -103,6 +107,13 @@
     co_return Applied{m_revision};
 }
 
+AsyncStore::Awaitable<EventsResult> ScriptedStore::loseAnswer(SteadyTime deadline)
+{
+    const auto left = deadline - std::chrono::steady_clock::now();
+    co_await sleepFor(m_loop, std::chrono::ceil<milliseconds>(left));
+    co_return Unavailable{"no answer"};
+}
+
 ObjectEvents ScriptedStore::eventsAfter(ObjectKind kind, std::uint64_t revision) const
 {
     ObjectEvents found;
--- a/tests/support/scriptedstore.h
+++ b/tests/support/scriptedstore.h
@@ -31,6 +31,10 @@
     /// Makes each watch of the kind fail that is waiting now.
     void cutWatches(ObjectKind kind) { ++m_cuts[kind]; }
 
+    /// Loses the answers to the watches of the kind that are waiting now: they end at their
+    /// deadlines.
+    void silenceWatches(ObjectKind kind) { ++m_silenced[kind]; }
+
     /// While the store is unavailable, calls fail, and waiting watches end.
     void setAvailable(bool isAvailable) { m_isAvailable = isAvailable; }
 
@@ -50,6 +54,7 @@
 private:
     using Key = std::pair<ObjectKind, std::string>;
 
+    Awaitable<EventsResult> loseAnswer(SteadyTime deadline);
     ObjectEvents eventsAfter(ObjectKind kind, std::uint64_t revision) const;
     /// Waits for the delay of the kind.
     Awaitable<void> deliver(ObjectKind kind);
@@ -59,6 +64,7 @@
     std::vector<std::pair<ObjectKind, ObjectEvent>> m_history;
     std::map<ObjectKind, std::chrono::milliseconds> m_delays;
     std::map<ObjectKind, std::size_t> m_cuts;
+    std::map<ObjectKind, std::size_t> m_silenced;
     std::map<ObjectKind, std::size_t> m_lists;
     std::uint64_t m_revision = 1;
     bool m_isAvailable = true;
--- a/tests/unit-storestateorder.cpp
+++ b/tests/unit-storestateorder.cpp
@@ -37,6 +37,9 @@
 /// Time after which no entry is kept any more that an outage made expire.
 constexpr milliseconds RetentionEnd{3000};
 
+/// Time in which the other routers read a version after the first one reports it.
+constexpr milliseconds TimeForOthers{400};
+
 /// A configuration of this version.
 std::string configuration(std::uint64_t version)
 {
@@ -238,4 +241,30 @@
     EXPECT_EQ(context->directory.find("desk-1"), nullptr);
 }
 
+// Guards against a reader that hears from others of a newer version, and reads it only after the
+// answer to its own waiting call, which was lost, is given up.
+TEST_F(StoreOrderTest, AReaderWhoseWatchIsSilentReadsWhatOthersReport)
+{
+    store.write(ObjectKind::RoutingConfiguration, "main", configuration(7));
+    start(true);
+    store.silenceWatches(ObjectKind::RoutingConfiguration);
+    store.write(ObjectKind::RoutingConfiguration, "main", configuration(8));
+    loop.run_for(milliseconds(100));
+    ASSERT_EQ(configurationInForce(), 7U);
+    sync->learnConfigurationVersion(8);
+    loop.run_for(milliseconds(100));
+    EXPECT_EQ(configurationInForce(), 8U);
+}
+
+// Guards against a change that comes into force too late when the answers to all readers are lost.
+TEST_F(StoreOrderTest, AChangeWhoseAnswerIsLostIsInForceWithinTheDeadline)
+{
+    store.write(ObjectKind::RoutingConfiguration, "main", configuration(7));
+    start(true);
+    store.silenceWatches(ObjectKind::RoutingConfiguration);
+    store.write(ObjectKind::RoutingConfiguration, "main", configuration(8));
+    loop.run_for(context->settings.configurationDeadline - TimeForOthers);
+    EXPECT_EQ(configurationInForce(), 8U);
+}
+
 } // namespace almondmill::test
