Unfinished answers share one bound of memory

Cause: each answer is bounded, their sum was not.

Fix: all unfinished answers share 16 MB (AnswerMemory). Beyond it the endpoint whose answers take most loses its largest one; requests at other endpoints go on. Answers of engines to the router's own calls are bounded by 256 KB each instead of 16 MB.

An endless endpoint of the tests writes its bound on each connection, no longer on all together.

--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,6 +16,8 @@
 
 namespace almondmill {
 
+class AnswerMemory;
+class AnswerReservation;
 class EndpointView;
 class TimedSocket;
 class WireCodec;
@@ -82,6 +85,14 @@
     /// an answer to HEAD, the one that the endpoint stated.
     std::optional<std::size_t> relayedLength();
 
+    /// Counts the answer in the memory that all unfinished answers share. When that is exceeded,
+    /// the pending or the next operation returns `ConnectionBroken`.
+    void limitMemory(std::shared_ptr<AnswerMemory> memory);
+
+    /// Records the bytes of the answer that were taken from `body` and are still held, because a
+    /// piece of the answer is incomplete.
+    void recordHeldBytes(std::size_t bytes);
+
     /// Lifts the limit of the body's size, for an answer whose bytes are consumed as they arrive.
     void expectStream();
 
@@ -115,6 +126,7 @@
     void recordForeignAnswer(const std::string &requestId);
     Awaitable<boost::system::error_code> skipBody(MessageReader<false> &reader);
     SteadyTime checkSilence();
+    void updateReservation();
     ExchangeError errorOf(const boost::system::error_code &error) const;
 
     std::shared_ptr<EndpointView> m_endpoint;
@@ -122,6 +134,8 @@
     std::shared_ptr<TimedSocket> m_socket;
     std::optional<AnswerParser> m_parser;
     AnswerMetadata m_metadata;
+    std::unique_ptr<AnswerReservation> m_reservation; ///< Null without a limit of memory.
+    std::size_t m_heldBytes = 0;
     std::function<void()> m_onSilence;
     GrowingInterval m_silenceChecks;
     bool m_isConnectionUsed = false; ///< Another request or answer went over the connection before.
--- a/include/almondmill/http/httpclient.h
+++ b/include/almondmill/http/httpclient.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <variant>
@@ -36,7 +37,12 @@
 class HttpClient
 {
 public:
-    HttpClient(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server);
+    /// Largest answer of the platform's store, which returns pages of about 1 MB.
+    static constexpr std::uint64_t MaxStoreAnswerBytes = 16U << 20U;
+
+    /// Calls fail whose answers have larger bodies than `maxAnswerBytes`.
+    HttpClient(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server,
+               std::uint64_t maxAnswerBytes = MaxStoreAnswerBytes);
 
     /// Opens a connection for the next call, unless an idle one can be reused. A caller whose
     /// permission to send may run out checks it between this and the call, which then sends at
@@ -64,6 +70,7 @@
     void returnToPool(std::shared_ptr<TimedSocket> socket);
 
     boost::asio::any_io_executor m_executor;
+    const std::uint64_t m_maxAnswerBytes;
     boost::asio::ip::tcp::endpoint m_server;
     std::string m_host;
     std::vector<std::shared_ptr<TimedSocket>> m_idleConnections;
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/forward/endpointexchange.h"
 
+#include "almondmill/forward/answerreservation.h"
 #include "almondmill/forward/attemptparameters.h"
 #include "almondmill/forward/callerrequest.h"
 #include "almondmill/forward/endpointview.h"
@@ -169,6 +170,30 @@
     return stated ? std::optional<std::size_t>(*stated) : std::nullopt;
 }
 
+void EndpointExchange::limitMemory(std::shared_ptr<AnswerMemory> memory)
+{
+    const auto end = [this] {
+        if (m_socket)
+            m_socket->abort();
+    };
+    m_reservation = std::make_unique<AnswerReservation>(std::move(memory), m_endpoint->id(), end);
+}
+
+void EndpointExchange::recordHeldBytes(std::size_t bytes)
+{
+    m_heldBytes = bytes;
+    updateReservation();
+}
+
+void EndpointExchange::updateReservation()
+{
+    if (!m_reservation)
+        return;
+    const std::size_t bytes =
+            m_parser->body().capacity() + m_socket->input().capacity() + m_heldBytes;
+    m_reservation->resize(isComplete() ? 0 : bytes);
+}
+
 void EndpointExchange::expectStream()
 {
     m_parser->body_limit(boost::none);
@@ -179,7 +204,11 @@
     m_socket->setDeadline(deadline);
     MessageReader<false> reader(*m_socket, *m_parser);
     const auto error = co_await reader.readBodySome();
-    co_return error ? errorOf(error) : ExchangeError::None;
+    if (error)
+        co_return errorOf(error);
+    updateReservation();
+    const bool isEnded = m_reservation && m_reservation->isEnded();
+    co_return isEnded ? ExchangeError::ConnectionBroken : ExchangeError::None;
 }
 
 EndpointExchange::Awaitable<ExchangeError> EndpointExchange::readBody(SteadyTime deadline)
@@ -228,6 +257,7 @@
 {
     if (m_socket)
         expectBytesBy(SteadyTime::max());
+    m_reservation.reset();
     const auto socket = std::move(m_socket);
     m_socket = nullptr;
     if (!socket)
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -61,6 +61,7 @@
             co_return AttemptOutcome::CallerDisconnected;
         if (m_isDiscontinued)
             co_return handleBrokenStream("stream_discontinued", exchange, now);
+        exchange.recordHeldBytes(m_splitter.rest().capacity());
         if (error != ExchangeError::None)
             co_return handleExchangeError(error, exchange, now);
         if (m_splitter.rest().size() > MaxEventBytes)
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -208,6 +208,7 @@
             connected ? connected
                       : std::make_shared<EndpointExchange>(view, m_context.adapter->codec());
     EndpointExchange &exchange = *shared;
+    exchange.limitMemory(m_context.answerMemory);
     exchange.onSilence([this] { seekReplacement(ClockTimes::now()); });
     m_exchange = &exchange;
     m_load.emplace(view, heldTokens());
--- a/src/forward/forwardingcontext.cpp
+++ b/src/forward/forwardingcontext.cpp
@@ -1,10 +1,18 @@
 #include "almondmill/forward/forwardingcontext.h"
 
+#include "almondmill/forward/answermemory.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/kernel/clocktimes.h"
 
 namespace almondmill {
 
+namespace {
+
+/// Memory of all unfinished answers together: a sixth of that of the smallest VMs.
+constexpr std::size_t MaxAnswerMemory = std::size_t(16) << 20U;
+
+} // namespace
+
 ForwardingContext::ForwardingContext(boost::asio::io_context &eventLoop,
                                      ForwarderSettings forwarderSettings,
                                      std::unique_ptr<PlatformAdapter> platformAdapter)
@@ -14,6 +22,7 @@
     , requestMetrics(metrics)
     , table(nullptr)
     , directory([this](const RegistrationChange &change) { endpoints.changed(change); })
+    , answerMemory(std::make_shared<AnswerMemory>(MaxAnswerMemory))
     , partBreakers(settings.name, metrics)
     , partLookups(eventLoop, partLocations, metrics)
     , sendPermits(eventLoop, settings.name, rateLimits, metrics, ClockTimes::now())
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -21,21 +21,18 @@
 /// Idle connections kept for reuse: enough for a concurrent watch, read and write, plus one spare.
 constexpr std::size_t MaxIdleConnections = 4;
 
-/// Maximum size of a response body. The platform returns pages of about 1 MB.
-constexpr std::uint64_t MaxAnswerBytes = 16U << 20U;
-
 /// Interim answers that are skipped before the answer.
 constexpr int MaxInterimAnswers = 16;
 
 constexpr unsigned Ok = 200;
 
 /// Reads an answer. Interim answers say nothing about what became of the request.
-asio::awaitable<boost::system::error_code> readAnswer(TimedSocket &socket,
-                                                      std::optional<AnswerParser> &parser)
+asio::awaitable<boost::system::error_code>
+readAnswer(TimedSocket &socket, std::optional<AnswerParser> &parser, std::uint64_t maxAnswerBytes)
 {
     for (int interim = 0; interim <= MaxInterimAnswers; ++interim) {
         parser.emplace();
-        parser->body_limit(MaxAnswerBytes);
+        parser->body_limit(maxAnswerBytes);
         MessageReader<false> reader(socket, *parser);
         auto error = co_await reader.readHead();
         if (!error)
@@ -48,8 +45,10 @@
 
 } // namespace
 
-HttpClient::HttpClient(asio::any_io_executor executor, asio::ip::tcp::endpoint server)
+HttpClient::HttpClient(asio::any_io_executor executor, asio::ip::tcp::endpoint server,
+                       std::uint64_t maxAnswerBytes)
     : m_executor(std::move(executor))
+    , m_maxAnswerBytes(maxAnswerBytes)
     , m_server(std::move(server))
     , m_host(boost::lexical_cast<std::string>(m_server))
 {}
@@ -100,7 +99,7 @@
     if (sent)
         co_return HttpFailure{"send: " + sent.message(), true};
     std::optional<AnswerParser> parser;
-    const auto error = co_await readAnswer(*socket, parser);
+    const auto error = co_await readAnswer(*socket, parser, m_maxAnswerBytes);
     if (error) {
         const bool timedOut = socket->closeReason() == TimedSocket::CloseReason::Deadline;
         socket->abort();
--- a/src/rollout/weightsrollout.cpp
+++ b/src/rollout/weightsrollout.cpp
@@ -25,6 +25,9 @@
 
 using std::chrono::milliseconds;
 
+/// Largest answer of an engine to an order or a request for its report.
+constexpr std::uint64_t MaxReportBytes = std::uint64_t(256) << 10U;
+
 /// Polling interval of an engine that is carrying out an order. Loading takes several times as
 /// long.
 constexpr milliseconds ReportInterval{200};
@@ -125,7 +128,7 @@
 
 asio::awaitable<void> WeightsRollout::updateEngine(View view, WeightsOrder order)
 {
-    HttpClient client(m_context.loop.get_executor(), view->address());
+    HttpClient client(m_context.loop.get_executor(), view->address(), MaxReportBytes);
     const auto before = co_await fetchReport(client);
     if (before && !applyReport(*view, *before, order) && !before->isBusy) {
         order.expectedOrders = before->orders;
--- a/tests/support/endlessendpoint.cpp
+++ b/tests/support/endlessendpoint.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// What an endpoint writes at most; far more than a router may buffer for one answer.
+/// What is written at most on one connection; far more than a router may buffer for one answer.
 constexpr std::size_t MaxWrittenBytes = std::size_t(96) << 20U;
 
 constexpr std::size_t BlockBytes = std::size_t(64) << 10U;
@@ -32,8 +32,10 @@
 void EndlessEndpoint::sendWithoutEnd(int socket) const
 {
     bool isOpen = RawEndpoint::write(socket, m_start);
-    while (isOpen && m_written < MaxWrittenBytes) {
+    std::size_t written = 0;
+    while (isOpen && written < MaxWrittenBytes) {
         isOpen = RawEndpoint::write(socket, m_block);
+        written += m_block.size();
         m_written += m_block.size();
         if (m_pause.count() != 0)
             std::this_thread::sleep_for(m_pause);
