A fleet of few routers has a reader within 2.5 s of its start

Cause: routers begin to read in the order of the hashes of their names, spread over 4 s. In 24 of 100 fleets of three nobody read 2.5 s after a common start.

Fix: the lowest quarter of the ranks begins as before, within 2 s, the others in the 0.5 s after it. Ruled out: a shorter spread for all, by which most routers of a large fleet would read before the first updates reach them (the tests for 300 routers bound that).

--- a/src/peers/readerelection.cpp
+++ b/src/peers/readerelection.cpp
@@ -24,8 +24,15 @@
 /// and their updates keep the other routers from reading.
 constexpr std::uint64_t TimeoutSpreadMs = 400;
 
-/// After their start, routers become readers in the order of their ranks, spread over this time.
-constexpr std::chrono::duration<double, std::milli> StartSpread{4000};
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+/// After their start, the routers of the lowest ranks become readers in the order of their ranks,
+/// spread over this time, in which they find their peers and send the first updates.
+constexpr double LowestRanks = 0.25;
+constexpr Milliseconds LowestRanksSpread{2000};
+
+/// The others follow, spread over this time, so that a fleet of a few routers has a reader soon.
+constexpr Milliseconds OtherRanksSpread{500};
 
 constexpr int RankBits = 64;
 
@@ -57,10 +64,12 @@
 
 bool ReaderElection::inStartupGrace(SteadyTime startedAt, SteadyTime now) const
 {
-    // The square root lets the lowest ranks of a large fleet begin almost at once, and most of the
-    // others only after the lowest had time to find their peers and to send them updates.
     const double rank = std::ldexp(static_cast<double>(m_rank), -RankBits);
-    const auto grace = StartSpread * std::sqrt(rank);
+    // The square root lets the lowest ranks of a large fleet begin almost at once.
+    const auto grace = rank < LowestRanks
+                               ? LowestRanksSpread * std::sqrt(rank / LowestRanks)
+                               : LowestRanksSpread
+                                         + OtherRanksSpread * (rank - LowestRanks) / (1 - LowestRanks);
     return now < startedAt + std::chrono::duration_cast<SteadyTime::duration>(grace);
 }
 
