--- a/src/forward/weightstargets.cpp
+++ b/src/forward/weightstargets.cpp
@@ -8,9 +8,37 @@
 
 namespace {
 
-/// Maximum number of versions kept per model: more than are named within the longest weights
-/// deadline.
-constexpr std::size_t MaxVersionsPerModel = 8;
+using NamedVersion = WeightsTargets::NamedVersion;
+
+/// Versions kept per model, which bounds the messages that state them.
+constexpr std::size_t MaxVersionsPerModel = 24;
+
+/// Several times the longest weights deadline: by which of the versions from before an engine is
+/// outdated decides nothing.
+constexpr std::chrono::seconds DecisiveAge{30};
+
+/// Drops the oldest versions while the next one is too old as well.
+void dropUndecisive(std::vector<NamedVersion> &named)
+{
+    const SteadyTime decisive = named.back().since - DecisiveAge;
+    const auto first =
+            std::find_if(named.begin() + 1, named.end() - 1,
+                         [decisive](const NamedVersion &entry) { return entry.since > decisive; });
+    named.erase(named.begin(), first - 1);
+}
+
+/// Merges the two neighbours that were named in the quickest succession. The later one then counts
+/// as named when the earlier one was, so no engine counts as outdated for too short a time.
+void mergeClosest(std::vector<NamedVersion> &named)
+{
+    auto closest = named.begin();
+    for (auto entry = named.begin(); entry + 1 != named.end(); ++entry) {
+        if ((entry + 1)->since - entry->since < (closest + 1)->since - closest->since)
+            closest = entry;
+    }
+    (closest + 1)->since = std::min(closest->since, (closest + 1)->since);
+    named.erase(closest);
+}
 
 } // namespace
 
@@ -28,7 +56,9 @@
     const bool isNewest = position == named.end();
     named.insert(position, {target.version, since});
     if (named.size() > MaxVersionsPerModel)
-        named.erase(named.begin());
+        dropUndecisive(named);
+    if (named.size() > MaxVersionsPerModel)
+        mergeClosest(named);
     return isNewest;
 }
 
@@ -54,11 +84,12 @@
     const auto found = m_named.find(abslView(model));
     if (found == m_named.end())
         return std::nullopt;
+    std::optional<SteadyTime> since;
     for (const NamedVersion &named : found->second) {
         if (named.version > version)
-            return named.since;
+            since = std::min(since.value_or(named.since), named.since);
     }
-    return std::nullopt;
+    return since;
 }
 
 std::vector<WeightsTarget> WeightsTargets::all() const
