Registrations are synchronized by a class of their own

RegistrationsSync has what concerns the directory: lists, events, updates of other routers and what is retained after an outage.

--- a/include/almondmill/directory/endpointdirectory.h
+++ b/include/almondmill/directory/endpointdirectory.h
@@ -20,9 +20,9 @@
 };
 
 /// The registered endpoints as of one revision of the platform's store. What is known of an entry
-/// comes from lists, events and other routers, in any order, so each entry has the revision at which
-/// it was written or removed, and older news of it are ignored. Must be used on the event loop only;
-/// not thread-safe.
+/// comes from lists, events and other routers, in any order, so each entry has the revision at
+/// which it was written or removed, and older news of it are ignored. Must be used on the event
+/// loop only; not thread-safe.
 class EndpointDirectory
 {
 public:
--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -77,8 +77,8 @@
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0; ///< Consecutive failures.
     ListRequests m_lists;
-    bool m_isWatching = false;           ///< A call for changes is waiting.
-    bool m_isListingDuringWatch = false; ///< A list was requested meanwhile.
+    bool m_isWatching = false;                         ///< A call for changes is waiting.
+    bool m_isListingDuringWatch = false;               ///< A list was requested meanwhile.
     std::shared_ptr<boost::asio::steady_timer> m_idle; ///< Cancelled by `refresh`.
 };
 
--- a/include/almondmill/forward/storestatesync.h
+++ b/include/almondmill/forward/storestatesync.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "almondmill/directory/refreshlimiter.h"
-#include "almondmill/directory/removalretention.h"
 #include "almondmill/directory/reportedversion.h"
 #include "almondmill/directory/storewatcher.h"
+#include "almondmill/forward/registrationssync.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/peers/readerelection.h"
 #include "almondmill/peers/storeupdate.h"
@@ -21,8 +21,6 @@
 class AsyncStore;
 class StoreOutage;
 struct ForwardingContext;
-struct ObjectEvent;
-struct ObjectEvents;
 
 /// Follows the platform's store and applies its contents to the forwarding context: the routing
 /// configuration, the endpoint registrations and the named versions of weights.
@@ -63,29 +61,13 @@
     boost::asio::awaitable<void> readConfigurationAfter(std::chrono::milliseconds delay);
     /// Version of the configuration in force; zero while there is none.
     std::uint64_t configurationInForce() const;
-    /// Returns the ids of the entries that were removed.
-    std::vector<std::string> applyRegistrations(const ObjectList &list);
-    void applyRegistrationEvents(const ObjectEvents &events);
-    void applyRegistrationEvent(const ObjectEvent &event, SteadyTime now);
     void applyWeightsTarget(const StoredObject &object, SteadyTime since);
     void followRouting();
-    void followRegistrations();
     void followWeights();
 
     /// Whether this router is elected to read the store itself.
     bool isReader() const;
 
-    /// Retains missing entries if an outage of the store has just ended.
-    void checkOutage(SteadyTime now);
-    /// Takes over what another router knows of an outage of the store.
-    void learnRetention(const StoreUpdate::Registrations &registrations, SteadyTime now);
-    /// Lists the registrations again when missing entries are no longer retained.
-    void scheduleRefreshAfterRetention();
-    boost::asio::awaitable<void> refreshAfterRetention();
-    void publishEvents(const ObjectEvents &events, std::uint64_t from);
-    void publishRemoved(const std::vector<std::string> &gone, std::uint64_t revision);
-    /// Adds what this router knows of outages, and sends the changes to the other routers.
-    void publishRegistrations(StoreUpdate::Registrations registrations);
     std::shared_ptr<StoreWatcher> follow(StoreWatcher::Options options,
                                          StoreWatcher::Handlers handlers);
 
@@ -99,10 +81,8 @@
     std::optional<SteadyTime> m_configurationSince;
     std::string m_configurationError;
     ReportedVersion m_reportedConfiguration;
-    RemovalRetention m_retention;
-    bool m_refreshScheduled = false; ///< For the end of the retention.
+    RegistrationsSync m_registrations;
     std::shared_ptr<StoreWatcher> m_routing;
-    std::shared_ptr<StoreWatcher> m_registrations;
     std::shared_ptr<StoreWatcher> m_weights;
 };
 
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -131,8 +131,7 @@
 {
     const ListRequests::Read read = m_lists.begin();
     const SteadyTime sentAt = std::chrono::steady_clock::now();
-    const auto result =
-            co_await m_store.list(m_options.kind, read.freshness, sentAt + ListTimeout);
+    const auto result = co_await m_store.list(m_options.kind, read.freshness, sentAt + ListTimeout);
     if (const auto *missing = std::get_if<Unavailable>(&result)) {
         recordFailure(missing->reason);
         m_lists.fail();
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -26,12 +26,6 @@
 /// connection is detected; a delay of up to 1.5 s at the start of a roll-out has no cost.
 constexpr milliseconds WeightsWait{3000};
 
-/// Longest wait of a reader's watch call for registrations, and the pause before the next call, in
-/// which changes accumulate. The result of each call shows the other routers that they are up to
-/// date, so there is one about every half second.
-constexpr milliseconds RegistrationsWait{300};
-constexpr milliseconds RegistrationsPause{200};
-
 /// Fraction of the time in which a change must be in force for which a watch of the configuration
 /// waits. A watch whose answer is lost fails some time after that, and is followed by a list.
 constexpr int ConfigurationWaitsPerDeadline = 4;
@@ -40,32 +34,10 @@
 /// follows another.
 constexpr int ConfigurationReadsPerDeadline = 4;
 
-/// Number of changes that fit into one datagram; an entry takes up to 200 bytes.
-constexpr std::size_t MaxChangesPerUpdate = 6;
-
-/// Number of ids that fit into one datagram.
-constexpr std::size_t MaxRemovedPerUpdate = 40;
-
 /// Assumed age of a listed version. When all routers were stopped together, the first one restarts
 /// within this time. Otherwise the peers report the age.
 constexpr milliseconds AssumedListedAge{2500};
 
-/// Decodes an entry; logs an event and returns nothing when the entry is malformed.
-std::optional<Registration> decodeEntry(const PlatformAdapter &adapter, const StoredObject &object)
-{
-    try {
-        Registration entry = adapter.decodeRegistration(object.name, object.value);
-        entry.revision = object.version;
-        return entry;
-    } catch (const Error &error) {
-        EventLine("registration.unreadable")
-                .add("name", object.name)
-                .add("revision", object.version)
-                .add("reason", error.what());
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 StoreStateSync::StoreStateSync(ForwardingContext &context, AsyncStore &store, Publish publish)
@@ -76,6 +48,10 @@
     , m_outage(std::make_shared<StoreOutage>())
     , m_configurationReads(context.settings.configurationDeadline / ConfigurationReadsPerDeadline)
     , m_startedAt(std::chrono::steady_clock::now())
+    , m_registrations(
+              context, m_outage,
+              [this](StoreUpdate::Registrations changes) { m_publish(std::move(changes)); },
+              [this] { return isReader(); })
 {}
 
 StoreStateSync::~StoreStateSync() = default;
@@ -83,7 +59,7 @@
 void StoreStateSync::start()
 {
     followRouting();
-    followRegistrations();
+    m_registrations.setWatcher(follow(RegistrationsSync::options(), m_registrations.handlers()));
     followWeights();
 }
 
@@ -99,49 +75,6 @@
            && !m_readerElection.inStartupGrace(m_startedAt, now);
 }
 
-void StoreStateSync::checkOutage(SteadyTime now)
-{
-    const auto outage = m_outage->takeEnded();
-    if (!outage)
-        return;
-    m_retention.begin(*outage);
-    EventLine("store.outage_ended")
-            .add("lasted", std::chrono::duration_cast<milliseconds>(outage->end - outage->begin))
-            .add("retention", m_retention.timeLeft(now));
-    scheduleRefreshAfterRetention();
-}
-
-void StoreStateSync::learnRetention(const StoreUpdate::Registrations &registrations, SteadyTime now)
-{
-    m_outage->recordPeerAnswer(now);
-    if (registrations.retention.count() > 0) {
-        m_retention.follow(registrations.retention, now);
-        scheduleRefreshAfterRetention();
-        return;
-    }
-    if (m_retention.endIfAnswered(registrations.answeringFor, now))
-        m_registrations->refreshUpTo(m_context.directory.revision());
-}
-
-void StoreStateSync::scheduleRefreshAfterRetention()
-{
-    if (std::exchange(m_refreshScheduled, true))
-        return;
-    asio::co_spawn(m_context.loop, refreshAfterRetention(), asio::detached);
-}
-
-asio::awaitable<void> StoreStateSync::refreshAfterRetention()
-{
-    for (;;) {
-        const milliseconds left = m_retention.timeLeft(std::chrono::steady_clock::now());
-        if (left.count() == 0)
-            break;
-        co_await sleepFor(m_context.loop, left);
-    }
-    m_refreshScheduled = false;
-    m_registrations->refreshUpTo(m_context.directory.revision());
-}
-
 std::shared_ptr<StoreWatcher> StoreStateSync::follow(StoreWatcher::Options options,
                                                      StoreWatcher::Handlers handlers)
 {
@@ -160,20 +93,7 @@
         return;
     const SteadyTime now = std::chrono::steady_clock::now();
     m_readerElection.recordUpdate(update.origin, now);
-    learnRetention(*update.registrations, now);
-    EndpointDirectory &directory = m_context.directory;
-    for (const Registration &entry : update.registrations->changed)
-        directory.put(entry);
-    for (const std::string &id : update.registrations->gone)
-        directory.remove(id, update.registrations->to);
-    if (update.registrations->to <= directory.revision())
-        return;
-    if (update.registrations->from > directory.revision()) {
-        m_registrations->refreshUpTo(update.registrations->to); // Updates in between were lost.
-        return;
-    }
-    directory.advance(update.registrations->to);
-    m_registrations->advance(update.registrations->to);
+    m_registrations.learn(*update.registrations, now);
 }
 
 void StoreStateSync::learnWeights(const std::vector<PeerMessage::Weights> &weights,
@@ -223,53 +143,6 @@
         EventLine("configuration.missing").add("version", *missing);
 }
 
-void StoreStateSync::publishEvents(const ObjectEvents &events, std::uint64_t from)
-{
-    StoreUpdate::Registrations registrations;
-    registrations.from = from;
-    registrations.to = from;
-    std::size_t changes = 0;
-    for (const ObjectEvent &event : events.events) {
-        const Registration *entry = m_context.directory.find(event.object.name);
-        if (entry)
-            registrations.changed.push_back(*entry);
-        else
-            registrations.gone.push_back(event.object.name);
-        registrations.to = std::max(registrations.to, event.object.version);
-        if (++changes % MaxChangesPerUpdate != 0)
-            continue;
-        const std::uint64_t to = registrations.to;
-        publishRegistrations(std::exchange(registrations, {}));
-        registrations.from = to;
-        registrations.to = to;
-    }
-    registrations.to = std::max(registrations.to, events.revision);
-    publishRegistrations(std::move(registrations));
-}
-
-void StoreStateSync::publishRemoved(const std::vector<std::string> &gone, std::uint64_t revision)
-{
-    StoreUpdate::Registrations registrations;
-    registrations.from = revision;
-    registrations.to = revision;
-    for (const std::string &id : gone) {
-        registrations.gone.push_back(id);
-        if (registrations.gone.size() < MaxRemovedPerUpdate)
-            continue;
-        publishRegistrations(registrations);
-        registrations.gone.clear();
-    }
-    publishRegistrations(std::move(registrations));
-}
-
-void StoreStateSync::publishRegistrations(StoreUpdate::Registrations registrations)
-{
-    const SteadyTime now = std::chrono::steady_clock::now();
-    registrations.retention = m_retention.timeLeft(now);
-    registrations.answeringFor = m_outage->answeringFor(now);
-    m_publish(std::move(registrations));
-}
-
 void StoreStateSync::followRouting()
 {
     const milliseconds wait =
@@ -293,24 +166,6 @@
     m_routing = follow(std::move(options), std::move(handlers));
 }
 
-void StoreStateSync::followRegistrations()
-{
-    StoreWatcher::Options options{ObjectKind::Registrations, "registrations", RegistrationsWait,
-                                  RegistrationsPause, Freshness::MayBeStale};
-    StoreWatcher::Handlers handlers;
-    handlers.listed = [this](const ObjectList &list, SteadyTime) {
-        const auto gone = applyRegistrations(list);
-        if (isReader())
-            publishRemoved(gone, list.revision);
-    };
-    handlers.changed = [this](const ObjectEvents &events) {
-        const std::uint64_t from = m_context.directory.revision();
-        applyRegistrationEvents(events);
-        publishEvents(events, from);
-    };
-    m_registrations = follow(std::move(options), std::move(handlers));
-}
-
 void StoreStateSync::followWeights()
 {
     StoreWatcher::Options options{ObjectKind::WeightsTargets, "weights", WeightsWait,
@@ -366,49 +221,6 @@
     }
 }
 
-std::vector<std::string> StoreStateSync::applyRegistrations(const ObjectList &list)
-{
-    const SteadyTime now = std::chrono::steady_clock::now();
-    checkOutage(now);
-    m_retention.recordRead(list.revision);
-    std::vector<Registration> entries;
-    for (const StoredObject &object : list.objects) {
-        if (auto entry = decodeEntry(*m_context.adapter, object))
-            entries.push_back(std::move(*entry));
-    }
-    return m_context.directory.replaceAll(
-            std::move(entries), list.revision,
-            [&](const Registration &entry) { return m_retention.retains(entry, now); });
-}
-
-void StoreStateSync::applyRegistrationEvents(const ObjectEvents &events)
-{
-    const SteadyTime now = std::chrono::steady_clock::now();
-    checkOutage(now);
-    m_retention.recordRead(events.revision);
-    for (const ObjectEvent &event : events.events)
-        applyRegistrationEvent(event, now);
-    m_context.directory.advance(events.revision);
-}
-
-void StoreStateSync::applyRegistrationEvent(const ObjectEvent &event, SteadyTime now)
-{
-    EndpointDirectory &directory = m_context.directory;
-    const StoredObject &object = event.object;
-    if (event.deleted) {
-        const Registration *entry = directory.find(object.name);
-        if (entry && m_retention.retains(*entry, now))
-            EventLine("endpoint.retained").add("endpoint", object.name);
-        else
-            directory.remove(object.name, object.version);
-        return;
-    }
-    if (auto entry = decodeEntry(*m_context.adapter, object))
-        directory.put(std::move(*entry));
-    else
-        directory.remove(object.name, object.version);
-}
-
 void StoreStateSync::applyWeightsTarget(const StoredObject &object, SteadyTime since)
 {
     try {
--- a/src/peers/readerelection.cpp
+++ b/src/peers/readerelection.cpp
@@ -66,10 +66,10 @@
 {
     const double rank = std::ldexp(static_cast<double>(m_rank), -RankBits);
     // The square root lets the lowest ranks of a large fleet begin almost at once.
-    const auto grace = rank < LowestRanks
-                               ? LowestRanksSpread * std::sqrt(rank / LowestRanks)
-                               : LowestRanksSpread
-                                         + OtherRanksSpread * (rank - LowestRanks) / (1 - LowestRanks);
+    const auto grace = rank < LowestRanks ? LowestRanksSpread * std::sqrt(rank / LowestRanks)
+                                          : LowestRanksSpread
+                                                    + OtherRanksSpread * (rank - LowestRanks)
+                                                              / (1 - LowestRanks);
     return now < startedAt + std::chrono::duration_cast<SteadyTime::duration>(grace);
 }
 
--- a/tests/support/scriptedstore.cpp
+++ b/tests/support/scriptedstore.cpp
@@ -59,8 +59,7 @@
 }
 
 AsyncStore::Awaitable<EventsResult> ScriptedStore::events(ObjectKind kind, std::uint64_t revision,
-                                                          milliseconds wait,
-                                                          SteadyTime deadline)
+                                                          milliseconds wait, SteadyTime deadline)
 {
     const std::size_t cuts = m_cuts[kind];
     const std::size_t silenced = m_silenced[kind];
--- a/tests/unit-storestateorder.cpp
+++ b/tests/unit-storestateorder.cpp
@@ -84,7 +84,8 @@
     /// Starts a router that reads the store, or one that relies on other routers.
     void start(bool isReader)
     {
-        context.emplace(loop, settingsOfRank(!isReader), PlatformAdapterRegistry::create("rietwerk"));
+        context.emplace(loop, settingsOfRank(!isReader),
+                        PlatformAdapterRegistry::create("rietwerk"));
         sync.emplace(*context, store, [this](auto registrations) {
             if (registrations)
                 published.push_back(std::move(*registrations));
@@ -205,7 +206,8 @@
     EXPECT_TRUE(wasPublishedAsGone("desk-2"));
 }
 
-// Guards against a removal that is held back although the endpoint wrote its entry after the outage.
+// Guards against a removal that is held back although the endpoint wrote its entry after the
+// outage.
 TEST_F(StoreOrderTest, ARenewedEntryThatIsRemovedAfterAnOutageGoesAtOnce)
 {
     store.write(ObjectKind::Registrations, "desk-1", heartbeat(1));
