A reload signal before the handlers are set up is kept

Cause: until the event loop has its handlers, the signal has its default action.

Fix: the daemon blocks it first thing in main and lets it in once the handler exists.

--- a/src/almondmilld/main.cpp
+++ b/src/almondmilld/main.cpp
@@ -36,6 +36,16 @@
     return signals;
 }
 
+/// Blocks the signal to read the settings again, which would end a process that has no handler for
+/// it. It stays pending until the router handles it; the product's own interface never does.
+void blockReloadSignal()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 /// Raises the soft limit of open descriptors to the hard limit. Each stream uses two descriptors,
 /// and the usual soft limit is too low for the number of streams of a router.
 void raiseDescriptorLimit()
@@ -101,6 +111,7 @@
 
 int main(int argc, char **argv)
 {
+    blockReloadSignal();
     CLI::App app("almondmilld: routes language-model traffic with long shared prompts");
     std::string settingsFile;
     app.add_option("--config", settingsFile, "settings file in TOML")
