A lease's record says when the holder before it stopped ordering

Cause: a holder kept in memory alone when the one before it could have sent its last order; a restart or a lost answer left it without.

Fix: the record states the age of those orders with each renewal.

--- a/include/almondmill/orders/lease.h
+++ b/include/almondmill/orders/lease.h
@@ -84,7 +84,13 @@
     void storeRecord(const std::string &value, std::uint64_t version, SteadyTime readAt);
     bool isExpired(SteadyTime now) const;
     SteadyTime lastOrderBound() const;
-    LeaseRecord nextRecord(std::uint64_t fencing) const;
+    /// The record to write at `now`, for a holder after one whose last order was sent by
+    /// `previousOrdersEnd`.
+    LeaseRecord nextRecord(std::uint64_t fencing, std::optional<SteadyTime> previousOrdersEnd,
+                           SteadyTime now) const;
+    /// Bound of the previous holder's orders that the present record, which is this process's own,
+    /// states.
+    std::optional<SteadyTime> recordedOrdersEnd() const;
     void setHeld(const LeaseRecord &record, std::uint64_t version, SteadyTime countedFrom);
     void setLost() { m_held = false; }
 
--- a/include/almondmill/orders/leaserecord.h
+++ b/include/almondmill/orders/leaserecord.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace almondmill {
@@ -16,6 +17,8 @@
     std::chrono::milliseconds duration{0};
     std::chrono::milliseconds idle{0}; ///< Time between the last order and the lease's release.
     std::string note;                  ///< Data that the holder stores for later processes.
+    /// Time since the holder before this one may have sent its last order; nothing without one.
+    std::optional<std::chrono::milliseconds> previousOrdersAge;
 };
 
 /// Serializes a record to JSON text.
--- a/src/orders/lease.cpp
+++ b/src/orders/lease.cpp
@@ -37,7 +37,7 @@
     if (!m_held)
         return;
     setLost();
-    LeaseRecord record = nextRecord(m_record.fencing);
+    LeaseRecord record = nextRecord(m_record.fencing, std::nullopt, SteadyTime());
     record.holder.clear();
     record.duration = std::chrono::milliseconds(0);
     record.idle = idle;
@@ -61,17 +61,18 @@
         return;
     storeRecord(object->value, object->version, clock());
     const SteadyTime before = clock();
-    // The record is this process's own when an earlier write took effect but its answer was lost.
+    // The record is this process's own when an earlier write took effect but its answer was lost,
+    // or the process was restarted.
     const bool own = isOwn(m_record);
     if (!own && !isExpired(before))
         return;
-    const LeaseRecord record = nextRecord(own ? m_record.fencing : m_record.fencing + 1);
-    const SteadyTime previousBound = lastOrderBound();
+    const auto ordersEnd = own ? recordedOrdersEnd() : lastOrderBound();
+    const LeaseRecord record =
+            nextRecord(own ? m_record.fencing : m_record.fencing + 1, ordersEnd, before);
     const auto written = m_store.update(m_options.objectName, encodeLease(record), m_version,
                                         m_options.storeTimeout);
     if (const auto *applied = std::get_if<Applied>(&written)) {
-        if (!own)
-            m_previousOrdersEnd = previousBound;
+        m_previousOrdersEnd = ordersEnd;
         setHeld(record, applied->version, before);
     }
 }
@@ -79,7 +80,7 @@
 void Lease::create(const Clock &clock)
 {
     const SteadyTime before = clock();
-    const LeaseRecord record = nextRecord(1);
+    const LeaseRecord record = nextRecord(1, std::nullopt, before);
     const auto written = m_store.createIfAbsent(m_options.objectName, encodeLease(record),
                                                 m_options.storeTimeout);
     if (const auto *applied = std::get_if<Applied>(&written))
@@ -89,7 +90,7 @@
 void Lease::renew(const Clock &clock)
 {
     const SteadyTime before = clock();
-    const LeaseRecord record = nextRecord(m_record.fencing);
+    const LeaseRecord record = nextRecord(m_record.fencing, m_previousOrdersEnd, before);
     const auto written = m_store.update(m_options.objectName, encodeLease(record), m_version,
                                         m_options.storeTimeout);
     if (const auto *applied = std::get_if<Applied>(&written)) {
@@ -136,10 +137,23 @@
     return *m_recordSince + m_record.duration - m_options.orderTimeout;
 }
 
-LeaseRecord Lease::nextRecord(std::uint64_t fencing) const
+std::optional<SteadyTime> Lease::recordedOrdersEnd() const
 {
-    return {m_options.holder,   m_options.incarnation,        fencing, m_record.renewal + 1,
-            m_options.duration, std::chrono::milliseconds(0), m_note};
+    if (!m_record.previousOrdersAge)
+        return std::nullopt;
+    return *m_recordSince - *m_record.previousOrdersAge;
+}
+
+LeaseRecord Lease::nextRecord(std::uint64_t fencing, std::optional<SteadyTime> previousOrdersEnd,
+                              SteadyTime now) const
+{
+    LeaseRecord record{
+            m_options.holder,   m_options.incarnation,        fencing, m_record.renewal + 1,
+            m_options.duration, std::chrono::milliseconds(0), m_note,  std::nullopt};
+    if (previousOrdersEnd)
+        record.previousOrdersAge =
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - *previousOrdersEnd);
+    return record;
 }
 
 void Lease::setHeld(const LeaseRecord &record, std::uint64_t version, SteadyTime countedFrom)
--- a/src/orders/leaserecord.cpp
+++ b/src/orders/leaserecord.cpp
@@ -8,16 +8,32 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+constexpr const char *PreviousOrdersAge = "previous_orders_age_ms";
+
+std::optional<std::chrono::milliseconds> decodePreviousOrdersAge(const Json &record)
+{
+    const auto age = record.find(PreviousOrdersAge);
+    if (age == record.end())
+        return std::nullopt;
+    return std::chrono::milliseconds(age->get<std::int64_t>());
+}
+
+} // namespace
+
 std::string encodeLease(const LeaseRecord &record)
 {
-    return Json{{"holder", record.holder},
-                {"incarnation", record.incarnation},
-                {"fencing", record.fencing},
-                {"renewal", record.renewal},
-                {"duration_ms", record.duration.count()},
-                {"idle_ms", record.idle.count()},
-                {"note", record.note}}
-            .dump();
+    Json json{{"holder", record.holder},
+              {"incarnation", record.incarnation},
+              {"fencing", record.fencing},
+              {"renewal", record.renewal},
+              {"duration_ms", record.duration.count()},
+              {"idle_ms", record.idle.count()},
+              {"note", record.note}};
+    if (record.previousOrdersAge)
+        json[PreviousOrdersAge] = record.previousOrdersAge->count();
+    return json.dump();
 }
 
 LeaseRecord decodeLease(const std::string &text)
@@ -30,7 +46,8 @@
                 json.at("renewal"),
                 std::chrono::milliseconds(json.at("duration_ms").get<std::int64_t>()),
                 std::chrono::milliseconds(json.value("idle_ms", std::int64_t(0))),
-                json.value("note", std::string())};
+                json.value("note", std::string()),
+                decodePreviousOrdersAge(json)};
     } catch (const Json::exception &error) {
         throw Error("orders.101", std::string("cannot parse stored lease record: ") + error.what());
     }
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -195,6 +195,53 @@
     EXPECT_EQ(second.previousOrdersEnd(), seen - milliseconds(700));
 }
 
+// Guards against a new holder that orders too soon after the one before it, because it was
+// restarted or the answer to its request was lost.
+TEST(Lease, AHolderKnowsItsPredecessorsLastOrderAfterARestart)
+{
+    UnreliableStore store;
+    TestTime time;
+    Lease first(store, optionsOf("a"));
+    Lease second(store, optionsOf("b"));
+    first.maintain(time.clock());
+    first.release(milliseconds(700));
+    second.maintain(time.clock());
+    const auto ordersEnd = second.previousOrdersEnd();
+    ASSERT_TRUE(ordersEnd);
+    time.now += milliseconds(300);
+    Lease restarted(store, optionsOf("b"));
+    restarted.maintain(time.clock());
+    EXPECT_TRUE(restarted.mayOrder(time.now));
+    ASSERT_TRUE(restarted.previousOrdersEnd());
+    // The restarted process can't know how old the record is.
+    EXPECT_GE(*restarted.previousOrdersEnd(), *ordersEnd);
+    EXPECT_LE(*restarted.previousOrdersEnd(), *ordersEnd + milliseconds(300));
+    time.now += milliseconds(1000);
+    restarted.maintain(time.clock());
+    Lease again(store, optionsOf("b"));
+    again.maintain(time.clock());
+    EXPECT_LE(*again.previousOrdersEnd(), *ordersEnd + milliseconds(300));
+}
+
+TEST(Lease, AHolderKnowsItsPredecessorsLastOrderWhenTheAnswerWasLost)
+{
+    UnreliableStore store;
+    TestTime time;
+    Lease first(store, optionsOf("a"));
+    Lease second(store, optionsOf("b"));
+    first.maintain(time.clock());
+    first.release(milliseconds(700));
+    const SteadyTime ordersEnd = time.now - milliseconds(700);
+    store.setFate(UnreliableStore::Fate::LoseAnswer);
+    second.maintain(time.clock());
+    store.setFate(UnreliableStore::Fate::Normal);
+    time.now += milliseconds(100);
+    second.maintain(time.clock());
+    ASSERT_TRUE(second.previousOrdersEnd());
+    EXPECT_GE(*second.previousOrdersEnd(), ordersEnd);
+    EXPECT_LE(*second.previousOrdersEnd(), ordersEnd + milliseconds(100));
+}
+
 TEST(Lease, NoteIsReadableByOtherProcesses)
 {
     UnreliableStore store;
