What accounts share is named by who shares it

Cause: the name of the shared scope held the version of the weights alone.

Fix: it depends on which accounts are isolated, so a configuration that isolates another one begins without what was shared before. Installations whose isolated accounts don't change lose nothing.

--- a/include/almondmill/route/routingtable.h
+++ b/include/almondmill/route/routingtable.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -28,6 +29,11 @@
     /// The account that `key` belongs to, or null when there is none.
     const KeyedAccount *accountOf(std::string_view key) const;
 
+    /// Names the accounts that share cached prompts: all but the isolated ones. A configuration
+    /// that isolates others has another name, so that what an account made before it was isolated
+    /// is found by no other account. Empty when no account is isolated.
+    const std::string &sharedCacheScope() const { return m_sharedCacheScope; }
+
     /// The service of that name, or null when there is none.
     const RoutedService *service(std::string_view name) const;
 
@@ -53,6 +59,7 @@
     absl::flat_hash_map<std::string, const KeyedAccount *> m_accountsByKey;
     absl::flat_hash_map<std::string, const RoutedService *> m_servicesByName;
     std::vector<const KvCacheStore *> m_kvCacheStores;
+    std::string m_sharedCacheScope;
 };
 
 } // namespace almondmill
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -131,6 +131,8 @@
     std::string scope = absl::StrCat("w", weightsVersion);
     if (placed.account && placed.account->isolated)
         absl::StrAppend(&scope, "/", placed.account->name);
+    else
+        absl::StrAppend(&scope, placed.table.sharedCacheScope());
     return scope;
 }
 
--- a/src/route/routingtable.cpp
+++ b/src/route/routingtable.cpp
@@ -3,6 +3,8 @@
 #include "almondmill/kernel/abslview.h"
 #include "almondmill/kernel/hash.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -20,10 +22,22 @@
     return first->pathPrefix.size() > second->pathPrefix.size();
 }
 
+/// The same for the same isolated accounts, in whatever order.
+std::string sharedScopeWithout(const std::vector<KeyedAccount> &accounts)
+{
+    std::uint64_t isolated = 0;
+    for (const KeyedAccount &account : accounts) {
+        if (account.isolated)
+            isolated += hash64(account.name);
+    }
+    return isolated == 0 ? std::string() : absl::StrCat("~", absl::Hex(isolated));
+}
+
 } // namespace
 
 RoutingTable::RoutingTable(RoutingConfiguration configuration)
     : m_configuration(std::move(configuration))
+    , m_sharedCacheScope(sharedScopeWithout(m_configuration.accounts))
 {
     for (const Route &route : m_configuration.routes)
         m_routesByHost[route.host].push_back(&route);
--- a/tests/failure-forwarding.cpp
+++ b/tests/failure-forwarding.cpp
@@ -130,6 +130,35 @@
     EXPECT_EQ(headerOf(received, "Request-Priority"), "1");
 }
 
+// Guards against accounts that go on using what another one made before it was isolated.
+TEST(Forwarding, AnAccountThatBecomesIsolatedSharesNothingThatItMadeBefore)
+{
+    std::string received;
+    const RawEndpoint endpoint([&](int socket, const std::string &call, unsigned) {
+        received = call;
+        RawEndpoint::write(socket,
+                           streamHead(call, "Connection: close\r\n") + chunk(event(1)) + LastChunk);
+    });
+    ForwardingHarness harness;
+    RoutingConfiguration configuration = oneRouteOfEachKind();
+    configuration.accounts.push_back({"third", {"k3"}, std::nullopt, false});
+    const auto scopeOf = [&](const std::string &key) {
+        sendRequest(harness, requestText("POST", "/stream/x",
+                                         "Authorization: Bearer " + key + "\r\n" + PromptHeaders));
+        return headerOf(received, "Cache-Salt");
+    };
+    harness.configure(configuration);
+    harness.addEndpoint("e1", "stream", endpoint.address(), 7);
+    const std::string before = scopeOf("k1");
+    EXPECT_EQ(scopeOf("k3"), before);
+    ++configuration.version;
+    configuration.accounts.back().isolated = true;
+    harness.configure(configuration);
+    EXPECT_NE(scopeOf("k1"), before);
+    EXPECT_NE(scopeOf("k3"), before);
+    EXPECT_NE(scopeOf("k3"), scopeOf("k1"));
+}
+
 TEST(Forwarding, RefusesWithoutConfigurationRouteOrKey)
 {
     ForwardingHarness harness;
