The archive of evidence adds no calls to an outage of the store

Cause: in an outage no router hears of the others' reads, so each takes itself for the first reader, and as such read the stored evidence every 0.2 s until the store answered.

Fix: the archive calls only when the router's watchers, which share one probe, are answered, and a router writes only if it is the first reader at two checks in turn, since after an outage each is until it hears of those before it.

--- a/include/almondmill/directory/storeoutage.h
+++ b/include/almondmill/directory/storeoutage.h
@@ -35,6 +35,9 @@
 
     void recordFailure() { m_hasFailed = true; }
 
+    /// Whether no watcher of this router waits for the store to answer again.
+    bool isAnswering() const { return m_prober == nullptr; }
+
     /// The last outage that has ended; each one is returned once.
     std::optional<Period> takeEnded();
 
--- a/include/almondmill/forward/partevidencearchive.h
+++ b/include/almondmill/forward/partevidencearchive.h
@@ -19,11 +19,15 @@
 class PartEvidenceArchive
 {
 public:
-    using IsWriter = std::function<bool()>;
+    /// What the archive asks of others before it calls the store.
+    struct Conditions
+    {
+        std::function<bool()> isWriter;         ///< This router is the one that writes.
+        std::function<bool()> isStoreAnswering; ///< Other calls of this router are answered.
+    };
 
-    /// `isWriter` tells whether this router is the one that writes.
     PartEvidenceArchive(boost::asio::io_context &loop, AsyncStore &store, PartBreakers &breakers,
-                        IsWriter isWriter);
+                        Conditions conditions);
 
     /// Reads the stored evidence, then writes changes until the event loop ends.
     boost::asio::awaitable<void> run();
@@ -35,15 +39,19 @@
     /// Merges the stored evidence. Returns whether the store answered.
     Awaitable<bool> restore();
     Awaitable<void> restoreUntilAnswered();
-    Awaitable<void> saveIfChanged();
+    Awaitable<void> awaitAnsweringStore();
+    /// Reads what the writer before this one stored, or else writes what has changed since.
+    Awaitable<void> maintain();
     Awaitable<void> save();
+    bool isChanged() const;
     void merge(const StoredObject &object);
 
     boost::asio::io_context &m_loop;
     AsyncStore &m_store;
     PartBreakers &m_breakers;
-    IsWriter m_isWriter;
-    bool m_wasWriter = false;
+    Conditions m_conditions;
+    bool m_wasWriter = false;         ///< At the last check.
+    bool m_knowsStored = false;       ///< The object was read or written since this router writes.
     std::uint64_t m_version = 0;      ///< Of the object as last known; zero when there is none.
     std::uint64_t m_storedDigest = 0; ///< Of its evidence.
 };
--- a/include/almondmill/forward/storestatesync.h
+++ b/include/almondmill/forward/storestatesync.h
@@ -42,6 +42,9 @@
     /// Whether this router is the first of those that are elected to read the store.
     bool isFirstReader(SteadyTime now) const;
 
+    /// Whether the store answers this router, as far as its watchers know.
+    bool isStoreAnswering() const;
+
     /// Starts following the store.
     void start();
 
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -76,7 +76,8 @@
                   m_planner.learn(placement, std::chrono::steady_clock::now());
               })
     , m_evidenceArchive(loop, *m_store, m_context.partBreakers,
-                        [this] { return m_views.isFirstReader(std::chrono::steady_clock::now()); })
+                        {[this] { return m_views.isFirstReader(std::chrono::steady_clock::now()); },
+                         [this] { return m_views.isStoreAnswering(); }})
     , m_rollout(m_context, [this] { m_peers.publishSoon(); })
     , m_leader(m_context, *m_store, m_rollout)
     , m_planner(m_context)
--- a/src/forward/partevidencearchive.cpp
+++ b/src/forward/partevidencearchive.cpp
@@ -20,7 +20,8 @@
 
 constexpr milliseconds StoreTimeout{900};
 
-/// Delay before a failed read is retried.
+/// Delay before a failed read is retried, if the store answers other calls by then. Otherwise its
+/// outage is probed by other calls, so that all routers of a fleet do not add to them.
 constexpr milliseconds RetryDelay{200};
 
 /// Interval at which the writer compares the evidence with what is stored. A part that was at
@@ -38,11 +39,11 @@
 } // namespace
 
 PartEvidenceArchive::PartEvidenceArchive(asio::io_context &loop, AsyncStore &store,
-                                         PartBreakers &breakers, IsWriter isWriter)
+                                         PartBreakers &breakers, Conditions conditions)
     : m_loop(loop)
     , m_store(store)
     , m_breakers(breakers)
-    , m_isWriter(std::move(isWriter))
+    , m_conditions(std::move(conditions))
 {}
 
 asio::awaitable<void> PartEvidenceArchive::run()
@@ -50,23 +51,40 @@
     co_await restoreUntilAnswered();
     for (;;) {
         co_await sleepFor(m_loop, CheckInterval);
-        const bool wasWriter = std::exchange(m_wasWriter, m_isWriter());
-        if (!m_wasWriter)
-            continue;
-        // The writer before this one may have changed the object.
-        if (!wasWriter)
-            co_await restoreUntilAnswered();
-        co_await saveIfChanged();
+        const bool isWriter = m_conditions.isWriter() && m_conditions.isStoreAnswering();
+        // After an outage each router is the first reader until it hears of those before it, so
+        // only the second check counts.
+        const bool isConfirmed = std::exchange(m_wasWriter, isWriter) && isWriter;
+        m_knowsStored = m_knowsStored && isConfirmed;
+        if (isConfirmed)
+            co_await maintain();
     }
 }
 
+asio::awaitable<void> PartEvidenceArchive::maintain()
+{
+    if (!m_knowsStored)
+        m_knowsStored = co_await restore();
+    if (m_knowsStored && isChanged())
+        co_await save();
+}
+
 asio::awaitable<void> PartEvidenceArchive::restoreUntilAnswered()
 {
     for (;;) {
         const bool isAnswered = co_await restore();
         if (isAnswered)
             co_return;
+        co_await awaitAnsweringStore();
+    }
+}
+
+asio::awaitable<void> PartEvidenceArchive::awaitAnsweringStore()
+{
+    for (;;) {
         co_await sleepFor(m_loop, RetryDelay);
+        if (m_conditions.isStoreAnswering())
+            co_return;
     }
 }
 
@@ -85,10 +103,9 @@
     co_return true;
 }
 
-asio::awaitable<void> PartEvidenceArchive::saveIfChanged()
+bool PartEvidenceArchive::isChanged() const
 {
-    if (digestOf(m_breakers.decisiveEvidence(MaxStored)) != m_storedDigest)
-        co_await save();
+    return digestOf(m_breakers.decisiveEvidence(MaxStored)) != m_storedDigest;
 }
 
 asio::awaitable<void> PartEvidenceArchive::save()
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -75,6 +75,11 @@
            && !m_readerElection.inStartupGrace(m_startedAt, now);
 }
 
+bool StoreStateSync::isStoreAnswering() const
+{
+    return m_outage->isAnswering();
+}
+
 std::shared_ptr<StoreWatcher> StoreStateSync::follow(StoreWatcher::Options options,
                                                      StoreWatcher::Handlers handlers)
 {
--- a/tests/support/scriptedstore.cpp
+++ b/tests/support/scriptedstore.cpp
@@ -33,6 +33,7 @@
 AsyncStore::Awaitable<ReadResult> ScriptedStore::read(ObjectKind kind, std::string name, Freshness,
                                                       SteadyTime)
 {
+    ++m_reads;
     if (!m_isAvailable)
         co_return Unavailable{"down"};
     const auto found = m_objects.find({kind, name});
@@ -45,7 +46,6 @@
 
 AsyncStore::Awaitable<ListResult> ScriptedStore::list(ObjectKind kind, Freshness, SteadyTime)
 {
-    ++m_lists[kind];
     if (!m_isAvailable)
         co_return Unavailable{"down"};
     ObjectList list;
--- a/tests/support/scriptedstore.h
+++ b/tests/support/scriptedstore.h
@@ -38,8 +38,8 @@
     /// While the store is unavailable, calls fail, and waiting watches end.
     void setAvailable(bool isAvailable) { m_isAvailable = isAvailable; }
 
-    /// Calls of `list` for the kind so far.
-    std::size_t lists(ObjectKind kind) { return m_lists[kind]; }
+    /// Calls of `read` so far.
+    std::size_t reads() const { return m_reads; }
 
     Awaitable<ReadResult> read(ObjectKind kind, std::string name, Freshness freshness,
                                SteadyTime deadline) override;
@@ -65,7 +65,7 @@
     std::map<ObjectKind, std::chrono::milliseconds> m_delays;
     std::map<ObjectKind, std::size_t> m_cuts;
     std::map<ObjectKind, std::size_t> m_silenced;
-    std::map<ObjectKind, std::size_t> m_lists;
+    std::size_t m_reads = 0;
     std::uint64_t m_revision = 1;
     bool m_isAvailable = true;
 };
--- a/tests/unit-partevidencearchive.cpp
+++ b/tests/unit-partevidencearchive.cpp
@@ -24,14 +24,15 @@
 constexpr PartHash Sound = 7;
 
 /// Longer than a writer takes to save a change.
-constexpr milliseconds TimeToSave{2500};
+constexpr milliseconds TimeToSave{3500};
 
 /// A router with the archive of its evidence.
 struct Router
 {
     Router(boost::asio::io_context &loop, ScriptedStore &store, const std::string &name)
         : breakers(name, metrics)
-        , archive(loop, store, breakers, [this] { return isWriter; })
+        , archive(loop, store, breakers,
+                  {[this] { return isWriter; }, [this] { return isStoreAnswering; }})
     {
         boost::asio::co_spawn(loop, archive.run(), boost::asio::detached);
     }
@@ -45,6 +46,7 @@
     }
 
     bool isWriter = true;
+    bool isStoreAnswering = true;
     Metrics metrics;
     PartBreakers breakers;
     PartEvidenceArchive archive;
@@ -159,13 +161,47 @@
     loop.run_for(TimeToSave);
     store.setAvailable(false);
     Router after(loop, store, "after");
+    after.isStoreAnswering = false;
     loop.run_for(milliseconds(500));
     EXPECT_FALSE(refuses(after, Guilty));
     store.setAvailable(true);
+    after.isStoreAnswering = true;
     loop.run_for(milliseconds(500));
     EXPECT_TRUE(refuses(after, Guilty));
 }
 
+// Guards against all routers of a fleet that call a store which is down, because in an outage each
+// takes itself for the one that writes.
+TEST_F(PartEvidenceArchiveTest, AnOutageOfTheStoreBringsNoFurtherCalls)
+{
+    Router running(loop, store, "running");
+    running.isWriter = false;
+    loop.run_for(milliseconds(50));
+    store.setAvailable(false);
+    running.isWriter = true;
+    running.isStoreAnswering = false;
+    Router starting(loop, store, "starting");
+    starting.isStoreAnswering = false;
+    loop.run_for(milliseconds(50));
+    const std::size_t before = store.reads();
+    loop.run_for(TimeToSave);
+    EXPECT_EQ(store.reads(), before);
+}
+
+// Guards against reads by all routers after an outage, until they hear of each other again.
+TEST_F(PartEvidenceArchiveTest, ARouterThatIsTheWriterForAMomentDoesNotCall)
+{
+    Router router(loop, store, "router");
+    router.isWriter = false;
+    loop.run_for(milliseconds(50));
+    const std::size_t before = store.reads();
+    router.isWriter = true;
+    loop.run_for(milliseconds(990));
+    router.isWriter = false;
+    loop.run_for(TimeToSave);
+    EXPECT_EQ(store.reads(), before);
+}
+
 TEST_F(PartEvidenceArchiveTest, AnUnreadableObjectIsReplaced)
 {
     store.write(ObjectKind::PartEvidence, "current", R"({"parts":[{"part":7}]})");
