Soak: a limit of requests ends with the endpoint that named it

Trace: the endpoint named the limit from 11.3 s on, was killed at 14.2 s and started again at 15.6 s under the same id. The first answer after that names no limit, and router-4 logs `endpoint.rate_limit ... change=ended` at 15.8 s. From 11.5 s until that answer the routers sent eight requests, all by permits.

So the check is corrected: the limit ends when its incarnation ends. It is as strict for each incarnation as before.

--- a/soak/endpointgroup.cpp
+++ b/soak/endpointgroup.cpp
@@ -110,6 +110,7 @@
     replica.isRestarting = true;
     const auto disturbance =
             m_history.beginDisturbance(Disturbance::Scope::Endpoint, replica.name, steadyNow());
+    endRateLimits(replica.incarnation->plan().id);
     replica.incarnation->crash();
     const bool changesService = otherService && !replica.isEngine;
     co_await sleepFor(m_loop, changesService ? std::max(downtime, ReuseAfter) : downtime);
@@ -136,6 +137,7 @@
     co_await sleepFor(m_loop, DrainTime + serveAfterDeadline);
     const auto disturbance =
             m_history.beginDisturbance(Disturbance::Scope::Endpoint, replica.name, steadyNow());
+    endRateLimits(draining.plan().id);
     draining.crash();
     co_await sleepFor(m_loop, DrainCheck);
     startIncarnation(replica, false);
@@ -170,7 +172,16 @@
     incarnation.setRateLimit(perSecond);
     co_await sleepFor(m_loop, duration);
     incarnation.setRateLimit(std::nullopt);
-    m_history.rateLimits[record].until = steadyNow();
+    RateLimitStated &stated = m_history.rateLimits[record];
+    stated.until = std::min(stated.until, steadyNow());
+}
+
+void EndpointGroup::endRateLimits(const std::string &id)
+{
+    for (RateLimitStated &limit : m_history.rateLimits) {
+        if (limit.endpoint == id)
+            limit.until = std::min(limit.until, steadyNow());
+    }
 }
 
 boost::asio::awaitable<void> EndpointGroup::registerAsDraining(Incarnation &incarnation)
--- a/soak/endpointgroup.h
+++ b/soak/endpointgroup.h
@@ -82,6 +82,9 @@
 
     void startIncarnation(Replica &replica, bool sameId);
     /// Waits until the store has the incarnation's state "draining", for a bounded time.
+    /// Ends the limits that the endpoint named: its next incarnation starts without one, also under
+    /// the same id.
+    void endRateLimits(const std::string &id);
     boost::asio::awaitable<void> registerAsDraining(Incarnation &incarnation);
     bool isReportedDraining(const std::string &id) const;
 
