Reading the diff: names, log lines and tests that were missing

The line on an answer that was ended for its memory has the request's id; the end of a retention by another router's word is logged. `dropUndecisive` is `dropExpired`.

--- a/include/almondmill/forward/answerreservation.h
+++ b/include/almondmill/forward/answerreservation.h
@@ -13,9 +13,16 @@
 class AnswerReservation
 {
 public:
+    /// Whose answer it is.
+    struct Origin
+    {
+        std::string endpoint; ///< Id of the endpoint that sends it.
+        std::string request;  ///< Id of the request.
+    };
+
     /// `end` is called once when the answer has to end. It must free the answer's memory soon, and
     /// may be called while any answer is resized.
-    AnswerReservation(std::shared_ptr<AnswerMemory> memory, std::string endpoint,
+    AnswerReservation(std::shared_ptr<AnswerMemory> memory, Origin origin,
                       std::function<void()> end);
     ~AnswerReservation();
     AnswerReservation(const AnswerReservation &) = delete;
@@ -25,7 +32,7 @@
     void resize(std::size_t bytes);
 
     std::size_t bytes() const { return m_bytes; }
-    const std::string &endpoint() const { return m_endpoint; }
+    const Origin &origin() const { return m_origin; }
     bool isEnded() const { return m_isEnded; }
 
 private:
@@ -34,7 +41,7 @@
     void endAnswer();
 
     std::shared_ptr<AnswerMemory> m_memory;
-    std::string m_endpoint; ///< Id of the endpoint that sends the answer.
+    Origin m_origin;
     std::function<void()> m_end;
     std::size_t m_bytes = 0;
     bool m_isEnded = false;
--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -85,9 +85,9 @@
     /// an answer to HEAD, the one that the endpoint stated.
     std::optional<std::size_t> relayedLength();
 
-    /// Counts the answer in the memory that all unfinished answers share. When that is exceeded,
-    /// the pending or the next operation returns `ConnectionBroken`.
-    void limitMemory(std::shared_ptr<AnswerMemory> memory);
+    /// Counts the answer to the request in the memory that all unfinished answers share. When that
+    /// is exceeded, the pending or the next operation returns `ConnectionBroken`.
+    void limitMemory(std::shared_ptr<AnswerMemory> memory, const std::string &requestId);
 
     /// Records the bytes of the answer that were taken from `body` and are still held, because a
     /// piece of the answer is incomplete.
--- a/src/forward/answermemory.cpp
+++ b/src/forward/answermemory.cpp
@@ -33,7 +33,8 @@
         if (!reservation)
             return;
         EventLine("answer.memory_exceeded")
-                .add("endpoint", reservation->endpoint())
+                .add("id", reservation->origin().request)
+                .add("endpoint", reservation->origin().endpoint)
                 .add("bytes", std::uint64_t(reservation->bytes()))
                 .add("used", std::uint64_t(m_used));
         reservation->endAnswer();
@@ -44,24 +45,24 @@
 {
     absl::flat_hash_map<std::string, std::size_t> byEndpoint;
     for (const AnswerReservation *reservation : m_reservations)
-        byEndpoint[reservation->endpoint()] += reservation->bytes();
+        byEndpoint[reservation->origin().endpoint] += reservation->bytes();
     const auto heaviest = std::max_element(
             byEndpoint.begin(), byEndpoint.end(),
             [](const auto &first, const auto &second) { return first.second < second.second; });
     AnswerReservation *found = nullptr;
     for (AnswerReservation *reservation : m_reservations) {
         const bool isCandidate =
-                reservation->bytes() > 0 && reservation->endpoint() == heaviest->first;
+                reservation->bytes() > 0 && reservation->origin().endpoint == heaviest->first;
         if (isCandidate && (!found || reservation->bytes() > found->bytes()))
             found = reservation;
     }
     return found;
 }
 
-AnswerReservation::AnswerReservation(std::shared_ptr<AnswerMemory> memory, std::string endpoint,
+AnswerReservation::AnswerReservation(std::shared_ptr<AnswerMemory> memory, Origin origin,
                                      std::function<void()> end)
     : m_memory(std::move(memory))
-    , m_endpoint(std::move(endpoint))
+    , m_origin(std::move(origin))
     , m_end(std::move(end))
 {
     m_memory->add(*this);
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -170,13 +170,15 @@
     return stated ? std::optional<std::size_t>(*stated) : std::nullopt;
 }
 
-void EndpointExchange::limitMemory(std::shared_ptr<AnswerMemory> memory)
+void EndpointExchange::limitMemory(std::shared_ptr<AnswerMemory> memory,
+                                   const std::string &requestId)
 {
+    AnswerReservation::Origin origin{m_endpoint->id(), requestId};
     const auto end = [this] {
         if (m_socket)
             m_socket->abort();
     };
-    m_reservation = std::make_unique<AnswerReservation>(std::move(memory), m_endpoint->id(), end);
+    m_reservation = std::make_unique<AnswerReservation>(std::move(memory), std::move(origin), end);
 }
 
 void EndpointExchange::recordHeldBytes(std::size_t bytes)
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -208,7 +208,7 @@
             connected ? connected
                       : std::make_shared<EndpointExchange>(view, m_context.adapter->codec());
     EndpointExchange &exchange = *shared;
-    exchange.limitMemory(m_context.answerMemory);
+    exchange.limitMemory(m_context.answerMemory, m_request.id);
     exchange.onSilence([this] { seekReplacement(ClockTimes::now()); });
     m_exchange = &exchange;
     m_load.emplace(view, heldTokens());
--- a/src/forward/registrationssync.cpp
+++ b/src/forward/registrationssync.cpp
@@ -165,8 +165,10 @@
         scheduleRefreshAfterRetention();
         return;
     }
-    if (m_retention.endIfAnswered(registrations.answeringFor, now))
-        m_watcher->refreshUpTo(m_context.directory.revision());
+    if (!m_retention.endIfAnswered(registrations.answeringFor, now))
+        return;
+    EventLine("store.retention_ended").add("answering_for", registrations.answeringFor);
+    m_watcher->refreshUpTo(m_context.directory.revision());
 }
 
 void RegistrationsSync::scheduleRefreshAfterRetention()
--- a/src/forward/weightstargets.cpp
+++ b/src/forward/weightstargets.cpp
@@ -13,17 +13,17 @@
 /// Versions kept per model, which bounds the messages that state them.
 constexpr std::size_t MaxVersionsPerModel = 24;
 
-/// Several times the longest weights deadline: by which of the versions from before an engine is
-/// outdated decides nothing.
-constexpr std::chrono::seconds DecisiveAge{30};
+/// Several times the longest weights deadline. An engine that has been outdated for this time is
+/// past each deadline, whichever of the older versions it serves.
+constexpr std::chrono::seconds LongestDeadline{30};
 
-/// Drops the oldest versions while the next one is too old as well.
-void dropUndecisive(std::vector<NamedVersion> &named)
+/// Drops the oldest versions, up to the newest one that is past each deadline.
+void dropExpired(std::vector<NamedVersion> &named)
 {
-    const SteadyTime decisive = named.back().since - DecisiveAge;
+    const SteadyTime expired = named.back().since - LongestDeadline;
     const auto first =
             std::find_if(named.begin() + 1, named.end() - 1,
-                         [decisive](const NamedVersion &entry) { return entry.since > decisive; });
+                         [expired](const NamedVersion &entry) { return entry.since > expired; });
     named.erase(named.begin(), first - 1);
 }
 
@@ -56,7 +56,7 @@
     const bool isNewest = position == named.end();
     named.insert(position, {target.version, since});
     if (named.size() > MaxVersionsPerModel)
-        dropUndecisive(named);
+        dropExpired(named);
     if (named.size() > MaxVersionsPerModel)
         mergeClosest(named);
     return isNewest;
--- a/tests/failure-endlessbytes.cpp
+++ b/tests/failure-endlessbytes.cpp
@@ -8,6 +8,11 @@
 #include "support/rawendpoint.h"
 
 #include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/socketaddress.h"
+#include "almondmill/http/httpclient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 
 #include <gtest/gtest.h>
 
@@ -187,4 +192,26 @@
                           "data: abcdefgh\n");
 }
 
+TEST(EndlessBytes, HeadsWithoutEndOnManyConnections)
+{
+    expectBoundedTogether("once", "HTTP/1.1 200 OK\r\nX-Long: ", "abcdefgh");
+}
+
+// Guards against an engine whose answer to the router's own call fills the memory.
+TEST(EndlessBytes, AnAnswerToAnOwnCallIsBounded)
+{
+    constexpr std::uint64_t MaxAnswerBytes = 1000;
+    const RawEndpoint endpoint([](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket,
+                           signedAnswer(call, "200 OK", std::string(MaxAnswerBytes + 1, 'x')));
+    });
+    boost::asio::io_context loop;
+    HttpClient client(loop.get_executor(), parseSocketAddress(endpoint.address()), MaxAnswerBytes);
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    auto outcome = boost::asio::co_spawn(loop, client.call("GET", "/x", "", "", deadline),
+                                         boost::asio::use_future);
+    loop.run_for(std::chrono::seconds(5));
+    EXPECT_TRUE(std::holds_alternative<HttpFailure>(outcome.get()));
+}
+
 } // namespace almondmill::test
--- a/tests/unit-answermemory.cpp
+++ b/tests/unit-answermemory.cpp
@@ -24,7 +24,8 @@
     AnswerReservation &add(const std::string &endpoint)
     {
         open.push_back(std::make_unique<AnswerReservation>(
-                memory, endpoint, [this, endpoint] { ended.push_back(endpoint); }));
+                memory, AnswerReservation::Origin{endpoint, "r1"},
+                [this, endpoint] { ended.push_back(endpoint); }));
         return *open.back();
     }
 };
