--- a/include/almondmill/directory/listrequests.h
+++ b/include/almondmill/directory/listrequests.h
@@ -15,7 +15,7 @@
     struct Read
     {
         Freshness freshness = Freshness::Current;
-        std::uint64_t position = 0; ///< Requests for a current list that were made before it.
+        std::uint64_t requests = 0; ///< Requests for a current list that were made before it.
         std::uint64_t upTo = 0;     ///< Revision that was requested before it.
     };
 
@@ -43,7 +43,7 @@
 private:
     bool m_isPending = true;
     Freshness m_freshness;
-    std::uint64_t m_position = 0; ///< Requests for a current list so far.
+    std::uint64_t m_requests = 0; ///< Requests for a current list so far.
     std::uint64_t m_upTo = 0;
 };
 
--- a/include/almondmill/directory/storeoutage.h
+++ b/include/almondmill/directory/storeoutage.h
@@ -10,9 +10,9 @@
 class StoreWatcher;
 
 /// What a router's watchers know together of how well the store answers. A call that fails alone is
-/// no outage: only when nobody got an answer for long may entries have expired meanwhile. Lets one
-/// watcher probe a store that doesn't answer, while the others wait for the outcome: all routers of
-/// a fleet probe during an outage, so each call less counts.
+/// no outage: entries may have expired only if no router got an answer for long. While the store
+/// doesn't answer, one watcher probes it and the others wait for the outcome, since all routers of
+/// a fleet probe during an outage.
 class StoreOutage
 {
 public:
@@ -35,7 +35,7 @@
 
     void recordFailure() { m_hasFailed = true; }
 
-    /// Whether no watcher of this router waits for the store to answer again.
+    /// False while watchers of this router wait for the store to answer again.
     bool isAnswering() const { return m_prober == nullptr; }
 
     /// The last outage that has ended; each one is returned once.
--- a/include/almondmill/forward/partbreakers.h
+++ b/include/almondmill/forward/partbreakers.h
@@ -91,8 +91,8 @@
     /// that are kept of one part.
     std::vector<PartEvidence> takeRepeats(std::size_t limit);
 
-    /// Evidence that refuses requests or their repeats, most crashes first. `limit` bounds the
-    /// number of parts and crashes.
+    /// Evidence by which requests or their retries are refused, most crashes first. `limit` bounds
+    /// the number of parts and crashes together.
     std::vector<PartEvidence> decisiveEvidence(std::size_t limit) const;
 
     /// Drops evidence that is too old, and counts the parts that opened or closed.
--- a/include/almondmill/forward/partevidencearchive.h
+++ b/include/almondmill/forward/partevidencearchive.h
@@ -13,8 +13,8 @@
 class AsyncStore;
 class PartBreakers;
 
-/// Keeps the evidence that refuses requests in the platform's store. Routers learn it from each
-/// other; when all of them end at once, the store alone still has it. A router reads it at its
+/// Keeps the evidence by which requests are refused in the platform's store. Routers learn it from
+/// each other; when all of them end at once, the store alone still has it. A router reads it at its
 /// start, and one router at a time writes it when it changes. Must be used on the event loop only.
 class PartEvidenceArchive
 {
--- a/include/almondmill/http/httpclient.h
+++ b/include/almondmill/http/httpclient.h
@@ -40,7 +40,7 @@
     /// Largest answer of the platform's store, which returns pages of about 1 MB.
     static constexpr std::uint64_t MaxStoreAnswerBytes = 16U << 20U;
 
-    /// Calls fail whose answers have larger bodies than `maxAnswerBytes`.
+    /// A call fails whose answer has a body of more than `maxAnswerBytes`.
     HttpClient(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server,
                std::uint64_t maxAnswerBytes = MaxStoreAnswerBytes);
 
--- a/include/almondmill/route/routingtable.h
+++ b/include/almondmill/route/routingtable.h
@@ -29,9 +29,9 @@
     /// The account that `key` belongs to, or null when there is none.
     const KeyedAccount *accountOf(std::string_view key) const;
 
-    /// Names the accounts that share cached prompts: all but the isolated ones. A configuration
-    /// that isolates others has another name, so that what an account made before it was isolated
-    /// is found by no other account. Empty when no account is isolated.
+    /// Suffix of the cache scope that all accounts share but the isolated ones; empty when none is
+    /// isolated. It depends on which accounts are isolated, so that no other account finds what an
+    /// account cached before it was isolated.
     const std::string &sharedCacheScope() const { return m_sharedCacheScope; }
 
     /// The service of that name, or null when there is none.
--- a/src/directory/listrequests.cpp
+++ b/src/directory/listrequests.cpp
@@ -12,7 +12,7 @@
 {
     m_isPending = true;
     m_freshness = Freshness::Current;
-    ++m_position;
+    ++m_requests;
 }
 
 void ListRequests::requestUpTo(std::uint64_t revision)
@@ -26,7 +26,7 @@
 
 ListRequests::Read ListRequests::begin() const
 {
-    return {m_freshness, m_position, m_upTo};
+    return {m_freshness, m_requests, m_upTo};
 }
 
 void ListRequests::fail()
@@ -36,7 +36,7 @@
 
 bool ListRequests::complete(const Read &read, std::uint64_t revision, std::uint64_t knownRevision)
 {
-    const bool isSuperseded = read.position != m_position;
+    const bool isSuperseded = read.requests != m_requests;
     const bool isStale = read.freshness == Freshness::MayBeStale;
     m_freshness = Freshness::Current;
     if (isStale && (isSuperseded || revision < std::max(m_upTo, knownRevision)))
--- a/src/forward/partevidencearchive.cpp
+++ b/src/forward/partevidencearchive.cpp
@@ -20,16 +20,16 @@
 
 constexpr milliseconds StoreTimeout{900};
 
-/// Delay before a failed read is retried, if the store answers other calls by then. Otherwise its
-/// outage is probed by other calls, so that all routers of a fleet do not add to them.
+/// Interval at which a router whose read failed checks whether the store answers its other calls.
+/// Those probe an outage already; a fleet must not add to them.
 constexpr milliseconds RetryDelay{200};
 
-/// Interval at which the writer compares the evidence with what is stored. A part that was at
-/// crashes without guilt is mostly answered within this time, and needs no write.
+/// Interval at which the writer compares the evidence with what is stored. A part that crashed no
+/// engine is mostly answered within this time, and needs no write.
 constexpr milliseconds CheckInterval{1000};
 
-/// Parts and crashes in the object, of up to 100 bytes each.
-constexpr std::size_t MaxStored = 600;
+/// Parts and crashes in the object together; each takes up to 100 bytes.
+constexpr std::size_t MaxStoredItems = 600;
 
 SteadyTime callDeadline()
 {
@@ -105,12 +105,12 @@
 
 bool PartEvidenceArchive::isChanged() const
 {
-    return digestOf(m_breakers.decisiveEvidence(MaxStored)) != m_storedDigest;
+    return digestOf(m_breakers.decisiveEvidence(MaxStoredItems)) != m_storedDigest;
 }
 
 asio::awaitable<void> PartEvidenceArchive::save()
 {
-    const auto evidence = m_breakers.decisiveEvidence(MaxStored);
+    const auto evidence = m_breakers.decisiveEvidence(MaxStoredItems);
     const std::string value = encodeStoredEvidence(evidence, EvidenceTime::now());
     UpdateResult result = NotApplied{};
     if (m_version == 0)
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -26,8 +26,8 @@
 /// connection is detected; a delay of up to 1.5 s at the start of a roll-out has no cost.
 constexpr milliseconds WeightsWait{3000};
 
-/// Fraction of the time in which a change must be in force for which a watch of the configuration
-/// waits. A watch whose answer is lost fails some time after that, and is followed by a list.
+/// A watch of the configuration waits for this part of the time in which a change must be in force,
+/// so that a lost answer is noticed early enough to list the configuration instead.
 constexpr int ConfigurationWaitsPerDeadline = 4;
 
 /// Reads of the configuration within the time in which a change must be in force, when one version
--- a/src/peers/readerelection.cpp
+++ b/src/peers/readerelection.cpp
@@ -26,12 +26,13 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-/// After their start, the routers of the lowest ranks become readers in the order of their ranks,
-/// spread over this time, in which they find their peers and send the first updates.
+/// After their start, routers become readers in the order of their ranks. Those of the lowest
+/// ranks, this part of a fleet, are spread over a time in which they find their peers and send the
+/// first updates.
 constexpr double LowestRanks = 0.25;
 constexpr Milliseconds LowestRanksSpread{2000};
 
-/// The others follow, spread over this time, so that a fleet of a few routers has a reader soon.
+/// The others follow within this time, so that a fleet of a few routers has a reader soon.
 constexpr Milliseconds OtherRanksSpread{500};
 
 constexpr int RankBits = 64;
--- a/src/route/routingtable.cpp
+++ b/src/route/routingtable.cpp
@@ -22,7 +22,7 @@
     return first->pathPrefix.size() > second->pathPrefix.size();
 }
 
-/// The same for the same isolated accounts, in whatever order.
+/// The suffix depends on the set of isolated accounts, not on their order.
 std::string sharedScopeWithout(const std::vector<KeyedAccount> &accounts)
 {
     std::uint64_t isolated = 0;
