A waiting watch no longer delays the end of a retention

What callers saw: after a doubt about the store's answers was resolved, a reader sent requests to an endpoint that had left for up to 0.5 s longer.

Cause: RegistrationsSync asked for a list when the retention ended, but the watcher sent it only after the call for changes that was waiting (up to 0.3 s) and the pause after it (0.2 s). That call can't return a removal that it has returned before.

Ruled out: the update being ignored (the entry goes with the next list); a busy machine (failures occur as often as the phase of the calls predicts).

Change: StoreWatcher::refreshKnown sends the list beside the waiting call, as reports of a newer configuration already do. The bound of the older test stays as it was.

--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -57,12 +57,18 @@
     /// tried first.
     void refreshUpTo(std::uint64_t revision);
 
+    /// Lists again what is already known, when changes in it were not applied then. A call for
+    /// changes that is waiting can't return them; a list is sent beside it. A stale read is tried
+    /// first.
+    void refreshKnown();
+
     /// Skips changes up to `revision`, which are known from another source.
     void advance(std::uint64_t revision);
 
 private:
     boost::asio::awaitable<void> backOff();
     boost::asio::awaitable<bool> list();
+    void startListDuringWatch();
     boost::asio::awaitable<void> listDuringWatch();
     boost::asio::awaitable<bool> waitForChanges();
     boost::asio::awaitable<void> idle();
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -95,6 +95,11 @@
 {
     m_lists.request();
     m_idle->cancel();
+    startListDuringWatch();
+}
+
+void StoreWatcher::startListDuringWatch()
+{
     if (m_isWatching && !std::exchange(m_isListingDuringWatch, true))
         asio::co_spawn(m_loop, listDuringWatch(), asio::detached);
 }
@@ -115,6 +120,12 @@
     m_idle->cancel();
 }
 
+void StoreWatcher::refreshKnown()
+{
+    refreshUpTo(m_revision);
+    startListDuringWatch();
+}
+
 void StoreWatcher::advance(std::uint64_t revision)
 {
     m_revision = std::max(m_revision, revision);
--- a/src/forward/registrationssync.cpp
+++ b/src/forward/registrationssync.cpp
@@ -168,7 +168,7 @@
     if (!m_retention.endIfAnswered(registrations.answeringFor, now))
         return;
     EventLine("store.retention_ended").add("answering_for", registrations.answeringFor);
-    m_watcher->refreshUpTo(m_context.directory.revision());
+    m_watcher->refreshKnown();
 }
 
 void RegistrationsSync::scheduleRefreshAfterRetention()
@@ -187,7 +187,7 @@
         co_await sleepFor(m_context.loop, left);
     }
     m_refreshScheduled = false;
-    m_watcher->refreshUpTo(m_context.directory.revision());
+    m_watcher->refreshKnown();
 }
 
 void RegistrationsSync::publishEvents(const ObjectEvents &events, std::uint64_t from,
--- a/tests/support/scriptedstore.cpp
+++ b/tests/support/scriptedstore.cpp
@@ -30,6 +30,12 @@
     m_history.push_back({kind, {{name, "", ++m_revision}, true}});
 }
 
+std::size_t ScriptedStore::watches(ObjectKind kind) const
+{
+    const auto found = m_watches.find(kind);
+    return found == m_watches.end() ? 0 : found->second;
+}
+
 AsyncStore::Awaitable<ReadResult> ScriptedStore::read(ObjectKind kind, std::string name, Freshness,
                                                       SteadyTime)
 {
@@ -61,6 +67,7 @@
 AsyncStore::Awaitable<EventsResult> ScriptedStore::events(ObjectKind kind, std::uint64_t revision,
                                                           milliseconds wait, SteadyTime deadline)
 {
+    ++m_watches[kind];
     const std::size_t cuts = m_cuts[kind];
     const std::size_t silenced = m_silenced[kind];
     const auto end = std::chrono::steady_clock::now() + wait;
--- a/tests/support/scriptedstore.h
+++ b/tests/support/scriptedstore.h
@@ -41,6 +41,9 @@
     /// Calls of `read` so far.
     std::size_t reads() const { return m_reads; }
 
+    /// Watches of the kind that have begun so far.
+    std::size_t watches(ObjectKind kind) const;
+
     Awaitable<ReadResult> read(ObjectKind kind, std::string name, Freshness freshness,
                                SteadyTime deadline) override;
     Awaitable<ListResult> list(ObjectKind kind, Freshness freshness, SteadyTime deadline) override;
@@ -65,6 +68,7 @@
     std::map<ObjectKind, std::chrono::milliseconds> m_delays;
     std::map<ObjectKind, std::size_t> m_cuts;
     std::map<ObjectKind, std::size_t> m_silenced;
+    std::map<ObjectKind, std::size_t> m_watches;
     std::size_t m_reads = 0;
     std::uint64_t m_revision = 1;
     bool m_isAvailable = true;
--- a/tests/unit-storestateorder.cpp
+++ b/tests/unit-storestateorder.cpp
@@ -94,6 +94,25 @@
         loop.run_for(milliseconds(isReader ? 700 : 100));
     }
 
+    /// Delivers the update of a router that the store has answered for a minute.
+    void learnFromARouterThatWasAnswered()
+    {
+        StoreUpdate update;
+        update.origin = "another-reader";
+        update.registrations =
+                StoreUpdate::Registrations{store.revision(), store.revision(), {}, {}};
+        update.registrations->answeringFor = milliseconds(60000);
+        sync->learn(update);
+    }
+
+    /// Runs until a watch of the registrations has just begun; each one waits for 300 ms.
+    void waitForWatchToBegin()
+    {
+        const std::size_t before = store.watches(ObjectKind::Registrations);
+        while (store.watches(ObjectKind::Registrations) == before)
+            loop.run_for(milliseconds(5));
+    }
+
     std::uint64_t configurationInForce() const
     {
         const auto table = context->table.snapshot();
@@ -234,15 +253,29 @@
     store.setAvailable(true);
     loop.run_for(milliseconds(900));
     ASSERT_NE(context->directory.find("desk-1"), nullptr);
-    StoreUpdate update;
-    update.origin = "another-reader";
-    update.registrations = StoreUpdate::Registrations{store.revision(), store.revision(), {}, {}};
-    update.registrations->answeringFor = milliseconds(60000);
-    sync->learn(update);
+    learnFromARouterThatWasAnswered();
     loop.run_for(milliseconds(400));
     EXPECT_EQ(context->directory.find("desk-1"), nullptr);
 }
 
+// Guards against a reader that keeps on using an endpoint which it retained, although the retention
+// has ended, until the call for changes ends that waits just then and can't return the removal.
+TEST_F(StoreOrderTest, TheEndOfARetentionIsNotDelayedByAWaitingWatch)
+{
+    store.write(ObjectKind::Registrations, "desk-1", heartbeat(1));
+    start(true);
+    store.setAvailable(false);
+    loop.run_for(Outage);
+    store.remove(ObjectKind::Registrations, "desk-1");
+    store.setAvailable(true);
+    loop.run_for(milliseconds(900));
+    ASSERT_NE(context->directory.find("desk-1"), nullptr);
+    waitForWatchToBegin();
+    learnFromARouterThatWasAnswered();
+    loop.run_for(milliseconds(100));
+    EXPECT_EQ(context->directory.find("desk-1"), nullptr);
+}
+
 // Guards against a reader that hears from others of a newer version, and reads it only after the
 // answer to its own waiting call, which was lost, is given up.
 TEST_F(StoreOrderTest, AReaderWhoseWatchIsSilentReadsWhatOthersReport)
