A report of the members is no longer read from a freed view

What callers saw: GET /dump of a router of our own interface had, once in a while, status 500 and no body, while routers joined or left.

Cause: FleetComponent::dump looped over *members(); the temporary shared_ptr is gone before the first round, so a view that was replaced meanwhile was freed. Text that isn't UTF-8 makes the JSON library throw, and the HTTP library answers 500 with an empty body.

Change: the loop holds the view. The same form in bench-decide.cpp, which nothing can race with, is changed too.

--- a/bench/bench-decide.cpp
+++ b/bench/bench-decide.cpp
@@ -92,7 +92,8 @@
         , m_placer(m_node, m_node.metrics)
     {
         m_node.endpoints.apply(makeConfiguration(1, endpoints, accounts));
-        for (const auto &state : m_node.endpoints.snapshot()->all())
+        const auto endpointSet = m_node.endpoints.snapshot();
+        for (const auto &state : endpointSet->all())
             state->setIncarnation(1);
         m_next = makeConfiguration(2, endpoints, accounts);
     }
--- a/src/fleet/fleetcomponent.cpp
+++ b/src/fleet/fleetcomponent.cpp
@@ -75,8 +75,9 @@
 
 void FleetComponent::dump(nlohmann::json &object) const
 {
+    const std::shared_ptr<const Members> view = members();
     Json list = Json::array();
-    for (const Member &member : *members()) {
+    for (const Member &member : *view) {
         list.push_back({{"address", member.address},
                         {"data_centre", member.dataCentre},
                         {"incarnation", member.incarnation},
--- a/tests/unit-fleet.cpp
+++ b/tests/unit-fleet.cpp
@@ -8,6 +8,11 @@
 #include "almondmill/kernel/node.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <set>
+#include <thread>
 
 namespace almondmill::test {
 
@@ -48,6 +53,21 @@
     return settings;
 }
 
+/// A heartbeat of `sender`, which runs this version and knows the members at these addresses.
+Heartbeat heartbeatOf(const std::string &sender, std::uint64_t configVersion,
+                      const std::set<std::string> &addresses)
+{
+    Heartbeat heartbeat;
+    heartbeat.sender = sender;
+    heartbeat.dataCentre = "a";
+    heartbeat.incarnation = 1;
+    heartbeat.revision = 1;
+    heartbeat.configVersion = configVersion;
+    for (const std::string &address : addresses)
+        heartbeat.members.push_back({address, "a", 1, 1, configVersion, MemberState::Alive, false});
+    return heartbeat;
+}
+
 /// Two nodes; calls go from the first to the second, which listens once a test starts it.
 class FleetCalls : public testing::Test
 {
@@ -108,4 +128,36 @@
     EXPECT_TRUE(m_client.placementPeers->ask(m_peer, {}, Timeout));
 }
 
+// Guards against a report of the members that is read from a view which was replaced and freed
+// meanwhile: operators got status 500 without a body, or addresses that no router has.
+TEST_F(FleetCalls, AReportOfTheMembersIsThatOfOneView)
+{
+    constexpr std::size_t Members = 200;
+    constexpr std::chrono::milliseconds ReportsLast{3000};
+    const std::string sender = nextLoopbackAddress() + ":7070";
+    std::set<std::string> known{sender, m_peer};
+    while (known.size() < Members)
+        known.insert(nextLoopbackAddress() + ":7070");
+    m_serverFleet.start();
+    std::atomic<bool> isStopping{false};
+    std::thread changes([&] {
+        for (std::uint64_t version = 1; !isStopping; ++version) {
+            m_serverFleet.answerProbe(heartbeatOf(sender, version, known),
+                                      std::chrono::steady_clock::now());
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+    });
+    std::size_t unknown = 0;
+    const auto end = std::chrono::steady_clock::now() + ReportsLast;
+    while (std::chrono::steady_clock::now() < end) {
+        nlohmann::json report;
+        m_serverFleet.dump(report);
+        for (const auto &member : report["members"])
+            unknown += 1 - known.count(member["address"].get<std::string>());
+    }
+    isStopping = true;
+    changes.join();
+    EXPECT_EQ(unknown, 0U);
+}
+
 } // namespace almondmill::test
