Attribution test: the copy with the next id is written before that request

Known red: Attribution.ACopyOfAnEarlierRefusalDoesNotRefuseTheNextRequest had failed once beside load, case "429, id r2, after 20 ms": 503 endpoint_full.

Cause, in the test: an endpoint that refuses r2 after r2 was sent is to be believed, as the test says itself; the copy has to come before. The endpoint wrote it after 20 ms of sleep, and the test sent r2 after 40 ms, so on a busy machine the copy could come after it.

Ruled out: a router that takes bytes that came before a request for its answer; all cases in which they do come before pass.

Change: the test waits until the endpoint has written the copy.

--- a/tests/failure-attribution.cpp
+++ b/tests/failure-attribution.cpp
@@ -5,6 +5,7 @@
 #include "support/caller.h"
 #include "support/forwardingharness.h"
 #include "support/rawendpoint.h"
+#include "support/waituntil.h"
 
 #include <gtest/gtest.h>
 
@@ -100,6 +101,7 @@
             std::this_thread::sleep_for(copyCase.delay);
             RawEndpoint::write(socket, copy);
         }
+        m_earlyCopies += copyCase.time == CopyTime::AfterTheNextRequest ? 0 : 1;
         for (std::string call = RawEndpoint::readCall(socket); !call.empty();
              call = RawEndpoint::readCall(socket)) {
             if (copyCase.time == CopyTime::AfterTheNextRequest)
@@ -108,6 +110,9 @@
         }
     }
 
+    /// Copies that endpoints have written before a next request.
+    std::size_t earlyCopies() const { return m_earlyCopies; }
+
     /// Expects that the request ran at most once and that the answer says nothing else.
     void expectTruthful(const std::string &answer, const std::string &id)
     {
@@ -121,6 +126,7 @@
 private:
     std::mutex m_mutex;
     std::map<std::string, unsigned> m_runs;
+    std::atomic<std::size_t> m_earlyCopies{0};
 };
 
 std::string askWithId(const ForwardingHarness &harness, const std::string &id)
@@ -146,12 +152,13 @@
         ForwardingHarness harness;
         harness.configure(oneRouteOfEachKind());
         harness.addEndpoint("e1", "once", endpoint.address());
+        const std::size_t copiesBefore = earlyCopies();
         EXPECT_TRUE(hasStatus(askWithId(harness, "r1"), 503));
         const auto before = runsOf("r2");
         // Once the request has been sent, an endpoint may answer it: the copy with its id comes
         // before.
-        if (std::string(copyCase.copyId) == "r2")
-            std::this_thread::sleep_for(2 * copyCase.delay);
+        const bool hasNextId = std::string(copyCase.copyId) == "r2";
+        ASSERT_TRUE(!hasNextId || waitUntil([&] { return earlyCopies() == copiesBefore + 1; }));
         const std::string answer = askWithId(harness, "r2");
         SCOPED_TRACE(std::string(copyCase.statusLine) + " id " + copyCase.copyId + " after "
                      + std::to_string(copyCase.delay.count()) + " ms");
