--- a/tests/unit-storestateorder.cpp
+++ b/tests/unit-storestateorder.cpp
@@ -37,6 +37,9 @@
 /// Time after which no entry is kept any more that an outage made expire.
 constexpr milliseconds RetentionEnd{3000};
 
+/// Time for which a watch of the registrations waits.
+constexpr milliseconds WatchWait{300};
+
 /// Time in which the other routers read a version after the first one reports it.
 constexpr milliseconds TimeForOthers{400};
 
@@ -105,7 +108,7 @@
         sync->learn(update);
     }
 
-    /// Runs until a watch of the registrations has just begun; each one waits for 300 ms.
+    /// Runs until a watch of the registrations has just begun.
     void waitForWatchToBegin()
     {
         const std::size_t before = store.watches(ObjectKind::Registrations);
@@ -272,7 +275,7 @@
     ASSERT_NE(context->directory.find("desk-1"), nullptr);
     waitForWatchToBegin();
     learnFromARouterThatWasAnswered();
-    loop.run_for(milliseconds(100));
+    loop.run_for(WatchWait - milliseconds(50));
     EXPECT_EQ(context->directory.find("desk-1"), nullptr);
 }
 
