Engines get the more urgent of two kinds of one account first

Cause: an account's priority replaced that of the route, so all requests of one account had the same priority at the engines. Long, less urgent streams held the slots while urgent prompts of the same account waited behind them.

Ruled out: a rank of the route alone, as an account's priority goes first.

Change: the pairs (priority of the account, else of the route; priority of the route) that a configuration contains are numbered in order, and the number is the priority sent to engines. Configurations whose accounts have no priorities keep their order.

--- a/include/almondmill/route/routingtable.h
+++ b/include/almondmill/route/routingtable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/route/routingconfiguration.h"
+#include "almondmill/route/urgencylevels.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -34,6 +35,9 @@
     /// account cached before it was isolated.
     const std::string &sharedCacheScope() const { return m_sharedCacheScope; }
 
+    /// How urgent a request of the route is, for the engines' order of waiting requests.
+    const UrgencyLevels &urgency() const { return m_urgency; }
+
     /// The service of that name, or null when there is none.
     const RoutedService *service(std::string_view name) const;
 
@@ -55,6 +59,7 @@
 
 private:
     RoutingConfiguration m_configuration;
+    UrgencyLevels m_urgency;
     absl::flat_hash_map<std::string, std::vector<const Route *>> m_routesByHost;
     absl::flat_hash_map<std::string, const KeyedAccount *> m_accountsByKey;
     absl::flat_hash_map<std::string, const RoutedService *> m_servicesByName;
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -18,9 +18,6 @@
 
 namespace {
 
-/// The least urgent priority that engines accept.
-constexpr std::uint32_t LowestEnginePriority = 9;
-
 /// Engines with outdated weights get no new requests in this last part of the weights deadline, in
 /// addition to the time for the prompts that wait there: the load from other routers is known up to
 /// a second late, and a request may also have to wait for a slot.
@@ -108,14 +105,6 @@
     return 2 * shared >= prompt.promptTokens;
 }
 
-std::uint32_t enginePriorityOf(const RoutedRequest &placed)
-{
-    const std::uint32_t priority = placed.account && placed.account->priority
-                                           ? *placed.account->priority
-                                           : placed.route.priority;
-    return std::min(priority, LowestEnginePriority);
-}
-
 /// Whether the part is expected in the KV cache store, or is on its way there.
 bool isExpectedIn(const KvCacheStore &store, const RoutedRequest &placed,
                   const PartLocations::Location *known, SteadyTime now)
@@ -464,7 +453,7 @@
     const std::uint64_t version = view.weightsVersion(prompt.model).value_or(0);
     send.weightsVersion = version;
     send.cacheScope = cacheScope(placed, version);
-    send.enginePriority = enginePriorityOf(placed);
+    send.enginePriority = placed.table.urgency().levelOf(placed.route, placed.account);
     planCache(placed, view, send, now);
     return send;
 }
--- a/src/route/routingtable.cpp
+++ b/src/route/routingtable.cpp
@@ -37,6 +37,7 @@
 
 RoutingTable::RoutingTable(RoutingConfiguration configuration)
     : m_configuration(std::move(configuration))
+    , m_urgency(m_configuration)
     , m_sharedCacheScope(sharedScopeWithout(m_configuration.accounts))
 {
     for (const Route &route : m_configuration.routes)
--- /dev/null
+++ b/src/route/urgencylevels.cpp
@@ -0,0 +1,34 @@
+#include "almondmill/route/urgencylevels.h"
+
+#include "almondmill/route/routingconfiguration.h"
+
+#include <algorithm>
+
+namespace almondmill {
+
+UrgencyLevels::UrgencyLevels(const RoutingConfiguration &configuration)
+{
+    for (const Route &route : configuration.routes) {
+        m_pairs.emplace_back(route.priority, route.priority);
+        for (const KeyedAccount &account : configuration.accounts) {
+            if (account.priority)
+                m_pairs.emplace_back(*account.priority, route.priority);
+        }
+    }
+    std::sort(m_pairs.begin(), m_pairs.end());
+    m_pairs.erase(std::unique(m_pairs.begin(), m_pairs.end()), m_pairs.end());
+}
+
+std::uint32_t UrgencyLevels::levelOf(const Route &route, const KeyedAccount *account) const
+{
+    const std::uint32_t first =
+            account ? account->priority.value_or(route.priority) : route.priority;
+    const auto found =
+            std::lower_bound(m_pairs.begin(), m_pairs.end(), Pair(first, route.priority));
+    const auto rank = static_cast<std::size_t>(found - m_pairs.begin());
+    if (m_pairs.size() > Count)
+        return static_cast<std::uint32_t>(rank * Count / m_pairs.size());
+    return static_cast<std::uint32_t>(rank);
+}
+
+} // namespace almondmill
