Control traffic between routers is counted by kind, direction and data centre

Calls to the store are counted by kind of object too, and their bytes. The event line traffic.sent gives the same sums every 5 s.

A router registers its data centre beside its address, so the place of a peer is known from the list; messages do not carry it.

A datagram is now parsed once: decoders compare the layout version in its first bytes before they parse. Before, evidence was parsed six times and a permit eight times.

--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -7,6 +7,7 @@
 #include "almondmill/forward/sendplanner.h"
 #include "almondmill/forward/statusserver.h"
 #include "almondmill/forward/storestatesync.h"
+#include "almondmill/metrics/trafficsums.h"
 #include "almondmill/peers/peerexchange.h"
 #include "almondmill/rollout/rolloutleader.h"
 #include "almondmill/rollout/weightsrollout.h"
@@ -65,10 +66,12 @@
     boost::asio::awaitable<void> drain();
     boost::asio::awaitable<void> maintain();
     boost::asio::awaitable<void> watchRollout();
+    boost::asio::awaitable<void> reportTraffic();
 
     boost::asio::io_context &m_loop;
     const std::string m_settingsFile;
     ForwardingContext m_context;
+    TrafficSums m_traffic;
     std::unique_ptr<AsyncStore> m_store;
     StoreStateSync m_views;
     PeerExchange m_peers;
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -5,6 +5,7 @@
 #include "almondmill/peers/broadcastpositions.h"
 #include "almondmill/peers/peerdiscovery.h"
 #include "almondmill/peers/peermessage.h"
+#include "almondmill/peers/peertraffic.h"
 #include "almondmill/peers/ratelimitgossip.h"
 #include "almondmill/peers/storeupdate.h"
 
@@ -21,7 +22,7 @@
 namespace almondmill {
 
 class AsyncStore;
-class Counter;
+class TrafficSums;
 struct ForwardingContext;
 struct BroadcastPlacement;
 struct PartEvidenceMessage;
@@ -41,8 +42,9 @@
     using StoreUpdateHandler = std::function<void(const StoreUpdate &)>;
     using PlacementHandler = std::function<void(const PartPlacement &)>;
 
-    PeerExchange(ForwardingContext &context, AsyncStore &store, MessageHandler onMessage,
-                 StoreUpdateHandler onStoreUpdate, PlacementHandler onPlacement);
+    PeerExchange(ForwardingContext &context, AsyncStore &store, TrafficSums &traffic,
+                 MessageHandler onMessage, StoreUpdateHandler onStoreUpdate,
+                 PlacementHandler onPlacement);
 
     void start();
 
@@ -93,6 +95,8 @@
     std::vector<PeerMessage::Weights> describeWeights(SteadyTime now) const;
     std::vector<PeerMessage::LoadingEngine> describeLoading(SteadyTime now) const;
     void sendTo(const Address &address, std::string_view bytes);
+    void recordTraffic(PeerTraffic::Direction direction, std::string_view bytes,
+                       const Address &peer);
     void sendTo(const std::string &router, std::string_view bytes);
     void addPeer(const std::string &name, const Address &address);
     PeerMessage describeState(SteadyTime now);
@@ -105,7 +109,7 @@
     boost::asio::ip::udp::socket m_socket;
     const std::uint64_t m_incarnation;
     RateLimitGossip m_rateLimits;
-    Counter &m_bytesSent;
+    PeerTraffic m_traffic;
     std::uint64_t m_sequence = 0;
     bool m_publishScheduled = false;
     BroadcastPositions m_lastUpdates;
--- a/include/almondmill/peers/registeredpeer.h
+++ b/include/almondmill/peers/registeredpeer.h
@@ -11,6 +11,7 @@
 {
     std::string name;
     boost::asio::ip::udp::endpoint address; ///< Where it receives datagrams.
+    std::string dataCentre;                 ///< Empty when its release does not register it.
 };
 
 } // namespace almondmill
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -31,6 +31,9 @@
 /// How often the log is flushed and expired connections are closed.
 constexpr milliseconds MaintenanceInterval{500};
 
+/// How often the sums of control traffic are logged.
+constexpr milliseconds TrafficReportInterval{5000};
+
 /// The load balancer checks readiness once a second and removes a router after two failed checks;
 /// draining waits slightly longer than that.
 constexpr milliseconds BalancerRemovalDelay{2600};
@@ -63,13 +66,13 @@
     , m_context(loop, settings, PlatformAdapterRegistry::create(settings.adapter))
     , m_store(std::make_unique<CountingStore>(
               m_context.adapter->makeStore(loop.get_executor(), parseSocketAddress(settings.store)),
-              m_context.metrics))
+              m_context.metrics, m_traffic))
     , m_views(m_context, *m_store,
               [this](std::optional<StoreUpdate::Registrations> registrations) {
                   m_peers.publish(std::move(registrations));
               })
     , m_peers(
-              m_context, *m_store,
+              m_context, *m_store, m_traffic,
               [this](const PeerMessage &message) { applyPeerMessage(message); },
               [this](const StoreUpdate &update) { m_views.learn(update); },
               [this](const PartPlacement &placement) {
@@ -113,6 +116,7 @@
     startSupervised(m_loop, "router.reload", [this] { return awaitReloads(); });
     startSupervised(m_loop, "router.maintenance", [this] { return maintain(); });
     startSupervised(m_loop, "router.rollout", [this] { return watchRollout(); });
+    startSupervised(m_loop, "router.traffic", [this] { return reportTraffic(); });
     m_leader.start();
     runSupervised(m_loop);
     m_leader.stop();
@@ -195,6 +199,14 @@
     }
 }
 
+asio::awaitable<void> ForwardingRouter::reportTraffic()
+{
+    for (;;) {
+        co_await sleepFor(m_loop, TrafficReportInterval);
+        m_traffic.writeEvent();
+    }
+}
+
 void ForwardingRouter::maintainEndpoint(EndpointView &view, SteadyTime now)
 {
     view.connections().closeExpired(now);
--- a/src/peers/peerdiscovery.cpp
+++ b/src/peers/peerdiscovery.cpp
@@ -33,9 +33,10 @@
 constexpr milliseconds SecondListDelay{4000};
 
 /// The entry that a router stores of itself.
-std::string entryOf(const std::string &address)
+std::string entryOf(const ForwarderSettings &settings)
 {
-    return nlohmann::json{{"address", address}}.dump();
+    return nlohmann::json{{"address", settings.peersListen}, {"data_centre", settings.dataCentre}}
+            .dump();
 }
 
 /// The router that a stored entry names; logs an event and returns nothing when it is malformed.
@@ -44,7 +45,8 @@
     try {
         const auto entry = nlohmann::json::parse(object.value);
         return RegisteredPeer{object.name,
-                              parseDatagramAddress(entry.at("address").get<std::string>())};
+                              parseDatagramAddress(entry.at("address").get<std::string>()),
+                              entry.value("data_centre", "")};
     } catch (const std::exception &error) {
         EventLine("peer.entry_unreadable")
                 .add("name", object.name)
@@ -95,7 +97,7 @@
 
 PeerDiscovery::Awaitable<bool> PeerDiscovery::registerSelf()
 {
-    const std::string value = entryOf(m_context.settings.peersListen);
+    const std::string value = entryOf(m_context.settings);
     const auto deadline = [] { return steadyNow() + StoreTimeout; };
     const auto created = co_await m_store.create(ObjectKind::Routers, m_context.settings.name,
                                                  value, deadline());
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -73,8 +73,9 @@
 
 } // namespace
 
-PeerExchange::PeerExchange(ForwardingContext &context, AsyncStore &store, MessageHandler onMessage,
-                           StoreUpdateHandler onStoreUpdate, PlacementHandler onPlacement)
+PeerExchange::PeerExchange(ForwardingContext &context, AsyncStore &store, TrafficSums &traffic,
+                           MessageHandler onMessage, StoreUpdateHandler onStoreUpdate,
+                           PlacementHandler onPlacement)
     : m_context(context)
     , m_discovery(context, store,
                   [this](const std::vector<RegisteredPeer> &peers) { addPeers(peers); })
@@ -87,7 +88,7 @@
                    [this](const std::string &origin, std::string_view bytes) {
                        forwardToChildren(origin, bytes);
                    })
-    , m_bytesSent(context.metrics.counter("almondmill_peer_bytes_sent_total"))
+    , m_traffic(context.settings.dataCentre, context.metrics, traffic)
     , m_ring{context.settings.name}
 {}
 
@@ -150,8 +151,10 @@
 void PeerExchange::addPeers(const std::vector<RegisteredPeer> &peers)
 {
     const std::size_t before = m_peers.size();
-    for (const RegisteredPeer &peer : peers)
+    for (const RegisteredPeer &peer : peers) {
+        m_traffic.learnDataCentre(peer.address, peer.dataCentre);
         addPeer(peer.name, peer.address);
+    }
     EventLine("peers.found").add("routers", m_peers.size()).add("before", before);
     if (m_peers.size() > before)
         announce();
@@ -233,6 +236,7 @@
 
 void PeerExchange::handleDatagram(std::string_view bytes, const Address &from)
 {
+    recordTraffic(PeerTraffic::Direction::Received, bytes, from);
     const SteadyTime now = std::chrono::steady_clock::now();
     if (const auto message = decodePeerMessage(bytes))
         handleMessage(*message, from, now);
@@ -413,13 +417,22 @@
 
 void PeerExchange::sendTo(const Address &address, std::string_view bytes)
 {
-    m_bytesSent.add(bytes.size());
+    recordTraffic(PeerTraffic::Direction::Sent, bytes, address);
     // A failed send is treated like a lost datagram. Each state message contains the full state,
     // so the next one replaces the lost one.
     boost::system::error_code ignored;
     m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), address, 0, ignored);
 }
 
+void PeerExchange::recordTraffic(PeerTraffic::Direction direction, std::string_view bytes,
+                                 const Address &peer)
+{
+    PeerMessageKind kind = peekKind(bytes);
+    if (kind == PeerMessageKind::Placement && m_context.partLookups.usesOwners())
+        kind = PeerMessageKind::PartReport;
+    m_traffic.record(direction, kind, bytes.size(), peer);
+}
+
 PeerMessage PeerExchange::describeState(SteadyTime now)
 {
     PeerMessage message;
--- a/src/peers/peerfields.cpp
+++ b/src/peers/peerfields.cpp
@@ -1,5 +1,7 @@
 #include "peerfields.h"
 
+#include "almondmill/peers/peermessagekind.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -25,6 +27,9 @@
 
 std::optional<json> decodeLayout(std::string_view bytes, std::uint32_t layoutVersion)
 {
+    // The receiver tries one layout after another; only that of the message is worth parsing it.
+    if (peekLayout(bytes) != layoutVersion)
+        return std::nullopt;
     try {
         json fields = json::from_cbor(bytes.begin(), bytes.end());
         const bool isExpected =
