Limit of an endpoint that has started or recovered, over all routers

Cause: after a pause each router allowed 2, 4, 8, 16 open requests, so many routers filled a small endpoint at once; an endpoint that had just started had no limit at all.

Ruled out: a fixed ramp per router (grows with the fleet), permits of one router (a round trip before each request), failed connections as common knowledge (one broken path would slow an endpoint down for all).

RouterPlaces deals it by rendezvous order; pacedBounds raises the limits where much of a service is paced. Nothing uses them yet.

--- /dev/null
+++ b/src/forward/servicepace.cpp
@@ -0,0 +1,58 @@
+#include "almondmill/forward/servicepace.h"
+
+#include "almondmill/forward/endpointpace.h"
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+
+/// Ratio of the slots that belong to paced endpoints.
+double pacedRatio(std::span<const PacedCandidate> candidates, SteadyTime now)
+{
+    double paced = 0;
+    double all = 0;
+    for (const PacedCandidate &candidate : candidates) {
+        all += candidate.slots;
+        if (candidate.pace->isInForce(now))
+            paced += candidate.slots;
+    }
+    return all > 0 ? paced / all : 0;
+}
+
+/// Gives a router without a share one request, at the endpoint where it comes first: so the
+/// requests of all routers spread over the endpoints.
+void ensureOneRequest(std::span<const PacedCandidate> candidates,
+                      std::vector<std::uint32_t> &bounds)
+{
+    const bool hasShare = std::any_of(bounds.begin(), bounds.end(),
+                                      [](std::uint32_t bound) { return bound > 0; });
+    const auto best = std::min_element(candidates.begin(), candidates.end(),
+                                       [](const auto &first, const auto &second) {
+                                           return first.place.index < second.place.index;
+                                       });
+    if (!hasShare && best != candidates.end())
+        bounds[static_cast<std::size_t>(best - candidates.begin())] = 1;
+}
+
+} // namespace
+
+std::vector<std::uint32_t> pacedBounds(std::span<const PacedCandidate> candidates, SteadyTime now)
+{
+    const double ratio = pacedRatio(candidates, now);
+    std::vector<std::uint32_t> bounds;
+    bounds.reserve(candidates.size());
+    for (const PacedCandidate &candidate : candidates) {
+        if (!candidate.pace->isInForce(now)) {
+            bounds.push_back(NoBound);
+            continue;
+        }
+        const auto raised = static_cast<std::uint32_t>(ratio * candidate.slots);
+        bounds.push_back(shareOf(std::max(candidate.pace->limitAt(now), raised), candidate.place));
+    }
+    ensureOneRequest(candidates, bounds);
+    return bounds;
+}
+
+} // namespace almondmill
