Slow start of endpoints in place of the ramp after a pause

Ruled out: a second mechanism beside `Resuming`. The state stays, its bound is now the router's share of the limit, so that nothing stands twice.

Change: EndpointAvailability keeps the pace of its incarnation. SendPlanner::select, maySend, earliestReturn and ownPartOfLimits ask for the router's bound at each endpoint of the service. An incarnation that is new begins paced, by its registration's start and by how long the router has known the service. State on /dump, event lines `endpoint.pace`, counters.

The present tests of pauses hold as they are.

--- a/include/almondmill/forward/availabilityrecords.h
+++ b/include/almondmill/forward/availabilityrecords.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "almondmill/kernel/time.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <chrono>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -25,8 +28,10 @@
     AvailabilityRecords();
     ~AvailabilityRecords();
 
-    /// The record of the incarnation that `registration` names.
-    std::shared_ptr<EndpointAvailability> of(const Registration &registration);
+    /// The record of the incarnation that `registration` names. `newAt` is set when it may have
+    /// just started: the pace of an incarnation without a record then begins at that time.
+    std::shared_ptr<EndpointAvailability> of(const Registration &registration,
+                                             std::optional<SteadyTime> newAt = std::nullopt);
 
     /// The registration was removed; its record is kept until `MaxRemoved` others were.
     void removed(const Registration &registration);
--- a/include/almondmill/forward/endpointavailability.h
+++ b/include/almondmill/forward/endpointavailability.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/forward/endpointpace.h"
 #include "almondmill/kernel/time.h"
 
 #include <chrono>
@@ -13,11 +14,11 @@
 struct Available
 {};
 
-/// A pause has ended; the endpoint takes requests up to a bound that grows.
+/// The endpoint has started or a pause has ended; it takes requests up to a bound that grows.
 struct Resuming
 {
-    std::uint32_t maxOpenRequests = 0;
-    SteadyTime nextStepAt; ///< When the bound grows or ends.
+    std::uint32_t maxOpenRequests = 0; ///< From this router.
+    SteadyTime nextStepAt;             ///< When the bound grows or ends.
 };
 
 /// The endpoint has asked for a pause.
@@ -44,11 +45,17 @@
 {
 public:
     /// Time over which the bound on open requests grows after a pause.
-    static constexpr std::chrono::milliseconds ResumeTime{1000};
+    static constexpr std::chrono::milliseconds ResumeTime =
+            EndpointPace::PauseStep * EndpointPace::Doublings;
 
     /// Longer pauses are taken as this one.
     static constexpr std::chrono::hours MaxPause{1};
 
+    /// `slots` is the number of requests that the endpoint runs concurrently.
+    explicit EndpointAvailability(std::uint32_t slots = 1)
+        : m_pace(slots)
+    {}
+
     /// Records that the endpoint leaves; returns false when that was known. It can't be undone.
     bool recordLeaving(SteadyTime now);
 
@@ -57,12 +64,17 @@
     /// began.
     bool recordPause(std::chrono::milliseconds length, SteadyTime now);
 
-    /// Records how many requests are open. The first count after a pause is that of requests from
-    /// before it, which the bound on open requests then doesn't include.
+    /// Records how many requests are open. The first count after the pace began is that of requests
+    /// from before, which the bound on open requests then doesn't include.
     void recordOpenRequests(std::uint32_t openRequests, SteadyTime now);
 
-    /// The state at `now`; an endpoint that leaves is `Paused` while a pause runs.
-    Availability stateAt(SteadyTime now) const;
+    /// The state at `now`; an endpoint that leaves is `Paused` while a pause runs. `paceBound` is
+    /// this router's share of the limit of the pace, which is the whole limit for a single router.
+    Availability stateAt(SteadyTime now,
+                         std::optional<std::uint32_t> paceBound = std::nullopt) const;
+
+    EndpointPace &pace() { return m_pace; }
+    const EndpointPace &pace() const { return m_pace; }
 
     bool isLeaving() const { return m_leavingSince.has_value(); }
 
@@ -83,6 +95,7 @@
     std::optional<SteadyTime> m_leavingSince;
     std::optional<SteadyTime> m_pausedUntil;
     bool m_isPauseReported = true;
+    EndpointPace m_pace;
     std::optional<std::uint32_t> m_openAtResume;
     std::uint64_t m_withheld = 0;
     std::uint64_t m_withheldBeforePause = 0;
--- a/include/almondmill/forward/endpointviews.h
+++ b/include/almondmill/forward/endpointviews.h
@@ -2,10 +2,12 @@
 
 #include "almondmill/directory/endpointdirectory.h"
 #include "almondmill/forward/availabilityrecords.h"
+#include "almondmill/kernel/time.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,14 +39,21 @@
     /// Null when no endpoint has that id.
     View find(std::string_view id) const;
 
+    /// Finds an endpoint by the hash of its incarnation; null when there is none.
+    View findByIncarnation(std::uint64_t incarnation) const;
+
     /// Finds an endpoint by the short hash of its id; null when there is none.
     View findByShortHash(std::uint32_t hash) const;
 
 private:
+    /// When the incarnation was first seen, if it may have just started.
+    std::optional<SteadyTime> newSince(const Registration &registration);
     void add(View view);
     void remove(const std::string &id);
 
     AvailabilityRecords m_availability;
+    absl::flat_hash_map<std::string, SteadyTime>
+            m_servicesSince; ///< First seen, on the boot clock.
     absl::flat_hash_map<std::string, View> m_byId;
     absl::flat_hash_map<std::uint32_t, View> m_byHash;
     absl::flat_hash_map<std::string, std::vector<View>> m_byService;
--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -5,6 +5,7 @@
 #include "almondmill/forward/endpointviews.h"
 #include "almondmill/forward/forwardersettings.h"
 #include "almondmill/forward/forwardingmetrics.h"
+#include "almondmill/forward/pacechanges.h"
 #include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/forward/permitpreference.h"
@@ -17,6 +18,7 @@
 #include "almondmill/peers/partlookups.h"
 #include "almondmill/peers/peerviews.h"
 #include "almondmill/peers/placementbroadcastqueue.h"
+#include "almondmill/peers/routerplaces.h"
 #include "almondmill/peers/sendpermits.h"
 #include "almondmill/route/routingtable.h"
 
@@ -53,6 +55,8 @@
     EndpointDirectory directory;
     const std::shared_ptr<AnswerMemory> answerMemory;
     RateLimits rateLimits;
+    RouterPlaces routerPlaces;
+    PaceChanges paceChanges;
     WeightsTargets weights;
     PeerViews peers;
     PartLocations partLocations;
--- a/include/almondmill/forward/forwardingmetrics.h
+++ b/include/almondmill/forward/forwardingmetrics.h
@@ -33,6 +33,12 @@
     /// Counts a pause that an endpoint asked for.
     void recordPausedEndpoint() { m_endpointPauses.add(); }
 
+    /// Count paces that this router's failed attempts began, reductions of a limit, and the ends of
+    /// all paces.
+    void recordPace() { m_paces.add(); }
+    void recordPaceCut() { m_paceCuts.add(); }
+    void recordPaceEnd() { m_paceEnds.add(); }
+
     /// Counts an endpoint that began to name a rate limit.
     void recordRateLimit() { m_rateLimits.add(); }
 
@@ -53,6 +59,9 @@
     Counter &m_repeatedSends;
     Counter &m_leavingEndpoints;
     Counter &m_endpointPauses;
+    Counter &m_paces;
+    Counter &m_paceCuts;
+    Counter &m_paceEnds;
     Counter &m_rateLimits;
     Counter &m_limitedSends;
     Histogram &m_firstByteLatency;
--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -23,6 +23,7 @@
 namespace almondmill {
 
 class AsyncStore;
+class EndpointPace;
 class EndpointView;
 struct ClockTimes;
 
@@ -49,12 +50,13 @@
     template<typename State>
     double countEndpoints() const;
 
-    static void maintainEndpoint(EndpointView &view, SteadyTime now);
+    void maintainEndpoint(EndpointView &view, SteadyTime now);
     StatusServer::Reply readinessReply(const std::string &path) const;
     StatusServer::Reply operatorsReply(const std::string &path) const;
     nlohmann::json describeConfiguration(SteadyTime now) const;
     nlohmann::json describeEndpoints(SteadyTime bootNow) const;
     /// Requests per second that the endpoint takes from all routers; null without a limit.
+    static nlohmann::json describePace(const EndpointPace &pace, SteadyTime bootNow);
     nlohmann::json describeRateLimit(const EndpointView &view) const;
     nlohmann::json describeWeights() const;
     nlohmann::json describeOpenParts(SteadyTime now) const;
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -114,6 +114,9 @@
     /// drain deadline has not passed.
     Selection select(const RoutedRequest &placed, const std::vector<View> &tried,
                      const ClockTimes &now) const;
+    /// Bounds on this router's open requests at each endpoint of the service, in their order (see
+    /// pacedBounds); empty when none is paced.
+    std::vector<std::uint32_t> paceBounds(const RoutedRequest &placed, const ClockTimes &now) const;
     /// Whether the prompt is one of the largest ones, which are to use the permits of engines with
     /// a rate limit.
     bool prefersLimitedEngines(const RoutedRequest &placed) const;
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -3,6 +3,7 @@
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/peers/broadcastpositions.h"
+#include "almondmill/peers/pacegossip.h"
 #include "almondmill/peers/peerdiscovery.h"
 #include "almondmill/peers/peermessage.h"
 #include "almondmill/peers/ratelimitgossip.h"
@@ -105,6 +106,7 @@
     boost::asio::ip::udp::socket m_socket;
     const std::uint64_t m_incarnation;
     RateLimitGossip m_rateLimits;
+    PaceGossip m_paces;
     Counter &m_bytesSent;
     std::uint64_t m_sequence = 0;
     bool m_publishScheduled = false;
--- a/src/forward/availabilityrecords.cpp
+++ b/src/forward/availabilityrecords.cpp
@@ -9,11 +9,15 @@
 
 AvailabilityRecords::~AvailabilityRecords() = default;
 
-std::shared_ptr<EndpointAvailability> AvailabilityRecords::of(const Registration &registration)
+std::shared_ptr<EndpointAvailability> AvailabilityRecords::of(const Registration &registration,
+                                                              std::optional<SteadyTime> newAt)
 {
     auto &record = m_records[{registration.id, registration.startedAt.count()}];
-    if (!record)
-        record = std::make_shared<EndpointAvailability>();
+    if (record)
+        return record;
+    record = std::make_shared<EndpointAvailability>(registration.slots);
+    if (newAt)
+        record->pace().begin(PaceCause::Start, *newAt);
     return record;
 }
 
--- a/src/forward/endpointavailability.cpp
+++ b/src/forward/endpointavailability.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/forward/endpointavailability.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace almondmill {
 
@@ -8,12 +9,6 @@
 
 using std::chrono::milliseconds;
 
-/// Time after which the bound on open requests doubles.
-constexpr milliseconds ResumeStep{250};
-
-/// Open requests allowed directly after a pause.
-constexpr std::uint32_t InitialOpenRequests = 2;
-
 struct StateName
 {
     const char *operator()(const Available &) const { return "available"; }
@@ -48,31 +43,35 @@
         m_isPauseReported = false;
     }
     m_openAtResume.reset();
+    if (begins)
+        m_pace.begin(PaceCause::Pause, until);
+    else if (until > *m_pausedUntil)
+        m_pace.postpone(until);
     m_pausedUntil = begins ? until : std::max(*m_pausedUntil, until);
     return begins;
 }
 
 void EndpointAvailability::recordOpenRequests(std::uint32_t openRequests, SteadyTime now)
 {
-    if (!m_openAtResume && m_pausedUntil && now >= *m_pausedUntil)
+    if (!m_pace.isInForce(now))
+        m_openAtResume.reset();
+    else if (!m_openAtResume && (!m_pausedUntil || now >= *m_pausedUntil))
         m_openAtResume = openRequests;
 }
 
-Availability EndpointAvailability::stateAt(SteadyTime now) const
+Availability EndpointAvailability::stateAt(SteadyTime now,
+                                           std::optional<std::uint32_t> paceBound) const
 {
     if (m_pausedUntil && now < *m_pausedUntil)
         return Paused{*m_pausedUntil};
     if (m_leavingSince)
         return Leaving{*m_leavingSince};
-    if (!m_pausedUntil)
-        return Available{};
-    const auto elapsed = now - *m_pausedUntil;
-    if (elapsed >= ResumeTime)
+    if (!m_pace.isInForce(now))
         return Available{};
-    const auto step = elapsed / ResumeStep;
-    const std::uint32_t maxOpenRequests =
-            m_openAtResume.value_or(0) + (InitialOpenRequests << step);
-    return Resuming{maxOpenRequests, *m_pausedUntil + ResumeStep * (step + 1)};
+    constexpr std::uint64_t MaxBound = std::numeric_limits<std::uint32_t>::max();
+    const std::uint64_t bound =
+            std::uint64_t(m_openAtResume.value_or(0)) + paceBound.value_or(m_pace.limitAt(now));
+    return Resuming{static_cast<std::uint32_t>(std::min(bound, MaxBound)), m_pace.nextStepAt(now)};
 }
 
 bool EndpointAvailability::isPastDrainDeadline(milliseconds drainDeadline, SteadyTime now) const
--- a/src/forward/endpointviews.cpp
+++ b/src/forward/endpointviews.cpp
@@ -1,7 +1,9 @@
 #include "almondmill/forward/endpointviews.h"
 
 #include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/newendpoint.h"
 #include "almondmill/kernel/abslview.h"
+#include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/hash.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/peermessage.h"
@@ -32,7 +34,25 @@
             .add("service", change.entry->service)
             .add("address", change.entry->address)
             .add("started_at", change.entry->startedAt);
-    add(std::make_shared<EndpointView>(*change.entry, m_availability.of(*change.entry)));
+    const auto newAt = newSince(*change.entry);
+    auto availability = m_availability.of(*change.entry, newAt);
+    if (newAt && availability->pace().isInForce(*newAt))
+        EventLine("endpoint.pace")
+                .add("endpoint", change.id)
+                .add("started_at", change.entry->startedAt)
+                .add("change", "begin")
+                .add("why", nameOf(PaceCause::Start))
+                .add("limit", availability->pace().limitAt(*newAt));
+    add(std::make_shared<EndpointView>(*change.entry, std::move(availability)));
+}
+
+std::optional<SteadyTime> EndpointViews::newSince(const Registration &registration)
+{
+    const SteadyTime now = bootTime();
+    const auto known = m_servicesSince.try_emplace(registration.service, now).first->second;
+    const auto unixNow = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+    return isNewEndpoint(registration, now - known, unixNow) ? std::optional(now) : std::nullopt;
 }
 
 const std::vector<EndpointViews::View> &EndpointViews::ofService(std::string_view service) const
@@ -48,6 +68,14 @@
     return found == m_byId.end() ? nullptr : found->second;
 }
 
+EndpointViews::View EndpointViews::findByIncarnation(std::uint64_t incarnation) const
+{
+    const auto found = std::find_if(m_byId.begin(), m_byId.end(), [&](const auto &entry) {
+        return entry.second->incarnation() == incarnation;
+    });
+    return found == m_byId.end() ? nullptr : found->second;
+}
+
 EndpointViews::View EndpointViews::findByShortHash(std::uint32_t hash) const
 {
     const auto found = m_byHash.find(hash);
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -4,6 +4,7 @@
 #include "almondmill/forward/callersession.h"
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/pacerecorder.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/ratelimitrecorder.h"
 #include "almondmill/forward/wirecodec.h"
@@ -257,6 +258,7 @@
     ++m_sendCount;
     m_context.requestMetrics.recordSend(m_sendCount > 1);
     m_sentAt = now.boot;
+    m_fetchesParts = !parameters.fetchFrom.empty();
     m_permit.reset();
     logSend(parameters, view);
     if (m_request.prompt)
@@ -322,6 +324,7 @@
     } else {
         ++m_refusals;
         m_lastReason = "endpoint_full";
+        recordPaceRejection(m_context, view, m_sentAt, bootTime());
         view.health().recordRefusal(now, FullEndpointBackoff);
     }
     m_load->endPrefill();
@@ -380,13 +383,15 @@
     case ExchangeError::ConnectFailed:
         m_lastReason = "no_connection";
         health.recordNoAnswer(now);
+        recordPaceFailure(m_context, exchange.endpoint(), bootTime() - (now - m_attemptStartedAt),
+                          bootTime());
         return AttemptOutcome::NotSent;
     case ExchangeError::GivenUp:
         m_lastReason = "timeout";
         return AttemptOutcome::Failed; // Its health was recorded when it fell silent.
     case ExchangeError::DeadlineExceeded:
         m_lastReason = "timeout";
-        recordSilence(health, now);
+        recordSilence(exchange.endpoint(), now);
         return AttemptOutcome::Failed;
     case ExchangeError::ConnectionBroken:
     case ExchangeError::None:
@@ -395,6 +400,7 @@
     m_lastReason = "connection_broken";
     m_hasBroken = true;
     health.recordFailure(now);
+    recordPaceFailure(m_context, exchange.endpoint(), m_sentAt, bootTime());
     return AttemptOutcome::Failed;
 }
 
@@ -408,6 +414,11 @@
     m_load->endPrefill();
     exchange.endpoint().health().recordSuccess(
             std::chrono::duration_cast<milliseconds>(now - m_attemptStartedAt), now);
+    const SteadyTime bootNow = bootTime();
+    recordPaceAnswer(m_context, exchange.endpoint(),
+                     {m_sentAt, std::chrono::duration_cast<milliseconds>(bootNow - m_sentAt),
+                      m_fetchesParts},
+                     bootNow);
     if (m_firstByteAt == SteadyTime())
         m_firstByteAt = now;
 }
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -25,7 +25,6 @@
 namespace almondmill {
 
 class CallerSession;
-class EndpointHealth;
 struct ClockTimes;
 struct ForwardingContext;
 
@@ -120,7 +119,7 @@
     bool maySendTo(const SendPlanner::View &view, const ClockTimes &now) const;
     /// Whether a request that found no endpoint waits for one.
     bool waitsForEndpoint(const ClockTimes &now) const;
-    void recordSilence(EndpointHealth &health, SteadyTime now);
+    void recordSilence(EndpointView &view, SteadyTime now);
     AttemptOutcome handleBrokenStream(const char *reason, EndpointExchange &exchange,
                                       SteadyTime now);
     std::uint64_t heldTokens() const;
@@ -146,7 +145,8 @@
     SteadyTime m_startedAt;
     SteadyTime m_deadline;
     SteadyTime m_attemptStartedAt;
-    SteadyTime m_sentAt; ///< Of the current attempt, on the boot clock.
+    SteadyTime m_sentAt;         ///< Of the current attempt, on the boot clock.
+    bool m_fetchesParts = false; ///< The endpoint of the current attempt fetches shared parts.
 
     std::vector<SendPlanner::View> m_triedEndpoints;
     std::uint32_t m_sendCount = 0; ///< Attempts sent, except those answered with "other endpoint".
--- a/src/forward/forwardingcontext.cpp
+++ b/src/forward/forwardingcontext.cpp
@@ -23,6 +23,7 @@
     , table(nullptr)
     , directory([this](const RegistrationChange &change) { endpoints.changed(change); })
     , answerMemory(std::make_shared<AnswerMemory>(MaxAnswerMemory))
+    , routerPlaces(settings.name)
     , partBreakers(settings.name, metrics)
     , partLookups(eventLoop, partLocations, metrics)
     , sendPermits(eventLoop, settings.name, rateLimits, metrics, ClockTimes::now())
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -2,6 +2,7 @@
 
 #include "almondmill/config/textfile.h"
 #include "almondmill/forward/endpointview.h"
+#include "almondmill/forward/pacerecorder.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/socketaddress.h"
 #include "almondmill/http/asyncsleep.h"
@@ -198,7 +199,9 @@
 void ForwardingRouter::maintainEndpoint(EndpointView &view, SteadyTime now)
 {
     view.connections().closeExpired(now);
-    const auto withheld = view.availability().takeEndedPause(bootTime());
+    const SteadyTime bootNow = bootTime();
+    recordPaceEnd(m_context, view, bootNow);
+    const auto withheld = view.availability().takeEndedPause(bootNow);
     if (!withheld)
         return;
     EventLine("endpoint.resumed")
--- a/src/forward/operatorview.cpp
+++ b/src/forward/operatorview.cpp
@@ -80,6 +80,13 @@
             {"refused", refused}};
 }
 
+nlohmann::json ForwardingRouter::describePace(const EndpointPace &pace, SteadyTime bootNow)
+{
+    if (!pace.isInForce(bootNow))
+        return {};
+    return {{"why", nameOf(pace.cause())}, {"limit", pace.limitAt(bootNow)}, {"cuts", pace.cuts()}};
+}
+
 nlohmann::json ForwardingRouter::describeEndpoints(SteadyTime bootNow) const
 {
     nlohmann::json endpoints = nlohmann::json::object();
@@ -88,6 +95,7 @@
         endpoints[id] = {{"service", view->registration().service},
                          {"started_at", view->registration().startedAt.count()},
                          {"availability", nameOf(availability.stateAt(bootNow))},
+                         {"pace", describePace(availability.pace(), bootNow)},
                          {"withheld", availability.withheld()},
                          {"rate_limit", describeRateLimit(*view)},
                          {"address", view->registration().address},
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -5,8 +5,10 @@
 #include "almondmill/forward/callersession.h"
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/pacerecorder.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
@@ -176,7 +178,7 @@
 void ForwardedRequest::seekReplacement(const ClockTimes &now)
 {
     const bool isFirst = !m_silenceRecorded;
-    recordSilence(m_exchange->endpoint().health(), now.steady);
+    recordSilence(m_exchange->endpoint(), now.steady);
     if (m_replacement.exists())
         return;
     const bool isAllowed =
@@ -240,12 +242,14 @@
     return isAllowed;
 }
 
-void ForwardedRequest::recordSilence(EndpointHealth &health, SteadyTime now)
+void ForwardedRequest::recordSilence(EndpointView &view, SteadyTime now)
 {
     // An endpoint that has answered other requests since this attempt started is busy, not
     // unresponsive; avoiding it would only move its load elsewhere.
-    if (!m_silenceRecorded && !health.wasActiveSince(m_attemptStartedAt))
-        health.recordNoAnswer(now);
+    if (!m_silenceRecorded && !view.health().wasActiveSince(m_attemptStartedAt)) {
+        view.health().recordNoAnswer(now);
+        recordPaceFailure(m_context, view, m_sentAt, bootTime());
+    }
     m_silenceRecorded = true;
 }
 
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -4,6 +4,7 @@
 #include "almondmill/forward/endpointchoice.h"
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
+#include "almondmill/forward/servicepace.h"
 #include "almondmill/forward/storeretention.h"
 #include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/hash.h"
@@ -150,10 +151,24 @@
     Result operator()(const Leaving &) const { return std::nullopt; }
 };
 
-bool admits(EndpointView &view, std::uint32_t openRequests, SteadyTime bootNow)
+bool admits(EndpointView &view, std::uint32_t openRequests, std::uint32_t paceBound,
+            SteadyTime bootNow)
 {
     view.availability().recordOpenRequests(openRequests, bootNow);
-    return std::visit(Admission{openRequests}, view.availability().stateAt(bootNow));
+    return std::visit(Admission{openRequests}, view.availability().stateAt(bootNow, paceBound));
+}
+
+/// The bound of an endpoint by its index in the service.
+std::uint32_t boundAt(const std::vector<std::uint32_t> &bounds, std::size_t index)
+{
+    return index < bounds.size() ? bounds[index] : NoBound;
+}
+
+/// Whether an endpoint neither pauses nor leaves.
+bool takesWork(const EndpointView &view, SteadyTime bootNow)
+{
+    const Availability state = view.availability().stateAt(bootNow);
+    return std::holds_alternative<Available>(state) || std::holds_alternative<Resuming>(state);
 }
 
 } // namespace
@@ -248,12 +263,15 @@
 {
     Selection selection;
     std::vector<View> lastResort;
-    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+    const auto bounds = paceBounds(placed, now);
+    const auto &views = m_context.endpoints.ofService(placed.service);
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        const View &view = views[index];
         const bool wasTried = std::find(tried.begin(), tried.end(), view) != tried.end();
         if (wasTried || !isUsable(placed, *view, now.steady))
             continue;
         const bool hasPermits = !m_context.rateLimits.withheldUntil(view->incarnation(), now.boot);
-        if (hasPermits && admits(*view, view->openRequests(), now.boot))
+        if (hasPermits && admits(*view, view->openRequests(), boundAt(bounds, index), now.boot))
             selection.selectable.push_back(view);
         else if (hasPermits && isLastResort(*view, now))
             lastResort.push_back(view);
@@ -267,6 +285,35 @@
     return selection;
 }
 
+std::vector<std::uint32_t> SendPlanner::paceBounds(const RoutedRequest &placed,
+                                                   const ClockTimes &now) const
+{
+    const auto &views = m_context.endpoints.ofService(placed.service);
+    const bool isAnyPaced = std::any_of(views.begin(), views.end(), [&](const View &view) {
+        return view->availability().pace().isInForce(now.boot);
+    });
+    if (!isAnyPaced)
+        return {};
+    std::vector<std::size_t> indexes;
+    std::vector<PacedCandidate> candidates;
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        const EndpointView &view = *views[index];
+        if (!isUsable(placed, view, now.steady) || !takesWork(view, now.boot))
+            continue;
+        const EndpointPace &pace = view.availability().pace();
+        indexes.push_back(index);
+        candidates.push_back({&pace, std::max(view.registration().slots, 1U),
+                              pace.isInForce(now.boot)
+                                      ? m_context.routerPlaces.placeFor(view.incarnation())
+                                      : RouterPlace()});
+    }
+    const auto paced = pacedBounds(candidates, now.boot);
+    std::vector<std::uint32_t> bounds(views.size(), NoBound);
+    for (std::size_t candidate = 0; candidate < indexes.size(); ++candidate)
+        bounds[indexes[candidate]] = paced[candidate];
+    return bounds;
+}
+
 bool SendPlanner::isLastResort(const EndpointView &view, const ClockTimes &now) const
 {
     const Availability state = view.availability().stateAt(now.boot);
@@ -279,7 +326,12 @@
 {
     if (!view.takesRequests())
         return false;
-    const bool isAllowed = admits(view, view.openRequests() - 1, now.boot)
+    const auto &views = m_context.endpoints.ofService(placed.service);
+    const auto found = std::find_if(views.begin(), views.end(),
+                                    [&](const View &other) { return other.get() == &view; });
+    const auto bounds = paceBounds(placed, now);
+    const std::uint32_t bound = boundAt(bounds, static_cast<std::size_t>(found - views.begin()));
+    const bool isAllowed = admits(view, view.openRequests() - 1, bound, now.boot)
                            || (isLastResort(view, now) && !canPick(placed, tried, now));
     if (!isAllowed)
         view.availability().recordWithheld();
@@ -296,12 +348,16 @@
                                                       const ClockTimes &now) const
 {
     std::optional<SteadyTime> earliest;
-    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+    const auto bounds = paceBounds(placed, now);
+    const auto &views = m_context.endpoints.ofService(placed.service);
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        const View &view = views[index];
         if (!isUsable(placed, *view, now.steady))
             continue;
         const auto withheldUntil =
                 m_context.rateLimits.withheldUntil(view->incarnation(), now.boot);
-        const bool isAdmitted = admits(*view, view->openRequests(), now.boot);
+        const bool isAdmitted =
+                admits(*view, view->openRequests(), boundAt(bounds, index), now.boot);
         if (isAdmitted && !withheldUntil)
             return std::nullopt;
         auto returnsAt = std::visit(ReturnTime(), view->availability().stateAt(now.boot));
@@ -352,11 +408,14 @@
                                                    const ClockTimes &now) const
 {
     double sum = 0;
-    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+    const auto bounds = paceBounds(placed, now);
+    const auto &views = m_context.endpoints.ofService(placed.service);
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        const View &view = views[index];
         if (!isUsable(placed, *view, now.steady))
             continue;
         const auto perSecond = m_context.rateLimits.perSecond(view->incarnation());
-        if (!perSecond && admits(*view, view->openRequests(), now.boot))
+        if (!perSecond && admits(*view, view->openRequests(), boundAt(bounds, index), now.boot))
             return std::nullopt;
         sum += perSecond.value_or(0);
     }
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -12,6 +12,7 @@
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/broadcasttree.h"
 #include "almondmill/peers/datagramaddress.h"
+#include "almondmill/peers/pacemessage.h"
 #include "almondmill/peers/partevidencemessage.h"
 #include "almondmill/peers/partlookupmessages.h"
 #include "almondmill/peers/permitmessages.h"
@@ -87,6 +88,10 @@
                    [this](const std::string &origin, std::string_view bytes) {
                        forwardToChildren(origin, bytes);
                    })
+    , m_paces(context, m_incarnation,
+              [this](const std::string &origin, std::string_view bytes) {
+                  forwardToChildren(origin, bytes);
+              })
     , m_bytesSent(context.metrics.counter("almondmill_peer_bytes_sent_total"))
     , m_ring{context.settings.name}
 {}
@@ -103,6 +108,8 @@
     m_context.sendPermits.start(
             [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); });
     m_rateLimits.start();
+    m_context.routerPlaces.setUnknown();
+    m_paces.start();
     m_context.partBreakers.start([this] { publishEvidenceSoon(); });
     startSupervised(m_context.loop, "peers.discover", [this] { return m_discovery.run(); });
     startSupervised(m_context.loop, "peers.receive", [this] { return receive(); });
@@ -152,6 +159,7 @@
     const std::size_t before = m_peers.size();
     for (const RegisteredPeer &peer : peers)
         addPeer(peer.name, peer.address);
+    m_context.routerPlaces.setKnown();
     EventLine("peers.found").add("routers", m_peers.size()).add("before", before);
     if (m_peers.size() > before)
         announce();
@@ -255,6 +263,8 @@
     const ClockTimes now = ClockTimes::now();
     if (const auto limits = decodeRateLimits(bytes, now.boot))
         m_rateLimits.handle(*limits, bytes);
+    else if (const auto paces = decodePaces(bytes))
+        m_paces.handle(*paces, bytes, now.boot);
     else if (const auto request = decodePermitRequest(bytes, now.boot))
         sendTo(from, encodePermit(m_context.sendPermits.answer(*request, now), now.boot));
     else if (const auto reply = decodePermitReply(bytes, now.boot))
@@ -402,6 +412,7 @@
     m_context.partLookups.addRouter(name);
     m_context.partBreakers.addRouter(name);
     m_context.sendPermits.addRouter(name);
+    m_context.routerPlaces.addRouter(name);
 }
 
 void PeerExchange::sendTo(const std::string &router, std::string_view bytes)
