--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -3,6 +3,7 @@
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/peers/broadcastpositions.h"
+#include "almondmill/peers/pacegossip.h"
 #include "almondmill/peers/peerdiscovery.h"
 #include "almondmill/peers/peermessage.h"
 #include "almondmill/peers/peertraffic.h"
@@ -110,6 +111,7 @@
     const std::uint64_t m_incarnation;
     RateLimitGossip m_rateLimits;
     PeerTraffic m_traffic;
+    PaceGossip m_paces;
     std::uint64_t m_sequence = 0;
     bool m_publishScheduled = false;
     BroadcastPositions m_lastUpdates;
--- a/src/peers/peermessagekind.cpp
+++ b/src/peers/peermessagekind.cpp
@@ -56,6 +56,8 @@
         return "rate_limit";
     case PeerMessageKind::Permit:
         return "permit";
+    case PeerMessageKind::Pace:
+        return "pace";
     case PeerMessageKind::Other:
         break;
     }
@@ -88,6 +90,8 @@
     case 403:
     case 404:
         return PeerMessageKind::Permit;
+    case 701:
+        return PeerMessageKind::Pace;
     default:
         return PeerMessageKind::Other;
     }
