--- a/include/almondmill/peers/peermessagekind.h
+++ b/include/almondmill/peers/peermessagekind.h
@@ -20,7 +20,7 @@
     Other,
 };
 
-constexpr std::size_t PeerMessageKindCount = 9;
+constexpr std::size_t PeerMessageKindCount = static_cast<std::size_t>(PeerMessageKind::Other) + 1;
 
 /// The kind's name in metrics and log lines.
 const char *nameOf(PeerMessageKind kind);
