Test that a starting endpoint is paced from its first sight

Guards the wiring from the directory's observer to the state that placement asks for: an incarnation whose registration has just started is `resuming`, an older one of the same service is not.

--- a/tests/failure-endpointavailability.cpp
+++ b/tests/failure-endpointavailability.cpp
@@ -7,6 +7,7 @@
 #include "support/waituntil.h"
 
 #include "almondmill/forward/endpointview.h"
+#include "almondmill/kernel/boottime.h"
 
 #include <gtest/gtest.h>
 
@@ -403,4 +404,26 @@
         EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
 }
 
+// Guards against an endpoint that has just started and is taken for one known for long.
+TEST(StartingEndpoint, IsPacedFromItsFirstSightWhileOthersAreNot)
+{
+    const CountingEndpoint endpoint("200 OK");
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    harness.addEndpoint("old", "any", endpoint.address());
+    harness.onLoop([&](ForwardingContext &context) {
+        Registration started = context.endpoints.find("old")->registration();
+        started.id = "new";
+        started.startedAt = std::chrono::duration_cast<milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch());
+        context.directory.put(started);
+        const auto stateOf = [&](const char *id) {
+            return nameOf(context.endpoints.find(id)->availability().stateAt(bootTime()));
+        };
+        EXPECT_STREQ(stateOf("new"), "resuming");
+        EXPECT_STREQ(stateOf("old"), "available");
+    });
+    EXPECT_TRUE(ask(harness, "/any/x", "first").starts_with("HTTP/1.1 200 "));
+}
+
 } // namespace almondmill::test
