Choice of issuers and repeated questions apart from send permits

Cause: account quotas need the same choice of an issuer, the same repetitions and the same handling of silent issuers as the permits for rate-limited endpoints. Change: PermitIssuers holds the owners, silence, start and cut-off rules, OpenQuestions the open questions with the time as an argument.

--- a/include/almondmill/peers/keyowners.h
+++ b/include/almondmill/peers/keyowners.h
@@ -35,6 +35,9 @@
     /// grows with each unanswered question.
     void recordUnanswered(const std::string &name, SteadyTime now);
 
+    /// Records that a router answers again.
+    void recordAnswered(const std::string &name) { m_unanswered.erase(name); }
+
     /// Records that a router sent a message, so that it may be asked again; `isLeaving` when it
     /// said that it shuts down.
     void recordMessage(const std::string &name, bool isLeaving);
--- a/include/almondmill/peers/sendpermits.h
+++ b/include/almondmill/peers/sendpermits.h
@@ -2,12 +2,12 @@
 
 #include "almondmill/forward/permitbucket.h"
 #include "almondmill/kernel/time.h"
-#include "almondmill/peers/keyowners.h"
+#include "almondmill/peers/openquestions.h"
+#include "almondmill/peers/permitissuers.h"
 #include "almondmill/peers/permitmessages.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -47,11 +47,7 @@
     static constexpr double StandbyShare = 0.25;
 
     /// A router that has just started doesn't know its peers, and issues nothing for this time.
-    static constexpr std::chrono::milliseconds StartDelay{2000};
-
-    /// A router that has received no message of any peer for this time takes itself to be cut off.
-    /// Peers send several messages a second.
-    static constexpr std::chrono::milliseconds IsolationTime{1500};
+    static constexpr std::chrono::milliseconds StartDelay = PermitIssuers::StartDelay;
 
     SendPermits(boost::asio::io_context &loop, std::string self, RateLimits &limits,
                 Metrics &metrics, const ClockTimes &now);
@@ -59,13 +55,19 @@
     /// Begins to exchange permits with other routers. Before that, this router is the only one.
     void start(Sender send) { m_send = std::move(send); }
 
-    void addRouter(const std::string &name);
+    /// Knows the routers; account quotas are issued by the same rules.
+    PermitIssuers &issuers() { return m_issuers; }
+
+    void addRouter(const std::string &name) { m_issuers.addRouter(name); }
 
     /// A peer sent a message; `isLeaving` when it said that it shuts down.
-    void recordMessage(const std::string &peer, bool isLeaving, SteadyTime now);
+    void recordMessage(const std::string &peer, bool isLeaving, SteadyTime now)
+    {
+        m_issuers.recordMessage(peer, isLeaving, now);
+    }
 
     /// This router shuts down and issues no more permits.
-    void leave();
+    void leave() { m_issuers.leave(); }
 
     /// Gets a permit that can be used within `maxWait`, and waits until then. Empty when there is
     /// none in time; the endpoint is then withheld until this router may ask again. Completes
@@ -85,16 +87,8 @@
     void handleReturn(const PermitReturn &returned);
 
 private:
-    struct Waiting
-    {
-        boost::asio::steady_timer *timer = nullptr;
-        std::optional<PermitResult> result;
-    };
-
     PermitResult issue(std::uint64_t endpoint, std::chrono::milliseconds maxWait,
                        const ClockTimes &now);
-    /// Part of the endpoint's rate that this router may issue.
-    double issuedShare(std::uint64_t endpoint, SteadyTime now) const;
     std::chrono::milliseconds longestInvitation() const;
     boost::asio::awaitable<std::optional<PermitResult>>
     ask(std::string issuer, std::uint64_t endpoint, std::chrono::milliseconds maxWait);
@@ -108,13 +102,9 @@
     Counter &m_unanswered;
     Counter &m_givenBack;
     Counter &m_issued;
-    const SteadyTime m_startedAt;
-    SteadyTime m_heardAt; ///< Last message of any peer.
-    KeyOwners m_owners;
+    PermitIssuers m_issuers;
     Sender m_send;
-    std::size_t m_routers = 0;
-    std::uint32_t m_lastId = 0;
-    absl::flat_hash_map<std::uint32_t, Waiting *> m_waiting; ///< By request id.
+    OpenQuestions<PermitResult> m_questions;
     absl::flat_hash_map<std::uint64_t, PermitBucket> m_buckets;
 };
 
--- a/src/peers/sendpermits.cpp
+++ b/src/peers/sendpermits.cpp
@@ -3,14 +3,15 @@
 #include "almondmill/forward/ratelimits.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/kernel/clocktimes.h"
+#include "almondmill/kernel/steadynow.h"
 #include "almondmill/metrics/metrics.h"
 #include "almondmill/observe/eventline.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
-#include <array>
+#include <utility>
 
 namespace almondmill {
 
@@ -20,16 +21,9 @@
 
 using std::chrono::milliseconds;
 
-/// Waits for the answer to a request and to its repetition: a datagram may be lost, and an issuer
-/// with little processor time may answer late.
-constexpr std::array<milliseconds, 2> ReplyTimeouts{milliseconds(30), milliseconds(70)};
-
 /// Time for which a permit can be used: that for opening a connection, and some more.
 constexpr milliseconds PermitLifetime{500};
 
-/// Issuers of one endpoint that are asked for one request.
-constexpr int MaxIssuersAsked = 2;
-
 /// Time after which a router without an issuer asks again.
 constexpr milliseconds NoIssuerBackoff{500};
 
@@ -55,42 +49,22 @@
     , m_unanswered(metrics.counter("almondmill_send_permits_total", counterLabel("unanswered")))
     , m_givenBack(metrics.counter("almondmill_send_permits_total", counterLabel("given_back")))
     , m_issued(metrics.counter("almondmill_send_permits_issued_total"))
-    , m_startedAt(now.steady)
-    , m_heardAt(now.steady)
-{
-    addRouter(m_self);
-}
-
-void SendPermits::addRouter(const std::string &name)
-{
-    m_owners.addRouter(name);
-    ++m_routers;
-}
-
-void SendPermits::recordMessage(const std::string &peer, bool isLeaving, SteadyTime now)
-{
-    m_heardAt = now;
-    m_owners.recordMessage(peer, isLeaving);
-}
-
-void SendPermits::leave()
-{
-    m_owners.recordMessage(m_self, true);
-}
+    , m_issuers(m_self, now.steady)
+{}
 
 asio::awaitable<std::optional<SendPermit>> SendPermits::obtain(std::uint64_t endpoint,
                                                                milliseconds maxWait)
 {
-    for (int asked = 0; asked < MaxIssuersAsked; ++asked) {
+    for (int asked = 0; asked < PermitIssuers::MaxAsked; ++asked) {
         const ClockTimes askedAt = ClockTimes::now();
-        const auto issuer = m_owners.ownerToAsk(endpoint, askedAt.steady);
+        const auto issuer = m_issuers.issuerToAsk(endpoint, askedAt.steady);
         if (!issuer)
             break;
         const auto result = *issuer == m_self ? issue(endpoint, maxWait, askedAt)
                                               : co_await ask(*issuer, endpoint, maxWait);
         const ClockTimes now = ClockTimes::now();
         if (!result || std::holds_alternative<NotIssuer>(*result)) {
-            m_owners.recordUnanswered(*issuer, now.steady);
+            m_issuers.recordUnanswered(*issuer, now.steady);
             continue;
         }
         if (const auto *denied = std::get_if<PermitDenied>(&*result)) {
@@ -114,21 +88,24 @@
     const auto known = m_limits.find(endpoint);
     if (!known || !m_send)
         co_return std::nullopt;
-    const PermitRequest request{++m_lastId, maxWait, *known};
+    const PermitRequest request{m_questions.nextId(), maxWait, *known};
     asio::steady_timer timer(m_loop);
-    Waiting waiting{&timer, std::nullopt};
-    for (const milliseconds timeout : ReplyTimeouts) {
-        // Before the entry is made, which an exception would leave behind. The reply comes through
-        // the event loop, so that it finds the entry.
-        m_send(issuer, encodePermit(request, ClockTimes::now().boot));
-        m_waiting[request.id] = &waiting;
-        timer.expires_after(timeout);
+    std::optional<PermitResult> result;
+    m_questions.open(
+            request.id, issuer, [request] { return encodePermit(request, ClockTimes::now().boot); },
+            [&](std::optional<PermitResult> reply) {
+                result = reply;
+                timer.cancel();
+            },
+            steadyNow(), m_send);
+    while (const auto dueAt = m_questions.dueAt(request.id)) {
+        timer.expires_at(*dueAt);
         boost::system::error_code ignored; // A reply ends the wait by cancelling the timer.
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        m_waiting.erase(request.id);
-        if (waiting.result)
-            co_return waiting.result;
+        m_questions.poll(request.id, steadyNow(), m_send);
     }
+    if (result)
+        co_return result;
     m_unanswered.add();
     EventLine("permit.unanswered").add("endpoint", endpoint).add("issuer", issuer);
     co_return std::nullopt;
@@ -137,14 +114,7 @@
 bool SendPermits::handleReply(const PermitReply &reply)
 {
     m_limits.record(reply.known, RateLimits::Source::Peer);
-    const auto found = m_waiting.find(reply.id);
-    if (found == m_waiting.end())
-        return false;
-    Waiting &waiting = *found->second;
-    waiting.result = reply.result;
-    waiting.timer->cancel();
-    m_waiting.erase(found);
-    return true;
+    return m_questions.complete(reply.id, reply.result);
 }
 
 PermitReply SendPermits::answer(const PermitRequest &request, const ClockTimes &now)
@@ -157,7 +127,7 @@
 
 PermitResult SendPermits::issue(std::uint64_t endpoint, milliseconds maxWait, const ClockTimes &now)
 {
-    const double share = issuedShare(endpoint, now.steady);
+    const double share = m_issuers.issuedShare(endpoint, StandbyShare, now.steady);
     if (share == 0)
         return NotIssuer{};
     const auto perSecond = m_limits.perSecond(endpoint);
@@ -165,8 +135,9 @@
         m_buckets.erase(endpoint);
         return PermitGranted{};
     }
-    if (now.steady < m_startedAt + StartDelay)
-        return PermitDenied{std::chrono::ceil<milliseconds>(m_startedAt + StartDelay - now.steady)};
+    if (m_issuers.isStarting(now.steady))
+        return PermitDenied{
+                std::chrono::ceil<milliseconds>(m_issuers.startedAt() + StartDelay - now.steady)};
     PermitBucket &bucket = bucketOf(endpoint, now.boot);
     const auto usableIn = bucket.take(*perSecond * share, maxWait, now.boot);
     if (!usableIn)
@@ -175,21 +146,9 @@
     return PermitGranted{*usableIn};
 }
 
-double SendPermits::issuedShare(std::uint64_t endpoint, SteadyTime now) const
-{
-    const auto owners = m_owners.ownersOf(endpoint);
-    const bool isOwner = std::find(owners.begin(), owners.end(), m_self) != owners.end();
-    if (!isOwner)
-        return 0;
-    const bool isCutOff = m_routers > 1 && now - m_heardAt > IsolationTime;
-    if (isCutOff)
-        return 1 / static_cast<double>(m_routers);
-    return m_owners.ownerToAsk(endpoint, now) == m_self ? 1 : StandbyShare;
-}
-
 milliseconds SendPermits::longestInvitation() const
 {
-    return LongestInvitation + LongestInvitationPerRouter * m_routers;
+    return LongestInvitation + LongestInvitationPerRouter * m_issuers.routers().size();
 }
 
 PermitBucket &SendPermits::bucketOf(std::uint64_t endpoint, SteadyTime bootNow)
