Quotas of accounts are decoded from the configuration

Cause: rate_per_s, burst, unit and uncached_tokens of an account were ignored. Change: KeyedAccount has an optional AccountQuota. Ruled out: rejecting the document, which would keep an older configuration in force for one number.

--- /dev/null
+++ b/include/almondmill/route/accountquota.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace almondmill {
+
+/// What all requests of an account together may use over all routers: one token bucket.
+struct AccountQuota
+{
+    double perSecond = 0;
+    double burst = 0;
+    bool countsTokens = false; ///< Otherwise each request counts as one.
+    double tokensOfOthers = 0; ///< What a request without a token count counts as.
+};
+
+} // namespace almondmill
--- a/include/almondmill/route/keyedaccount.h
+++ b/include/almondmill/route/keyedaccount.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "almondmill/route/accountquota.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,6 +17,7 @@
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority; ///< Overrides the route's priority when set.
     bool isolated = false; ///< Whether other accounts cannot share its cached prompts.
+    std::optional<AccountQuota> quota = std::nullopt;
 };
 
 } // namespace almondmill
--- a/tests/unit-rietwerk.cpp
+++ b/tests/unit-rietwerk.cpp
@@ -84,6 +84,33 @@
     EXPECT_EQ(configuration.bounds.idleTimeout, milliseconds(15000));
 }
 
+TEST(RietwerkDocuments, QuotasOfAccountsAreDecoded)
+{
+    const auto quotaOf = [](const char *fields) {
+        const std::string account = R"([{"name":"t1","api_keys":["k1"],)" + std::string(fields)
+                                    + R"("isolated":false}])";
+        const auto decoded =
+                adapter().decodeRouting(with(Configuration, "tenants", json::parse(account)));
+        EXPECT_EQ(decoded.accounts.at(0).keys.size(), 1U);
+        return decoded.accounts.at(0).quota;
+    };
+    const auto tokens = quotaOf(R"("unit":"token_stream","uncached_tokens":200,
+                                   "rate_per_s":1392995,"burst":1392995,)");
+    ASSERT_TRUE(tokens);
+    EXPECT_TRUE(tokens->countsTokens);
+    EXPECT_EQ(tokens->perSecond, 1392995);
+    EXPECT_EQ(tokens->burst, 1392995);
+    EXPECT_EQ(tokens->tokensOfOthers, 200);
+    EXPECT_FALSE(quotaOf(R"("rate_per_s":2.5,"burst":4,)")->countsTokens);
+    EXPECT_FALSE(quotaOf(""));
+    EXPECT_FALSE(quotaOf(R"("rate_per_s":0,"burst":0,)"));
+    // Guards against an unreadable quota that takes the keys of its account along.
+    EXPECT_FALSE(quotaOf(R"("rate_per_s":"many","burst":4,)"));
+    EXPECT_FALSE(quotaOf(R"("rate_per_s":-1,"burst":4,)"));
+    EXPECT_GT(quotaOf(R"("rate_per_s":3,"burst":"x",)")->burst, 0);
+    EXPECT_FALSE(quotaOf(R"("rate_per_s":3,"burst":4,"unit":7,)")->countsTokens);
+}
+
 TEST(RietwerkDocuments, AMalformedConfigurationIsAnError)
 {
     EXPECT_THROW(adapter().decodeRouting("no json"), Error);
