--- /dev/null
+++ b/src/peers/quotabucket.cpp
@@ -0,0 +1,78 @@
+#include "almondmill/peers/quotabucket.h"
+
+#include "almondmill/route/accountquota.h"
+
+#include <algorithm>
+
+namespace almondmill {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+/// Level, as a part of the burst, above which credit is given.
+constexpr double CreditLevel = 0.75;
+
+/// Part of what is above that level that one router gets.
+constexpr double CreditPart = 0.25;
+
+/// Requests that may come back for one amount. More than one, because a router may have no request
+/// when its time comes.
+constexpr double ReturnsPerAmount = 2;
+
+/// Callers come back only while their request can still be in time.
+constexpr milliseconds LongestReturn{2000};
+
+/// A share of nothing would make the return time infinite.
+constexpr double SmallestShare = 0.02;
+
+SteadyTime::duration timeFor(double amount, double perSecond)
+{
+    return std::chrono::duration_cast<SteadyTime::duration>(
+            std::min(Seconds(amount / perSecond), Seconds(LongestReturn)));
+}
+
+} // namespace
+
+QuotaBucket::QuotaBucket(double level, SteadyTime now)
+    : m_level(level)
+    , m_filledAt(now)
+    , m_lastReturn(now)
+{}
+
+void QuotaBucket::refill(const AccountQuota &quota, double share, SteadyTime now)
+{
+    const double added = quota.perSecond * share * Seconds(now - m_filledAt).count();
+    m_level = std::min(m_level + std::max(added, 0.0), quota.burst);
+    m_filledAt = std::max(now, m_filledAt);
+}
+
+bool QuotaBucket::take(double amount, const AccountQuota &quota)
+{
+    if (m_level < std::min(amount, quota.burst))
+        return false;
+    m_level -= amount;
+    return true;
+}
+
+double QuotaBucket::takeCredit(double wanted, const AccountQuota &quota)
+{
+    const double spare = (m_level - CreditLevel * quota.burst) * CreditPart;
+    const double credit = std::clamp(wanted, 0.0, std::max(spare, 0.0));
+    m_level -= credit;
+    return credit;
+}
+
+milliseconds QuotaBucket::nextReturn(double amount, const AccountQuota &quota, double share,
+                                     SteadyTime now)
+{
+    const double perSecond = quota.perSecond * std::max(share, SmallestShare);
+    const double missing = std::max(std::min(amount, quota.burst) - m_level, 0.0);
+    m_lastReturn = std::max(m_lastReturn + timeFor(amount / ReturnsPerAmount, perSecond),
+                            now + timeFor(missing, perSecond));
+    m_lastReturn = std::min(m_lastReturn, now + LongestReturn);
+    return std::max(std::chrono::ceil<milliseconds>(m_lastReturn - now), milliseconds(1));
+}
+
+} // namespace almondmill
