Requests of accounts with a quota ask for it before the part lookup

Change: 429 with Retry-After beyond the quota; an amount whose request did not run is given back. The first such request of a starting router lists the peers at once. Accounts without a quota pay one comparison.

--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -30,6 +30,7 @@
 
 namespace almondmill {
 
+class AccountQuotas;
 class AnswerMemory;
 class PlatformAdapter;
 
@@ -61,6 +62,7 @@
             placements; ///< Placements of prompt parts to be sent to the other routers.
     PartLookups partLookups;
     SendPermits sendPermits;
+    const std::unique_ptr<AccountQuotas> accountQuotas;
     CallerReturns callerReturns;
     absl::flat_hash_map<std::string, PermitPreference> permitPreferences; ///< By service.
     ServiceRetryBudgets retryBudgets;
--- a/include/almondmill/peers/peerdiscovery.h
+++ b/include/almondmill/peers/peerdiscovery.h
@@ -24,6 +24,10 @@
     /// Registers this router and lists the others twice. Ends after the second list.
     boost::asio::awaitable<void> run();
 
+    /// Lists the routers that are registered at this time, before the first planned list, if the
+    /// store answers.
+    void listEarly();
+
 private:
     template<typename Result>
     using Awaitable = boost::asio::awaitable<Result>;
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -12,6 +12,7 @@
 #include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
+#include "almondmill/peers/accountquotas.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -91,6 +92,11 @@
     const auto refusal = resolveRoute();
     if (refusal)
         co_return co_await answer(*refusal);
+    if (m_account && m_account->quota) {
+        const bool isWithinQuota = co_await takeQuota();
+        if (!isWithinQuota)
+            co_return co_await answer({TooManyRequests, "quota_exceeded"});
+    }
     if (m_request.prompt)
         m_parts = sharedPartHashes(*m_request.prompt);
     if (findsOpenPart(m_context.partBreakers.findOpen(m_parts, m_startedAt)))
@@ -111,12 +117,15 @@
                 .add("part", *part)
                 .add("found", m_context.partLocations.find(*part) != nullptr);
         if (m_session.hasDisconnected()) {
+            returnQuota();
             logEnd("caller_left", 0);
             co_return false;
         }
     }
     const bool isReusable = co_await tryEndpoints();
     returnPermit();
+    if (m_sendCount == 0)
+        returnQuota();
     co_return isReusable;
 }
 
@@ -152,6 +161,21 @@
     return std::nullopt;
 }
 
+ForwardedRequest::Awaitable<bool> ForwardedRequest::takeQuota()
+{
+    const AccountQuota &quota = *m_account->quota;
+    double amount = 1;
+    if (quota.countsTokens)
+        amount = m_request.prompt ? static_cast<double>(heldTokens()) : quota.tokensOfOthers;
+    const QuotaResult result = co_await m_context.accountQuotas->admit(*m_account, amount);
+    if (const auto *refused = std::get_if<QuotaRefused>(&result)) {
+        m_quotaReturn = refused->retryAfter;
+        co_return false;
+    }
+    m_quotaAmount = amount;
+    co_return true;
+}
+
 ForwardedRequest::Awaitable<bool> ForwardedRequest::tryEndpoints()
 {
     for (;;) {
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -74,6 +74,10 @@
 
     std::optional<Refusal> resolveRoute();
     std::optional<Refusal> authenticate();
+    /// Whether the account's quota, if it has one, admits the request.
+    Awaitable<bool> takeQuota();
+    /// Gives back what the request took of the quota; it did not run.
+    void returnQuota();
     Awaitable<bool> tryEndpoints();
     Awaitable<AttemptOutcome> attempt(SendPlanner::View view);
     Awaitable<AttemptOutcome> exchangeAnswer(EndpointExchange &exchange);
@@ -159,8 +163,10 @@
     ReplacementExchange m_replacement;
     /// Connected for the next attempt, with its retry budget taken.
     std::shared_ptr<EndpointExchange> m_nextExchange;
-    std::optional<std::chrono::milliseconds> m_excessWait; ///< At the best endpoint, if too long.
-    std::optional<SendPermit> m_permit;                    ///< For the next send.
+    std::optional<std::chrono::milliseconds> m_excessWait;  ///< At the best endpoint, if too long.
+    std::optional<SendPermit> m_permit;                     ///< For the next send.
+    std::optional<double> m_quotaAmount;                    ///< Taken of the account's quota.
+    std::optional<std::chrono::milliseconds> m_quotaReturn; ///< When the quota refused.
     const char *m_lastReason = "no_endpoint";
     std::optional<EndpointFailure> m_failure;
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
--- a/src/forward/forwardingcontext.cpp
+++ b/src/forward/forwardingcontext.cpp
@@ -3,6 +3,7 @@
 #include "almondmill/forward/answermemory.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/kernel/clocktimes.h"
+#include "almondmill/peers/accountquotas.h"
 
 namespace almondmill {
 
@@ -26,6 +27,8 @@
     , partBreakers(settings.name, metrics)
     , partLookups(eventLoop, partLocations, metrics)
     , sendPermits(eventLoop, settings.name, rateLimits, metrics, ClockTimes::now())
+    , accountQuotas(
+              std::make_unique<AccountQuotas>(eventLoop, sendPermits.issuers(), table, metrics))
     , retryBudgets({settings.retryBudgetRatio, settings.retryBudgetMinRetries,
                     settings.retryBudgetWindow})
 {}
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -11,9 +11,12 @@
 #include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
+#include "almondmill/peers/accountquotas.h"
 
 #include <absl/strings/str_cat.h>
 
+#include <utility>
+
 namespace almondmill {
 
 namespace {
@@ -69,12 +72,20 @@
         logEnd(m_lastReason, m_failure->head.status);
         co_return co_await m_session.send(head + m_failure->body);
     }
-    if (!m_mayHaveRun)
+    if (!m_mayHaveRun) {
+        returnQuota();
         co_return co_await answer({ServiceUnavailable, m_lastReason});
+    }
     const bool isLate = steadyNow() >= m_deadline;
     co_return co_await answer({isLate ? GatewayTimeout : BadGateway, m_lastReason});
 }
 
+void ForwardedRequest::returnQuota()
+{
+    if (const auto amount = std::exchange(m_quotaAmount, std::nullopt))
+        m_context.accountQuotas->giveBack(*m_account, *amount);
+}
+
 ForwardedRequest::Awaitable<bool> ForwardedRequest::answer(const Refusal &refusal)
 {
     logEnd(refusal.reason, refusal.status);
@@ -83,6 +94,8 @@
         retryAfter = timeToRetryAfter(ClockTimes::now());
     if (refusal.status == ServiceUnavailable && m_openPart)
         retryAfter = m_openPart->retryAfter + retrySpread(m_request.id, PartReturnTime);
+    if (m_quotaReturn)
+        retryAfter = m_quotaReturn;
     co_return co_await m_session.sendOwnAnswer(m_request, refusal.status, retryAfter,
                                                refusal.reason);
 }
--- a/src/peers/peerdiscovery.cpp
+++ b/src/peers/peerdiscovery.cpp
@@ -10,6 +10,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <optional>
 #include <utility>
 
@@ -71,6 +74,11 @@
     co_await listPeersUntilAnswered();
 }
 
+void PeerDiscovery::listEarly()
+{
+    boost::asio::co_spawn(m_context.loop, listPeers(), boost::asio::detached);
+}
+
 // The loops below keep `co_await` out of their conditions: with it there, programs built with GCC
 // 12 crashed, for a cause that is not known.
 PeerDiscovery::Awaitable<void> PeerDiscovery::registerUntilAnswered()
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -10,6 +10,7 @@
 #include "almondmill/kernel/hash.h"
 #include "almondmill/kernel/randomid.h"
 #include "almondmill/observe/eventline.h"
+#include "almondmill/peers/accountquotas.h"
 #include "almondmill/peers/broadcasttree.h"
 #include "almondmill/peers/datagramaddress.h"
 #include "almondmill/peers/partevidencemessage.h"
@@ -102,6 +103,9 @@
             [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); });
     m_context.sendPermits.start(
             [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); });
+    m_context.accountQuotas->start(
+            [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); },
+            [this] { m_discovery.listEarly(); });
     m_rateLimits.start();
     m_context.partBreakers.start([this] { publishEvidenceSoon(); });
     startSupervised(m_context.loop, "peers.discover", [this] { return m_discovery.run(); });
@@ -149,6 +153,7 @@
 
 void PeerExchange::addPeers(const std::vector<RegisteredPeer> &peers)
 {
+    m_context.sendPermits.issuers().recordList();
     const std::size_t before = m_peers.size();
     for (const RegisteredPeer &peer : peers)
         addPeer(peer.name, peer.address);
@@ -261,7 +266,8 @@
         handlePermitReply(*reply, from);
     else if (const auto returned = decodePermitReturn(bytes))
         m_context.sendPermits.handleReturn(*returned);
-    else
+    else if (!m_context.accountQuotas->handleDatagram(
+                     bytes, [&](const std::string &answer) { sendTo(from, answer); }))
         m_context.metrics.counter("almondmill_peer_messages_unreadable_total").add();
 }
 
