Speed of endpoints is learnt from their answers

Cause: prefill rate, fetch rate and the wait for each request beyond the slots were constants of the first deployments. The wait was assumed to be 20 ms; a residence of 2.3 s over 12 slots makes it 190 ms.

Change: AnswerTimer takes the times of an attempt. ServicePerformance has the median rates and the mean residence of a service, EndpointPerformance what an incarnation differs from them. The state message (layout 4) carries three figures a service and the few endpoints that differ by more than a third. Without samples the former constants hold; the fetch rate begins with the configured link. A sample of prefill is taken only if no wait for a slot and less pending prefill than the prompt's own was known, and less the time of one event.

Ruled out: using the learnt wait with the reported load as it is. All routers then go to the engine that was reported idle. The open requests of peers are drawn towards the mean by their age, and the wait is the expected one over the spread that remains.

--- a/include/almondmill/forward/endpointview.h
+++ b/include/almondmill/forward/endpointview.h
@@ -4,6 +4,7 @@
 #include "almondmill/forward/connectionpool.h"
 #include "almondmill/forward/endpointavailability.h"
 #include "almondmill/forward/endpointhealth.h"
+#include "almondmill/forward/endpointperformance.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/peers/endpointload.h"
 
@@ -78,6 +79,8 @@
 
     EndpointHealth &health() { return m_health; }
     const EndpointHealth &health() const { return m_health; }
+    EndpointPerformance &performance() { return m_performance; }
+    const EndpointPerformance &performance() const { return m_performance; }
     EndpointAvailability &availability() { return *m_availability; }
     const EndpointAvailability &availability() const { return *m_availability; }
     ConnectionPool &connections() { return m_connections; }
@@ -97,6 +100,7 @@
     SteadyTime m_averagedAt;
     SteadyTime m_loadingUntil;
     EndpointHealth m_health;
+    EndpointPerformance m_performance;
     std::shared_ptr<EndpointAvailability> m_availability; ///< Never null.
     ConnectionPool m_connections;
 };
--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -10,6 +10,7 @@
 #include "almondmill/forward/permitpreference.h"
 #include "almondmill/forward/plannedstop.h"
 #include "almondmill/forward/ratelimits.h"
+#include "almondmill/forward/serviceperformances.h"
 #include "almondmill/forward/serviceretrybudgets.h"
 #include "almondmill/forward/weightstargets.h"
 #include "almondmill/kernel/rcucell.h"
@@ -64,6 +65,7 @@
     CallerReturns callerReturns;
     absl::flat_hash_map<std::string, PermitPreference> permitPreferences; ///< By service.
     ServiceRetryBudgets retryBudgets;
+    ServicePerformances performances;
 
     /// Set on SIGTERM: the router is not ready, and connections close after the current answer.
     std::optional<PlannedStop> plannedStop;
--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -53,6 +53,7 @@
     StatusServer::Reply readinessReply(const std::string &path) const;
     StatusServer::Reply operatorsReply(const std::string &path) const;
     nlohmann::json describeConfiguration(SteadyTime now) const;
+    nlohmann::json describeServices() const;
     nlohmann::json describeEndpoints(SteadyTime bootNow) const;
     /// Requests per second that the endpoint takes from all routers; null without a limit.
     nlohmann::json describeRateLimit(const EndpointView &view) const;
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/forward/answertiming.h"
 #include "almondmill/forward/attemptparameters.h"
 #include "almondmill/forward/endpointcandidate.h"
 #include "almondmill/forward/partsources.h"
@@ -64,8 +65,8 @@
 
     /// By how much the expected time to the first event of a prompt at `view` exceeds the time
     /// after which callers leave. Empty when it doesn't.
-    std::optional<std::chrono::milliseconds> excessWait(const RoutedRequest &placed,
-                                                        const EndpointView &view) const;
+    std::optional<std::chrono::milliseconds>
+    excessWait(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const;
 
     /// Endpoints of the service that have a rate limit.
     std::vector<View> limitedEndpoints(const RoutedRequest &placed) const;
@@ -75,6 +76,10 @@
     /// request.
     std::optional<double> ownPartOfLimits(const RoutedRequest &placed, const ClockTimes &now) const;
 
+    /// What the endpoint has to do before it sends the first event, if the request is sent there.
+    ExpectedWork expectedWork(const RoutedRequest &placed, const EndpointView &view,
+                              const ClockTimes &now) const;
+
     /// The values that the router adds to the request for an attempt at that endpoint.
     AttemptParameters planAttempt(const RoutedRequest &placed, const EndpointView &view,
                                   std::chrono::milliseconds timeLeft, const ClockTimes &now);
@@ -117,6 +122,9 @@
     /// Whether the prompt is one of the largest ones, which are to use the permits of engines with
     /// a rate limit.
     bool prefersLimitedEngines(const RoutedRequest &placed) const;
+    /// Time until the endpoint starts a request that is sent now.
+    std::chrono::milliseconds expectedWait(const EndpointView &view, SteadyTime now) const;
+    PerformanceFigures figuresOf(const EndpointView &view, SteadyTime now) const;
     bool isLastResort(const EndpointView &view, const ClockTimes &now) const;
     bool isUsable(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const;
     EndpointCandidate makeCandidate(const RoutedRequest &placed, const EndpointView &view,
--- a/include/almondmill/peers/peerexchange.h
+++ b/include/almondmill/peers/peerexchange.h
@@ -92,6 +92,8 @@
     void forwardToChildren(const std::string &origin, std::string_view bytes);
     std::vector<PeerMessage::Weights> describeWeights(SteadyTime now) const;
     std::vector<PeerMessage::LoadingEngine> describeLoading(SteadyTime now) const;
+    std::vector<PeerMessage::Service> describeServices(SteadyTime now) const;
+    std::vector<PeerMessage::EndpointSpeed> describeSpeeds(SteadyTime now) const;
     void sendTo(const Address &address, std::string_view bytes);
     void sendTo(const std::string &router, std::string_view bytes);
     void addPeer(const std::string &name, const Address &address);
--- a/include/almondmill/peers/peermessage.h
+++ b/include/almondmill/peers/peermessage.h
@@ -2,6 +2,7 @@
 
 #include "almondmill/directory/weightstarget.h"
 #include "almondmill/peers/endpointload.h"
+#include "almondmill/peers/performancereport.h"
 
 #include <chrono>
 #include <cstdint>
@@ -30,6 +31,23 @@
         std::chrono::milliseconds timeLeft{0}; ///< Time in which it should get no requests.
     };
 
+    /// What the sender knows of a service as a whole.
+    struct Service
+    {
+        std::uint32_t service = 0; ///< Short hash of the service's name.
+        ServiceSamples samples;
+        /// The sender's open requests by level of urgency, averaged like the loads. Levels after
+        /// the last one have none.
+        std::vector<double> openByLevel;
+    };
+
+    /// An endpoint whose speed differs from that of its service.
+    struct EndpointSpeed
+    {
+        std::uint32_t endpoint = 0; ///< Short hash of the endpoint's id.
+        EndpointSamples samples;
+    };
+
     /// A named version of a model's weights.
     struct Weights
     {
@@ -45,6 +63,8 @@
     std::vector<Weights> weights;
     std::vector<Load> loads;
     std::vector<LoadingEngine> loading;
+    std::vector<Service> services;
+    std::vector<EndpointSpeed> speeds;
 };
 
 /// Serializes a message to CBOR.
--- a/include/almondmill/peers/peerviews.h
+++ b/include/almondmill/peers/peerviews.h
@@ -28,6 +28,11 @@
     /// Load that the live peers place on an endpoint, as of the last refresh.
     EndpointLoad reportedLoadOn(std::uint32_t endpoint) const;
 
+    /// What the live peers saw of a service, by the short hash of its name, and of an endpoint that
+    /// differs from it, as of the last refresh.
+    ServiceSamples reportedSamplesOf(std::uint32_t service) const;
+    EndpointSamples reportedSamplesOn(std::uint32_t endpoint) const;
+
     /// Number of known peers without a recent message for each one with it, as of the last refresh.
     double silentPeersPerReporter() const { return m_silentPeersPerReporter; }
 
@@ -73,6 +78,8 @@
     absl::flat_hash_set<std::string> m_departed; ///< Peers that announced that they leave.
     SteadyTime m_refreshedAt;
     absl::flat_hash_map<std::uint32_t, EndpointLoad> m_loads; ///< Sums over the live peers.
+    absl::flat_hash_map<std::uint32_t, ServiceSamples> m_serviceSamples;
+    absl::flat_hash_map<std::uint32_t, EndpointSamples> m_endpointSamples;
     absl::flat_hash_map<std::uint32_t, SteadyTime> m_loadingUntil;
 };
 
--- a/src/forward/endpointchoice.cpp
+++ b/src/forward/endpointchoice.cpp
@@ -3,7 +3,9 @@
 #include "almondmill/kernel/hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <numbers>
 #include <vector>
 
 namespace almondmill {
@@ -29,14 +31,6 @@
 /// Added for an endpoint in another data centre: a round trip and the price of the traffic.
 constexpr double RemotePenaltyMs = 2;
 
-/// Prefill rate of an engine according to the data sheets of the deployments. sendplanner.cpp
-/// rounds it down to whole tokens for integer arithmetic.
-constexpr double PrefillTokensPerMs = 38.4;
-
-/// Rate at which cached tokens are fetched: 280 Gbit/s at 164 KB per token, less the overhead of
-/// the call.
-constexpr double FetchedTokensPerMs = 150;
-
 // The constants named ...Cost are multiples of the target latency.
 
 /// An answer that is generated with outdated weights loses this share of its value.
@@ -60,9 +54,6 @@
 /// Cost of an engine with a rate limit for requests that should leave its permits to larger ones.
 constexpr double LimitedEngineCost = 10;
 
-/// Wait for each request beyond the engine's slots, until a running request ends.
-constexpr double SlotWaitMs = 20;
-
 /// Cost per multiple of the engine's memory that is needed beyond `FreeMemoryRatio`: when memory
 /// runs out, running requests are preempted and computed again.
 constexpr double MemoryPressureCost = 3;
@@ -113,16 +104,45 @@
     return 0;
 }
 
+/// Age of the load of other routers, which is an average over a second.
+constexpr PerformanceFigures::Milliseconds PeerLoadAge{1500};
+
+/// Below this deviation the load counts as known.
+constexpr double MinDeviation = 0.1;
+
+/// Requests that a further one is expected to wait for, each until a slot becomes free. The open
+/// requests of other routers are known late. The older a report is compared with the time that a
+/// request stays, the nearer is the present number to the mean over the endpoints, and the further
+/// it may be from what is expected. Were the report taken as it is, all routers would send to an
+/// endpoint until it is reported to be full, and none while it is.
+double expectedWaiting(const EndpointCandidate &candidate, double meanPeerRequests)
+{
+    const double residences = PeerLoadAge / (candidate.slotWait * candidate.slots);
+    const double reported = candidate.peerRequests;
+    const double present = meanPeerRequests + std::exp(-residences) * (reported - meanPeerRequests);
+    const double mean = candidate.load.openRequests - reported + present + 1 - candidate.slots;
+    // So many requests have ended since, and about as many have begun.
+    const double deviation = std::sqrt(2 * present * std::min(residences, 1.0));
+    if (deviation < MinDeviation)
+        return std::max(0.0, mean);
+    const double ratio = mean / deviation;
+    const double density = std::exp(-ratio * ratio / 2) / std::sqrt(2 * std::numbers::pi);
+    const double probability = std::erfc(-ratio / std::numbers::sqrt2) / 2;
+    return deviation * density + mean * probability;
+}
+
 /// Cost of placing a prompt, in target latencies.
 double promptCost(const EndpointCandidate &candidate, const SoonestFirstEvent &rule,
-                  SharedParts parts)
+                  SharedParts parts, double meanPeerRequests)
 {
     const bool recomputesShared = parts == SharedParts::Recomputed;
     const double prefillTokens = candidate.load.pendingPrefillTokens + rule.ownTokens
                                  + (recomputesShared ? rule.sharedTokens : 0);
-    const double fetch = parts == SharedParts::Fetched ? rule.sharedTokens / FetchedTokensPerMs : 0;
-    const double overSlots = std::max(0.0, candidate.load.openRequests + 1 - candidate.slots);
-    const double firstEvent = prefillTokens / PrefillTokensPerMs + fetch + overSlots * SlotWaitMs;
+    const double fetch =
+            parts == SharedParts::Fetched ? rule.sharedTokens / candidate.fetchedTokensPerMs : 0;
+    const double waiting = expectedWaiting(candidate, meanPeerRequests);
+    const double firstEvent = prefillTokens / candidate.prefillTokensPerMs + fetch
+                              + waiting * candidate.slotWait.count();
     const double targets = firstEvent / static_cast<double>(rule.targetLatency.count());
     const double needed = rule.ownTokens + rule.sharedTokens + rule.outputTokens;
     const double memory = candidate.memoryTokens > 0
@@ -189,6 +209,7 @@
         const bool isNew = std::none_of(ranked.begin(), ranked.end(), [&](std::size_t index) {
             return candidates[index].hasSharedParts;
         });
+        const double meanPeers = meanPeerRequests();
         std::size_t best = ranked.front();
         double bestCost = std::numeric_limits<double>::max();
         for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
@@ -200,7 +221,7 @@
             const SharedParts known = candidate.hasSharedParts ? SharedParts::Cached : elsewhere;
             const SharedParts unknown =
                     rank == 0 ? SharedParts::NewAtAssignedEngine : SharedParts::NewAtOtherEngine;
-            const double cost = promptCost(candidate, rule, isNew ? unknown : known);
+            const double cost = promptCost(candidate, rule, isNew ? unknown : known, meanPeers);
             if (cost >= bestCost)
                 continue;
             best = ranked[rank];
@@ -209,6 +230,15 @@
         return best;
     }
 
+    /// Open requests of the other routers at an endpoint, on average.
+    double meanPeerRequests() const
+    {
+        double sum = 0;
+        for (const std::size_t index : indexes)
+            sum += candidates[index].peerRequests;
+        return sum / static_cast<double>(indexes.size());
+    }
+
     /// The indexes in rendezvous order for `key`, the same at every router.
     std::vector<std::size_t> rankedFor(std::uint64_t key) const
     {
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -82,6 +82,8 @@
         if (m_isDiscontinued)
             break;
         m_attemptSentData = m_attemptSentData || event.hasData;
+        if (m_timer && event.hasData)
+            m_timer->recordEvents(1);
         if (verdict == StreamContinuity::Verdict::Repeat)
             continue;
         events += event.bytes;
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -202,6 +202,7 @@
     m_silenceRecorded = false;
     m_hasBroken = false;
     m_answerStartedAt.reset();
+    m_timer.reset();
     m_isAnswerRecorded = false;
     const auto connected = std::exchange(m_nextExchange, nullptr);
     const auto shared =
@@ -213,6 +214,8 @@
     m_exchange = &exchange;
     m_load.emplace(view, heldTokens());
     const AttemptOutcome outcome = co_await exchangeAnswer(exchange);
+    if (outcome == AttemptOutcome::Answered)
+        recordPerformance(*view, steadyNow());
     m_replacement.drop();
     m_load.reset();
     exchange.finish(steadyNow());
@@ -252,6 +255,8 @@
     }
     if (findsOpenPart(m_context.partBreakers.admit(m_parts, now.steady, m_testedParts)))
         co_return AttemptOutcome::NotSent;
+    if (!m_request.resumeAfter)
+        m_timer.emplace(m_planner.expectedWork(placed(), view, now), now.steady);
     const AttemptParameters parameters =
             m_planner.planAttempt(placed(), view, timeUntil(m_deadline, now.steady), now);
     ++m_sendCount;
@@ -403,9 +408,22 @@
     return std::min(m_deadline, now + timeout);
 }
 
+void ForwardedRequest::recordPerformance(EndpointView &view, SteadyTime now)
+{
+    const auto timing = m_timer ? m_timer->timingAt(now) : std::nullopt;
+    if (!timing)
+        return;
+    ServicePerformance &service = m_context.performances.of(m_service, view.registration().slots);
+    const ServicePerformance::Sample sample = service.sampleOf(*timing);
+    view.performance().record(service.ratiosOf(sample), now);
+    service.record(sample, now);
+}
+
 void ForwardedRequest::recordFirstByte(EndpointExchange &exchange, SteadyTime now)
 {
     m_load->endPrefill();
+    if (m_timer)
+        m_timer->recordFirst(now);
     exchange.endpoint().health().recordSuccess(
             std::chrono::duration_cast<milliseconds>(now - m_attemptStartedAt), now);
     if (m_firstByteAt == SteadyTime())
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/admission/retryreason.h"
+#include "almondmill/forward/answertimer.h"
 #include "almondmill/forward/attemptload.h"
 #include "almondmill/forward/callerrequest.h"
 #include "almondmill/forward/endpointexchange.h"
@@ -129,6 +130,8 @@
     static bool mayHaveEvents(const EndpointExchange &exchange);
     SteadyTime attemptDeadline(std::chrono::milliseconds timeout, SteadyTime now) const;
     RoutedRequest placed() const;
+    /// Learns the endpoint's speed from the answer, which is complete.
+    void recordPerformance(EndpointView &view, SteadyTime now);
     void recordFirstByte(EndpointExchange &exchange, SteadyTime now);
     /// Retry-After of a refusal: the earliest return of a paused endpoint if none is available.
     std::chrono::milliseconds timeToRetryAfter(const ClockTimes &now) const;
@@ -165,6 +168,8 @@
     std::optional<EndpointFailure> m_failure;
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
     std::optional<AttemptLoad> m_load;      ///< Of the current attempt.
+    /// Of the current attempt; empty when it continues a stream that began elsewhere.
+    std::optional<AnswerTimer> m_timer;
 
     PartBreakers::Parts m_parts;       ///< Of the prompt, those that other requests may share.
     PartBreakers::Parts m_testedParts; ///< Half-open parts that this request tests.
--- a/src/forward/operatorview.cpp
+++ b/src/forward/operatorview.cpp
@@ -80,6 +80,18 @@
             {"refused", refused}};
 }
 
+nlohmann::json ForwardingRouter::describeServices() const
+{
+    nlohmann::json services = nlohmann::json::object();
+    for (const auto &[name, performance] : m_context.performances.all()) {
+        const PerformanceFigures &figures = performance.figures();
+        services[name] = {{"prefill_tokens_per_ms", figures.prefillTokensPerMs},
+                          {"fetched_tokens_per_ms", figures.fetchedTokensPerMs},
+                          {"residence_ms", figures.residence.count()}};
+    }
+    return services;
+}
+
 nlohmann::json ForwardingRouter::describeEndpoints(SteadyTime bootNow) const
 {
     nlohmann::json endpoints = nlohmann::json::object();
@@ -133,6 +145,7 @@
                                {"live_peers", m_context.peers.liveCount()},
                                {"weights", describeWeights()},
                                {"open_parts", describeOpenParts(now.steady)},
+                               {"services", describeServices()},
                                {"endpoints", describeEndpoints(now.boot)}};
     return state.dump(2) + "\n";
 }
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -129,7 +129,7 @@
         if (!view || m_session.hasDisconnected())
             co_return view;
         if (!m_mayHaveRun && !m_streamStarted) {
-            m_excessWait = m_planner.excessWait(placed(), *view);
+            m_excessWait = m_planner.excessWait(placed(), *view, steadyNow());
             if (m_excessWait) {
                 m_lastReason = "overloaded";
                 co_return nullptr;
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -43,21 +43,18 @@
 /// the change later. Each peer is expected to have made this share of this router's own change.
 constexpr double PeerLoadChangeRatio = 0.25;
 
-/// Prefill rate of an engine, 38.4 tokens per millisecond (PrefillTokensPerMs in
-/// endpointchoice.cpp), rounded down to whole tokens for integer arithmetic.
-constexpr std::uint64_t PrefillTokensPerMsRoundedDown = 38;
-
-std::chrono::milliseconds prefillTime(std::uint64_t tokens)
+std::chrono::milliseconds prefillTime(double tokens, const PerformanceFigures &figures)
 {
-    return std::chrono::milliseconds(tokens / PrefillTokensPerMsRoundedDown);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+            PerformanceFigures::Milliseconds(tokens / figures.prefillTokensPerMs));
 }
 
-/// Time until an engine starts a request that is sent now, from the prompts that wait there.
-std::chrono::milliseconds expectedWait(const EndpointView &view)
+/// This router's current load on the endpoint and the estimated load of the others.
+EndpointLoad knownLoad(const EndpointView &view)
 {
     EndpointLoad load = view.load();
     load += view.peerLoad();
-    return prefillTime(static_cast<std::uint64_t>(load.pendingPrefillTokens));
+    return load;
 }
 
 /// Callers leave a stream after this time without an event, or after a multiple of the route's
@@ -178,7 +175,7 @@
 void SendPlanner::learn(const PartPlacement &placement, SteadyTime now)
 {
     const auto view = m_context.endpoints.findByShortHash(placement.endpoint);
-    const auto prefillEndsIn = view ? expectedWait(*view) : std::chrono::milliseconds(0);
+    const auto prefillEndsIn = view ? expectedWait(*view, now) : std::chrono::milliseconds(0);
     const std::uint32_t store = view ? storeHash(m_context, *view) : 0;
     m_context.partLocations.recordPlacement(placement, store, prefillEndsIn, now);
 }
@@ -318,15 +315,54 @@
     return m_context.rateLimits.perSecond(view.incarnation()).has_value();
 }
 
-std::optional<std::chrono::milliseconds> SendPlanner::excessWait(const RoutedRequest &placed,
-                                                                 const EndpointView &view) const
+std::optional<std::chrono::milliseconds>
+SendPlanner::excessWait(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const
 {
     if (!placed.request.prompt)
         return std::nullopt;
-    const auto excess = expectedWait(view) - callerPatience(placed.route);
+    const auto excess = expectedWait(view, now) - callerPatience(placed.route);
     return excess > std::chrono::milliseconds(0) ? std::optional(excess) : std::nullopt;
 }
 
+std::chrono::milliseconds SendPlanner::expectedWait(const EndpointView &view, SteadyTime now) const
+{
+    const EndpointLoad load = knownLoad(view);
+    const PerformanceFigures figures = figuresOf(view, now);
+    const std::uint32_t slots = std::max(view.registration().slots, 1U);
+    const double overSlots = std::max(0.0, load.openRequests + 1 - slots);
+    const auto slotWait = std::chrono::duration_cast<std::chrono::milliseconds>(
+            figures.residence * (overSlots / slots));
+    return prefillTime(load.pendingPrefillTokens, figures) + slotWait;
+}
+
+PerformanceFigures SendPlanner::figuresOf(const EndpointView &view, SteadyTime now) const
+{
+    const Registration &entry = view.registration();
+    const auto &service = m_context.performances.of(entry.service, entry.slots);
+    return view.performance().figures(service, now);
+}
+
+ExpectedWork SendPlanner::expectedWork(const RoutedRequest &placed, const EndpointView &view,
+                                       const ClockTimes &now) const
+{
+    const EndpointLoad load = knownLoad(view);
+    ExpectedWork work;
+    // The request itself is counted already.
+    work.startsAtOnce = load.openRequests <= view.registration().slots;
+    if (!placed.request.prompt)
+        return work;
+    const SoonestFirstEvent rule = promptRule(placed, true);
+    const auto version = view.weightsVersion(placed.request.prompt->model).value_or(0);
+    const auto longest =
+            m_sources.longestSharedPart(placed, cacheScope(placed, version), version, now);
+    const bool isCached = longest.holder == shortHash(view.id());
+    const bool isFetched = !isCached && longest.canFetch;
+    work.computedTokens = rule.ownTokens + (isCached || isFetched ? 0 : rule.sharedTokens);
+    work.fetchedTokens = isFetched ? rule.sharedTokens : 0;
+    work.startsAtOnce = work.startsAtOnce && load.pendingPrefillTokens < work.computedTokens;
+    return work;
+}
+
 std::vector<SendPlanner::View> SendPlanner::limitedEndpoints(const RoutedRequest &placed) const
 {
     std::vector<View> limited;
@@ -386,7 +422,7 @@
     const auto outdatedSince =
             m_context.weights.outdatedSince(placed.request.prompt->model, *version);
     const auto lastStart = m_context.settings.weightsDeadline - WeightsDeadlineMargin;
-    return !outdatedSince || now + expectedWait(view) < *outdatedSince + lastStart;
+    return !outdatedSince || now + expectedWait(view, now) < *outdatedSince + lastStart;
 }
 
 EndpointCandidate SendPlanner::makeCandidate(const RoutedRequest &placed, const EndpointView &view,
@@ -397,9 +433,13 @@
     EndpointCandidate candidate;
     candidate.idHash = hash64(view.id());
     candidate.slots = std::max(view.registration().slots, 1U);
-    candidate.load = view.load();
-    candidate.load += view.peerLoad();
+    candidate.load = knownLoad(view);
+    candidate.peerRequests = view.peerLoad().openRequests;
     candidate.load += expectedPeerLoadChange(view.load(), view.lastAverage());
+    const PerformanceFigures figures = figuresOf(view, now.steady);
+    candidate.prefillTokensPerMs = figures.prefillTokensPerMs;
+    candidate.fetchedTokensPerMs = figures.fetchedTokensPerMs;
+    candidate.slotWait = figures.residence / candidate.slots;
     candidate.latency = view.health().latency();
     candidate.failureShare = view.health().failureShare(now.steady);
     candidate.isAvoided = view.health().isAvoided(now.steady);
@@ -493,7 +533,8 @@
     const KvCacheStore *store = placed.table.kvCacheStoreFor(view.registration().dataCentre);
     const std::uint32_t savedTo = store ? shortHash(store->address) : 0;
     const auto prefillEndsIn =
-            expectedWait(view) + prefillTime(placed.request.prompt->promptTokens);
+            expectedWait(view, now)
+            + prefillTime(placed.request.prompt->promptTokens, figuresOf(view, now));
     const bool saves = !send.saveTo.empty();
     for (std::size_t part = 0; part + 1 < parts.size(); ++part) {
         const PartPlacement placement{partKey(send.cacheScope, parts[part].id), endpointHash,
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -3,6 +3,7 @@
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/peerloads.h"
+#include "almondmill/forward/peerperformance.h"
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/supervisedtask.h"
 #include "almondmill/kernel/boottime.h"
@@ -68,6 +69,12 @@
 /// some peer each second.
 constexpr std::uint64_t RoundsPerRepeatInLargeFleet = 4;
 
+/// Fewer samples of a service are not reported.
+constexpr double MinReportedSamples = 0.1;
+
+/// Endpoints of up to 23 bytes each that are reported as slower or faster than others.
+constexpr std::size_t MaxSpeedsPerMessage = 6;
+
 /// Datagrams up to this size are not fragmented on an Ethernet link.
 constexpr std::size_t MaxDatagramBytes = 1400;
 
@@ -182,6 +189,8 @@
             view->averageLoad(now);
         m_context.peers.refresh(now, m_peers.size());
         estimatePeerLoads(m_context.endpoints, m_context.peers);
+        applyPeerPerformance(m_context.endpoints, m_context.peers, m_context.table.snapshot().get(),
+                             m_context.performances);
         m_context.retryBudgets.setRouters(static_cast<std::uint32_t>(m_peers.size() + 1));
         m_context.partBreakers.refresh(now);
         publishEvidence();
@@ -436,9 +445,37 @@
         if (load.openRequests >= 0.1 || load.pendingPrefillTokens >= 1)
             message.loads.push_back({shortHash(id), load});
     }
+    message.services = describeServices(now);
+    message.speeds = describeSpeeds(now);
     return message;
 }
 
+std::vector<PeerMessage::Service> PeerExchange::describeServices(SteadyTime now) const
+{
+    std::vector<PeerMessage::Service> services;
+    for (const auto &[name, performance] : m_context.performances.all()) {
+        const ServiceSamples samples = performance.ownSamples(now);
+        if (samples.residenceMs.samples >= MinReportedSamples)
+            services.push_back({shortHash(name), samples, {}});
+    }
+    return services;
+}
+
+std::vector<PeerMessage::EndpointSpeed> PeerExchange::describeSpeeds(SteadyTime now) const
+{
+    std::vector<PeerMessage::EndpointSpeed> speeds;
+    for (const auto &[id, view] : m_context.endpoints.all()) {
+        const auto samples = view->performance().deviation(now);
+        if (samples)
+            speeds.push_back({shortHash(id), *samples});
+    }
+    std::sort(speeds.begin(), speeds.end(), [](const auto &first, const auto &second) {
+        return first.samples.residenceRatio.samples > second.samples.residenceRatio.samples;
+    });
+    speeds.resize(std::min(speeds.size(), MaxSpeedsPerMessage));
+    return speeds;
+}
+
 std::vector<PeerMessage::Weights> PeerExchange::describeWeights(SteadyTime now) const
 {
     std::vector<PeerMessage::Weights> weights;
--- a/src/peers/peermessage.cpp
+++ b/src/peers/peermessage.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace almondmill {
@@ -15,10 +16,16 @@
 
 /// Messages of another layout version are ignored, so that routers of different releases can run
 /// together.
-constexpr std::uint32_t LayoutVersion = 3;
+constexpr std::uint32_t LayoutVersion = 4;
 
 constexpr double TenthsPerUnit = 10;
 
+/// No sender counts for more, so that a wrong number in one message doesn't decide for all.
+constexpr double MaxSamplesPerSender = 1000;
+
+/// Engines tell this number of levels of urgency apart.
+constexpr std::size_t MaxLevels = 10;
+
 /// Average loads are sent in tenths; a finer resolution makes no difference to placement.
 std::uint64_t tenths(double value)
 {
@@ -64,6 +71,84 @@
     return loads;
 }
 
+/// Figures are sent with their number of samples; without samples both are zero.
+void encodeFigure(json &array, const WeightedFigure &figure, double resolution)
+{
+    const bool hasSamples = tenths(figure.samples) > 0;
+    array.push_back(static_cast<std::uint64_t>(
+            hasSamples ? std::llround(std::max(figure.value, 0.0) * resolution) : 0));
+    array.push_back(tenths(figure.samples));
+}
+
+WeightedFigure decodeFigure(const json &array, std::size_t at, double resolution)
+{
+    WeightedFigure figure;
+    figure.value = static_cast<double>(array.at(at).get_ref<const json::number_unsigned_t &>())
+                   / resolution;
+    figure.samples = std::min(fromTenths(array.at(at + 1)), MaxSamplesPerSender);
+    return figure;
+}
+
+json encodeServices(const std::vector<PeerMessage::Service> &services)
+{
+    json array = json::array();
+    for (const PeerMessage::Service &entry : services) {
+        json fields = json::array({entry.service});
+        encodeFigure(fields, entry.samples.prefillTokensPerMs, TenthsPerUnit);
+        encodeFigure(fields, entry.samples.fetchedTokensPerMs, TenthsPerUnit);
+        encodeFigure(fields, entry.samples.residenceMs, 1);
+        for (const double open : entry.openByLevel)
+            fields.push_back(tenths(open));
+        array.push_back(std::move(fields));
+    }
+    return array;
+}
+
+std::vector<PeerMessage::Service> decodeServices(const json &array)
+{
+    constexpr std::size_t FirstLevel = 7;
+    std::vector<PeerMessage::Service> services;
+    for (const json &fields : array) {
+        PeerMessage::Service entry;
+        entry.service = fields.at(0).get<std::uint32_t>();
+        entry.samples.prefillTokensPerMs = decodeFigure(fields, 1, TenthsPerUnit);
+        entry.samples.fetchedTokensPerMs = decodeFigure(fields, 3, TenthsPerUnit);
+        entry.samples.residenceMs = decodeFigure(fields, 5, 1);
+        const std::size_t end = std::min<std::size_t>(fields.size(), FirstLevel + MaxLevels);
+        for (std::size_t at = FirstLevel; at < end; ++at)
+            entry.openByLevel.push_back(fromTenths(fields.at(at)));
+        services.push_back(std::move(entry));
+    }
+    return services;
+}
+
+json encodeSpeeds(const std::vector<PeerMessage::EndpointSpeed> &speeds)
+{
+    json array = json::array();
+    for (const PeerMessage::EndpointSpeed &entry : speeds) {
+        array.push_back(entry.endpoint);
+        encodeFigure(array, entry.samples.prefillRatio, TenthsPerUnit);
+        encodeFigure(array, entry.samples.fetchRatio, TenthsPerUnit);
+        encodeFigure(array, entry.samples.residenceRatio, TenthsPerUnit);
+    }
+    return array;
+}
+
+std::vector<PeerMessage::EndpointSpeed> decodeSpeeds(const json &array)
+{
+    constexpr std::size_t FieldsPerSpeed = 7;
+    std::vector<PeerMessage::EndpointSpeed> speeds;
+    for (std::size_t at = 0; at + FieldsPerSpeed <= array.size(); at += FieldsPerSpeed) {
+        PeerMessage::EndpointSpeed entry;
+        entry.endpoint = array.at(at).get<std::uint32_t>();
+        entry.samples.prefillRatio = decodeFigure(array, at + 1, TenthsPerUnit);
+        entry.samples.fetchRatio = decodeFigure(array, at + 3, TenthsPerUnit);
+        entry.samples.residenceRatio = decodeFigure(array, at + 5, TenthsPerUnit);
+        speeds.push_back(entry);
+    }
+    return speeds;
+}
+
 PeerMessage decodeFields(const json &fields)
 {
     PeerMessage message;
@@ -75,6 +160,8 @@
     message.weights = decodeWeights(fields.at(6));
     message.loads = decodeLoads(fields.at(7));
     message.loading = decodeLoading(fields.at(8));
+    message.services = decodeServices(fields.at(9));
+    message.speeds = decodeSpeeds(fields.at(10));
     return message;
 }
 
@@ -85,7 +172,8 @@
     const json fields =
             json::array({LayoutVersion, message.sender, message.incarnation, message.sequence,
                          message.leaving, message.configuration, encodeWeights(message.weights),
-                         encodeLoads(message.loads), encodeLoading(message.loading)});
+                         encodeLoads(message.loads), encodeLoading(message.loading),
+                         encodeServices(message.services), encodeSpeeds(message.speeds)});
     std::string bytes;
     json::to_cbor(fields, bytes);
     return bytes;
--- a/src/peers/peerviews.cpp
+++ b/src/peers/peerviews.cpp
@@ -56,6 +56,18 @@
     return found == m_loads.end() ? EndpointLoad() : found->second;
 }
 
+ServiceSamples PeerViews::reportedSamplesOf(std::uint32_t service) const
+{
+    const auto found = m_serviceSamples.find(service);
+    return found == m_serviceSamples.end() ? ServiceSamples() : found->second;
+}
+
+EndpointSamples PeerViews::reportedSamplesOn(std::uint32_t endpoint) const
+{
+    const auto found = m_endpointSamples.find(endpoint);
+    return found == m_endpointSamples.end() ? EndpointSamples() : found->second;
+}
+
 bool PeerViews::isLoading(std::uint32_t endpoint, SteadyTime now) const
 {
     const auto found = m_loadingUntil.find(endpoint);
@@ -90,11 +102,17 @@
     });
     m_routers = 1 + std::max(known, m_peers.size());
     m_loads.clear();
+    m_serviceSamples.clear();
+    m_endpointSamples.clear();
     const double live = static_cast<double>(std::max<std::size_t>(m_peers.size(), 1));
     m_silentPeersPerReporter = std::max(0.0, static_cast<double>(known) / live - 1);
     for (const auto &[name, peer] : m_peers) {
         for (const PeerMessage::Load &entry : peer.message.loads)
             m_loads[entry.endpoint] += entry.load;
+        for (const PeerMessage::Service &entry : peer.message.services)
+            m_serviceSamples[entry.service] += entry.samples;
+        for (const PeerMessage::EndpointSpeed &entry : peer.message.speeds)
+            m_endpointSamples[entry.endpoint] += entry.samples;
     }
 }
 
--- a/tests/unit-peers.cpp
+++ b/tests/unit-peers.cpp
@@ -33,6 +33,8 @@
     message.weights = {{{"m", *rc::gen::arbitrary<std::uint32_t>()}, milliseconds(1200)}};
     message.loads = {{*rc::gen::arbitrary<std::uint32_t>(), {1.5, 20, 300}}};
     message.loading = {{5, milliseconds(700)}};
+    message.services = {{7, {{50.5, 3.5}, {}, {2300, 12}}, {4.5, 0, 11}}};
+    message.speeds = {{9, {{0.5, 1}, {}, {2.5, 1.5}}}};
     const auto decoded = decodePeerMessage(encodePeerMessage(message));
     RC_ASSERT(decoded.has_value());
     RC_ASSERT(decoded->sender == message.sender);
@@ -42,6 +44,15 @@
     RC_ASSERT(decoded->loads.front().endpoint == message.loads.front().endpoint);
     RC_ASSERT(decoded->loads.front().load.openRequests == 1.5);
     RC_ASSERT(decoded->loading.front().timeLeft == milliseconds(700));
+    const auto &service = decoded->services.front();
+    RC_ASSERT(service.service == 7U);
+    RC_ASSERT(service.samples.prefillTokensPerMs.value == 50.5);
+    RC_ASSERT(service.samples.prefillTokensPerMs.samples == 3.5);
+    RC_ASSERT(service.samples.fetchedTokensPerMs.samples == 0);
+    RC_ASSERT(service.samples.residenceMs.value == 2300);
+    RC_ASSERT(service.openByLevel == std::vector<double>({4.5, 0, 11}));
+    RC_ASSERT(decoded->speeds.front().endpoint == 9U);
+    RC_ASSERT(decoded->speeds.front().samples.residenceRatio.value == 2.5);
 }
 
 RC_GTEST_PROP(PeerMessage, DecodingArbitraryBytesNeitherThrowsNorCrashes,
