--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -55,6 +55,7 @@
     StatusServer::Reply readinessReply(const std::string &path) const;
     StatusServer::Reply operatorsReply(const std::string &path) const;
     nlohmann::json describeConfiguration(SteadyTime now) const;
+    nlohmann::json describeServices() const;
     nlohmann::json describeEndpoints(SteadyTime bootNow) const;
     /// Requests per second that the endpoint takes from all routers; null without a limit.
     static nlohmann::json describePace(const EndpointPace &pace, SteadyTime bootNow);
--- a/include/almondmill/peers/peermessagekind.h
+++ b/include/almondmill/peers/peermessagekind.h
@@ -17,6 +17,8 @@
     Evidence,
     RateLimit,
     Permit, ///< Requests, replies and returns.
+    Quota,  ///< Questions about quotas of accounts, and probes of the issuers' reach.
+    Pace,   ///< Limits of endpoints in slow start.
     Other,
 };
 
--- a/src/forward/operatorview.cpp
+++ b/src/forward/operatorview.cpp
@@ -87,6 +87,18 @@
     return {{"why", nameOf(pace.cause())}, {"limit", pace.limitAt(bootNow)}, {"cuts", pace.cuts()}};
 }
 
+nlohmann::json ForwardingRouter::describeServices() const
+{
+    nlohmann::json services = nlohmann::json::object();
+    for (const auto &[name, performance] : m_context.performances.all()) {
+        const PerformanceFigures &figures = performance.figures();
+        services[name] = {{"prefill_tokens_per_ms", figures.prefillTokensPerMs},
+                          {"fetched_tokens_per_ms", figures.fetchedTokensPerMs},
+                          {"residence_ms", figures.residence.count()}};
+    }
+    return services;
+}
+
 nlohmann::json ForwardingRouter::describeEndpoints(SteadyTime bootNow) const
 {
     nlohmann::json endpoints = nlohmann::json::object();
@@ -141,6 +153,7 @@
                                {"live_peers", m_context.peers.liveCount()},
                                {"weights", describeWeights()},
                                {"open_parts", describeOpenParts(now.steady)},
+                               {"services", describeServices()},
                                {"endpoints", describeEndpoints(now.boot)}};
     return state.dump(2) + "\n";
 }
--- a/src/peers/pacemessage.cpp
+++ b/src/peers/pacemessage.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/peers/pacemessage.h"
 
 #include "decodemessage.h"
+#include "layoutversions.h"
 
 #include <nlohmann/json.hpp>
 
@@ -10,10 +11,6 @@
 
 using nlohmann::json;
 
-/// Layout version of paces. It differs from those of the other peer messages, so that the receiver
-/// can tell them apart.
-constexpr std::uint32_t LayoutVersion = 701;
-
 constexpr std::size_t FieldsPerEntry = 4;
 
 PaceMessage decodeFields(const json &fields)
@@ -45,7 +42,7 @@
         entries.push_back(entry.report.cuts);
         entries.push_back(entry.report.limit);
     }
-    const json fields = json::array({LayoutVersion, message.origin, message.incarnation,
+    const json fields = json::array({layout::Pace, message.origin, message.incarnation,
                                      message.sequence, std::move(entries)});
     std::string bytes;
     json::to_cbor(fields, bytes);
@@ -54,7 +51,7 @@
 
 std::optional<PaceMessage> decodePaces(std::string_view bytes)
 {
-    return decodeMessage(bytes, LayoutVersion, decodeFields);
+    return decodeMessage(bytes, layout::Pace, decodeFields);
 }
 
 } // namespace almondmill
--- a/src/peers/partevidencemessage.cpp
+++ b/src/peers/partevidencemessage.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/peers/partevidencemessage.h"
 
 #include "decodemessage.h"
+#include "layoutversions.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,10 +14,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-/// Layout version of evidence. It differs from those of the other peer messages, so that the
-/// receiver can tell them apart.
-constexpr std::uint32_t LayoutVersion = 301;
-
 /// Bound of the ages in a message, well beyond the time for which evidence is kept.
 constexpr milliseconds MaxAge{std::chrono::hours(24)};
 
@@ -65,7 +62,7 @@
     json evidence = json::array();
     for (const PartEvidence &part : message.evidence)
         evidence.push_back(encodeEvidence(part, now));
-    const json fields = json::array({LayoutVersion, message.origin, message.incarnation,
+    const json fields = json::array({layout::Evidence, message.origin, message.incarnation,
                                      message.sequence, std::move(evidence)});
     std::string bytes;
     json::to_cbor(fields, bytes);
@@ -74,7 +71,7 @@
 
 std::optional<PartEvidenceMessage> decodePartEvidence(std::string_view bytes, SteadyTime now)
 {
-    return decodeMessage(bytes, LayoutVersion, [now](const json &fields) {
+    return decodeMessage(bytes, layout::Evidence, [now](const json &fields) {
         PartEvidenceMessage message;
         message.origin = fields.at(1).get<std::string>();
         message.incarnation = fields.at(2).get<std::uint64_t>();
--- a/src/peers/partlookupmessages.cpp
+++ b/src/peers/partlookupmessages.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/peers/partlookupmessages.h"
 
 #include "decodemessage.h"
+#include "layoutversions.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,11 +14,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-/// Layout versions of lookups and their replies. They differ from those of the other peer messages,
-/// so that the receiver can tell them apart.
-constexpr std::uint32_t RequestLayoutVersion = 202;
-constexpr std::uint32_t ReplyLayoutVersion = 203;
-
 /// Bound of the relative times in a reply, well beyond the time for which parts stay cached.
 constexpr milliseconds MaxRelativeTime{3'600'000};
 
@@ -79,12 +75,12 @@
 
 std::string encodePartLookup(const PartLookupRequest &request)
 {
-    return toBytes(json::array({RequestLayoutVersion, request.id, request.part}));
+    return toBytes(json::array({layout::PartLookupRequest, request.id, request.part}));
 }
 
 std::string encodePartLookup(const PartLookupReply &reply, SteadyTime now)
 {
-    json fields = json::array({ReplyLayoutVersion, reply.id, reply.part, nullptr});
+    json fields = json::array({layout::PartLookupReply, reply.id, reply.part, nullptr});
     if (reply.location)
         fields[3] = encodeLocation(*reply.location, now);
     return toBytes(fields);
@@ -92,14 +88,14 @@
 
 std::optional<PartLookupRequest> decodePartLookupRequest(std::string_view bytes)
 {
-    return decodeMessage(bytes, RequestLayoutVersion, [](const json &fields) {
+    return decodeMessage(bytes, layout::PartLookupRequest, [](const json &fields) {
         return PartLookupRequest{fields.at(1).get<std::uint32_t>(), fields.at(2).get<PartKey>()};
     });
 }
 
 std::optional<PartLookupReply> decodePartLookupReply(std::string_view bytes, SteadyTime now)
 {
-    return decodeMessage(bytes, ReplyLayoutVersion, [now](const json &fields) {
+    return decodeMessage(bytes, layout::PartLookupReply, [now](const json &fields) {
         PartLookupReply reply{fields.at(1).get<std::uint32_t>(), fields.at(2).get<PartKey>(), {}};
         if (!fields.at(3).is_null())
             reply.location = decodeLocation(fields.at(3), now);
--- a/src/peers/peermessagekind.cpp
+++ b/src/peers/peermessagekind.cpp
@@ -1,5 +1,7 @@
 #include "almondmill/peers/peermessagekind.h"
 
+#include "layoutversions.h"
+
 namespace almondmill {
 
 namespace {
@@ -56,6 +58,8 @@
         return "rate_limit";
     case PeerMessageKind::Permit:
         return "permit";
+    case PeerMessageKind::Quota:
+        return "quota";
     case PeerMessageKind::Pace:
         return "pace";
     case PeerMessageKind::Other:
@@ -73,24 +77,29 @@
 PeerMessageKind peekKind(std::string_view bytes)
 {
     switch (peekLayout(bytes).value_or(0)) {
-    case 3:
+    case layout::State:
         return PeerMessageKind::State;
-    case 103:
+    case layout::StoreUpdate:
         return PeerMessageKind::StoreUpdate;
-    case 201:
+    case layout::Placement:
         return PeerMessageKind::Placement;
-    case 202:
-    case 203:
+    case layout::PartLookupRequest:
+    case layout::PartLookupReply:
         return PeerMessageKind::PartLookup;
-    case 301:
+    case layout::Evidence:
         return PeerMessageKind::Evidence;
-    case 401:
+    case layout::RateLimit:
         return PeerMessageKind::RateLimit;
-    case 402:
-    case 403:
-    case 404:
+    case layout::PermitRequest:
+    case layout::PermitReply:
+    case layout::PermitReturn:
         return PeerMessageKind::Permit;
-    case 701:
+    case layout::QuotaQuestion:
+    case layout::QuotaReply:
+    case layout::ReachProbe:
+    case layout::ReachReply:
+        return PeerMessageKind::Quota;
+    case layout::Pace:
         return PeerMessageKind::Pace;
     default:
         return PeerMessageKind::Other;
--- a/src/peers/permitmessages.cpp
+++ b/src/peers/permitmessages.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/peers/permitmessages.h"
 
 #include "decodemessage.h"
+#include "layoutversions.h"
 #include "ratelimitfields.h"
 
 #include <nlohmann/json.hpp>
@@ -14,12 +15,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-/// Layout versions of the messages about permits. They differ from those of the other peer
-/// messages, so that the receiver can tell them apart.
-constexpr std::uint32_t RequestLayoutVersion = 402;
-constexpr std::uint32_t ReplyLayoutVersion = 403;
-constexpr std::uint32_t ReturnLayoutVersion = 404;
-
 /// Longer times in messages are read as this one; they are added to points in time.
 constexpr milliseconds MaxTime{60'000};
 
@@ -69,25 +64,25 @@
 
 std::string encodePermit(const PermitRequest &request, SteadyTime bootNow)
 {
-    return toBytes(json::array({RequestLayoutVersion, request.id, request.maxWait.count(),
+    return toBytes(json::array({layout::PermitRequest, request.id, request.maxWait.count(),
                                 encodeRateLimit(request.known, bootNow)}));
 }
 
 std::string encodePermit(const PermitReply &reply, SteadyTime bootNow)
 {
     return toBytes(
-            json::array({ReplyLayoutVersion, reply.id, std::visit(ResultFields(), reply.result),
+            json::array({layout::PermitReply, reply.id, std::visit(ResultFields(), reply.result),
                          encodeRateLimit(reply.known, bootNow)}));
 }
 
 std::string encodePermit(const PermitReturn &returned)
 {
-    return toBytes(json::array({ReturnLayoutVersion, returned.endpoint}));
+    return toBytes(json::array({layout::PermitReturn, returned.endpoint}));
 }
 
 std::optional<PermitRequest> decodePermitRequest(std::string_view bytes, SteadyTime bootNow)
 {
-    return decodeMessage(bytes, RequestLayoutVersion, [bootNow](const json &fields) {
+    return decodeMessage(bytes, layout::PermitRequest, [bootNow](const json &fields) {
         return PermitRequest{fields.at(1).get<std::uint32_t>(), decodeTime(fields.at(2)),
                              decodeRateLimit(fields.at(3), bootNow)};
     });
@@ -95,7 +90,7 @@
 
 std::optional<PermitReply> decodePermitReply(std::string_view bytes, SteadyTime bootNow)
 {
-    return decodeMessage(bytes, ReplyLayoutVersion, [bootNow](const json &fields) {
+    return decodeMessage(bytes, layout::PermitReply, [bootNow](const json &fields) {
         return PermitReply{fields.at(1).get<std::uint32_t>(), decodeResult(fields.at(2)),
                            decodeRateLimit(fields.at(3), bootNow)};
     });
@@ -103,7 +98,7 @@
 
 std::optional<PermitReturn> decodePermitReturn(std::string_view bytes)
 {
-    return decodeMessage(bytes, ReturnLayoutVersion, [](const json &fields) {
+    return decodeMessage(bytes, layout::PermitReturn, [](const json &fields) {
         return PermitReturn{fields.at(1).get<std::uint64_t>()};
     });
 }
--- a/src/peers/placementbroadcastqueue.cpp
+++ b/src/peers/placementbroadcastqueue.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/peers/placementbroadcastqueue.h"
 
 #include "decodemessage.h"
+#include "layoutversions.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,10 +13,6 @@
 
 using nlohmann::json;
 
-/// Layout version of placement messages. It differs from those of the other peer messages, so that
-/// the receiver can tell them apart.
-constexpr std::uint32_t LayoutVersion = 201;
-
 /// Queue bound: the placements of a fleet in a few seconds. When it is reached, the oldest is
 /// dropped, as the oldest are of the least use.
 constexpr std::size_t MaxQueued = 1000;
@@ -78,7 +75,7 @@
 
 std::string encodePlacements(const std::vector<BroadcastPlacement> &placements)
 {
-    json fields = json::array({LayoutVersion});
+    json fields = json::array({layout::Placement});
     for (const BroadcastPlacement &entry : placements) {
         fields.push_back(entry.placement.part);
         fields.push_back(entry.placement.endpoint);
@@ -92,7 +89,7 @@
 
 std::optional<std::vector<BroadcastPlacement>> decodePlacements(std::string_view bytes)
 {
-    return decodeMessage(bytes, LayoutVersion, [](const json &fields) {
+    return decodeMessage(bytes, layout::Placement, [](const json &fields) {
         std::vector<BroadcastPlacement> placements;
         for (std::size_t at = 1; at + FieldsPerPlacement <= fields.size(); at += FieldsPerPlacement)
             placements.push_back({{fields[at].get<PartKey>(), fields[at + 1].get<std::uint32_t>(),
--- a/src/peers/quotamessages.cpp
+++ b/src/peers/quotamessages.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/peers/quotamessages.h"
 
 #include "decodemessage.h"
+#include "layoutversions.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,13 +16,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-/// Layout versions of the messages about quotas. They differ from those of the other peer messages,
-/// so that the receiver can tell them apart.
-constexpr std::uint32_t QuestionLayoutVersion = 411;
-constexpr std::uint32_t ReplyLayoutVersion = 412;
-constexpr std::uint32_t ProbeLayoutVersion = 413;
-constexpr std::uint32_t ReachReplyLayoutVersion = 414;
-
 /// Longer times in messages are read as this one; they are added to points in time.
 constexpr milliseconds MaxTime{60'000};
 
@@ -53,29 +47,29 @@
 std::string encodeQuota(const QuotaQuestion &question)
 {
     const json known = question.knownLevel ? json(*question.knownLevel) : json(nullptr);
-    return toBytes(json::array({QuestionLayoutVersion, question.id, question.account,
+    return toBytes(json::array({layout::QuotaQuestion, question.id, question.account,
                                 question.amounts, question.creditWanted, known}));
 }
 
 std::string encodeQuota(const QuotaReply &reply)
 {
-    return toBytes(json::array({ReplyLayoutVersion, reply.id, reply.isIssuer, reply.grantedRequests,
+    return toBytes(json::array({layout::QuotaReply, reply.id, reply.isIssuer, reply.grantedRequests,
                                 reply.credit, reply.returnAfter.count(), reply.level}));
 }
 
 std::string encodeQuota(const ReachProbe &probe)
 {
-    return toBytes(json::array({ProbeLayoutVersion, probe.id}));
+    return toBytes(json::array({layout::ReachProbe, probe.id}));
 }
 
 std::string encodeQuota(const ReachReply &reply)
 {
-    return toBytes(json::array({ReachReplyLayoutVersion, reply.id}));
+    return toBytes(json::array({layout::ReachReply, reply.id}));
 }
 
 std::optional<QuotaQuestion> decodeQuotaQuestion(std::string_view bytes)
 {
-    return decodeMessage(bytes, QuestionLayoutVersion, [](const json &fields) {
+    return decodeMessage(bytes, layout::QuotaQuestion, [](const json &fields) {
         QuotaQuestion question{fields.at(1).get<std::uint32_t>(), fields.at(2).get<std::uint64_t>(),
                                decodeAmounts(fields.at(3)), fields.at(4).get<std::uint32_t>(),
                                std::nullopt};
@@ -87,7 +81,7 @@
 
 std::optional<QuotaReply> decodeQuotaReply(std::string_view bytes)
 {
-    return decodeMessage(bytes, ReplyLayoutVersion, [](const json &fields) {
+    return decodeMessage(bytes, layout::QuotaReply, [](const json &fields) {
         const milliseconds returnAfter(fields.at(5).get<std::int64_t>());
         return QuotaReply{fields.at(1).get<std::uint32_t>(),
                           fields.at(2).get<bool>(),
@@ -100,14 +94,14 @@
 
 std::optional<ReachProbe> decodeReachProbe(std::string_view bytes)
 {
-    return decodeMessage(bytes, ProbeLayoutVersion, [](const json &fields) {
+    return decodeMessage(bytes, layout::ReachProbe, [](const json &fields) {
         return ReachProbe{fields.at(1).get<std::uint32_t>()};
     });
 }
 
 std::optional<ReachReply> decodeReachReply(std::string_view bytes)
 {
-    return decodeMessage(bytes, ReachReplyLayoutVersion, [](const json &fields) {
+    return decodeMessage(bytes, layout::ReachReply, [](const json &fields) {
         return ReachReply{fields.at(1).get<std::uint32_t>()};
     });
 }
--- a/src/peers/storeupdate.cpp
+++ b/src/peers/storeupdate.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/peers/storeupdate.h"
 
 #include "decodemessage.h"
+#include "layoutversions.h"
 #include "peerfields.h"
 
 #include <nlohmann/json.hpp>
@@ -11,11 +12,6 @@
 
 using nlohmann::json;
 
-/// Layout version of store updates. Routers that ignore another layout read the store themselves,
-/// so releases can run together. It differs from those of the other peer messages, so that the
-/// receiver can tell them apart.
-constexpr std::uint32_t LayoutVersion = 103;
-
 json encodeModels(const std::vector<ServedModel> &models)
 {
     json array = json::array();
@@ -102,7 +98,7 @@
 std::string encodeStoreUpdate(const StoreUpdate &update)
 {
     const json fields =
-            json::array({LayoutVersion, update.origin, update.incarnation, update.sequence,
+            json::array({layout::StoreUpdate, update.origin, update.incarnation, update.sequence,
                          update.configuration, encodeWeights(update.weights),
                          encodeLoading(update.loading), encodeRegistrations(update.registrations)});
     std::string bytes;
@@ -112,7 +108,7 @@
 
 std::optional<StoreUpdate> decodeStoreUpdate(std::string_view bytes)
 {
-    return decodeMessage(bytes, LayoutVersion, [](const json &fields) {
+    return decodeMessage(bytes, layout::StoreUpdate, [](const json &fields) {
         StoreUpdate update;
         update.origin = fields.at(1).get<std::string>();
         update.incarnation = fields.at(2).get<std::uint64_t>();
