Heartbeats are not broadcast, and a lost store update is read without a list

Cause: a reader passed on each event of the store as a whole entry of up to 200 bytes, also when an endpoint had only renewed it with a heartbeat, so each router received all S entries in a heartbeat's time. A router that missed one update listed all entries, stale and then current: 1 MB each at 3,000 endpoints.

Change: - Entries that differ in nothing but their revision are not sent, except while entries are retained after an outage. - Of an entry whose other fields receivers know, state, versions and revision are sent: 17 bytes (layout 103). Who does not know it reads the store. - A router that missed updates asks the store for the changes since its own revision; it lists only when that fails. - Named weights are in updates that tell of a change, not in the two a second of each reader; state messages repeat them. - A state message carries the 60 highest loads. With about 100 it would be longer than the receive buffer and was lost whole. - A first list that fails is waited for longer each time (0.9 to 3.6 s), and is stale every other time if it may be.

Ruled out: another tree for each update, since a dead node would then cost all routers some updates of a reader.

wasPublishedAsDraining in unit-storestateorder looks at deltas, since a change of a known entry is sent as one.

--- a/include/almondmill/directory/listrequests.h
+++ b/include/almondmill/directory/listrequests.h
@@ -33,7 +33,8 @@
     /// Describes the read that is sent now.
     Read begin() const;
 
-    /// Records that the read failed.
+    /// Records that the read failed. The next one is current; when a stale one would do, every
+    /// other one is stale, since a store may fail because many routers list at once.
     void fail();
 
     /// Records the answer to the read. Returns whether its contents may be used: a stale list is
@@ -43,6 +44,7 @@
 private:
     bool m_isPending = true;
     Freshness m_freshness;
+    bool m_mayBeStale;            ///< No current list was requested.
     std::uint64_t m_requests = 0; ///< Requests for a current list so far.
     std::uint64_t m_upTo = 0;
 };
--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -40,6 +40,9 @@
         /// Receives a list and the time at which it was requested from the store.
         std::function<void(const ObjectList &, SteadyTime sentAt)> listed;
         std::function<void(const ObjectEvents &)> changed;
+        /// Receives changes that were missing, see `refreshUpTo`. When it is empty, the objects are
+        /// listed instead.
+        std::function<void(const ObjectEvents &)> caughtUp = nullptr;
     };
 
     /// `outage` is shared by the watchers of a router; without it, this watcher probes by itself.
@@ -53,8 +56,8 @@
     /// waiting, whose answer may have been lost.
     void refresh();
 
-    /// Like `refresh`, when the answer must contain the changes up to `revision`. A stale read is
-    /// tried first.
+    /// Reads the changes up to `revision` that are missing here. When the store no longer holds
+    /// them, the objects are listed; a stale read is tried first.
     void refreshUpTo(std::uint64_t revision);
 
     /// Lists again what is already known, when changes in it were not applied then. A call for
@@ -68,6 +71,9 @@
 private:
     boost::asio::awaitable<void> backOff();
     boost::asio::awaitable<bool> list();
+    std::chrono::milliseconds listTimeout() const;
+    bool lacksChanges() const { return m_missing > m_revision; }
+    boost::asio::awaitable<bool> catchUp();
     void startListDuringWatch();
     boost::asio::awaitable<void> listDuringWatch();
     boost::asio::awaitable<bool> waitForChanges();
@@ -81,7 +87,9 @@
     Handlers m_handlers;
     std::shared_ptr<StoreOutage> m_outage;
     std::uint64_t m_revision = 0;
-    std::uint32_t m_failures = 0; ///< Consecutive failures.
+    std::uint64_t m_missing = 0;     ///< Revision up to which changes are to be read.
+    std::uint32_t m_failedLists = 0; ///< Until the first answer.
+    std::uint32_t m_failures = 0;    ///< Consecutive failures.
     ListRequests m_lists;
     bool m_isWatching = false;                         ///< A call for changes is waiting.
     bool m_isListingDuringWatch = false;               ///< A list was requested meanwhile.
--- a/include/almondmill/forward/registrationssync.h
+++ b/include/almondmill/forward/registrationssync.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -54,7 +55,20 @@
     void scheduleRefreshAfterRetention();
     boost::asio::awaitable<void> refreshAfterRetention();
 
-    void publishEvents(const ObjectEvents &events, std::uint64_t from, SteadyTime now);
+    /// What the other routers know of entries, by id.
+    using KnownEntries = std::map<std::string, RegistrationDelta>;
+
+    /// Applies changes that were read from the store, and publishes them.
+    void relayEvents(const ObjectEvents &events, SteadyTime now);
+    KnownEntries knownEntries(const ObjectEvents &events) const;
+    void publishEvents(const ObjectEvents &events, std::uint64_t from, const KnownEntries &known,
+                       SteadyTime now);
+    /// Adds what other routers have to learn of an entry; returns the number of deltas that would
+    /// take as much space.
+    std::size_t describe(const std::string &id, const KnownEntries &known,
+                         StoreUpdate::Registrations &registrations, SteadyTime now) const;
+    /// Returns false when the endpoint's entry is not known here.
+    bool learnDelta(const RegistrationDelta &delta);
     void publishRemoved(const std::vector<std::string> &gone, std::uint64_t revision,
                         SteadyTime now);
     /// Adds what this router knows of outages, and sends the changes to the other routers.
--- a/include/almondmill/peers/storeupdate.h
+++ b/include/almondmill/peers/storeupdate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/directory/registration.h"
+#include "almondmill/directory/registrationdelta.h"
 #include "almondmill/peers/peermessage.h"
 
 #include <chrono>
@@ -27,6 +28,8 @@
         std::chrono::milliseconds retention{0};
         /// Time for which the store has answered the origin without an interruption.
         std::chrono::milliseconds answeringFor{0};
+        /// Changes of entries whose other fields receivers know, unless an update was lost.
+        std::vector<RegistrationDelta> deltas = {};
     };
 
     std::string origin; ///< Name of the router that read the store.
--- a/src/directory/listrequests.cpp
+++ b/src/directory/listrequests.cpp
@@ -6,12 +6,14 @@
 
 ListRequests::ListRequests(Freshness first)
     : m_freshness(first)
+    , m_mayBeStale(first == Freshness::MayBeStale)
 {}
 
 void ListRequests::request()
 {
     m_isPending = true;
     m_freshness = Freshness::Current;
+    m_mayBeStale = false;
     ++m_requests;
 }
 
@@ -22,6 +24,7 @@
         return;
     m_isPending = true;
     m_freshness = Freshness::MayBeStale;
+    m_mayBeStale = true;
 }
 
 ListRequests::Read ListRequests::begin() const
@@ -31,7 +34,8 @@
 
 void ListRequests::fail()
 {
-    m_freshness = Freshness::Current;
+    const bool isNextStale = m_mayBeStale && m_freshness == Freshness::Current;
+    m_freshness = isNextStale ? Freshness::MayBeStale : Freshness::Current;
 }
 
 bool ListRequests::complete(const Read &read, std::uint64_t revision, std::uint64_t knownRevision)
@@ -39,6 +43,7 @@
     const bool isSuperseded = read.requests != m_requests;
     const bool isStale = read.freshness == Freshness::MayBeStale;
     m_freshness = Freshness::Current;
+    m_mayBeStale = false;
     if (isStale && (isSuperseded || revision < std::max(m_upTo, knownRevision)))
         return false;
     // A current list that lacks a revision which was requested before it shows that the store has
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -25,6 +25,14 @@
 /// Timeout of a list call; the store answers within milliseconds.
 constexpr milliseconds ListTimeout{900};
 
+/// A router without a first list can't serve. Each failure adds a timeout to the next one, up to
+/// this many, so that a store which is slow because all routers list at once is not asked for the
+/// same lists again and again.
+constexpr std::uint32_t MaxFirstListTimeouts = 4;
+
+/// Wait of a call for changes that are known to exist.
+constexpr milliseconds CatchUpWait{1};
+
 /// Added to the long-polling timeout of a call for changes, for its answer to arrive.
 constexpr milliseconds AnswerTimeout{700};
 
@@ -68,6 +76,8 @@
         bool reached = true;
         if (m_lists.isPending())
             reached = co_await list();
+        else if (lacksChanges())
+            reached = co_await catchUp();
         else if (!isReader || isReader())
             reached = co_await waitForChanges();
         else
@@ -116,13 +126,17 @@
 
 void StoreWatcher::refreshUpTo(std::uint64_t revision)
 {
-    m_lists.requestUpTo(revision);
+    if (m_handlers.caughtUp)
+        m_missing = std::max(m_missing, revision);
+    else
+        m_lists.requestUpTo(revision);
     m_idle->cancel();
 }
 
 void StoreWatcher::refreshKnown()
 {
-    refreshUpTo(m_revision);
+    m_lists.requestUpTo(m_revision);
+    m_idle->cancel();
     startListDuringWatch();
 }
 
@@ -142,10 +156,12 @@
 {
     const ListRequests::Read read = m_lists.begin();
     const SteadyTime sentAt = std::chrono::steady_clock::now();
-    const auto result = co_await m_store.list(m_options.kind, read.freshness, sentAt + ListTimeout);
+    const auto result =
+            co_await m_store.list(m_options.kind, read.freshness, sentAt + listTimeout());
     if (const auto *missing = std::get_if<Unavailable>(&result)) {
         recordFailure(missing->reason);
         m_lists.fail();
+        ++m_failedLists;
         co_return false;
     }
     recordSuccess();
@@ -157,6 +173,31 @@
     co_return true;
 }
 
+milliseconds StoreWatcher::listTimeout() const
+{
+    const bool isFirst = m_revision == 0;
+    return ListTimeout * (isFirst ? std::min(m_failedLists + 1, MaxFirstListTimeouts) : 1);
+}
+
+asio::awaitable<bool> StoreWatcher::catchUp()
+{
+    const std::uint64_t missing = m_missing;
+    const auto deadline = std::chrono::steady_clock::now() + CatchUpWait + AnswerTimeout;
+    const auto result = co_await m_store.events(m_options.kind, m_revision, CatchUpWait, deadline);
+    const auto *events = std::get_if<ObjectEvents>(&result);
+    if (events && events->revision >= missing) {
+        recordSuccess();
+        m_revision = std::max(m_revision, events->revision);
+        m_handlers.caughtUp(*events);
+        co_return true;
+    }
+    // The history is gone, the call failed, or the store has no such revision.
+    if (m_missing == missing)
+        m_missing = 0;
+    m_lists.requestUpTo(missing);
+    co_return false;
+}
+
 asio::awaitable<bool> StoreWatcher::waitForChanges()
 {
     const auto deadline = std::chrono::steady_clock::now() + m_options.wait + AnswerTimeout;
--- a/src/forward/registrationssync.cpp
+++ b/src/forward/registrationssync.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/forward/registrationssync.h"
 
 #include "almondmill/directory/storeoutage.h"
+#include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/http/asyncsleep.h"
@@ -28,8 +29,9 @@
 constexpr milliseconds RegistrationsWait{300};
 constexpr milliseconds RegistrationsPause{200};
 
-/// Number of changes that fit into one datagram; an entry takes up to 200 bytes.
-constexpr std::size_t MaxChangesPerUpdate = 6;
+/// Changes that fit into one datagram: whole entries take up to 200 bytes, deltas up to 25.
+constexpr std::size_t MaxDeltasPerUpdate = 48;
+constexpr std::size_t DeltasPerEntry = 8;
 
 /// Number of ids that fit into one datagram.
 constexpr std::size_t MaxRemovedPerUpdate = 40;
@@ -77,10 +79,14 @@
             publishRemoved(gone, list.revision, now);
     };
     handlers.changed = [this](const ObjectEvents &events) {
+        relayEvents(events, std::chrono::steady_clock::now());
+    };
+    handlers.caughtUp = [this](const ObjectEvents &events) {
         const SteadyTime now = std::chrono::steady_clock::now();
-        const std::uint64_t from = m_context.directory.revision();
-        applyEvents(events, now);
-        publishEvents(events, from, now);
+        if (m_isReader())
+            relayEvents(events, now);
+        else
+            applyEvents(events, now);
     };
     return handlers;
 }
@@ -93,9 +99,12 @@
         directory.put(entry);
     for (const std::string &id : registrations.gone)
         directory.remove(id, registrations.to);
+    bool isComplete = registrations.from <= directory.revision();
+    for (const RegistrationDelta &delta : registrations.deltas)
+        isComplete = learnDelta(delta) && isComplete;
     if (registrations.to <= directory.revision())
         return;
-    if (registrations.from > directory.revision()) {
+    if (!isComplete) {
         m_watcher->refreshUpTo(registrations.to); // Updates in between were lost.
         return;
     }
@@ -103,6 +112,17 @@
     m_watcher->advance(registrations.to);
 }
 
+bool RegistrationsSync::learnDelta(const RegistrationDelta &delta)
+{
+    const auto view = m_context.endpoints.findByShortHash(delta.endpoint);
+    const Registration *known = view ? m_context.directory.find(view->id()) : nullptr;
+    auto entry = known ? applyDelta(delta, *known) : std::nullopt;
+    if (!entry)
+        return false;
+    m_context.directory.put(std::move(*entry));
+    return true;
+}
+
 std::vector<std::string> RegistrationsSync::applyList(const ObjectList &list, SteadyTime now)
 {
     checkOutage(now);
@@ -190,22 +210,37 @@
     m_watcher->refreshKnown();
 }
 
+void RegistrationsSync::relayEvents(const ObjectEvents &events, SteadyTime now)
+{
+    const std::uint64_t from = m_context.directory.revision();
+    const KnownEntries known = knownEntries(events);
+    applyEvents(events, now);
+    publishEvents(events, from, known, now);
+}
+
+RegistrationsSync::KnownEntries RegistrationsSync::knownEntries(const ObjectEvents &events) const
+{
+    KnownEntries known;
+    for (const ObjectEvent &event : events.events) {
+        if (const Registration *entry = m_context.directory.find(event.object.name))
+            known[entry->id] = deltaOf(*entry);
+    }
+    return known;
+}
+
 void RegistrationsSync::publishEvents(const ObjectEvents &events, std::uint64_t from,
-                                      SteadyTime now)
+                                      const KnownEntries &known, SteadyTime now)
 {
     StoreUpdate::Registrations registrations;
     registrations.from = from;
     registrations.to = from;
     std::size_t changes = 0;
     for (const ObjectEvent &event : events.events) {
-        const Registration *entry = m_context.directory.find(event.object.name);
-        if (entry)
-            registrations.changed.push_back(*entry);
-        else
-            registrations.gone.push_back(event.object.name);
+        changes += describe(event.object.name, known, registrations, now);
         registrations.to = std::max(registrations.to, event.object.version);
-        if (++changes % MaxChangesPerUpdate != 0)
+        if (changes < MaxDeltasPerUpdate)
             continue;
+        changes = 0;
         const std::uint64_t to = registrations.to;
         publish(std::exchange(registrations, {}), now);
         registrations.from = to;
@@ -215,6 +250,29 @@
     publish(std::move(registrations), now);
 }
 
+std::size_t RegistrationsSync::describe(const std::string &id, const KnownEntries &known,
+                                        StoreUpdate::Registrations &registrations,
+                                        SteadyTime now) const
+{
+    const Registration *entry = m_context.directory.find(id);
+    if (!entry) {
+        registrations.gone.push_back(id);
+        return DeltasPerEntry;
+    }
+    const auto before = known.find(id);
+    RegistrationDelta after = deltaOf(*entry);
+    if (before == known.end() || before->second.rest != after.rest) {
+        registrations.changed.push_back(*entry);
+        return DeltasPerEntry;
+    }
+    // A heartbeat renews an entry without changing it. Routers need it only while they decide by
+    // the revisions of entries which of them are retained.
+    if (isRenewal(before->second, after) && m_retention.timeLeft(now).count() == 0)
+        return 0;
+    registrations.deltas.push_back(std::move(after));
+    return 1;
+}
+
 void RegistrationsSync::publishRemoved(const std::vector<std::string> &gone, std::uint64_t revision,
                                        SteadyTime now)
 {
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -68,9 +68,24 @@
 /// some peer each second.
 constexpr std::uint64_t RoundsPerRepeatInLargeFleet = 4;
 
+/// Endpoints in one state message, so that it fits into a datagram; those with the least load are
+/// left out.
+constexpr std::size_t MaxLoadsPerMessage = 60;
+
 /// Datagrams up to this size are not fragmented on an Ethernet link.
 constexpr std::size_t MaxDatagramBytes = 1400;
 
+void keepHighestLoads(std::vector<PeerMessage::Load> &loads)
+{
+    if (loads.size() <= MaxLoadsPerMessage)
+        return;
+    std::nth_element(loads.begin(), loads.begin() + MaxLoadsPerMessage, loads.end(),
+                     [](const PeerMessage::Load &first, const PeerMessage::Load &second) {
+                         return first.load.openRequests > second.load.openRequests;
+                     });
+    loads.resize(MaxLoadsPerMessage);
+}
+
 } // namespace
 
 PeerExchange::PeerExchange(ForwardingContext &context, AsyncStore &store, TrafficSums &traffic,
@@ -127,7 +142,9 @@
     update.incarnation = m_incarnation;
     update.sequence = ++m_sequence;
     update.configuration = table ? table->version() : 0;
-    update.weights = describeWeights(now);
+    // The state messages of all routers repeat the versions; updates tell them when one changed.
+    if (!registrations)
+        update.weights = describeWeights(now);
     update.loading = describeLoading(now);
     update.registrations = std::move(registrations);
     forwardToChildren(update.origin, encodeStoreUpdate(update));
@@ -449,6 +466,7 @@
         if (load.openRequests >= 0.1 || load.pendingPrefillTokens >= 1)
             message.loads.push_back({shortHash(id), load});
     }
+    keepHighestLoads(message.loads);
     return message;
 }
 
--- a/src/peers/peermessagekind.cpp
+++ b/src/peers/peermessagekind.cpp
@@ -73,7 +73,7 @@
     switch (peekLayout(bytes).value_or(0)) {
     case 3:
         return PeerMessageKind::State;
-    case 102:
+    case 103:
         return PeerMessageKind::StoreUpdate;
     case 201:
         return PeerMessageKind::Placement;
--- a/src/peers/storeupdate.cpp
+++ b/src/peers/storeupdate.cpp
@@ -11,9 +11,10 @@
 
 using nlohmann::json;
 
-/// Layout version of store updates. It differs from those of the other peer messages, so that the
+/// Layout version of store updates. Routers that ignore another layout read the store themselves,
+/// so releases can run together. It differs from those of the other peer messages, so that the
 /// receiver can tell them apart.
-constexpr std::uint32_t LayoutVersion = 102;
+constexpr std::uint32_t LayoutVersion = 103;
 
 json encodeModels(const std::vector<ServedModel> &models)
 {
@@ -46,6 +47,24 @@
     return entry;
 }
 
+/// Revisions are sent as differences from the first one of the update, which takes fewer bytes.
+json encodeDelta(const RegistrationDelta &delta, std::uint64_t from)
+{
+    return json::array({delta.endpoint, delta.rest, delta.draining, delta.versions,
+                        static_cast<std::int64_t>(delta.revision - from)});
+}
+
+RegistrationDelta decodeDelta(const json &fields, std::uint64_t from)
+{
+    RegistrationDelta delta;
+    delta.endpoint = fields.at(0).get<std::uint32_t>();
+    delta.rest = fields.at(1).get<std::uint32_t>();
+    delta.draining = fields.at(2).get<bool>();
+    delta.versions = fields.at(3).get<std::vector<std::uint64_t>>();
+    delta.revision = from + static_cast<std::uint64_t>(fields.at(4).get<std::int64_t>());
+    return delta;
+}
+
 json encodeRegistrations(const std::optional<StoreUpdate::Registrations> &registrations)
 {
     if (!registrations)
@@ -53,9 +72,12 @@
     json changed = json::array();
     for (const Registration &entry : registrations->changed)
         changed.push_back(encodeRegistration(entry));
+    json deltas = json::array();
+    for (const RegistrationDelta &delta : registrations->deltas)
+        deltas.push_back(encodeDelta(delta, registrations->from));
     return json::array({registrations->from, registrations->to, std::move(changed),
                         registrations->gone, registrations->retention.count(),
-                        registrations->answeringFor.count()});
+                        registrations->answeringFor.count(), std::move(deltas)});
 }
 
 std::optional<StoreUpdate::Registrations> decodeRegistrations(const json &fields)
@@ -70,6 +92,8 @@
     registrations.gone = fields.at(3).get<std::vector<std::string>>();
     registrations.retention = std::chrono::milliseconds(fields.at(4).get<std::int64_t>());
     registrations.answeringFor = std::chrono::milliseconds(fields.at(5).get<std::int64_t>());
+    for (const json &delta : fields.at(6))
+        registrations.deltas.push_back(decodeDelta(delta, registrations.from));
     return registrations;
 }
 
--- a/tests/support/scriptedstore.cpp
+++ b/tests/support/scriptedstore.cpp
@@ -30,6 +30,12 @@
     m_history.push_back({kind, {{name, "", ++m_revision}, true}});
 }
 
+std::size_t ScriptedStore::lists(ObjectKind kind) const
+{
+    const auto found = m_lists.find(kind);
+    return found == m_lists.end() ? 0 : found->second;
+}
+
 std::size_t ScriptedStore::watches(ObjectKind kind) const
 {
     const auto found = m_watches.find(kind);
@@ -52,6 +58,7 @@
 
 AsyncStore::Awaitable<ListResult> ScriptedStore::list(ObjectKind kind, Freshness, SteadyTime)
 {
+    ++m_lists[kind];
     if (!m_isAvailable)
         co_return Unavailable{"down"};
     ObjectList list;
--- a/tests/support/scriptedstore.h
+++ b/tests/support/scriptedstore.h
@@ -41,6 +41,9 @@
     /// Calls of `read` so far.
     std::size_t reads() const { return m_reads; }
 
+    /// Lists of the kind that were requested so far.
+    std::size_t lists(ObjectKind kind) const;
+
     /// Watches of the kind that have begun so far.
     std::size_t watches(ObjectKind kind) const;
 
@@ -68,6 +71,7 @@
     std::map<ObjectKind, std::chrono::milliseconds> m_delays;
     std::map<ObjectKind, std::size_t> m_cuts;
     std::map<ObjectKind, std::size_t> m_silenced;
+    std::map<ObjectKind, std::size_t> m_lists;
     std::map<ObjectKind, std::size_t> m_watches;
     std::size_t m_reads = 0;
     std::uint64_t m_revision = 1;
--- a/tests/unit-listrequests.cpp
+++ b/tests/unit-listrequests.cpp
@@ -52,6 +52,22 @@
     EXPECT_FALSE(requests.isPending());
 }
 
+// Guards against routers that, when their first lists fail because all of them start at once, ask
+// the store for current lists only, which cost it most.
+TEST(ListRequests, EveryOtherListAfterAFailureIsStaleUnlessItMustBeCurrent)
+{
+    ListRequests requests(Freshness::MayBeStale);
+    requests.fail();
+    EXPECT_EQ(requests.begin().freshness, Freshness::Current);
+    requests.fail();
+    EXPECT_EQ(requests.begin().freshness, Freshness::MayBeStale);
+    requests.request();
+    requests.fail();
+    EXPECT_EQ(requests.begin().freshness, Freshness::Current);
+    requests.fail();
+    EXPECT_EQ(requests.begin().freshness, Freshness::Current);
+}
+
 TEST(ListRequests, AStaleListIsNotUsedForACurrentRequest)
 {
     ListRequests requests(Freshness::MayBeStale);
--- a/tests/unit-storestateorder.cpp
+++ b/tests/unit-storestateorder.cpp
@@ -132,9 +132,9 @@
     bool wasPublishedAsDraining(const std::string &id) const
     {
         return std::any_of(published.begin(), published.end(), [&](const auto &update) {
-            return std::any_of(
-                    update.changed.begin(), update.changed.end(),
-                    [&](const Registration &entry) { return entry.id == id && entry.draining; });
+            return std::any_of(update.deltas.begin(), update.deltas.end(), [&](const auto &delta) {
+                return delta.endpoint == shortHash(id) && delta.draining;
+            });
         });
     }
 
@@ -294,6 +294,58 @@
     EXPECT_EQ(configurationInForce(), 8U);
 }
 
+// Guards against a fleet in which each heartbeat of each endpoint is sent to all routers.
+TEST_F(StoreOrderTest, HeartbeatsThatChangeNothingAreNotBroadcast)
+{
+    store.write(ObjectKind::Registrations, "desk-1", heartbeat(1));
+    start(true);
+    published.clear();
+    store.write(ObjectKind::Registrations, "desk-1", heartbeat(2));
+    loop.run_for(TimeToHear);
+    ASSERT_FALSE(published.empty());
+    EXPECT_EQ(published.back().to, store.revision());
+    for (const auto &update : published)
+        EXPECT_TRUE(update.changed.empty() && update.deltas.empty() && update.gone.empty());
+    store.write(ObjectKind::Registrations, "desk-1", heartbeat(3, true));
+    loop.run_for(TimeToHear);
+    EXPECT_TRUE(wasPublishedAsDraining("desk-1"));
+}
+
+// Guards against a router that lists all endpoints again for each lost update.
+TEST_F(StoreOrderTest, ALostUpdateIsMadeGoodByTheChangesThatItCarried)
+{
+    store.write(ObjectKind::Registrations, "desk-1", heartbeat(1));
+    start(false);
+    const std::size_t lists = store.lists(ObjectKind::Registrations);
+    store.write(ObjectKind::Registrations, "desk-2", heartbeat(1));
+    const std::uint64_t lost = store.revision();
+    store.write(ObjectKind::Registrations, "desk-1", heartbeat(2, true));
+    StoreUpdate update;
+    update.origin = "another-reader";
+    update.registrations = StoreUpdate::Registrations{lost, store.revision(), {}, {}};
+    sync->learn(update);
+    loop.run_for(TimeToHear);
+    EXPECT_NE(context->directory.find("desk-2"), nullptr);
+    EXPECT_TRUE(context->directory.find("desk-1")->draining);
+    EXPECT_EQ(store.lists(ObjectKind::Registrations), lists);
+}
+
+// Guards against a change that is dropped because the router never got the entry that it is of.
+TEST_F(StoreOrderTest, AChangeOfAnUnknownEntryIsReadFromTheStore)
+{
+    start(false);
+    const std::uint64_t known = context->directory.revision();
+    store.write(ObjectKind::Registrations, "desk-1", heartbeat(1));
+    StoreUpdate update;
+    update.origin = "another-reader";
+    update.registrations = StoreUpdate::Registrations{known, store.revision(), {}, {}};
+    update.registrations->deltas = {{shortHash("desk-1"), 7, true, {}, store.revision()}};
+    sync->learn(update);
+    loop.run_for(TimeToHear);
+    ASSERT_NE(context->directory.find("desk-1"), nullptr);
+    EXPECT_FALSE(context->directory.find("desk-1")->draining);
+}
+
 // Guards against a change that comes into force too late when the answers to all readers are lost.
 TEST_F(StoreOrderTest, AChangeWhoseAnswerIsLostIsInForceWithinTheDeadline)
 {
--- a/tests/unit-storeupdate.cpp
+++ b/tests/unit-storeupdate.cpp
@@ -138,4 +138,29 @@
     (void)decodeStoreUpdate(bytes);
 }
 
+// Guards against a receiver that takes over the wrong versions, or those of another entry.
+TEST(StoreUpdate, ADeltaMakesTheNewEntryOfTheKnownOne)
+{
+    Registration before{"desk-1", milliseconds(1700000000000), "desk", "127.0.0.1:8000", "dc-1", 12,
+                        false,    {{"a", 1}, {"b", 2}}};
+    Registration after = before;
+    after.models[1].weightsVersion = 3;
+    after.draining = true;
+    after.revision = 9;
+    StoreUpdate update;
+    update.registrations.emplace().deltas.push_back(deltaOf(after));
+    const auto decoded = decodeStoreUpdate(encodeStoreUpdate(update));
+    ASSERT_TRUE(decoded && decoded->registrations && decoded->registrations->deltas.size() == 1);
+    const RegistrationDelta &delta = decoded->registrations->deltas.front();
+    const auto learnt = applyDelta(delta, before);
+    ASSERT_TRUE(learnt);
+    EXPECT_EQ(learnt->models[1].weightsVersion, 3);
+    EXPECT_TRUE(learnt->draining);
+    EXPECT_EQ(learnt->revision, 9);
+    EXPECT_FALSE(isRenewal(deltaOf(before), delta));
+    Registration restarted = before;
+    restarted.startedAt += milliseconds(1);
+    EXPECT_FALSE(applyDelta(delta, restarted));
+}
+
 } // namespace almondmill::test
--- a/tests/unit-storewatcher.cpp
+++ b/tests/unit-storewatcher.cpp
@@ -3,6 +3,7 @@
 
 #include "almondmill/directory/storeoutage.h"
 #include "almondmill/directory/storewatcher.h"
+#include "almondmill/http/asyncsleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -56,6 +57,28 @@
     }
 };
 
+/// A store that takes longer for a list than the first timeout.
+class SlowStore : public ListedStore
+{
+public:
+    explicit SlowStore(boost::asio::io_context &loop)
+        : m_loop(loop)
+    {}
+
+    Awaitable<ListResult> list(ObjectKind kind, Freshness freshness, SteadyTime deadline) override
+    {
+        constexpr milliseconds AnswerTime{1200};
+        const auto left = deadline - std::chrono::steady_clock::now();
+        co_await sleepFor(m_loop, std::min(std::chrono::ceil<milliseconds>(left), AnswerTime));
+        if (left < AnswerTime)
+            co_return Unavailable{"timeout"};
+        co_return co_await ListedStore::list(kind, freshness, deadline);
+    }
+
+private:
+    boost::asio::io_context &m_loop;
+};
+
 class StoreWatcherTest : public testing::Test
 {
 protected:
@@ -138,6 +161,22 @@
     EXPECT_EQ(answeredLists, Watchers);
 }
 
+// Guards against a router that never serves after a restart of the whole fleet, because the store
+// takes longer for each list than the timeout, and is asked for it anew each time.
+TEST_F(StoreWatcherTest, AFirstListThatIsSlowIsWaitedForLonger)
+{
+    SlowStore slow(loop);
+    std::size_t answeredLists = 0;
+    StoreWatcher::Handlers handlers;
+    handlers.listed = [&](const ObjectList &, SteadyTime) { ++answeredLists; };
+    StoreWatcher late(loop, slow, options(), handlers);
+    boost::asio::co_spawn(loop, late.run([] { return false; }), boost::asio::detached);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (answeredLists == 0 && std::chrono::steady_clock::now() < end)
+        loop.run_one_for(milliseconds(50));
+    EXPECT_EQ(answeredLists, 1U);
+}
+
 TEST_F(StoreWatcherTest, AListOnRequestIsCurrent)
 {
     watcher.refresh();
