Tests of a router's memory under callers that exhaust it

Nothing bounds the sum of what a router holds for its callers: each body is bounded, unfinished answers together are, but many bodies at once are not.

The stand-in of an endpoint accepts bodies of any size; its library's default of 1 MB rejected what the routers forward.

--- a/standins/httpconnection.cpp
+++ b/standins/httpconnection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -23,10 +24,13 @@
 
 asio::awaitable<bool> HttpConnection::read(HttpRequest &request)
 {
-    request = {};
+    // The routers limit the bodies that they forward.
+    boost::beast::http::request_parser<HttpRequest::body_type> parser;
+    parser.body_limit(boost::none);
     ErrorCode error;
-    co_await boost::beast::http::async_read(m_socket, m_input, request,
+    co_await boost::beast::http::async_read(m_socket, m_input, parser,
                                             asio::redirect_error(asio::use_awaitable, error));
+    request = parser.release();
     co_return !error;
 }
 
--- /dev/null
+++ b/tests/support/forwardingprocess.cpp
@@ -0,0 +1,119 @@
+#include "support/forwardingprocess.h"
+
+#include "soak/siteconfiguration.h"
+#include "support/loopback.h"
+#include "support/waituntil.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <fstream>
+
+namespace almondmill::test {
+
+namespace {
+
+constexpr const char *Key = "k1";
+constexpr std::uint32_t EndpointSlots = 64;
+constexpr std::chrono::seconds AnswerTimeout{60};
+constexpr int InvalidSettingsExitCode = 2;
+
+standin::rietwerk::EndpointPlan endpointPlan()
+{
+    standin::rietwerk::EndpointPlan plan;
+    plan.id = "desk-1";
+    plan.service = "desk";
+    plan.dataCentre = "dc-1";
+    plan.listen = nextLoopbackAddress() + ":9000";
+    plan.slots = EndpointSlots;
+    plan.work = std::chrono::milliseconds(0);
+    return plan;
+}
+
+} // namespace
+
+class ForwardingProcess::Observer : public standin::rietwerk::EndpointObserver
+{
+public:
+    void requestBegan(const standin::rietwerk::EndpointPlan &, const standin::HttpRequest &,
+                      std::uint64_t) override
+    {}
+    void orderTaken(const standin::rietwerk::EndpointPlan &,
+                    const standin::rietwerk::TakenOrder &) override
+    {}
+};
+
+ForwardingProcess::ForwardingProcess(const Limits &limits)
+    : m_limits(limits)
+    , m_address(nextLoopbackAddress())
+    , m_settingsFile("/tmp/almondmill-test-" + m_address + ".toml")
+    , m_store(m_loop, nextLoopbackAddress() + ":8200")
+    , m_observer(std::make_unique<Observer>())
+    , m_work(m_loop.get_executor())
+{
+    soak::SiteConfiguration configuration;
+    configuration.version = 1;
+    configuration.keys = {Key};
+    m_store.store().put("config", "main", nlohmann::json::parse(configuration.encode()),
+                        std::chrono::steady_clock::now());
+    m_endpoint = std::make_unique<standin::rietwerk::RegisteredEndpoint>(
+            m_loop, endpointPlan(), m_store.address(), *m_observer);
+    m_thread = std::thread([this] { m_loop.run(); });
+    start(true);
+}
+
+ForwardingProcess::~ForwardingProcess()
+{
+    m_process.reset();
+    m_loop.stop();
+    m_thread.join();
+    std::remove(m_settingsFile.c_str());
+}
+
+void ForwardingProcess::start(bool withMemoryLimit)
+{
+    std::ofstream out(m_settingsFile);
+    out << "name = \"router-1\"\ndata_centre = \"dc-1\"\n[forwarding]\nadapter = \"rietwerk\"\n"
+        << "store = \"" << m_store.address() << "\"\n"
+        << "callers_listen = \"" << m_address << ":8100\"\n"
+        << "ready_listen = \"" << m_address << ":8101\"\n"
+        << "peers_listen = \"" << m_address << ":8103\"\n"
+        << "max_descriptors = " << m_limits.descriptors << "\n";
+    if (withMemoryLimit)
+        out << "max_memory = " << m_limits.memoryMb << "\n";
+    out.close();
+    m_process = std::make_unique<ChildProcess>(
+            "almondmilld", std::vector<std::string>{"--config", m_settingsFile}, "/dev/null");
+}
+
+bool ForwardingProcess::waitUntilServing()
+{
+    return waitUntil([&] {
+        // A router without the setting rejects the file. It is started without it, so that the
+        // bounds of the tests show what such a router takes.
+        if (m_process->hasEnded() && m_process->exitCode() == InvalidSettingsExitCode)
+            start(false);
+        return request() == 200;
+    });
+}
+
+int ForwardingProcess::request(std::size_t bodyBytes) const
+{
+    httplib::Client client(callersUrl());
+    client.set_read_timeout(AnswerTimeout);
+    const httplib::Headers headers{{"Host", soak::SoakHost},
+                                   {"Request-Id", "ordinary"},
+                                   {"Authorization", std::string("Bearer ") + Key}};
+    const auto result =
+            client.Post("/any/ordinary", headers, std::string(bodyBytes, 'o'), "text/plain");
+    return result ? result->status : 0;
+}
+
+std::string ForwardingProcess::headStart()
+{
+    return std::string("POST /any/abuse HTTP/1.1\r\nHost: ") + soak::SoakHost
+           + "\r\nRequest-Id: abuse\r\nAuthorization: Bearer " + Key + "\r\n";
+}
+
+} // namespace almondmill::test
--- /dev/null
+++ b/tests/support/forwardingprocess.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "support/childprocess.h"
+
+#include "standins/rietwerk/endpointobserver.h"
+#include "standins/rietwerk/metadataserver.h"
+#include "standins/rietwerk/registeredendpoint.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace almondmill::test {
+
+/// A forwarding router in a process of its own, before stand-ins of the metadata store and of one
+/// endpoint, which run in this process.
+class ForwardingProcess
+{
+public:
+    struct Limits
+    {
+        std::uint32_t memoryMb = 0;
+        std::uint32_t descriptors = 0;
+    };
+
+    explicit ForwardingProcess(const Limits &limits);
+    ~ForwardingProcess();
+    ForwardingProcess(const ForwardingProcess &) = delete;
+    ForwardingProcess &operator=(const ForwardingProcess &) = delete;
+
+    std::string callersUrl() const { return "http://" + m_address + ":8100"; }
+    ChildProcess &process() { return *m_process; }
+
+    /// Blocks until a request is answered. Returns false after the limit of `waitUntil`.
+    bool waitUntilServing();
+
+    /// Sends a request with a body of that size on a new connection; returns the status of the
+    /// answer, or zero without one.
+    int request(std::size_t bodyBytes = 2) const;
+
+    /// Head of a request for a repeatable operation, up to and including the line of its key.
+    static std::string headStart();
+
+private:
+    class Observer;
+
+    void start(bool withMemoryLimit);
+
+    Limits m_limits;
+    std::string m_address;
+    std::string m_settingsFile;
+    boost::asio::io_context m_loop;
+    standin::rietwerk::MetadataServer m_store;
+    std::unique_ptr<Observer> m_observer;
+    std::unique_ptr<standin::rietwerk::RegisteredEndpoint> m_endpoint;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    std::thread m_thread;
+    std::unique_ptr<ChildProcess> m_process;
+};
+
+} // namespace almondmill::test
