--- a/include/almondmill/config/settings.h
+++ b/include/almondmill/config/settings.h
@@ -3,6 +3,7 @@
 #include "almondmill/kernel/log.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -27,6 +28,13 @@
     std::uint32_t maxRequests = 900;    ///< Maximum concurrent requests; more are refused.
     std::uint32_t callerThreads = 1000; ///< One per connection; exceeds `maxRequests`.
 
+    /// Memory limit of the VM in MB; bounds what is held for callers. Without it (0) only the
+    /// number of requests and the size of each are bounded.
+    std::uint32_t maxMemoryMb = 0;
+
+    /// Memory that may be held for callers, in bytes.
+    std::size_t memoryForCallers() const;
+
     std::uint32_t queueRequests = 200; ///< Queue length for each model and priority.
 
     std::chrono::milliseconds platformTimeout{1000};
--- a/include/almondmill/forward/callerlistener.h
+++ b/include/almondmill/forward/callerlistener.h
@@ -36,8 +36,9 @@
 private:
     using Sessions = std::list<std::weak_ptr<CallerSession>>;
 
-    /// Number of connections that fit into the process's file descriptor limit.
-    std::size_t maxSessions() const;
+    /// Closes, of the address with most connections that wait for a complete request, the one that
+    /// has waited longest. Returns false when none waits.
+    bool closeLongestWaiting();
 
     boost::asio::awaitable<void> accept();
     void serveUnlessFull(boost::asio::ip::tcp::socket socket);
--- a/include/almondmill/forward/callerrequest.h
+++ b/include/almondmill/forward/callerrequest.h
@@ -25,6 +25,9 @@
     std::string body;
     bool acceptsChunks = true; ///< The caller can read chunked transfer encoding.
 
+    /// Memory that the request takes.
+    std::size_t capacity() const;
+
     /// The target without its query string.
     std::string_view path() const;
 };
--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/forward/callerrequest.h"
+#include "almondmill/http/memoryreservation.h"
 #include "almondmill/http/messageparser.h"
 #include "almondmill/kernel/time.h"
 
@@ -35,9 +36,9 @@
     /// Serves the connection until it is closed.
     Awaitable<void> run();
 
-    /// Sends bytes of the answer; returns false when the caller has disconnected or did not accept
-    /// them in time.
-    Awaitable<bool> send(std::string_view bytes);
+    /// Sends bytes of the answer, `head` and then `body`; returns false when the caller has
+    /// disconnected or did not accept them in time.
+    Awaitable<bool> send(std::string_view head, std::string_view body = {});
 
     /// Sends an answer of the router itself; only its head when the request asks for the head.
     Awaitable<bool> sendOwnAnswer(const CallerRequest &request, unsigned status,
@@ -63,16 +64,36 @@
     /// Closes the connection if no request is in flight.
     void closeIfIdle();
 
+    /// Address of the caller, without its port.
+    const std::string &callerAddress() const { return m_callerAddress; }
+
+    /// Since when the connection has waited for a complete request; SteadyTime::max() while a
+    /// request is served or bytes of one have arrived that were not read yet.
+    SteadyTime waitingSince() const;
+
     /// Records a request that is in flight as unanswered, before the process ends.
     void recordUnfinished() const;
 
 private:
+    CallerSession(ForwardingContext &context, RequestForwarder &forwarder,
+                  boost::asio::ip::tcp::socket socket, std::string callerAddress);
+
     enum class Next { Serve, Close };
 
     Awaitable<bool> serve(CallerRequest &request);
     Awaitable<Next> readRequest(CallerRequest &request);
+    Awaitable<Next> readRequest(RequestParser &parser, CallerRequest &request);
+    Awaitable<boost::system::error_code> readWholeBody(RequestParser &parser);
+    /// Tells a caller whose memory was needed for others, and whose request was not forwarded.
+    Awaitable<Next> refuseEvicted();
+    /// Records the memory that is held for a request that is being read, and for one to be served.
+    void recordReadBytes(RequestParser &parser);
+    void recordServedBytes(const CallerRequest &request);
+    std::string originOf(const std::string &apiKey) const;
+    void onEviction();
     SteadyTime closeIfIdleTooLong(SteadyTime idleSince);
-    Awaitable<Next> refuse(unsigned status, std::string_view text);
+    Awaitable<Next> refuse(unsigned status, std::string_view text,
+                           std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
     Awaitable<Next> readBody(RequestParser &parser, const CallerBounds &bounds);
     CallerBounds bounds() const;
     void recordUnanswered(std::string_view cause) const;
@@ -80,8 +101,14 @@
     ForwardingContext &m_context;
     RequestForwarder &m_forwarder;
     std::shared_ptr<TimedSocket> m_socket;
-    std::string m_requestId;       ///< Of the request in flight; it was read whole.
-    std::size_t m_answerBytes = 0; ///< Sent to the caller for that request.
+    std::string m_callerAddress;
+    MemoryReservation m_memory;
+    RequestParser *m_parser = nullptr; ///< While a request is being read.
+    std::size_t m_requestBytes = 0;    ///< Memory of the request being served.
+    SteadyTime m_waitingSince;
+    std::function<void()> m_onDisconnect; ///< While a request is served.
+    std::string m_requestId;              ///< Of the request in flight; it was read whole.
+    std::size_t m_answerBytes = 0;        ///< Sent to the caller for that request.
     bool m_isServing = false;
     bool m_sendFailed = false;
     bool m_idle = true;
--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -16,9 +16,9 @@
 
 namespace almondmill {
 
-class AnswerMemory;
-class AnswerReservation;
 class EndpointView;
+class HeldMemory;
+class MemoryReservation;
 class TimedSocket;
 class WireCodec;
 struct CallerRequest;
@@ -85,9 +85,9 @@
     /// an answer to HEAD, the one that the endpoint stated.
     std::optional<std::size_t> relayedLength();
 
-    /// Counts the answer to the request in the memory that all unfinished answers share. When that
-    /// is exceeded, the pending or the next operation returns `ConnectionBroken`.
-    void limitMemory(std::shared_ptr<AnswerMemory> memory, const std::string &requestId);
+    /// Counts the answer to the request in the memory that the process holds. When it is evicted,
+    /// the pending or the next operation returns `ConnectionBroken`.
+    void limitMemory(std::shared_ptr<HeldMemory> memory, const std::string &requestId);
 
     /// Records the bytes of the answer that were taken from `body` and are still held, because a
     /// piece of the answer is incomplete.
@@ -134,7 +134,7 @@
     std::shared_ptr<TimedSocket> m_socket;
     std::optional<AnswerParser> m_parser;
     AnswerMetadata m_metadata;
-    std::unique_ptr<AnswerReservation> m_reservation; ///< Null without a limit of memory.
+    std::unique_ptr<MemoryReservation> m_reservation; ///< Null without a limit of memory.
     std::size_t m_heldBytes = 0;
     std::function<void()> m_onSilence;
     GrowingInterval m_silenceChecks;
--- a/include/almondmill/forward/forwardersettings.h
+++ b/include/almondmill/forward/forwardersettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -19,6 +20,16 @@
     std::string peersListen;     ///< "IP:port" (UDP) for messages from other routers.
     std::uint32_t maxDescriptors = 1024; ///< File descriptor limit; bounds caller connections.
 
+    /// Memory limit of the VM in MB; bounds what is held for callers and endpoints. Without it (0)
+    /// only unfinished answers are bounded.
+    std::uint32_t maxMemoryMb = 0;
+
+    /// Number of caller connections that fit into the limit of descriptors.
+    std::size_t maxSessions() const;
+
+    /// Memory that may be held for callers and endpoints, in bytes.
+    std::size_t memoryForCallers() const;
+
     /// Longest time from the store's acknowledgement of a configuration until it is in force.
     std::chrono::milliseconds configurationDeadline{2000};
 
--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -30,7 +30,7 @@
 
 namespace almondmill {
 
-class AnswerMemory;
+class HeldMemory;
 class PlatformAdapter;
 
 /// State shared by the components of a forwarding router. Only the routing table and the metrics
@@ -51,7 +51,7 @@
     RcuCell<RoutingTable> table; ///< Null until the first configuration is in force.
     EndpointViews endpoints;
     EndpointDirectory directory;
-    const std::shared_ptr<AnswerMemory> answerMemory;
+    const std::shared_ptr<HeldMemory> heldMemory;
     RateLimits rateLimits;
     WeightsTargets weights;
     PeerViews peers;
--- a/include/almondmill/http/httphead.h
+++ b/include/almondmill/http/httphead.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +31,9 @@
     void add(std::string_view name, std::string_view value);
     void clear() { m_fields.clear(); }
 
+    /// Memory that the fields take.
+    std::size_t capacity() const;
+
 private:
     std::vector<HttpField> m_fields;
 };
--- a/include/almondmill/http/messageparser.h
+++ b/include/almondmill/http/messageparser.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
 #include <string>
 
 namespace almondmill {
@@ -67,11 +68,23 @@
     }
 
     void on_header_impl(ErrorCode &) override { m_isHeadComplete = true; }
-    void on_body_init_impl(const BodyLength &, ErrorCode &) override {}
+    void on_body_init_impl(const BodyLength &length, ErrorCode &) override
+    {
+        m_bodyBytes = length.value_or(0);
+    }
 
-    std::size_t on_body_impl(View bytes, ErrorCode &) override
+    /// Appends to the body. Its last growth reserves what the announced length needs and no more.
+    void append(View bytes)
     {
+        const std::size_t needed = m_body.size() + bytes.size();
+        if (needed > m_body.capacity() && m_bodyBytes <= 2 * m_body.capacity())
+            m_body.reserve(std::max<std::size_t>(needed, m_bodyBytes));
         m_body.append(bytes.data(), bytes.size());
+    }
+
+    std::size_t on_body_impl(View bytes, ErrorCode &) override
+    {
+        append(bytes);
         return bytes.size();
     }
 
@@ -79,7 +92,7 @@
 
     std::size_t on_chunk_body_impl(std::uint64_t, View bytes, ErrorCode &) override
     {
-        m_body.append(bytes.data(), bytes.size());
+        append(bytes);
         return bytes.size();
     }
 
@@ -91,6 +104,7 @@
     HttpHead m_head;
     std::string m_body;
     bool m_isHeadComplete = false;
+    std::uint64_t m_bodyBytes = 0; ///< Announced; zero if unknown.
     std::size_t m_trailerBytes = 0;
 };
 
--- a/include/almondmill/http/messagereader.h
+++ b/include/almondmill/http/messagereader.h
@@ -101,7 +101,8 @@
     /// Passes the input to the parser once. Returns false if the parser needs more bytes or fails.
     bool put(ErrorCode &error)
     {
-        const std::size_t used = m_parser.put(boost::asio::buffer(m_socket.input()), error);
+        const std::size_t used = m_parser.put(
+                boost::asio::buffer(m_socket.input().data(), m_socket.input().size()), error);
         m_socket.consume(used);
         if (error == boost::beast::http::error::need_more) {
             error = {};
--- a/include/almondmill/http/timedsocket.h
+++ b/include/almondmill/http/timedsocket.h
@@ -46,8 +46,19 @@
     PeekResult peek();
 
     /// Bytes that have been received and not yet consumed.
-    const std::string &input() const { return m_input; }
-    void consume(std::size_t bytes) { m_input.erase(0, bytes); }
+    std::string_view input() const { return std::string_view(m_input).substr(m_consumed); }
+    void consume(std::size_t bytes);
+
+    /// Memory that the input takes.
+    std::size_t inputCapacity() const { return m_input.capacity(); }
+
+    /// Sets a function that is called after each read that has received bytes.
+    void onInput(std::function<void()> callback) { m_onInput = std::move(callback); }
+
+    /// Ends a pending `readSome` and fails all others with `operation_aborted`, until
+    /// `resumeReading`. Drops the bytes that were received.
+    void stopReading();
+    void resumeReading() { m_isReadingStopped = false; }
 
     /// Closes the connection at `deadline`. Each call replaces the previous deadline.
     void setDeadline(SteadyTime deadline);
@@ -70,7 +81,8 @@
     /// Appends received bytes to the input. The error is `eof` when the peer has closed its sending
     /// side in order; after a failure of the connection, such as a reset, it is never `eof`.
     boost::asio::awaitable<ErrorCode> readSome();
-    boost::asio::awaitable<ErrorCode> write(std::string_view bytes);
+    /// Writes `bytes` and then `more`.
+    boost::asio::awaitable<ErrorCode> write(std::string_view bytes, std::string_view more = {});
 
     /// Calls `callback` once if the peer closes its sending side before `stopWatching`.
     void watchForClose(std::function<void()> callback);
@@ -94,6 +106,7 @@
 
 private:
     void recordError(const ErrorCode &error);
+    void append(const char *bytes, std::size_t count);
     void drainInput();
     void arm();
     void armIfNeeded();
@@ -110,6 +123,9 @@
     StallCheck m_stallCheck;
     CloseReason m_closeReason = CloseReason::None;
     std::string m_input;
+    std::size_t m_consumed = 0; ///< Bytes at the start of `m_input` that were consumed.
+    std::function<void()> m_onInput;
+    bool m_isReadingStopped = false;
     ErrorCode m_failure; ///< First failure of the connection that an operation reported.
     std::function<void()> m_onClose;
     std::uint64_t m_watchGeneration = 0;
--- a/include/almondmill/request/callerapicomponent.h
+++ b/include/almondmill/request/callerapicomponent.h
@@ -17,6 +17,7 @@
 class Configuration;
 class Counter;
 class EndpointSet;
+class HeldMemory;
 class RequestHandler;
 struct ClientAccount;
 struct Node;
@@ -62,6 +63,7 @@
     Counter &m_requests;
     std::unique_ptr<RequestHandler> m_modelHandler;
     std::unique_ptr<RequestHandler> m_serviceHandler;
+    std::shared_ptr<HeldMemory> m_memory;
     std::unique_ptr<CallerServer> m_server;
     int m_port = 0;
     std::thread m_thread;
--- a/include/almondmill/request/callerserver.h
+++ b/include/almondmill/request/callerserver.h
@@ -6,10 +6,12 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 
 namespace almondmill {
 
 class CallerStream;
+class HeldMemory;
 
 /// The HTTP library's server with connections that are limited in number, bytes and time, that
 /// detect when the caller disconnects, and that are all served before a graceful shutdown.
@@ -18,8 +20,8 @@
 public:
     /// Serves at most `threads` connections at once. A limited number of further connections get a
     /// response that refuses them. While `draining` is set, every response closes its connection.
-    CallerServer(const CallerLimits &limits, std::size_t threads,
-                 const std::atomic<bool> &draining);
+    CallerServer(const CallerLimits &limits, std::size_t threads, const std::atomic<bool> &draining,
+                 std::shared_ptr<HeldMemory> memory);
 
     /// Number of connections accepted and not yet closed.
     std::uint32_t connections() const { return m_connections; }
@@ -36,6 +38,7 @@
     class Connections;
 
     bool process_and_close_socket(socket_t socket) override;
+    bool serveConnection(socket_t socket);
     bool waitForRequest(const CallerStream &stream) const;
     bool serveRequest(CallerStream &stream, bool last);
     static void prepare(CallerStream &stream, httplib::Request &request);
@@ -43,6 +46,7 @@
     CallerLimits m_limits;
     std::size_t m_threads;
     const std::atomic<bool> &m_draining;
+    std::shared_ptr<HeldMemory> m_memory;
     std::atomic<std::uint32_t> m_connections{0};
 };
 
--- a/include/almondmill/request/callerstream.h
+++ b/include/almondmill/request/callerstream.h
@@ -12,16 +12,19 @@
 
 namespace almondmill {
 
+class HeldMemory;
+class MemoryReservation;
+
 /// A caller's connection as the HTTP library reads and writes it. Limits the bytes and the time of
 /// each request, and detects that the caller disconnected while it waits for the response.
 class CallerStream : public httplib::Stream
 {
 public:
     /// Why reading a request failed.
-    enum class Failure { None, HeadTooLarge, BodyTooLarge, TooSlow, Closed };
+    enum class Failure { None, HeadTooLarge, BodyTooLarge, TooSlow, Closed, Evicted };
 
-    /// Does not own the socket.
-    CallerStream(int socket, const CallerLimits &limits);
+    /// Does not own the socket. What is held for the caller is counted in `memory`.
+    CallerStream(int socket, const CallerLimits &limits, std::shared_ptr<HeldMemory> memory);
     ~CallerStream() override;
 
     /// The connection that the calling thread serves, or null.
@@ -57,6 +60,16 @@
     /// Starts the limits of a request's body. To be called when its headers are read.
     void beginBody(SteadyTime now, std::string contentType);
 
+    /// Counts the request as complete, with the copies of its body that are made to serve it, and
+    /// as that account's. Returns false when there is no memory for it.
+    bool beginServing(const std::string &account);
+
+    /// Counts the answer that is about to be written in place of the copies of the request.
+    void beginAnswer(std::size_t bytes);
+
+    /// Starts to wait for the next request; nothing is held for the previous one any more.
+    void endRequest();
+
     /// Makes the present request the last one on this connection.
     void closeAfterThis() { m_closing = true; }
 
@@ -69,12 +82,16 @@
     void lingeringClose();
 
 private:
+    void onEviction() const;
     ssize_t fill();
     bool fail(Failure failure);
 
     int m_socket;
     CallerLimits m_limits;
     CallerStream *m_previous;
+    std::size_t m_requestBytes = 0; ///< Read of the present request.
+    std::size_t m_countedBytes = 0; ///< Of these, in the ledger.
+    std::unique_ptr<MemoryReservation> m_memory;
     std::array<char, 16384> m_buffer{};
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
--- a/src/almondmilld/main.cpp
+++ b/src/almondmilld/main.cpp
@@ -13,6 +13,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 #include <csignal>
@@ -57,6 +58,15 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+/// Returns large blocks to the system as soon as they are freed. By default the allocator raises
+/// the threshold after the first freed block, and the memory of bodies then stays with the process.
+void returnFreedMemory()
+{
+    constexpr int LargeBlockBytes = 128 << 10;
+    mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
+}
+
 /// Reports not ready, serves for `drainNotice` while the load balancer takes the router out of
 /// rotation, and then waits until all open work is done.
 void drain(Node &node, Components &components)
@@ -111,6 +121,7 @@
 
 int main(int argc, char **argv)
 {
+    returnFreedMemory();
     blockReloadSignal();
     CLI::App app("almondmilld: routes language-model traffic with long shared prompts");
     std::string settingsFile;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -3,6 +3,7 @@
 #include "almondmill/config/tablereader.h"
 #include "almondmill/config/textfile.h"
 #include "almondmill/config/tomltext.h"
+#include "almondmill/http/memorylimits.h"
 #include "almondmill/kernel/inputerror.h"
 
 namespace almondmill {
@@ -12,6 +13,10 @@
 constexpr std::uint32_t MaxBodyBytes = 64U << 20U;
 constexpr std::uint32_t MaxThreads = 20000;
 constexpr std::uint32_t SpareThreads = 50; ///< Left for refusals when all requests are taken.
+constexpr std::uint32_t MaxMemoryMb = 1U << 20U;
+
+/// Memory of a connection's thread: its stack and its buffers.
+constexpr std::size_t BytesPerThread = std::size_t(32) << 10U;
 
 LogLevel readLogLevel(TableReader &reader)
 {
@@ -29,6 +34,20 @@
     return LogLevel::Info;
 }
 
+void readMemory(TableReader &reader, Settings &settings)
+{
+    settings.maxMemoryMb = reader.number("max_memory", settings.maxMemoryMb, 0, MaxMemoryMb);
+    const std::size_t needed = memoryOfLargestRequest(settings.maxBodyBytes);
+    if (settings.memoryForCallers() < needed) {
+        reader.report("config.222", "max_memory",
+                      "too small: a request of max_body_bytes needs " + std::to_string(needed)
+                              + " bytes, and " + std::to_string(settings.maxMemoryMb)
+                              + " MB with caller_threads = "
+                              + std::to_string(settings.callerThreads) + " leave "
+                              + std::to_string(settings.memoryForCallers()));
+    }
+}
+
 void readLimits(TableReader &reader, Settings &settings)
 {
     settings.maxBodyBytes =
@@ -42,6 +61,7 @@
                               + " so that refusals can still be sent, got "
                               + std::to_string(settings.callerThreads));
     }
+    readMemory(reader, settings);
 }
 
 void readTimeouts(TableReader &reader, Settings &settings)
@@ -57,6 +77,11 @@
 
 } // namespace
 
+std::size_t Settings::memoryForCallers() const
+{
+    return almondmill::memoryForCallers(maxMemoryMb, callerThreads, BytesPerThread);
+}
+
 Settings parseSettings(const std::string &text, const std::string &file)
 {
     Findings findings;
--- a/src/forward/callerlistener.cpp
+++ b/src/forward/callerlistener.cpp
@@ -12,7 +12,11 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <algorithm>
+#include <string>
+#include <vector>
 
 namespace almondmill {
 
@@ -20,12 +24,6 @@
 
 namespace {
 
-/// File descriptors reserved for files, the store, peers and the load balancer.
-constexpr std::uint32_t ReservedDescriptors = 300;
-
-/// One for the caller's connection and one for a connection to an endpoint.
-constexpr std::uint32_t DescriptorsPerSession = 2;
-
 /// Delay before accepting again after an error, which is usually a lack of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
@@ -63,7 +61,7 @@
 
 void CallerListener::serveUnlessFull(asio::ip::tcp::socket socket)
 {
-    if (m_sessions.size() >= maxSessions()) {
+    if (m_sessions.size() >= m_context.settings.maxSessions() && !closeLongestWaiting()) {
         EventLine("listener.full").add("sessions", std::uint64_t(m_sessions.size()));
         return; // Destroying the socket closes it, so that the caller tries another router.
     }
@@ -86,10 +84,28 @@
     }
 }
 
-std::size_t CallerListener::maxSessions() const
+bool CallerListener::closeLongestWaiting()
 {
-    const std::uint32_t descriptors = m_context.settings.maxDescriptors;
-    return (descriptors - std::min(descriptors, ReservedDescriptors)) / DescriptorsPerSession;
+    absl::flat_hash_map<std::string, std::vector<std::shared_ptr<CallerSession>>> byAddress;
+    for (const auto &weak : m_sessions) {
+        const auto session = weak.lock();
+        if (session && session->waitingSince() != SteadyTime::max())
+            byAddress[session->callerAddress()].push_back(session);
+    }
+    const auto most = std::max_element(byAddress.begin(), byAddress.end(),
+                                       [](const auto &first, const auto &second) {
+                                           return first.second.size() < second.second.size();
+                                       });
+    if (most == byAddress.end())
+        return false;
+    const auto longest = std::min_element(most->second.begin(), most->second.end(),
+                                          [](const auto &first, const auto &second) {
+                                              return first->waitingSince() < second->waitingSince();
+                                          });
+    EventLine("session.evicted").add("caller", most->first);
+    m_context.metrics.counter("almondmill_connection_evictions_total").add();
+    (*longest)->abort();
+    return true;
 }
 
 asio::awaitable<void> CallerListener::accept()
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -7,8 +7,11 @@
 #include "almondmill/forward/wirecodec.h"
 #include "almondmill/http/messagereader.h"
 #include "almondmill/http/timedsocket.h"
+#include "almondmill/kernel/releasememory.h"
 #include "almondmill/observe/eventline.h"
+#include "almondmill/route/keyedaccount.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace almondmill {
@@ -23,6 +26,10 @@
 constexpr unsigned BodyTooLarge = 413;
 constexpr unsigned HeaderTooLarge = 431;
 constexpr unsigned BadGateway = 502;
+constexpr unsigned ServiceUnavailable = 503;
+
+/// When a caller whose memory was needed for others may come back.
+constexpr milliseconds RetryAfterEviction{1000};
 
 /// A caller that doesn't accept the bytes of one write within this time is disconnected. Longer
 /// than any interruption of a link.
@@ -51,6 +58,13 @@
     return BadRequest;
 }
 
+std::string addressOf(const boost::asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code error;
+    const auto peer = socket.remote_endpoint(error);
+    return error ? std::string() : peer.address().to_string();
+}
+
 bool isParseError(const boost::system::error_code &error)
 {
     static const auto &category =
@@ -63,9 +77,18 @@
 
 CallerSession::CallerSession(ForwardingContext &context, RequestForwarder &forwarder,
                              boost::asio::ip::tcp::socket socket)
+    : CallerSession(context, forwarder, std::move(socket), addressOf(socket))
+{}
+
+CallerSession::CallerSession(ForwardingContext &context, RequestForwarder &forwarder,
+                             boost::asio::ip::tcp::socket socket, std::string callerAddress)
     : m_context(context)
     , m_forwarder(forwarder)
     , m_socket(std::make_shared<TimedSocket>(std::move(socket)))
+    , m_callerAddress(std::move(callerAddress))
+    , m_memory(context.heldMemory, MemoryReservation::Kind::UnfinishedRequest,
+               {m_callerAddress, {}}, [this] { onEviction(); })
+    , m_waitingSince(std::chrono::steady_clock::now())
 {}
 
 CallerSession::~CallerSession() = default;
@@ -84,16 +107,28 @@
             break;
         m_requestId = request.id;
         m_answerBytes = 0;
+        recordServedBytes(request);
+        if (m_memory.isEvicted()) {
+            releaseMemory(request.body);
+            co_await refuseEvicted();
+            break;
+        }
         m_isServing = true;
         isAnswered = co_await serve(request);
         m_isServing = false;
+        m_onDisconnect = nullptr;
+        m_requestBytes = 0;
+        m_memory.resize(0);
         m_socket->stopWatching();
         if (isAnswered && m_endsWithConnection) {
             m_endsWithConnection = false;
             m_socket->setResetOnClose(false);
         }
         if (!isAnswered)
-            recordUnanswered(m_disconnected ? "caller_left" : m_sendFailed ? "send_failed" : "cut");
+            recordUnanswered(m_memory.isEvicted() ? "memory"
+                             : m_disconnected     ? "caller_left"
+                             : m_sendFailed       ? "send_failed"
+                                                  : "cut");
         if (!isAnswered || m_closeAnnounced || m_closeRequested)
             break;
         // A request that comes later might not be finished before the process ends.
@@ -117,7 +152,8 @@
     } catch (const std::exception &error) {
         reason = error.what();
     }
-    m_socket->stopWatching(); // The callback belongs to the request that failed.
+    m_onDisconnect = nullptr; // The callback belongs to the request that failed.
+    m_socket->stopWatching();
     EventLine("request.failed")
             .add("id", request.id)
             .add("reason", reason)
@@ -139,14 +175,17 @@
     co_return co_await send(answer);
 }
 
-CallerSession::Awaitable<bool> CallerSession::send(std::string_view bytes)
+CallerSession::Awaitable<bool> CallerSession::send(std::string_view head, std::string_view body)
 {
+    const std::size_t bytes = head.size() + body.size();
+    m_memory.resize(m_requestBytes + bytes);
     if (m_disconnected)
         co_return false;
     m_socket->setDeadline(std::chrono::steady_clock::now() + SendTimeout);
-    const auto error = co_await m_socket->write(bytes);
+    const auto error = co_await m_socket->write(head, body);
     m_socket->setDeadline(SteadyTime::max());
-    m_answerBytes += error ? 0 : bytes.size();
+    m_memory.resize(m_requestBytes);
+    m_answerBytes += error ? 0 : bytes;
     m_sendFailed = m_sendFailed || error;
     co_return !error;
 }
@@ -170,15 +209,63 @@
 
 void CallerSession::onDisconnect(std::function<void()> callback)
 {
-    m_socket->watchForClose([weak = weak_from_this(), callback = std::move(callback)] {
+    m_onDisconnect = std::move(callback);
+    m_socket->watchForClose([weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self)
             return;
         self->m_disconnected = true;
-        callback();
+        if (self->m_onDisconnect)
+            self->m_onDisconnect();
     });
 }
 
+void CallerSession::onEviction()
+{
+    if (!m_isServing) {
+        // Freed here and not when this session runs next, as others go on reading until then.
+        if (m_parser)
+            releaseMemory(m_parser->body());
+        m_socket->stopReading();
+        return;
+    }
+    // The request may have been forwarded, and an answer may have begun.
+    m_disconnected = true;
+    m_socket->abort();
+    if (m_onDisconnect)
+        m_onDisconnect();
+}
+
+std::string CallerSession::originOf(const std::string &apiKey) const
+{
+    const auto table = m_context.table.snapshot();
+    const KeyedAccount *account = table ? table->accountOf(apiKey) : nullptr;
+    return account ? account->name : m_callerAddress;
+}
+
+void CallerSession::recordReadBytes(RequestParser &parser)
+{
+    if (m_idle)
+        return; // What the kernel has is counted when it is read.
+    m_memory.resize(m_requestBytes + m_socket->inputCapacity() + parser.body().capacity()
+                    + parser.head().fields.capacity());
+}
+
+void CallerSession::recordServedBytes(const CallerRequest &request)
+{
+    m_requestBytes = request.capacity() + m_socket->inputCapacity();
+    m_memory.resize(m_requestBytes);
+    m_memory.hold(MemoryReservation::Kind::Request, {originOf(request.apiKey), request.id});
+}
+
+SteadyTime CallerSession::waitingSince() const
+{
+    return m_isServing || !m_socket->isOpen() || m_memory.isEvicted()
+                           || (m_idle && m_socket->hasInput())
+                   ? SteadyTime::max()
+                   : m_waitingSince;
+}
+
 void CallerSession::abort()
 {
     m_socket->abort();
@@ -226,6 +313,32 @@
 }
 
 CallerSession::Awaitable<CallerSession::Next> CallerSession::readRequest(CallerRequest &request)
+{
+    RequestParser parser;
+    m_waitingSince = std::chrono::steady_clock::now();
+    m_memory.hold(MemoryReservation::Kind::UnfinishedRequest, {m_callerAddress, {}});
+    m_socket->onInput([this, &parser] { recordReadBytes(parser); });
+    m_parser = &parser;
+    const Next next = co_await readRequest(parser, request);
+    m_parser = nullptr;
+    m_socket->onInput(nullptr);
+    if (!m_memory.isEvicted())
+        co_return next;
+    releaseMemory(parser.body());
+    releaseMemory(request.body);
+    if (m_socket->isOpen())
+        co_await refuseEvicted();
+    co_return Next::Close;
+}
+
+CallerSession::Awaitable<CallerSession::Next> CallerSession::refuseEvicted()
+{
+    m_socket->resumeReading();
+    co_return co_await refuse(ServiceUnavailable, "memory_exhausted", RetryAfterEviction);
+}
+
+CallerSession::Awaitable<CallerSession::Next> CallerSession::readRequest(RequestParser &parser,
+                                                                         CallerRequest &request)
 {
     const CallerBounds limits = bounds();
     const auto now = std::chrono::steady_clock::now;
@@ -239,7 +352,7 @@
             co_return Next::Close;
     }
     m_idle = false;
-    RequestParser parser;
+    recordReadBytes(parser);
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
     MessageReader<true> reader(*m_socket, parser);
@@ -250,7 +363,12 @@
             co_return co_await refuse(statusOf(error), "the header can't be read");
         co_return Next::Close;
     }
+    if (m_memory.isEvicted())
+        co_return Next::Close;
     request = m_context.adapter->codec().decodeRequest(parser.head());
+    m_requestBytes = request.capacity();
+    m_memory.hold(MemoryReservation::Kind::UnfinishedRequest,
+                  {originOf(request.apiKey), request.id});
     m_acceptsChunks = request.acceptsChunks;
     m_closeRequested = !parser.keep_alive();
     if (parser.head().fields.count("Host") != 1)
@@ -275,21 +393,37 @@
             co_return Next::Close;
     }
     m_socket->setDeadline(std::chrono::steady_clock::now() + BodyTimeout);
-    MessageReader<true> reader(*m_socket, parser);
-    const auto error = co_await reader.readBody();
+    const auto error = co_await readWholeBody(parser);
     if (!error)
         co_return Next::Serve;
+    releaseMemory(parser.body()); // Not needed while the refusal is sent.
     if (m_socket->closeReason() == TimedSocket::CloseReason::None && isParseError(error))
         co_return co_await refuse(statusOf(error), "the body can't be read");
     co_return Next::Close;
 }
 
-CallerSession::Awaitable<CallerSession::Next> CallerSession::refuse(unsigned status,
-                                                                    std::string_view text)
+CallerSession::Awaitable<boost::system::error_code>
+CallerSession::readWholeBody(RequestParser &parser)
+{
+    MessageReader<true> reader(*m_socket, parser);
+    while (!parser.is_done()) {
+        const auto error = co_await reader.readBodySome();
+        if (error)
+            co_return error;
+        recordReadBytes(parser);
+        if (m_memory.isEvicted())
+            co_return boost::asio::error::operation_aborted;
+    }
+    co_return boost::system::error_code();
+}
+
+CallerSession::Awaitable<CallerSession::Next>
+CallerSession::refuse(unsigned status, std::string_view text,
+                      std::optional<milliseconds> retryAfter)
 {
     EventLine("request.malformed").add("status", status).add("reason", text);
     const std::string answer =
-            m_context.adapter->codec().encodeOwnAnswer(status, {}, std::nullopt, text, true);
+            m_context.adapter->codec().encodeOwnAnswer(status, {}, retryAfter, text, true);
     co_await send(answer);
     m_socket->shutdownSending();
     co_await m_socket->discardInput(std::chrono::steady_clock::now() + LingerTimeout,
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -1,10 +1,10 @@
 #include "almondmill/forward/endpointexchange.h"
 
-#include "almondmill/forward/answerreservation.h"
 #include "almondmill/forward/attemptparameters.h"
 #include "almondmill/forward/callerrequest.h"
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/wirecodec.h"
+#include "almondmill/http/memoryreservation.h"
 #include "almondmill/http/messagereader.h"
 #include "almondmill/http/timedsocket.h"
 #include "almondmill/observe/eventline.h"
@@ -88,9 +88,8 @@
     m_socket->setDeadline(deadline);
     m_sent = true;
     m_asksForHeadOnly = request.method == "HEAD";
-    std::string message = m_codec.encodeRequest(request, send);
-    message += request.body;
-    const auto error = co_await m_socket->write(message);
+    const std::string head = m_codec.encodeRequest(request, send);
+    const auto error = co_await m_socket->write(head, request.body);
     // An endpoint may answer before it has read the complete request and then close the connection;
     // that answer may still be readable although the write failed.
     if (error && m_socket->closeReason() != TimedSocket::CloseReason::None)
@@ -170,15 +169,15 @@
     return stated ? std::optional<std::size_t>(*stated) : std::nullopt;
 }
 
-void EndpointExchange::limitMemory(std::shared_ptr<AnswerMemory> memory,
-                                   const std::string &requestId)
+void EndpointExchange::limitMemory(std::shared_ptr<HeldMemory> memory, const std::string &requestId)
 {
-    AnswerReservation::Origin origin{m_endpoint->id(), requestId};
+    MemoryReservation::Origin origin{m_endpoint->id(), requestId};
     const auto end = [this] {
         if (m_socket)
             m_socket->abort();
     };
-    m_reservation = std::make_unique<AnswerReservation>(std::move(memory), std::move(origin), end);
+    m_reservation = std::make_unique<MemoryReservation>(
+            std::move(memory), MemoryReservation::Kind::UnfinishedAnswer, std::move(origin), end);
 }
 
 void EndpointExchange::recordHeldBytes(std::size_t bytes)
@@ -191,8 +190,7 @@
 {
     if (!m_reservation)
         return;
-    const std::size_t bytes =
-            m_parser->body().capacity() + m_socket->input().capacity() + m_heldBytes;
+    const std::size_t bytes = m_parser->body().capacity() + m_socket->inputCapacity() + m_heldBytes;
     m_reservation->resize(isComplete() ? 0 : bytes);
 }
 
@@ -209,7 +207,7 @@
     if (error)
         co_return errorOf(error);
     updateReservation();
-    const bool isEnded = m_reservation && m_reservation->isEnded();
+    const bool isEnded = m_reservation && m_reservation->isEvicted();
     co_return isEnded ? ExchangeError::ConnectionBroken : ExchangeError::None;
 }
 
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -208,7 +208,7 @@
             connected ? connected
                       : std::make_shared<EndpointExchange>(view, m_context.adapter->codec());
     EndpointExchange &exchange = *shared;
-    exchange.limitMemory(m_context.answerMemory, m_request.id);
+    exchange.limitMemory(m_context.heldMemory, m_request.id);
     exchange.onSilence([this] { seekReplacement(ClockTimes::now()); });
     m_exchange = &exchange;
     m_load.emplace(view, heldTokens());
@@ -348,7 +348,7 @@
     m_failure = EndpointFailure{exchange.head(), exchange.relayedLength(), exchange.body()};
     if (metadata.status < ServerError) {
         const std::string head = m_session.beginAnswer(m_failure->head, m_failure->bodyBytes);
-        co_return co_await m_session.send(head + m_failure->body)
+        co_return co_await m_session.send(head, m_failure->body)
                 ? AttemptOutcome::Answered
                 : AttemptOutcome::CallerDisconnected;
     }
@@ -365,8 +365,8 @@
     m_answerStartedAt = now;
     recordFirstByte(exchange, now);
     const std::string head = m_session.beginAnswer(exchange.head(), exchange.relayedLength());
-    co_return co_await m_session.send(head + exchange.body()) ? AttemptOutcome::Answered
-                                                              : AttemptOutcome::CallerDisconnected;
+    co_return co_await m_session.send(head, exchange.body()) ? AttemptOutcome::Answered
+                                                             : AttemptOutcome::CallerDisconnected;
 }
 
 ForwardedRequest::AttemptOutcome ForwardedRequest::handleExchangeError(ExchangeError error,
--- a/src/forward/forwardersettings.cpp
+++ b/src/forward/forwardersettings.cpp
@@ -4,8 +4,14 @@
 #include "almondmill/config/tablereader.h"
 #include "almondmill/config/tomltext.h"
 #include "almondmill/forward/platformadapter.h"
+#include "almondmill/http/memorylimits.h"
 #include "almondmill/kernel/findings.h"
 #include "almondmill/kernel/inputerror.h"
+#include "almondmill/route/routingconfiguration.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
 
 namespace almondmill {
 
@@ -14,6 +20,16 @@
 constexpr const char *TableName = "forwarding";
 constexpr std::uint32_t MaxDescriptors = 1U << 20U;
 constexpr std::uint32_t MaxRetries = 1U << 20U;
+constexpr std::uint32_t MaxMemoryMb = 1U << 20U;
+
+/// File descriptors reserved for files, the store, peers and the load balancer.
+constexpr std::uint32_t ReservedDescriptors = 300;
+
+/// One for the caller's connection and one for a connection to an endpoint.
+constexpr std::uint32_t DescriptorsPerSession = 2;
+
+/// Memory of a session that waits for a request: its coroutines, its read buffer and its timer.
+constexpr std::size_t BytesPerSession = std::size_t(8) << 10U;
 
 /// The ratio is a number from zero to one; a value in thousandths is rejected.
 constexpr double MaxRetryBudgetRatio = 1.0;
@@ -53,6 +69,18 @@
             reader.number("retries_always", settings.retryBudgetMinRetries, 0, MaxRetries);
 }
 
+void readMemory(TableReader &reader, ForwarderSettings &settings)
+{
+    settings.maxMemoryMb = reader.number("max_memory", settings.maxMemoryMb, 0, MaxMemoryMb);
+    const std::size_t needed = memoryOfLargestRequest(CallerBounds().maxBodyBytes);
+    if (settings.memoryForCallers() < needed)
+        reader.report("config.222", "max_memory",
+                      absl::StrCat("too small: a request of the largest size needs ", needed,
+                                   " bytes, and ", settings.maxMemoryMb,
+                                   " MB with max_descriptors = ", settings.maxDescriptors,
+                                   " leave ", settings.memoryForCallers()));
+}
+
 void readForwarding(TableReader &reader, ForwarderSettings &settings)
 {
     settings.adapter = reader.requiredString("adapter");
@@ -64,11 +92,22 @@
     readAddresses(reader, settings);
     settings.maxDescriptors =
             reader.number("max_descriptors", settings.maxDescriptors, 64, MaxDescriptors);
+    readMemory(reader, settings);
     reader.table("bounds", [&](TableReader &bounds) { readBounds(bounds, settings); });
 }
 
 } // namespace
 
+std::size_t ForwarderSettings::maxSessions() const
+{
+    return (maxDescriptors - std::min(maxDescriptors, ReservedDescriptors)) / DescriptorsPerSession;
+}
+
+std::size_t ForwarderSettings::memoryForCallers() const
+{
+    return almondmill::memoryForCallers(maxMemoryMb, maxSessions(), BytesPerSession);
+}
+
 bool hasForwarderSettings(const std::string &text)
 {
     Findings findings;
--- a/src/forward/forwardingcontext.cpp
+++ b/src/forward/forwardingcontext.cpp
@@ -1,9 +1,11 @@
 #include "almondmill/forward/forwardingcontext.h"
 
-#include "almondmill/forward/answermemory.h"
 #include "almondmill/forward/platformadapter.h"
+#include "almondmill/http/heldmemory.h"
 #include "almondmill/kernel/clocktimes.h"
 
+#include <algorithm>
+
 namespace almondmill {
 
 namespace {
@@ -11,6 +13,17 @@
 /// Memory of all unfinished answers together: a sixth of that of the smallest VMs.
 constexpr std::size_t MaxAnswerMemory = std::size_t(16) << 20U;
 
+std::shared_ptr<HeldMemory> makeHeldMemory(const ForwarderSettings &settings, Metrics &metrics)
+{
+    const std::size_t total = settings.memoryForCallers();
+    return std::make_shared<HeldMemory>(MemoryLimits{total, std::min(total, MaxAnswerMemory)},
+                                        [&](std::string_view kind) {
+                                            metrics.counter("almondmill_memory_evictions_total",
+                                                            "kind=\"" + std::string(kind) + "\"")
+                                                    .add();
+                                        });
+}
+
 } // namespace
 
 ForwardingContext::ForwardingContext(boost::asio::io_context &eventLoop,
@@ -22,7 +35,7 @@
     , requestMetrics(metrics)
     , table(nullptr)
     , directory([this](const RegistrationChange &change) { endpoints.changed(change); })
-    , answerMemory(std::make_shared<AnswerMemory>(MaxAnswerMemory))
+    , heldMemory(makeHeldMemory(settings, metrics))
     , partBreakers(settings.name, metrics)
     , partLookups(eventLoop, partLocations, metrics)
     , sendPermits(eventLoop, settings.name, rateLimits, metrics, ClockTimes::now())
--- a/src/forward/operatorview.cpp
+++ b/src/forward/operatorview.cpp
@@ -2,6 +2,7 @@
 
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingrouter.h"
+#include "almondmill/http/heldmemory.h"
 #include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/steadynow.h"
@@ -51,6 +52,8 @@
     metrics.setGauge("almondmill_parts_open", [this] {
         return static_cast<double>(m_context.partBreakers.openParts(steadyNow()).size());
     });
+    metrics.setGauge("almondmill_held_bytes",
+                     [this] { return static_cast<double>(m_context.heldMemory->usedBytes()); });
     metrics.setGauge("almondmill_sessions",
                      [this] { return static_cast<double>(m_callers.openSessions()); });
     metrics.setGauge("almondmill_holds_rollout_lease",
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -67,7 +67,7 @@
     if (m_failure) {
         const std::string head = m_session.beginAnswer(m_failure->head, m_failure->bodyBytes);
         logEnd(m_lastReason, m_failure->head.status);
-        co_return co_await m_session.send(head + m_failure->body);
+        co_return co_await m_session.send(head, m_failure->body);
     }
     if (!m_mayHaveRun)
         co_return co_await answer({ServiceUnavailable, m_lastReason});
--- a/src/http/httphead.cpp
+++ b/src/http/httphead.cpp
@@ -41,6 +41,14 @@
     m_fields.push_back({std::string(name), std::string(value)});
 }
 
+std::size_t HttpFields::capacity() const
+{
+    std::size_t bytes = m_fields.capacity() * sizeof(HttpField);
+    for (const HttpField &field : m_fields)
+        bytes += field.name.capacity() + field.value.capacity();
+    return bytes;
+}
+
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
     if (text.empty() || text.size() > MaxDigits)
--- a/src/http/timedsocket.cpp
+++ b/src/http/timedsocket.cpp
@@ -1,5 +1,7 @@
 #include "almondmill/http/timedsocket.h"
 
+#include "almondmill/kernel/releasememory.h"
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace almondmill {
 
@@ -61,12 +64,36 @@
 
 bool TimedSocket::isStale()
 {
-    return !isOpen() || !m_input.empty() || peek() != PeekResult::Nothing;
+    return !isOpen() || !input().empty() || peek() != PeekResult::Nothing;
 }
 
 bool TimedSocket::hasInput()
 {
-    return !m_input.empty() || peek() == PeekResult::Bytes;
+    return !input().empty() || peek() == PeekResult::Bytes;
+}
+
+void TimedSocket::consume(std::size_t bytes)
+{
+    m_consumed += bytes;
+    if (m_consumed < m_input.size())
+        return;
+    // An idle connection keeps no buffer.
+    releaseMemory(m_input);
+    m_consumed = 0;
+}
+
+void TimedSocket::stopReading()
+{
+    m_isReadingStopped = true;
+    consume(input().size());
+    cancelRead();
+}
+
+void TimedSocket::append(const char *bytes, std::size_t count)
+{
+    // Erasing once for each read instead of for each consumed element keeps the time linear.
+    m_input.erase(0, std::exchange(m_consumed, 0));
+    m_input.append(bytes, count);
 }
 
 void TimedSocket::cancelRead()
@@ -168,14 +195,20 @@
 asio::awaitable<TimedSocket::ErrorCode> TimedSocket::readSome()
 {
     const auto self = shared_from_this();
+    if (m_isReadingStopped)
+        co_return asio::error::operation_aborted;
     std::array<char, ReadBufferBytes> bytes;
     ErrorCode error;
     const std::size_t got = co_await m_socket.async_read_some(
             asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-    m_input.append(bytes.data(), got);
     recordError(error);
+    if (m_isReadingStopped)
+        co_return asio::error::operation_aborted;
+    append(bytes.data(), got);
     if (got == bytes.size() && isOpen())
         drainInput();
+    if (got > 0 && m_onInput)
+        m_onInput();
     co_return error == asio::error::eof &&m_failure ? m_failure : error;
 }
 
@@ -184,7 +217,7 @@
     static thread_local std::array<char, DrainBufferBytes> bytes;
     const auto got = ::recv(m_socket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
     if (got > 0)
-        m_input.append(bytes.data(), static_cast<std::size_t>(got));
+        append(bytes.data(), static_cast<std::size_t>(got));
     if (got < 0)
         recordError(lastSystemError());
 }
@@ -196,12 +229,14 @@
         m_failure = error;
 }
 
-asio::awaitable<TimedSocket::ErrorCode> TimedSocket::write(std::string_view bytes)
+asio::awaitable<TimedSocket::ErrorCode> TimedSocket::write(std::string_view bytes,
+                                                           std::string_view more)
 {
     const auto self = shared_from_this();
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(bytes.data(), bytes.size()),
+                                                    asio::buffer(more.data(), more.size())};
     ErrorCode error;
-    co_await asio::async_write(m_socket, asio::buffer(bytes.data(), bytes.size()),
-                               asio::redirect_error(asio::use_awaitable, error));
+    co_await asio::async_write(m_socket, buffers, asio::redirect_error(asio::use_awaitable, error));
     recordError(error);
     co_return error;
 }
@@ -254,8 +289,8 @@
     std::size_t discarded = 0;
     ErrorCode error;
     while (!error && discarded <= maxBytes) {
-        discarded += m_input.size();
-        m_input.clear();
+        discarded += input().size();
+        consume(input().size());
         error = co_await readSome();
     }
 }
--- a/src/request/callerapicomponent.cpp
+++ b/src/request/callerapicomponent.cpp
@@ -3,6 +3,7 @@
 #include "almondmill/config/sha256.h"
 #include "almondmill/endpoint/forwardedheaders.h"
 #include "almondmill/endpoint/headernames.h"
+#include "almondmill/http/heldmemory.h"
 #include "almondmill/kernel/httplisten.h"
 #include "almondmill/kernel/log.h"
 #include "almondmill/kernel/node.h"
@@ -85,6 +86,9 @@
         return {413, "body_too_large", "The body is too large.", Executed::No};
     case CallerStream::Failure::TooSlow:
         return {408, "request_too_slow", "The request did not arrive in time.", Executed::No};
+    case CallerStream::Failure::Evicted:
+        return {503, "memory_exhausted", "The request's memory is needed for others.",
+                Executed::No};
     case CallerStream::Failure::Closed:
         return {400, "request_cut", "The request ended before it was whole.", Executed::No};
     case CallerStream::Failure::None:
@@ -97,6 +101,16 @@
     return {status, "invalid_request", "The request can't be read.", Executed::No};
 }
 
+std::shared_ptr<HeldMemory> makeHeldMemory(Node &node)
+{
+    const MemoryLimits limits{node.settings.memoryForCallers(), MemoryLimits::Unlimited};
+    return std::make_shared<HeldMemory>(limits, [&node](std::string_view kind) {
+        node.metrics
+                .counter("almondmill_memory_evictions_total", "kind=\"" + std::string(kind) + "\"")
+                .add();
+    });
+}
+
 /// Counts a request as open until the library has written its complete response.
 class OpenRequest
 {
@@ -125,12 +139,15 @@
     , m_requests(node.metrics.counter("almondmill_requests_total"))
     , m_modelHandler(RequestHandlerRegistry::create("model", node))
     , m_serviceHandler(RequestHandlerRegistry::create("service", node))
+    , m_memory(makeHeldMemory(node))
     , m_server(std::make_unique<CallerServer>(limitsOf(node.settings), node.settings.callerThreads,
-                                              node.draining))
+                                              node.draining, m_memory))
 {
     m_server->set_tcp_nodelay(true);
     addRoutes();
     m_port = bindWithBacklog(*m_server, node.settings.listen);
+    node.metrics.setGauge("almondmill_held_bytes",
+                          [memory = m_memory] { return static_cast<double>(memory->usedBytes()); });
     node.metrics.setGauge("almondmill_caller_connections",
                           [this] { return static_cast<double>(m_server->connections()); });
 }
@@ -219,6 +236,7 @@
 {
     try {
         dispatch(request, response);
+        CallerStream::current()->beginAnswer(response.body.capacity());
     } catch (const RefusedError &error) {
         refuse(error.refusal(), response);
     } catch (const std::exception &error) {
@@ -269,6 +287,10 @@
     auto context = std::make_shared<RequestContext>();
     context->endpoints = m_node.endpoints.snapshot();
     context->account = &accountOf(request, context->endpoints->configuration());
+    if (!stream.beginServing(context->account->name)) {
+        stream.closeAfterThis();
+        throw RefusedError(refusalOf(CallerStream::Failure::Evicted, 0));
+    }
     context->requestId = randomId();
     context->method = request.method;
     context->path = request.path;
--- a/src/request/callerserver.cpp
+++ b/src/request/callerserver.cpp
@@ -86,10 +86,11 @@
 };
 
 CallerServer::CallerServer(const CallerLimits &limits, std::size_t threads,
-                           const std::atomic<bool> &draining)
+                           const std::atomic<bool> &draining, std::shared_ptr<HeldMemory> memory)
     : m_limits(limits)
     , m_threads(threads)
     , m_draining(draining)
+    , m_memory(std::move(memory))
 {
     new_task_queue = [this] { return new Connections(*this); };
     set_payload_max_length(limits.bodyBytes);
@@ -109,12 +110,20 @@
 }
 
 bool CallerServer::process_and_close_socket(socket_t socket)
+{
+    // The stream must end first: its eviction by another thread uses the descriptor.
+    const bool served = serveConnection(socket);
+    close(socket);
+    return served;
+}
+
+bool CallerServer::serveConnection(socket_t socket)
 {
     CallerLimits limits = m_limits;
     if (isRefusingConnection())
         limits.headTimeout = limits.bodyTimeout = limits.writeTimeout = limits.idleTimeout =
                 RefusalTimeout;
-    CallerStream stream(socket, limits);
+    CallerStream stream(socket, limits, m_memory);
     bool served = true;
     for (std::size_t left = limits.requestsPerConnection; left > 0 && served; --left) {
         if (!waitForRequest(stream))
@@ -122,7 +131,6 @@
         served = serveRequest(stream, left == 1 || m_draining || isRefusingConnection());
     }
     stream.lingeringClose();
-    close(socket);
     return served;
 }
 
@@ -148,6 +156,7 @@
     const bool served = process_request(
             stream, last, closed, [&](httplib::Request &request) { prepare(stream, request); });
     stream.releaseHeld();
+    stream.endRequest();
     return served && !closed && !last && !stream.closing();
 }
 
--- a/src/request/callerstream.cpp
+++ b/src/request/callerstream.cpp
@@ -1,5 +1,7 @@
 #include "almondmill/request/callerstream.h"
 
+#include "almondmill/http/memoryreservation.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -7,6 +9,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 namespace almondmill {
 
@@ -17,6 +20,15 @@
 /// Allowance on top of the body limit for the framing of chunked bodies.
 constexpr std::size_t BodyFramingBytes = 64U << 10U;
 
+/// The library's buffer of a body doubles as it grows.
+constexpr std::size_t CopiesWhileReading = 2;
+
+/// The library's buffer, the request's context, the parsed JSON with its prompt, and what is sent.
+constexpr std::size_t CopiesWhileServing = 6;
+
+/// The ledger is updated once for so many bytes, as the library reads heads byte by byte.
+constexpr std::size_t CountStepBytes = 4096;
+
 thread_local CallerStream *currentStream = nullptr;
 
 short waitFor(int socket, short events, std::chrono::milliseconds timeout)
@@ -46,12 +58,19 @@
 
 } // namespace
 
-CallerStream::CallerStream(int socket, const CallerLimits &limits)
+CallerStream::CallerStream(int socket, const CallerLimits &limits,
+                           std::shared_ptr<HeldMemory> memory)
     : m_socket(socket)
     , m_limits(limits)
     , m_previous(currentStream)
 {
     currentStream = this;
+    MemoryReservation::Origin origin;
+    int port = 0;
+    get_remote_ip_and_port(origin.name, port);
+    m_memory = std::make_unique<MemoryReservation>(std::move(memory),
+                                                   MemoryReservation::Kind::UnfinishedRequest,
+                                                   std::move(origin), [this] { onEviction(); });
 }
 
 CallerStream::~CallerStream()
@@ -105,6 +124,15 @@
     std::copy_n(m_buffer.data() + m_begin, taken, bytes);
     m_begin += taken;
     m_remainingBytes -= taken;
+    m_requestBytes += taken;
+    if (m_requestBytes - m_countedBytes >= CountStepBytes) {
+        m_countedBytes = m_requestBytes;
+        m_memory->resize(m_requestBytes * CopiesWhileReading);
+    }
+    if (m_memory->isEvicted()) {
+        fail(Failure::Evicted);
+        return -1;
+    }
     return static_cast<ssize_t>(taken);
 }
 
@@ -119,7 +147,7 @@
         }
         const bool retry = count < 0 && (errno == EAGAIN || errno == EINTR);
         if (!retry) {
-            fail(Failure::Closed);
+            fail(m_memory->isEvicted() ? Failure::Evicted : Failure::Closed);
             return count;
         }
         if (waitFor(m_socket, POLLIN, timeUntil(m_readUntil)) == 0) {
@@ -170,6 +198,32 @@
     m_contentType = std::move(contentType);
 }
 
+bool CallerStream::beginServing(const std::string &account)
+{
+    m_memory->resize(m_requestBytes * CopiesWhileServing);
+    m_memory->hold(MemoryReservation::Kind::Request, {account, {}});
+    return !m_memory->isEvicted();
+}
+
+void CallerStream::beginAnswer(std::size_t bytes)
+{
+    m_memory->resize(m_requestBytes * CopiesWhileReading + bytes);
+}
+
+void CallerStream::endRequest()
+{
+    m_requestBytes = 0;
+    m_countedBytes = 0;
+    m_memory->resize(0);
+    m_memory->hold(MemoryReservation::Kind::UnfinishedRequest);
+}
+
+void CallerStream::onEviction() const
+{
+    // Ends a pending read. A caller of a request in progress is taken to have left.
+    shutdown(m_socket, SHUT_RD);
+}
+
 void CallerStream::lingeringClose()
 {
     shutdown(m_socket, SHUT_WR);
--- a/tests/unit-callerstream.cpp
+++ b/tests/unit-callerstream.cpp
@@ -1,10 +1,13 @@
 #include "almondmill/request/callerstream.h"
 
+#include "almondmill/http/heldmemory.h"
+
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
+#include <memory>
 
 namespace almondmill {
 
@@ -54,13 +57,14 @@
 
     std::array<int, 2> m_ends{-1, -1};
     CallerLimits m_limits;
+    std::shared_ptr<HeldMemory> m_memory = std::make_shared<HeldMemory>(MemoryLimits());
 };
 
 } // namespace
 
 TEST_F(CallerStreamTest, TimesOutWhenTheHeadersArriveTooSlowly)
 {
-    CallerStream stream(m_ends[0], m_limits);
+    CallerStream stream(m_ends[0], m_limits, m_memory);
     stream.beginHead(std::chrono::steady_clock::now());
     sendAsCaller("GET");
     EXPECT_EQ(readAll(stream), "GET");
@@ -69,7 +73,7 @@
 
 TEST_F(CallerStreamTest, StopsReadingHeadersAtTheByteLimit)
 {
-    CallerStream stream(m_ends[0], m_limits);
+    CallerStream stream(m_ends[0], m_limits, m_memory);
     stream.beginHead(std::chrono::steady_clock::now());
     sendAsCaller(std::string(50, 'x'));
     EXPECT_EQ(readAll(stream).size(), m_limits.headBytes);
@@ -78,7 +82,7 @@
 
 TEST_F(CallerStreamTest, DetectsThatTheCallerDisconnected)
 {
-    const CallerStream stream(m_ends[0], m_limits);
+    const CallerStream stream(m_ends[0], m_limits, m_memory);
     EXPECT_FALSE(stream.callerGone());
     closeAsCaller();
     EXPECT_TRUE(stream.callerGone());
@@ -86,7 +90,7 @@
 
 TEST_F(CallerStreamTest, TimesOutWhenTheCallerDoesNotRead)
 {
-    CallerStream stream(m_ends[0], m_limits);
+    CallerStream stream(m_ends[0], m_limits, m_memory);
     const std::string block(1U << 16U, 'x');
     ssize_t written = 1;
     for (int i = 0; i < 1000 && written > 0; ++i)
@@ -98,7 +102,7 @@
 {
     EXPECT_EQ(CallerStream::current(), nullptr);
     {
-        const CallerStream stream(m_ends[0], m_limits);
+        const CallerStream stream(m_ends[0], m_limits, m_memory);
         EXPECT_EQ(CallerStream::current(), &stream);
     }
     EXPECT_EQ(CallerStream::current(), nullptr);
--- a/tests/unit-forwardersettings.cpp
+++ b/tests/unit-forwardersettings.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/forward/forwardersettings.h"
 
 #include "almondmill/config/textfile.h"
+#include "almondmill/http/memorylimits.h"
 #include "almondmill/kernel/inputerror.h"
 
 #include <gtest/gtest.h>
@@ -56,6 +57,20 @@
     EXPECT_FALSE(hasForwarderSettings("name = \"x\"\n"));
 }
 
+// Guards against a limit of memory that a single request of the largest size exceeds.
+TEST(ForwarderSettings, ReportsAMemoryLimitThatIsTooSmallForOneRequest)
+{
+    const auto withMemory = [](const std::string &megabytes) {
+        return withReplacement(ValidSettings, "[forwarding.bounds]",
+                               "max_memory = " + megabytes + "\n[forwarding.bounds]");
+    };
+    EXPECT_NE(findingsOf(withMemory("48")).find("forwarding.max_memory: too small"),
+              std::string::npos);
+    EXPECT_EQ(findingsOf(withMemory("96")), "");
+    EXPECT_EQ(parseForwarderSettings(ValidSettings, "router.toml").memoryForCallers(),
+              MemoryLimits::Unlimited);
+}
+
 TEST(ForwarderSettings, ReportsEveryFindingWithItsPlace)
 {
     std::string text = withReplacement(ValidSettings, "\"rietwerk\"", "\"elsewhere\"");
@@ -88,6 +103,7 @@
             {"ip", "10.1.0.1"},
             {"internal_ports.0", "7340"},
             {"limits.max_fds", "2940"},
+            {"limits.memory_mb", "96"},
             {"bounds.retry_budget_ratio", "0.2"}};
     for (const auto &[name, value] : placeholderValues) {
         std::string placeholder = "\\{\\{";
@@ -99,6 +115,7 @@
     const auto settings = parseForwarderSettings(text, "template");
     EXPECT_EQ(settings.peersListen, "10.1.0.1:7340");
     EXPECT_EQ(settings.maxDescriptors, 2940U);
+    EXPECT_EQ(settings.maxMemoryMb, 96U);
 }
 
 TEST(PlatformNames, AreNotUsedOutsideThePlatformAdapter)
