--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -34,7 +34,7 @@
 namespace almondmill {
 
 class AccountQuotas;
-class AnswerMemory;
+class HeldMemory;
 class PlatformAdapter;
 
 /// State shared by the components of a forwarding router. Only the routing table and the metrics
@@ -55,7 +55,7 @@
     RcuCell<RoutingTable> table; ///< Null until the first configuration is in force.
     EndpointViews endpoints;
     EndpointDirectory directory;
-    const std::shared_ptr<AnswerMemory> answerMemory;
+    const std::shared_ptr<HeldMemory> heldMemory;
     RateLimits rateLimits;
     RouterPlaces routerPlaces;
     PaceChanges paceChanges;
