An evicted request is refused with its id and without a line of a malformed one

The 503 of an evicted request had no Request-Id even when its head was read, and was logged as request.malformed. It is sent apart from the refusals of malformed requests.

--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -92,8 +92,9 @@
     std::string originOf(const std::string &apiKey) const;
     void onEviction();
     SteadyTime closeIfIdleTooLong(SteadyTime idleSince);
-    Awaitable<Next> refuse(unsigned status, std::string_view text,
-                           std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
+    Awaitable<Next> refuse(unsigned status, std::string_view text);
+    /// Sends a complete answer of the router and closes the connection.
+    Awaitable<Next> sendLastAnswer(std::string answer);
     Awaitable<Next> readBody(RequestParser &parser, const CallerBounds &bounds);
     CallerBounds bounds() const;
     void recordUnanswered(std::string_view cause) const;
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -334,7 +334,9 @@
 CallerSession::Awaitable<CallerSession::Next> CallerSession::refuseEvicted()
 {
     m_socket->resumeReading();
-    co_return co_await refuse(ServiceUnavailable, "memory_exhausted", RetryAfterEviction);
+    co_return co_await sendLastAnswer(m_context.adapter->codec().encodeOwnAnswer(
+            ServiceUnavailable, m_memory.origin().request, RetryAfterEviction, "memory_exhausted",
+            true));
 }
 
 CallerSession::Awaitable<CallerSession::Next> CallerSession::readRequest(RequestParser &parser,
@@ -417,13 +419,16 @@
     co_return boost::system::error_code();
 }
 
-CallerSession::Awaitable<CallerSession::Next>
-CallerSession::refuse(unsigned status, std::string_view text,
-                      std::optional<milliseconds> retryAfter)
+CallerSession::Awaitable<CallerSession::Next> CallerSession::refuse(unsigned status,
+                                                                    std::string_view text)
 {
     EventLine("request.malformed").add("status", status).add("reason", text);
-    const std::string answer =
-            m_context.adapter->codec().encodeOwnAnswer(status, {}, retryAfter, text, true);
+    co_return co_await sendLastAnswer(
+            m_context.adapter->codec().encodeOwnAnswer(status, {}, std::nullopt, text, true));
+}
+
+CallerSession::Awaitable<CallerSession::Next> CallerSession::sendLastAnswer(std::string answer)
+{
     co_await send(answer);
     m_socket->shutdownSending();
     co_await m_socket->discardInput(std::chrono::steady_clock::now() + LingerTimeout,
