Large and small requests of an account over its quota are refused alike

Cause: a request was admitted when the bucket held its amount, so small requests kept the level too low for large ones.

Ruled out: a reserve of the bucket for urgent requests, which would refuse nearly all others while the urgent ones alone exceed the quota.

Change: a request is admitted unless the bucket is empty, and may leave a debt of its own size. A denial holds for all sizes.

--- a/include/almondmill/peers/quotabucket.h
+++ b/include/almondmill/peers/quotabucket.h
@@ -20,9 +20,10 @@
     /// burst is lost, also when the burst has been lowered.
     void refill(const AccountQuota &quota, double share, SteadyTime now);
 
-    /// Takes the amount if the bucket holds it. An amount above the burst needs a full bucket and
-    /// leaves a debt, so that it isn't refused forever.
-    bool take(double amount, const AccountQuota &quota);
+    /// Takes the amount unless the bucket is empty; what it doesn't hold is left as a debt. So
+    /// large and small requests of an account are refused alike: if the amount had to be there,
+    /// small requests would keep the level too low for large ones.
+    bool take(double amount);
 
     /// Takes up to `wanted` for requests that will follow, while the bucket is well filled.
     double takeCredit(double wanted, const AccountQuota &quota);
@@ -30,8 +31,9 @@
     /// Lowers the level to that one if it is higher.
     void limitTo(double level) { m_level = std::min(m_level, level); }
 
-    /// Time from `now` until the bucket will hold the amount. Successive calls return increasing
-    /// times, so that the requests that were denied come back one after the other.
+    /// Time from `now` until the bucket will no longer be empty. Successive calls return times that
+    /// increase with the amounts, so that the requests that were denied come back one after the
+    /// other.
     std::chrono::milliseconds nextReturn(double amount, const AccountQuota &quota, double share,
                                          SteadyTime now);
 
--- a/include/almondmill/peers/quotaclient.h
+++ b/include/almondmill/peers/quotaclient.h
@@ -80,10 +80,9 @@
         AccountQuota quota;
         double credit = 0; ///< Granted or given back, for requests of this router.
         SteadyTime creditUntil;
-        double deniedAmount = 0; ///< Requests of this size or larger are refused until then.
-        SteadyTime deniedUntil;
-        SteadyTime lastReturn; ///< Of the requests refused here.
-        double level = 0;      ///< Of the issuer's bucket.
+        SteadyTime deniedUntil; ///< Requests are refused here until then.
+        SteadyTime lastReturn;  ///< Of the requests refused here.
+        double level = 0;       ///< Of the issuer's bucket.
         SteadyTime levelAt;
         UsageMeter usage;
         OwnShare ownShare;
--- a/src/peers/quotabucket.cpp
+++ b/src/peers/quotabucket.cpp
@@ -48,9 +48,9 @@
     m_filledAt = std::max(now, m_filledAt);
 }
 
-bool QuotaBucket::take(double amount, const AccountQuota &quota)
+bool QuotaBucket::take(double amount)
 {
-    if (m_level < std::min(amount, quota.burst))
+    if (m_level <= 0)
         return false;
     m_level -= amount;
     return true;
@@ -68,7 +68,7 @@
                                      SteadyTime now)
 {
     const double perSecond = quota.perSecond * std::max(share, SmallestShare);
-    const double missing = std::max(std::min(amount, quota.burst) - m_level, 0.0);
+    const double missing = std::max(-m_level, 0.0);
     m_lastReturn = std::max(m_lastReturn + timeFor(amount / ReturnsPerAmount, perSecond),
                             now + timeFor(missing, perSecond));
     m_lastReturn = std::min(m_lastReturn, now + LongestReturn);
--- a/src/peers/quotaclient.cpp
+++ b/src/peers/quotaclient.cpp
@@ -88,7 +88,7 @@
 std::optional<QuotaRefused> QuotaClient::refuseLocally(Account &account, double amount,
                                                        SteadyTime now)
 {
-    if (now >= account.deniedUntil || amount < account.deniedAmount)
+    if (now >= account.deniedUntil)
         return std::nullopt;
     const double perSecond =
             account.quota.perSecond / static_cast<double>(m_issuers.routers().size());
@@ -234,7 +234,6 @@
                                        : QuotaResult(QuotaRefused{returnAfter}));
     }
     if (denied) {
-        account.deniedAmount = *denied;
         account.deniedUntil = now + returnAfter;
         EventLine("quota.denied")
                 .add("account", key)
