Requests that would wait too long for a slot are refused at once

Cause: a router ordered nothing and refused nobody before an engine did. With demand beyond the slots, all requests of a kind were late, and engines rejected some after they had waited.

Change: RequestAdmission decides before the first attempt from the open requests of all routers by level of urgency, which the state message now carries, the usable slots and the learnt residence. The refused share rises from half the target to one and a half times; while an account asks for more than its fair share, its wait counts double and that of the others half. excessWait uses the same wait for a slot. While no slot is free, a silent endpoint that answers others isn't replaced, and requests rejected for capacity go only to endpoints with a free slot. Nothing is refused while slots are free or before the residence has been learnt. An answer of a prompt that is no stream counts as a whole for the residence.

Ruled out: a threshold; each router's own change scaled to the fleet; the double wait without the half one.

--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -5,6 +5,7 @@
 #include "almondmill/forward/endpointviews.h"
 #include "almondmill/forward/forwardersettings.h"
 #include "almondmill/forward/forwardingmetrics.h"
+#include "almondmill/forward/openrequests.h"
 #include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/partlocations.h"
 #include "almondmill/forward/permitpreference.h"
@@ -66,6 +67,7 @@
     absl::flat_hash_map<std::string, PermitPreference> permitPreferences; ///< By service.
     ServiceRetryBudgets retryBudgets;
     ServicePerformances performances;
+    OpenRequests openRequests;
 
     /// Set on SIGTERM: the router is not ready, and connections close after the current answer.
     std::optional<PlannedStop> plannedStop;
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -4,6 +4,7 @@
 #include "almondmill/forward/attemptparameters.h"
 #include "almondmill/forward/endpointcandidate.h"
 #include "almondmill/forward/partsources.h"
+#include "almondmill/forward/requestadmission.h"
 #include "almondmill/forward/savebudget.h"
 #include "almondmill/kernel/time.h"
 
@@ -63,10 +64,18 @@
                                                 const std::vector<View> &tried,
                                                 const ClockTimes &now) const;
 
-    /// By how much the expected time to the first event of a prompt at `view` exceeds the time
-    /// after which callers leave. Empty when it doesn't.
+    /// By how much the wait for a slot of the service and for the prompts at `view` exceeds the
+    /// time after which callers leave. Empty when it doesn't.
     std::optional<std::chrono::milliseconds>
-    excessWait(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const;
+    excessWait(const RoutedRequest &placed, const EndpointView &view, const ClockTimes &now) const;
+
+    RequestAdmission &admission() { return m_admission; }
+
+    /// Whether all slots of the request's service are taken as far as known, by all routers.
+    bool isOverloaded(const RoutedRequest &placed, const ClockTimes &now) const;
+
+    /// Endpoints of the service without a free slot as far as known.
+    std::vector<View> fullEndpoints(const RoutedRequest &placed) const;
 
     /// Endpoints of the service that have a rate limit.
     std::vector<View> limitedEndpoints(const RoutedRequest &placed) const;
@@ -160,6 +169,7 @@
     ForwardingContext &m_context;
     PartSources m_sources;
     SaveBudget m_saveBudget;
+    RequestAdmission m_admission;
 };
 
 } // namespace almondmill
--- a/include/almondmill/forward/serviceperformance.h
+++ b/include/almondmill/forward/serviceperformance.h
@@ -55,6 +55,9 @@
     /// Time for which a request holds a slot.
     std::chrono::milliseconds residence() const;
 
+    /// Whether the residence follows from enough samples, and not from the initial figures.
+    bool hasLearntResidence() const;
+
     /// What this router saw itself lately.
     ServiceSamples ownSamples(SteadyTime now) const;
 
--- a/include/almondmill/peers/peerviews.h
+++ b/include/almondmill/peers/peerviews.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/admission/serviceload.h"
 #include "almondmill/kernel/time.h"
 #include "almondmill/peers/endpointload.h"
 #include "almondmill/peers/peermessage.h"
@@ -33,6 +34,10 @@
     ServiceSamples reportedSamplesOf(std::uint32_t service) const;
     EndpointSamples reportedSamplesOn(std::uint32_t endpoint) const;
 
+    /// Requests of the live peers that are open at the endpoints of a service, by level of urgency,
+    /// as of the last refresh.
+    ServiceLoad::ByLevel reportedOpenByLevel(std::uint32_t service) const;
+
     /// Number of known peers without a recent message for each one with it, as of the last refresh.
     double silentPeersPerReporter() const { return m_silentPeersPerReporter; }
 
@@ -80,6 +85,7 @@
     absl::flat_hash_map<std::uint32_t, EndpointLoad> m_loads; ///< Sums over the live peers.
     absl::flat_hash_map<std::uint32_t, ServiceSamples> m_serviceSamples;
     absl::flat_hash_map<std::uint32_t, EndpointSamples> m_endpointSamples;
+    absl::flat_hash_map<std::uint32_t, ServiceLoad::ByLevel> m_openByLevel;
     absl::flat_hash_map<std::uint32_t, SteadyTime> m_loadingUntil;
 };
 
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -99,6 +99,9 @@
     if (m_request.prompt)
         m_context.permitPreferences[m_service].recordRequest(m_request.prompt->promptTokens,
                                                              m_startedAt);
+    m_returnAfter = m_planner.admission().refusal(placed(), ClockTimes::now());
+    if (m_returnAfter)
+        co_return co_await answer({ServiceUnavailable, "overloaded"});
     m_session.onDisconnect([this] {
         if (m_exchange)
             m_exchange->cancel();
@@ -213,11 +216,14 @@
     exchange.onSilence([this] { seekReplacement(ClockTimes::now()); });
     m_exchange = &exchange;
     m_load.emplace(view, heldTokens());
+    m_openCount.emplace(m_context.openRequests.of(m_service),
+                        m_table->urgency().levelOf(*m_route, m_account));
     const AttemptOutcome outcome = co_await exchangeAnswer(exchange);
     if (outcome == AttemptOutcome::Answered)
         recordPerformance(*view, steadyNow());
     m_replacement.drop();
     m_load.reset();
+    m_openCount.reset();
     exchange.finish(steadyNow());
     m_exchange = nullptr;
     if (outcome == AttemptOutcome::Answered && m_answerStartedAt)
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -5,6 +5,7 @@
 #include "almondmill/forward/attemptload.h"
 #include "almondmill/forward/callerrequest.h"
 #include "almondmill/forward/endpointexchange.h"
+#include "almondmill/forward/openrequests.h"
 #include "almondmill/forward/partbreakers.h"
 #include "almondmill/forward/replacementexchange.h"
 #include "almondmill/forward/sendplanner.h"
@@ -113,6 +114,7 @@
     /// Chooses an endpoint that isn't excluded and takes the retry budget for it, if it needs any.
     SendPlanner::View takeEndpoint(const std::vector<SendPlanner::View> &excluded,
                                    RetryReason reason, const ClockTimes &now);
+    SendPlanner::View pickWithSlot(std::vector<SendPlanner::View> excluded, const ClockTimes &now);
     /// Looks for another endpoint while that of the current attempt is silent.
     void seekReplacement(const ClockTimes &now);
     /// Gives the silent endpoint up if the other one is connected and may be sent the request.
@@ -163,11 +165,13 @@
     /// Connected for the next attempt, with its retry budget taken.
     std::shared_ptr<EndpointExchange> m_nextExchange;
     std::optional<std::chrono::milliseconds> m_excessWait; ///< At the best endpoint, if too long.
+    std::optional<std::chrono::milliseconds> m_returnAfter; ///< Refused because of the load.
     std::optional<SendPermit> m_permit;                    ///< For the next send.
     const char *m_lastReason = "no_endpoint";
     std::optional<EndpointFailure> m_failure;
     EndpointExchange *m_exchange = nullptr; ///< Of the current attempt; null between attempts.
     std::optional<AttemptLoad> m_load;      ///< Of the current attempt.
+    std::optional<OpenRequestCount> m_openCount;
     /// Of the current attempt; empty when it continues a stream that began elsewhere.
     std::optional<AnswerTimer> m_timer;
 
--- a/src/forward/operatorview.cpp
+++ b/src/forward/operatorview.cpp
@@ -46,6 +46,13 @@
                      [this] { return countEndpoints<Resuming>(); });
     metrics.setGauge("almondmill_endpoints_rate_limited",
                      [this] { return static_cast<double>(m_context.rateLimits.limitedCount()); });
+    metrics.setGauge("almondmill_longest_slot_wait_seconds", [this] {
+        std::chrono::duration<double> longest(0);
+        for (const auto &[service, views] : m_context.endpoints.byService())
+            longest = std::max(longest, std::chrono::duration<double>(m_planner.admission().longestWait(
+                                                service, ClockTimes::now())));
+        return longest.count();
+    });
     metrics.setGauge("almondmill_live_peers",
                      [this] { return static_cast<double>(m_context.peers.liveCount()); });
     metrics.setGauge("almondmill_parts_open", [this] {
--- a/src/forward/requestend.cpp
+++ b/src/forward/requestend.cpp
@@ -91,6 +91,8 @@
 {
     if (!m_table)
         return RetryAfterNoConfiguration;
+    if (m_returnAfter)
+        return *m_returnAfter;
     if (m_excessWait)
         return std::max(*m_excessWait, RetryAfterNoCapacity)
                + retrySpread(m_request.id, OverloadReturnTime);
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -98,6 +98,14 @@
     co_await sleepFor(m_context.loop, std::min(pause, left));
 }
 
+SendPlanner::View ForwardedRequest::pickWithSlot(std::vector<SendPlanner::View> excluded,
+                                                 const ClockTimes &now)
+{
+    const auto full = m_planner.fullEndpoints(placed());
+    excluded.insert(excluded.end(), full.begin(), full.end());
+    return m_planner.pick(placed(), excluded, now);
+}
+
 SendPlanner::View ForwardedRequest::takeEndpoint(const std::vector<SendPlanner::View> &excluded,
                                                  RetryReason reason, const ClockTimes &now)
 {
@@ -108,7 +116,11 @@
         m_lastReason = "retry_budget";
         return nullptr;
     }
-    auto view = m_planner.pick(placed(), excluded, now);
+    // While there is no free slot, a request that was rejected for lack of capacity would be
+    // rejected elsewhere too, and take the place of one that has waited.
+    const bool needsSlot = m_refusals > 0 && !m_mayHaveRun && !m_streamStarted
+                           && m_planner.isOverloaded(placed(), now);
+    auto view = needsSlot ? pickWithSlot(excluded, now) : m_planner.pick(placed(), excluded, now);
     if (!view || !m_needsRetryBudget)
         return view;
     if (!budgets.take(m_service, now.steady, reason))
@@ -129,7 +141,7 @@
         if (!view || m_session.hasDisconnected())
             co_return view;
         if (!m_mayHaveRun && !m_streamStarted) {
-            m_excessWait = m_planner.excessWait(placed(), *view, steadyNow());
+            m_excessWait = m_planner.excessWait(placed(), *view, ClockTimes::now());
             if (m_excessWait) {
                 m_lastReason = "overloaded";
                 co_return nullptr;
@@ -179,8 +191,11 @@
     recordSilence(m_exchange->endpoint().health(), now.steady);
     if (m_replacement.exists())
         return;
+    // An endpoint that answers others is busy: under overload, the request would only wait elsewhere.
+    const bool isBusy = m_exchange->endpoint().health().wasActiveSince(m_attemptStartedAt)
+                        && m_planner.isOverloaded(placed(), now);
     const bool isAllowed =
-            mayBeReplaced(now.steady)
+            mayBeReplaced(now.steady) && !isBusy
             && m_context.retryBudgets.canTake(m_service, now.steady, RetryReason::Silence);
     // An endpoint with a rate limit is not used while another one still has the request.
     std::vector<SendPlanner::View> excluded = m_planner.limitedEndpoints(placed());
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -170,6 +170,7 @@
 SendPlanner::SendPlanner(ForwardingContext &context)
     : m_context(context)
     , m_sources(context)
+    , m_admission(context)
 {}
 
 void SendPlanner::learn(const PartPlacement &placement, SteadyTime now)
@@ -316,14 +317,32 @@
 }
 
 std::optional<std::chrono::milliseconds>
-SendPlanner::excessWait(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const
+SendPlanner::excessWait(const RoutedRequest &placed, const EndpointView &view, const ClockTimes &now) const
 {
     if (!placed.request.prompt)
         return std::nullopt;
-    const auto excess = expectedWait(view, now) - callerPatience(placed.route);
+    const double pending = knownLoad(view).pendingPrefillTokens;
+    const auto wait = m_admission.expectedWait(placed, now)
+                      + prefillTime(pending, figuresOf(view, now.steady));
+    const auto excess = wait - callerPatience(placed.route);
     return excess > std::chrono::milliseconds(0) ? std::optional(excess) : std::nullopt;
 }
 
+bool SendPlanner::isOverloaded(const RoutedRequest &placed, const ClockTimes &now) const
+{
+    return m_admission.longestWait(placed.service, now).count() > 0;
+}
+
+std::vector<SendPlanner::View> SendPlanner::fullEndpoints(const RoutedRequest &placed) const
+{
+    std::vector<View> full;
+    for (const View &view : m_context.endpoints.ofService(placed.service)) {
+        if (knownLoad(*view).openRequests >= view->registration().slots)
+            full.push_back(view);
+    }
+    return full;
+}
+
 std::chrono::milliseconds SendPlanner::expectedWait(const EndpointView &view, SteadyTime now) const
 {
     const EndpointLoad load = knownLoad(view);
--- a/src/forward/serviceperformance.cpp
+++ b/src/forward/serviceperformance.cpp
@@ -73,7 +73,8 @@
     const Milliseconds computing = Milliseconds(work.computedTokens / m_figures.prefillTokensPerMs);
     const Milliseconds fetching = Milliseconds(work.fetchedTokens / m_figures.fetchedTokensPerMs);
     const bool isPrompt = work.computedTokens > 0;
-    if (isPrompt)
+    // Without events, the time to the first byte contains the generation of the whole answer.
+    if (isPrompt && answer.events > 0)
         sample.residence = answer.toEnd + std::min(toFirst, firstEvent + computing + fetching);
     else if (work.startsAtOnce)
         sample.residence = answer.toEnd + toFirst;
@@ -127,6 +128,11 @@
     return std::chrono::ceil<std::chrono::milliseconds>(m_figures.residence);
 }
 
+bool ServicePerformance::hasLearntResidence() const
+{
+    return m_residence.lastWeight() + m_reported.residenceMs.samples >= MinComparedSamples;
+}
+
 ServiceSamples ServicePerformance::ownSamples(SteadyTime now) const
 {
     return {{m_prefill.median(), m_prefill.weightAt(now)},
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -69,7 +69,8 @@
 /// some peer each second.
 constexpr std::uint64_t RoundsPerRepeatInLargeFleet = 4;
 
-/// Fewer samples of a service are not reported.
+/// Fewer open requests and samples of a service are not reported.
+constexpr double MinReportedRequests = 0.1;
 constexpr double MinReportedSamples = 0.1;
 
 /// Endpoints of up to 23 bytes each that are reported as slower or faster than others.
@@ -189,6 +190,7 @@
             view->averageLoad(now);
         m_context.peers.refresh(now, m_peers.size());
         estimatePeerLoads(m_context.endpoints, m_context.peers);
+        m_context.openRequests.updateAverages(now);
         applyPeerPerformance(m_context.endpoints, m_context.peers, m_context.table.snapshot().get(),
                              m_context.performances);
         m_context.retryBudgets.setRouters(static_cast<std::uint32_t>(m_peers.size() + 1));
@@ -454,9 +456,15 @@
 {
     std::vector<PeerMessage::Service> services;
     for (const auto &[name, performance] : m_context.performances.all()) {
-        const ServiceSamples samples = performance.ownSamples(now);
-        if (samples.residenceMs.samples >= MinReportedSamples)
-            services.push_back({shortHash(name), samples, {}});
+        PeerMessage::Service entry{shortHash(name), performance.ownSamples(now), {}};
+        const auto open = m_context.openRequests.all().find(name);
+        if (open != m_context.openRequests.all().end())
+            entry.openByLevel.assign(open->second.average.begin(), open->second.average.end());
+        while (!entry.openByLevel.empty() && entry.openByLevel.back() < MinReportedRequests)
+            entry.openByLevel.pop_back();
+        const bool hasSamples = entry.samples.residenceMs.samples >= MinReportedSamples;
+        if (hasSamples || !entry.openByLevel.empty())
+            services.push_back(std::move(entry));
     }
     return services;
 }
--- a/src/peers/peerviews.cpp
+++ b/src/peers/peerviews.cpp
@@ -68,6 +68,12 @@
     return found == m_endpointSamples.end() ? EndpointSamples() : found->second;
 }
 
+ServiceLoad::ByLevel PeerViews::reportedOpenByLevel(std::uint32_t service) const
+{
+    const auto found = m_openByLevel.find(service);
+    return found == m_openByLevel.end() ? ServiceLoad::ByLevel() : found->second;
+}
+
 bool PeerViews::isLoading(std::uint32_t endpoint, SteadyTime now) const
 {
     const auto found = m_loadingUntil.find(endpoint);
@@ -104,13 +110,19 @@
     m_loads.clear();
     m_serviceSamples.clear();
     m_endpointSamples.clear();
+    m_openByLevel.clear();
     const double live = static_cast<double>(std::max<std::size_t>(m_peers.size(), 1));
     m_silentPeersPerReporter = std::max(0.0, static_cast<double>(known) / live - 1);
     for (const auto &[name, peer] : m_peers) {
         for (const PeerMessage::Load &entry : peer.message.loads)
             m_loads[entry.endpoint] += entry.load;
-        for (const PeerMessage::Service &entry : peer.message.services)
+        for (const PeerMessage::Service &entry : peer.message.services) {
             m_serviceSamples[entry.service] += entry.samples;
+            ServiceLoad::ByLevel &open = m_openByLevel[entry.service];
+            for (std::size_t level = 0; level < std::min(open.size(), entry.openByLevel.size());
+                 ++level)
+                open[level] += entry.openByLevel[level];
+        }
         for (const PeerMessage::EndpointSpeed &entry : peer.message.speeds)
             m_endpointSamples[entry.endpoint] += entry.samples;
     }
--- a/tests/unit-endpointperformance.cpp
+++ b/tests/unit-endpointperformance.cpp
@@ -87,6 +87,18 @@
     EXPECT_NEAR(service.figures().prefillTokensPerMs, 50, 1);
 }
 
+// The generation of an answer that is no stream must not be taken for a wait.
+TEST(ServicePerformance, AnAnswerWithoutEventsCountsAsAWhole)
+{
+    ServicePerformance service(initialFigures(nullptr, 12));
+    AnswerTiming answer = answerOf();
+    answer.toFirstEvent = seconds(2);
+    answer.toEnd = {};
+    answer.events = 0;
+    record(service, answer, 200, Start);
+    EXPECT_NEAR(service.figures().residence.count(), 2000, 50);
+}
+
 TEST(ServicePerformance, FetchesAreLearntApart)
 {
     ServicePerformance service(initialFigures(nullptr, 12));
