Faults found in reading the change

A request refused for the load gave its quota not back. The address of a caller was read from a socket that may have been moved. Retry-After of refused requests was hardly spread while few were refused. Store updates and state messages could exceed a datagram. An exception ended the polling of quota questions. A memory limit that is not applied was not logged. Comments that a newcomer stumbled on.

--- a/include/almondmill/admission/serviceload.h
+++ b/include/almondmill/admission/serviceload.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "almondmill/route/urgencylevels.h"
+
 #include <array>
 #include <chrono>
 #include <cstddef>
@@ -10,7 +12,7 @@
 struct ServiceLoad
 {
     /// Levels of urgency; see UrgencyLevels.
-    static constexpr std::size_t Levels = 10;
+    static constexpr std::size_t Levels = UrgencyLevels::Count;
     using ByLevel = std::array<double, Levels>;
 
     ByLevel openByLevel{};
--- a/include/almondmill/forward/callersession.h
+++ b/include/almondmill/forward/callersession.h
@@ -75,9 +75,6 @@
     void recordUnfinished() const;
 
 private:
-    CallerSession(ForwardingContext &context, RequestForwarder &forwarder,
-                  boost::asio::ip::tcp::socket socket, std::string callerAddress);
-
     enum class Next { Serve, Close };
 
     Awaitable<bool> serve(CallerRequest &request);
@@ -101,8 +98,8 @@
 
     ForwardingContext &m_context;
     RequestForwarder &m_forwarder;
+    const std::string m_callerAddress; ///< Read before the socket is moved.
     std::shared_ptr<TimedSocket> m_socket;
-    std::string m_callerAddress;
     MemoryReservation m_memory;
     RequestParser *m_parser = nullptr; ///< While a request is being read.
     std::size_t m_requestBytes = 0;    ///< Memory of the request being served.
--- a/include/almondmill/forward/forwardingrouter.h
+++ b/include/almondmill/forward/forwardingrouter.h
@@ -57,8 +57,9 @@
     nlohmann::json describeConfiguration(SteadyTime now) const;
     nlohmann::json describeServices() const;
     nlohmann::json describeEndpoints(SteadyTime bootNow) const;
-    /// Requests per second that the endpoint takes from all routers; null without a limit.
+    /// Limit of an endpoint in slow start, over all routers; null without one.
     static nlohmann::json describePace(const EndpointPace &pace, SteadyTime bootNow);
+    /// Requests per second that the endpoint takes from all routers; null without a limit.
     nlohmann::json describeRateLimit(const EndpointView &view) const;
     nlohmann::json describeWeights() const;
     nlohmann::json describeOpenParts(SteadyTime now) const;
--- a/include/almondmill/forward/performancefigures.h
+++ b/include/almondmill/forward/performancefigures.h
@@ -12,7 +12,8 @@
 {
     using Milliseconds = std::chrono::duration<double, std::milli>;
 
-    /// Figures that are assumed before there are samples. They are those of the first deployments.
+    /// Figures that are assumed before there are samples: the prefill rate of the engines' data
+    /// sheet, and links of 280 Gbit/s at 164 KB per token, less the overhead of a fetch.
     static constexpr double InitialPrefillTokensPerMs = 38.4;
     static constexpr double InitialFetchedTokensPerMs = 150;
     /// Wait for each request beyond the slots until a running one ends.
--- a/include/almondmill/route/accountquota.h
+++ b/include/almondmill/route/accountquota.h
@@ -7,8 +7,8 @@
 {
     double perSecond = 0;
     double burst = 0;
-    bool countsTokens = false; ///< Otherwise each request counts as one.
-    double tokensOfOthers = 0; ///< What a request without a token count counts as.
+    bool countsTokens = false;      ///< Otherwise each request counts as one.
+    double tokensWithoutPrompt = 0; ///< Charged for a request that states no token count.
 };
 
 } // namespace almondmill
--- a/src/admission/admissioncontrol.cpp
+++ b/src/admission/admissioncontrol.cpp
@@ -57,12 +57,15 @@
     const milliseconds wait = load.expectedWait(request.level);
     const auto counted = std::chrono::duration_cast<milliseconds>(factorOf(request.share) * wait);
     const double position = positionOf(request.idHash);
-    if (wait.count() == 0 || position >= refusedShare(counted, request.target))
+    const double share = refusedShare(counted, request.target);
+    if (wait.count() == 0 || position >= share)
         return std::nullopt;
     const milliseconds earliest = std::max(wait, MinReturnTime);
+    // The refused requests have the positions below their share.
+    const double spread = position / share;
     return earliest
            + std::chrono::duration_cast<milliseconds>(
-                   std::chrono::duration<double, std::milli>(earliest) * position);
+                   std::chrono::duration<double, std::milli>(earliest) * spread);
 }
 
 } // namespace almondmill
--- a/src/admission/fairshares.cpp
+++ b/src/admission/fairshares.cpp
@@ -22,8 +22,8 @@
 constexpr double MinSlots = 1e-4;
 constexpr std::chrono::seconds CleaningInterval{10};
 
-/// Largest number of slots that an account may have for all to get as much as they ask for, up to
-/// that number, out of `slots`.
+/// The max-min fair share: the cap on each account's slots at which the capped demands add up to
+/// `slots`; `slots` itself when all demands fit.
 double fairShare(std::vector<double> asked, double slots)
 {
     std::sort(asked.begin(), asked.end());
@@ -60,8 +60,7 @@
     const double limit = ExceedingRatio * fairShare(std::move(asked), slots);
     if (highest <= limit)
         return AccountShare::Even;
-    return slotsAskedFor(own->second, now) > limit ? AccountShare::Exceeding
-                                                   : AccountShare::Within;
+    return slotsAskedFor(own->second, now) > limit ? AccountShare::Exceeding : AccountShare::Within;
 }
 
 double FairShares::slotsAskedFor(const Demand &demand, SteadyTime now) const
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -77,15 +77,10 @@
 
 CallerSession::CallerSession(ForwardingContext &context, RequestForwarder &forwarder,
                              boost::asio::ip::tcp::socket socket)
-    : CallerSession(context, forwarder, std::move(socket), addressOf(socket))
-{}
-
-CallerSession::CallerSession(ForwardingContext &context, RequestForwarder &forwarder,
-                             boost::asio::ip::tcp::socket socket, std::string callerAddress)
     : m_context(context)
     , m_forwarder(forwarder)
+    , m_callerAddress(addressOf(socket))
     , m_socket(std::make_shared<TimedSocket>(std::move(socket)))
-    , m_callerAddress(std::move(callerAddress))
     , m_memory(context.heldMemory, MemoryReservation::Kind::UnfinishedRequest,
                {m_callerAddress, {}}, [this] { onEviction(); })
     , m_waitingSince(std::chrono::steady_clock::now())
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -107,8 +107,10 @@
         m_context.permitPreferences[m_service].recordRequest(m_request.prompt->promptTokens,
                                                              m_startedAt);
     m_returnAfter = m_planner.admission().refusal(placed(), ClockTimes::now());
-    if (m_returnAfter)
+    if (m_returnAfter) {
+        returnQuota();
         co_return co_await answer({ServiceUnavailable, "overloaded"});
+    }
     m_session.onDisconnect([this] {
         if (m_exchange)
             m_exchange->cancel();
@@ -170,7 +172,7 @@
     const AccountQuota &quota = *m_account->quota;
     double amount = 1;
     if (quota.countsTokens)
-        amount = m_request.prompt ? static_cast<double>(heldTokens()) : quota.tokensOfOthers;
+        amount = m_request.prompt ? static_cast<double>(heldTokens()) : quota.tokensWithoutPrompt;
     const QuotaResult result = co_await m_context.accountQuotas->admit(*m_account, amount);
     if (const auto *refused = std::get_if<QuotaRefused>(&result)) {
         m_quotaReturn = refused->retryAfter;
--- a/src/forward/forwardersettings.cpp
+++ b/src/forward/forwardersettings.cpp
@@ -7,6 +7,7 @@
 #include "almondmill/http/memorylimits.h"
 #include "almondmill/kernel/findings.h"
 #include "almondmill/kernel/inputerror.h"
+#include "almondmill/observe/eventline.h"
 #include "almondmill/route/routingconfiguration.h"
 
 #include <absl/strings/numbers.h>
@@ -85,8 +86,12 @@
     const std::size_t needed = memoryOfLargestRequest(CallerBounds().maxBodyBytes);
     settings.maxMemoryMb = memoryFromEnvironment();
     // A VM that is too small for the connections it may get must still start.
-    if (settings.memoryForCallers() < needed)
+    if (settings.memoryForCallers() < needed) {
+        EventLine("memory.unbounded")
+                .add("stated_mb", settings.maxMemoryMb)
+                .add("needed", std::uint64_t(needed));
         settings.maxMemoryMb = 0;
+    }
     settings.maxMemoryMb = reader.number("max_memory", settings.maxMemoryMb, 0, MaxMemoryMb);
     if (settings.memoryForCallers() < needed)
         reader.report("config.222", "max_memory",
--- a/src/forward/operatorview.cpp
+++ b/src/forward/operatorview.cpp
@@ -50,8 +50,9 @@
     metrics.setGauge("almondmill_longest_slot_wait_seconds", [this] {
         std::chrono::duration<double> longest(0);
         for (const auto &[service, views] : m_context.endpoints.byService())
-            longest = std::max(longest, std::chrono::duration<double>(m_planner.admission().longestWait(
-                                                service, ClockTimes::now())));
+            longest = std::max(longest,
+                               std::chrono::duration<double>(m_planner.admission().longestWait(
+                                       service, ClockTimes::now())));
         return longest.count();
     });
     metrics.setGauge("almondmill_live_peers",
--- a/src/forward/registrationssync.cpp
+++ b/src/forward/registrationssync.cpp
@@ -29,8 +29,10 @@
 constexpr milliseconds RegistrationsWait{300};
 constexpr milliseconds RegistrationsPause{200};
 
-/// Changes that fit into one datagram: whole entries take up to 200 bytes, deltas up to 25.
-constexpr std::size_t MaxDeltasPerUpdate = 48;
+/// Changes after which an update is full: whole entries take up to 200 bytes, deltas with one model
+/// up to 25. One whole entry more, the head and the engines that load weights still fit into a
+/// datagram.
+constexpr std::size_t MaxDeltasPerUpdate = 32;
 constexpr std::size_t DeltasPerEntry = 8;
 
 /// Number of ids that fit into one datagram.
--- a/src/forward/requestadmission.cpp
+++ b/src/forward/requestadmission.cpp
@@ -40,13 +40,10 @@
 struct UsableSlots
 {
     double slots;
-    double routers;
 
     double operator()(const Available &) const { return slots; }
-    double operator()(const Resuming &state) const
-    {
-        return std::min(slots, state.maxOpenRequests * routers);
-    }
+    /// Slow start lasts for about as long as a report of the load is underway.
+    double operator()(const Resuming &) const { return slots; }
     double operator()(const Paused &) const { return 0; }
     double operator()(const Leaving &) const { return 0; }
 };
@@ -62,8 +59,8 @@
 {
     const ServiceLoad load = loadOf(placed.service, now);
     FairShares &shares = m_context.openRequests.of(placed.service).shares;
-    AdmissionRequest request{levelOf(placed), placed.route.targetLatency,
-                             hash64(placed.request.id), AccountShare::Even};
+    AdmissionRequest request{levelOf(placed), placed.route.targetLatency, hash64(placed.request.id),
+                             AccountShare::Even};
     if (placed.account) {
         shares.record(placed.account->name, load.residence, now.steady);
         const auto routers = static_cast<double>(m_context.peers.routerCount());
@@ -117,13 +114,12 @@
 
 double RequestAdmission::usableSlots(const std::string &service, const ClockTimes &now) const
 {
-    const auto routers = static_cast<double>(m_context.peers.routerCount());
     double sum = 0;
     for (const auto &view : m_context.endpoints.ofService(service)) {
         if (!view->takesRequests())
             continue;
         const auto slots = static_cast<double>(view->registration().slots);
-        sum += std::visit(UsableSlots{slots, routers}, view->availability().stateAt(now.boot));
+        sum += std::visit(UsableSlots{slots}, view->availability().stateAt(now.boot));
     }
     return sum;
 }
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -193,7 +193,8 @@
     recordSilence(m_exchange->endpoint(), now.steady);
     if (m_replacement.exists())
         return;
-    // An endpoint that answers others is busy: under overload, the request would only wait elsewhere.
+    // An endpoint that answers others is busy: under overload, the request would only wait
+    // elsewhere.
     const bool isBusy = m_exchange->endpoint().health().wasActiveSince(m_attemptStartedAt)
                         && m_planner.isOverloaded(placed(), now);
     const bool isAllowed =
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -372,8 +372,9 @@
     return m_context.rateLimits.perSecond(view.incarnation()).has_value();
 }
 
-std::optional<std::chrono::milliseconds>
-SendPlanner::excessWait(const RoutedRequest &placed, const EndpointView &view, const ClockTimes &now) const
+std::optional<std::chrono::milliseconds> SendPlanner::excessWait(const RoutedRequest &placed,
+                                                                 const EndpointView &view,
+                                                                 const ClockTimes &now) const
 {
     if (!placed.request.prompt)
         return std::nullopt;
--- a/src/peers/accountquotas.cpp
+++ b/src/peers/accountquotas.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -117,7 +118,11 @@
     if (m_isPolling || !(m_client.isActive() || m_reach.isActive(steadyNow())))
         return;
     m_isPolling = true;
-    asio::co_spawn(m_loop, poll(), asio::detached);
+    asio::co_spawn(m_loop, poll(), [this](std::exception_ptr error) {
+        m_isPolling = false;
+        if (error)
+            std::rethrow_exception(error);
+    });
 }
 
 asio::awaitable<void> AccountQuotas::poll()
@@ -131,7 +136,6 @@
         if (!isActive)
             break;
     }
-    m_isPolling = false;
 }
 
 } // namespace almondmill
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -79,6 +79,9 @@
 constexpr double MinReportedRequests = 0.1;
 constexpr double MinReportedSamples = 0.1;
 
+/// Services of up to 50 bytes each in one state message.
+constexpr std::size_t MaxServicesPerMessage = 6;
+
 /// Endpoints of up to 23 bytes each that are reported as slower or faster than others.
 constexpr std::size_t MaxSpeedsPerMessage = 6;
 
@@ -504,6 +507,8 @@
 {
     std::vector<PeerMessage::Service> services;
     for (const auto &[name, performance] : m_context.performances.all()) {
+        if (services.size() == MaxServicesPerMessage)
+            break;
         PeerMessage::Service entry{shortHash(name), performance.ownSamples(now), {}};
         const auto open = m_context.openRequests.all().find(name);
         if (open != m_context.openRequests.all().end())
--- a/src/peers/peermessage.cpp
+++ b/src/peers/peermessage.cpp
@@ -4,6 +4,8 @@
 #include "layoutversions.h"
 #include "peerfields.h"
 
+#include "almondmill/admission/serviceload.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -20,9 +22,6 @@
 /// No sender counts for more, so that a wrong number in one message doesn't decide for all.
 constexpr double MaxSamplesPerSender = 1000;
 
-/// Engines tell this number of levels of urgency apart.
-constexpr std::size_t MaxLevels = 10;
-
 /// Average loads are sent in tenths; a finer resolution makes no difference to placement.
 std::uint64_t tenths(double value)
 {
@@ -111,7 +110,8 @@
         entry.samples.prefillTokensPerMs = decodeFigure(fields, 1, TenthsPerUnit);
         entry.samples.fetchedTokensPerMs = decodeFigure(fields, 3, TenthsPerUnit);
         entry.samples.residenceMs = decodeFigure(fields, 5, 1);
-        const std::size_t end = std::min<std::size_t>(fields.size(), FirstLevel + MaxLevels);
+        const std::size_t end =
+                std::min<std::size_t>(fields.size(), FirstLevel + ServiceLoad::Levels);
         for (std::size_t at = FirstLevel; at < end; ++at)
             entry.openByLevel.push_back(fromTenths(fields.at(at)));
         services.push_back(std::move(entry));
--- a/tests/unit-admissioncontrol.cpp
+++ b/tests/unit-admissioncontrol.cpp
@@ -109,8 +109,7 @@
     load.openByLevel[*rc::gen::inRange<std::size_t>(0, ServiceLoad::Levels)] =
             *rc::gen::inRange(0, static_cast<int>(load.slots));
     const AdmissionRequest request{level, milliseconds(*rc::gen::inRange(0, 2000)),
-                                   *rc::gen::arbitrary<std::uint64_t>(),
-                                   AccountShare::Exceeding};
+                                   *rc::gen::arbitrary<std::uint64_t>(), AccountShare::Exceeding};
     RC_ASSERT(!AdmissionControl::refusal(load, request));
 }
 
--- a/tests/unit-rietwerk.cpp
+++ b/tests/unit-rietwerk.cpp
@@ -100,7 +100,7 @@
     EXPECT_TRUE(tokens->countsTokens);
     EXPECT_EQ(tokens->perSecond, 1392995);
     EXPECT_EQ(tokens->burst, 1392995);
-    EXPECT_EQ(tokens->tokensOfOthers, 200);
+    EXPECT_EQ(tokens->tokensWithoutPrompt, 200);
     EXPECT_FALSE(quotaOf(R"("rate_per_s":2.5,"burst":4,)")->countsTokens);
     EXPECT_FALSE(quotaOf(""));
     EXPECT_FALSE(quotaOf(R"("rate_per_s":0,"burst":0,)"));
