A service that starts as a whole takes what its queues hold

Cause: when routers and all endpoints start together, slow start bounded each endpoint to its slots and refused what the endpoints had room to queue: RateLimits.TheRequestsOfAllRoutersTogetherStayWithinAnEndpointsLimit counted 846 refused of 2,676 requests, all in the first two seconds, where one in a hundred is allowed.

Change: the bound of an endpoint rises with the cube of the paced part of the service, up to eight times its slots.

--- a/src/forward/servicepace.cpp
+++ b/src/forward/servicepace.cpp
@@ -36,6 +36,15 @@
         bounds[static_cast<std::size_t>(best - candidates.begin())] = 1;
 }
 
+/// Limit of an endpoint while that part of its service's slots is paced. The others can't take what
+/// is withheld from many, so it approaches what the endpoint holds with its queue: a service that
+/// starts as a whole refused requests that it had room for.
+double raisedLimit(std::uint32_t slots, double ratio)
+{
+    constexpr double HeldPerSlot = 8;
+    return slots * std::max(ratio, HeldPerSlot * ratio * ratio * ratio);
+}
+
 } // namespace
 
 std::vector<std::uint32_t> pacedBounds(std::span<const PacedCandidate> candidates, SteadyTime now)
@@ -48,7 +57,7 @@
             bounds.push_back(NoBound);
             continue;
         }
-        const auto raised = static_cast<std::uint32_t>(ratio * candidate.slots);
+        const auto raised = static_cast<std::uint32_t>(raisedLimit(candidate.slots, ratio));
         bounds.push_back(shareOf(std::max(candidate.pace->limitAt(now), raised), candidate.place));
     }
     ensureOneRequest(candidates, bounds);
