Routers and endpoints that start together refuse nothing that has room

Cause: a router that doesn't know the fleet yet took the last place for each endpoint in slow start, so it sent one request at a time until its list of routers was read.

Change: no bound by a router without a fleet while all endpoints of the service have just started; after a pause at most the slots.

--- a/include/almondmill/forward/routerplace.h
+++ b/include/almondmill/forward/routerplace.h
@@ -9,6 +9,7 @@
 {
     std::uint32_t index = 0;   ///< In the rendezvous order of the endpoint's incarnation.
     std::uint32_t routers = 1; ///< Number of all routers, including this one.
+    bool isKnown = true;       ///< Whether this router knows the fleet; else it comes last.
 };
 
 /// The part of a limit that falls to the router at `place`. The parts of all routers add up to the
--- a/src/forward/servicepace.cpp
+++ b/src/forward/servicepace.cpp
@@ -36,13 +36,20 @@
         bounds[static_cast<std::size_t>(best - candidates.begin())] = 1;
 }
 
-/// Limit of an endpoint while that part of its service's slots is paced. The others can't take what
-/// is withheld from many, so it approaches what the endpoint holds with its queue: a service that
-/// starts as a whole refused requests that it had room for.
-double raisedLimit(std::uint32_t slots, double ratio)
+/// Bound of a paced endpoint while `ratio` of the service's slots are paced. The others can't take
+/// what is withheld from many, so the bound approaches what the endpoint holds with its queue: a
+/// service that starts as a whole has room for it. An endpoint that asked for a pause gets no more
+/// than its slots.
+std::uint32_t boundOf(const PacedCandidate &candidate, double ratio, SteadyTime now)
 {
     constexpr double HeldPerSlot = 8;
-    return slots * std::max(ratio, HeldPerSlot * ratio * ratio * ratio);
+    const bool hasStarted = candidate.pace->cause() == PaceCause::Start;
+    if (hasStarted && ratio >= 1 && !candidate.place.isKnown)
+        return NoBound;
+    const double raisedRatio =
+            hasStarted ? std::max(ratio, HeldPerSlot * ratio * ratio * ratio) : ratio;
+    const auto raised = static_cast<std::uint32_t>(candidate.slots * raisedRatio);
+    return shareOf(std::max(candidate.pace->limitAt(now), raised), candidate.place);
 }
 
 } // namespace
@@ -57,8 +64,7 @@
             bounds.push_back(NoBound);
             continue;
         }
-        const auto raised = static_cast<std::uint32_t>(raisedLimit(candidate.slots, ratio));
-        bounds.push_back(shareOf(std::max(candidate.pace->limitAt(now), raised), candidate.place));
+        bounds.push_back(boundOf(candidate, ratio, now));
     }
     ensureOneRequest(candidates, bounds);
     return bounds;
--- a/src/peers/routerplaces.cpp
+++ b/src/peers/routerplaces.cpp
@@ -19,7 +19,7 @@
 RouterPlace RouterPlaces::placeFor(std::uint64_t key) const
 {
     if (!m_isKnown)
-        return {UnknownFleet - 1, UnknownFleet};
+        return {UnknownFleet - 1, UnknownFleet, false};
     const auto kept = m_kept.find(key);
     if (kept != m_kept.end())
         return kept->second;
--- a/tests/unit-endpointpace.cpp
+++ b/tests/unit-endpointpace.cpp
@@ -366,6 +366,24 @@
               (std::vector<std::uint32_t>{NoBound, NoBound, NoBound, 0}));
 }
 
+// Guards against requests that are refused while routers and endpoints start together: routers knew
+// no fleet to divide the limits by, and the endpoints had room in their queues.
+TEST(ServicePace, AServiceThatStartsAsAWholeIsNotBoundByARouterThatKnowsNoFleet)
+{
+    EndpointPace paced(Slots);
+    paced.begin(PaceCause::Start, Start);
+    const EndpointPace normal(Slots);
+    const RouterPlace unknown{319, 320, false};
+    const std::vector<PacedCandidate> whole{{&paced, Slots, unknown}, {&paced, Slots, unknown}};
+    EXPECT_EQ(pacedBounds(whole, Start), (std::vector<std::uint32_t>{NoBound, NoBound}));
+    const std::vector<PacedCandidate> known{{&paced, Slots, {0, 1}}};
+    EXPECT_GT(pacedBounds(known, Start).front(), Slots);
+    EndpointPace resuming(Slots);
+    resuming.begin(PaceCause::Pause, Start);
+    const std::vector<PacedCandidate> paused{{&resuming, Slots, {0, 1}}};
+    EXPECT_LE(pacedBounds(paused, Start).front(), Slots);
+}
+
 // Guards against a router without a list of routers that takes the whole limit.
 TEST(RouterPlaces, ARouterThatDoesNotKnowTheFleetTakesTheLastPlace)
 {
