Quotas admit by the mean amount; tests follow the layout and the environment

Cause: an account that counts requests got one more for any fraction of a token in its bucket. The tests of malformed state messages used the layout before; one of them passed for the layout alone and now checks a sound message beside it. The memory limit of a deployment comes through the environment.

--- a/src/peers/quotabucket.cpp
+++ b/src/peers/quotabucket.cpp
@@ -21,6 +21,9 @@
 /// when its time comes.
 constexpr double ReturnsPerAmount = 2;
 
+/// Weight of one request in the mean amount, which covers about the last twenty.
+constexpr double MeanWeight = 0.05;
+
 /// Callers come back only while their request can still be in time.
 constexpr milliseconds LongestReturn{2000};
 
@@ -48,9 +51,16 @@
     m_filledAt = std::max(now, m_filledAt);
 }
 
-bool QuotaBucket::take(double amount)
+double QuotaBucket::neededLevel(const AccountQuota &quota) const
+{
+    return std::min(m_meanAmount, quota.burst);
+}
+
+bool QuotaBucket::take(double amount, const AccountQuota &quota)
 {
-    if (m_level <= 0)
+    const bool isFirst = m_meanAmount == 0;
+    m_meanAmount += (isFirst ? 1 : MeanWeight) * (amount - m_meanAmount);
+    if (m_level < neededLevel(quota))
         return false;
     m_level -= amount;
     return true;
@@ -68,7 +78,7 @@
                                      SteadyTime now)
 {
     const double perSecond = quota.perSecond * std::max(share, SmallestShare);
-    const double missing = std::max(-m_level, 0.0);
+    const double missing = std::max(neededLevel(quota) - m_level, 0.0);
     m_lastReturn = std::max(m_lastReturn + timeFor(amount / ReturnsPerAmount, perSecond),
                             now + timeFor(missing, perSecond));
     m_lastReturn = std::min(m_lastReturn, now + LongestReturn);
--- a/src/peers/quotaissuer.cpp
+++ b/src/peers/quotaissuer.cpp
@@ -84,7 +84,7 @@
     const double part = share(question.account, entry.createdAt, now);
     bucket.refill(*quota, part, now);
     for (std::size_t index = 0; index < question.amounts.size(); ++index) {
-        if (bucket.take(question.amounts[index]))
+        if (bucket.take(question.amounts[index], *quota))
             reply.grantedRequests |= 1U << index;
         else
             reply.returnAfter = bucket.nextReturn(question.amounts[index], *quota, part, now);
--- a/tests/failure-malformedmessages.cpp
+++ b/tests/failure-malformedmessages.cpp
@@ -287,18 +287,23 @@
     for (const json &value :
          {json(std::numeric_limits<double>::infinity()),
           json(std::numeric_limits<double>::quiet_NaN()), json(-5), json("9")}) {
-        const json message = cbor({3, "router-2", 1, 1, false, 0, json::array(),
-                                   cbor({7, 10, value, 100}), json::array()});
+        const json message =
+                cbor({4, "router-2", 1, 1, false, 0, json::array(), cbor({7, 10, value, 100}),
+                      json::array(), json::array(), json::array()});
         EXPECT_FALSE(decodePeerMessage(encoded(message))) << value;
     }
+    const json sound = cbor({4, "router-2", 1, 1, false, 0, json::array(), cbor({7, 10, 5, 100}),
+                             json::array(), json::array(), json::array()});
+    EXPECT_TRUE(decodePeerMessage(encoded(sound)));
 }
 
 TEST(MalformedMessages, TimesInMessagesAreLimited)
 {
     const json message =
-            cbor({3, "router-2", 1, 1, false, 0,
+            cbor({4, "router-2", 1, 1, false, 0,
                   cbor({cbor({"m", 4, std::numeric_limits<std::int64_t>::min()})}), json::array(),
-                  cbor({cbor({7, std::numeric_limits<std::int64_t>::max()})})});
+                  cbor({cbor({7, std::numeric_limits<std::int64_t>::max()})}), json::array(),
+                  json::array()});
     const auto decoded = decodePeerMessage(encoded(message));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded->weights.front().knownFor, milliseconds(0));
--- a/tests/unit-forwardersettings.cpp
+++ b/tests/unit-forwardersettings.cpp
@@ -103,7 +103,6 @@
             {"ip", "10.1.0.1"},
             {"internal_ports.0", "7340"},
             {"limits.max_fds", "2940"},
-            {"limits.memory_mb", "96"},
             {"bounds.retry_budget_ratio", "0.2"}};
     for (const auto &[name, value] : placeholderValues) {
         std::string placeholder = "\\{\\{";
@@ -115,7 +114,12 @@
     const auto settings = parseForwarderSettings(text, "template");
     EXPECT_EQ(settings.peersListen, "10.1.0.1:7340");
     EXPECT_EQ(settings.maxDescriptors, 2940U);
-    EXPECT_EQ(settings.maxMemoryMb, 96U);
+    // The deploy file states the memory of the VM in the environment.
+    setenv("ALMONDMILL_MAX_MEMORY", "96", 1);
+    EXPECT_EQ(parseForwarderSettings(text, "template").maxMemoryMb, 96U);
+    setenv("ALMONDMILL_MAX_MEMORY", "16", 1);
+    EXPECT_EQ(parseForwarderSettings(text, "template").maxMemoryMb, 0U);
+    unsetenv("ALMONDMILL_MAX_MEMORY");
 }
 
 TEST(PlatformNames, AreNotUsedOutsideThePlatformAdapter)
--- a/tests/unit-quotabucket.cpp
+++ b/tests/unit-quotabucket.cpp
@@ -39,9 +39,9 @@
     for (int request = 0; request < Requests; ++request) {
         bucket.refill(quota, 1, Start + Interval * request);
         if (request % 2 == 0)
-            large += bucket.take(Large) ? 1 : 0;
+            large += bucket.take(Large, quota) ? 1 : 0;
         else
-            small += bucket.take(Small) ? 1 : 0;
+            small += bucket.take(Small, quota) ? 1 : 0;
     }
     EXPECT_GT(large, Requests / 2 / 10);
     EXPECT_LT(std::abs(large - small), small / 4 + 1);
@@ -56,7 +56,7 @@
     double admitted = 0;
     for (int request = 0; request < Requests; ++request) {
         bucket.refill(quota, 1, Start + Interval * request);
-        admitted += bucket.take(Large) ? Large : 0;
+        admitted += bucket.take(Large, quota) ? Large : 0;
     }
     EXPECT_LE(admitted, 8 * quota.perSecond + Large);
 }
