--- a/tests/failure-heldmemory.cpp
+++ b/tests/failure-heldmemory.cpp
@@ -65,6 +65,7 @@
     AbusiveLoad (*load)(const std::string &headStart);
 };
 
+// NOLINTNEXTLINE(readability-identifier-naming): GoogleTest looks for this name.
 void PrintTo(const Abuse &abuse, std::ostream *out)
 {
     *out << abuse.name;
@@ -157,7 +158,8 @@
 /// Whether an ordinary caller, who repeats a request without an answer once, is answered.
 bool isServed(const std::function<int()> &request)
 {
-    return request() == 200 || request() == 200;
+    const auto first = request();
+    return first == 200 || request() == 200;
 }
 
 void expectUnharmed(ChildProcess &router, const Abuse &abuse, const std::function<int()> &request)
