--- a/tests/unit-admissioncontrol.cpp
+++ b/tests/unit-admissioncontrol.cpp
@@ -76,6 +76,7 @@
 TEST_P(AdmissionOfFleet, TheAccountThatFloodsIsRefusedFirst)
 {
     std::vector<DemandSource> sources;
+    sources.reserve(8);
     for (int account = 0; account < 8; ++account)
         sources.push_back({"a" + std::to_string(account), 1, milliseconds(1500), milliseconds(2400),
                            burst(30, account == 0 ? 300 : 30)});
--- a/tests/unit-controltraffic.cpp
+++ b/tests/unit-controltraffic.cpp
@@ -98,7 +98,7 @@
     update.incarnation = hash64("incarnation");
     update.sequence = 100000;
     update.configuration = 12;
-    update.registrations.emplace();
+    update.registrations = StoreUpdate::Registrations();
     update.registrations->from = 1000000;
     update.registrations->to = 1000100;
     update.registrations->answeringFor = milliseconds(600000);
--- a/tests/unit-endpointperformance.cpp
+++ b/tests/unit-endpointperformance.cpp
@@ -166,7 +166,7 @@
 // Engines of relative speed 0.6, 1 and 1.6, one of which turns slow halfway.
 TEST(EndpointPerformance, PlacementByEstimatesShortensTheTail)
 {
-    for (const std::uint64_t seed : {1, 2, 3}) {
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
         const EndpointFigures learnt = tailOf(true, seed);
         const EndpointFigures constant = tailOf(false, seed);
         EXPECT_LT(learnt.lateShare, 0.8 * constant.lateShare) << seed;
