--- a/tests/unit-storeupdate.cpp
+++ b/tests/unit-storeupdate.cpp
@@ -148,7 +148,8 @@
     after.draining = true;
     after.revision = 9;
     StoreUpdate update;
-    update.registrations.emplace().deltas.push_back(deltaOf(after));
+    update.registrations = StoreUpdate::Registrations();
+    update.registrations->deltas.push_back(deltaOf(after));
     const auto decoded = decodeStoreUpdate(encodeStoreUpdate(update));
     ASSERT_TRUE(decoded && decoded->registrations && decoded->registrations->deltas.size() == 1);
     const RegistrationDelta &delta = decoded->registrations->deltas.front();
