--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 mkdir -p target/review-2
 for case in review/standins-2/case-*.cpp; do
     name=$(basename "$case" .cpp)
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$case" review/standins-2/{http,record,router,store}.cpp \
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$case" review/standins-2/{booking,http,record,router,store}.cpp \
         -o "target/review-2/$name"
 done
--- a/review/standins-2/case-7.cpp
+++ b/review/standins-2/case-7.cpp
@@ -258,11 +258,12 @@
 {
     const std::string network = loopbackNetwork();
     const TemporaryFolder folder;
-    PlatformStore store(network + ".1", StorePort);
+    // Never destroyed, as threads of connections use them until the end of the process.
+    PlatformStore &store = *new PlatformStore(network + ".1", StorePort);
     store.put("config", "\"main\"", Configuration);
     nameWeights(store, record, 1);
-    Machines machines;
-    std::list<ModelServer> servers;
+    Machines &machines = *new Machines;
+    auto &servers = *new std::list<ModelServer>;
     for (int number = 0; number < ServerCount; ++number)
         servers.emplace_back(store, record, machines, number,
                              network + "." + std::to_string(11 + number));
@@ -308,11 +309,12 @@
 {
     if (argc != 2)
         return CouldNotRun;
-    Record record(argv[1]);
+    Record &record = *new Record(argv[1]);
+    int result = CouldNotRun;
     try {
-        return play(record);
+        result = play(record);
     } catch (const std::exception &error) {
         record.write(std::string("could not run: ") + error.what());
-        return CouldNotRun;
     }
+    std::_Exit(result);
 }
--- a/review/standins-2/router.h
+++ b/review/standins-2/router.h
@@ -31,6 +31,7 @@
 
     const RouterPlace &place() const { return m_place; }
     bool isReady() const;
+    pid_t process() const { return m_process; }
 
     /// SIGKILL; returns when the process has ended.
     void kill();
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -13,6 +13,13 @@
 using nlohmann::json;
 
 constexpr const char *Prefix = "/v1/objects/";
+/// A page of a list ends with so many items, or before it has more bytes.
+constexpr std::size_t MaxItems = 500;
+constexpr std::size_t MaxPageBytes = 1048576;
+
+/// `history_s` of the sheet.
+constexpr std::chrono::seconds History{20};
+
 constexpr const char *JsonType = "Content-Type: application/json\r\n";
 
 std::map<std::string, std::string> parseQuery(const std::string &text)
@@ -50,8 +57,7 @@
     Object object = found->second;
     objects.erase(found);
     object.revision = ++m_revision;
-    m_history.push_back({kind, object, true});
-    m_changed.notify_all();
+    remember({kind, object, true, {}});
 }
 
 PlatformStore::Object PlatformStore::write(const std::string &kind, const std::string &name,
@@ -61,11 +67,22 @@
     if (object.revision != 0 && object.spec == spec)
         return object;
     object = {name, spec, ++m_revision};
-    m_history.push_back({kind, object, false});
-    m_changed.notify_all();
+    remember({kind, object, false, {}});
     return object;
 }
 
+void PlatformStore::remember(Change change)
+{
+    const auto now = std::chrono::steady_clock::now();
+    change.at = now;
+    m_history.push_back(std::move(change));
+    while (m_history.front().at + History < now) {
+        m_forgotten = m_history.front().object.revision;
+        m_history.pop_front();
+    }
+    m_changed.notify_all();
+}
+
 std::string PlatformStore::encode(const Object &object)
 {
     return R"({"metadata":{"name":)" + object.name + R"(,"revision":)"
@@ -102,11 +119,15 @@
     if (after != query.end()) {
         const auto wait = query.find("wait_ms");
         const std::uint64_t waitMs = wait == query.end() ? 0 : std::stoull(wait->second);
-        sendAnswer(socket, 200, watch(kind, std::stoull(after->second), waitMs), JsonType);
+        const std::string events = watch(kind, std::stoull(after->second), waitMs);
+        sendAnswer(socket, events.empty() ? 410 : 200, events.empty() ? "{}" : events, JsonType);
         return;
     }
     if (name.empty()) {
-        sendAnswer(socket, 200, list(kind), JsonType);
+        const auto last = query.find("after");
+        sendAnswer(socket, 200,
+                   list(kind, last == query.end() ? std::string() : json(last->second).dump()),
+                   JsonType);
         return;
     }
     std::string body;
@@ -156,6 +177,8 @@
 {
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitMs);
     std::unique_lock<std::mutex> lock(m_mutex);
+    if (after < m_forgotten)
+        return {};
     std::string events;
     const auto collect = [&] {
         for (const Change &change : m_history) {
@@ -171,14 +194,24 @@
     return R"({"events":[)" + events + R"(],"store_revision":)" + std::to_string(m_revision) + "}";
 }
 
-std::string PlatformStore::list(const std::string &kind)
+std::string PlatformStore::list(const std::string &kind, const std::string &after)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     std::string items;
-    for (const auto &[name, object] : m_objects[kind])
-        items += (items.empty() ? "" : ",") + encode(object);
-    return R"({"items":[)" + items + R"(],"more":false,"store_revision":)"
-           + std::to_string(m_revision) + "}";
+    std::size_t count = 0;
+    bool hasMore = false;
+    for (const auto &[name, object] : m_objects[kind]) {
+        if (!after.empty() && name <= after)
+            continue;
+        const std::string item = encode(object);
+        hasMore = count == MaxItems || (count > 0 && items.size() + item.size() > MaxPageBytes);
+        if (hasMore)
+            break;
+        items += (items.empty() ? "" : ",") + item;
+        ++count;
+    }
+    return R"({"items":[)" + items + R"(],"more":)" + (hasMore ? "true" : "false")
+           + R"(,"store_revision":)" + std::to_string(m_revision) + "}";
 }
 
 } // namespace review
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -2,17 +2,19 @@
 
 #include "http.h"
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <string>
-#include <vector>
 
 namespace review {
 
 /// Stand-in for the platform's store: objects by kind and name, one revision counter, conditional
-/// changes, lists and watches. It keeps the name and the spec of an object as they were written.
+/// changes, lists in pages, watches, a history that ends. It keeps the name and the spec of an
+/// object as they were written.
 class PlatformStore
 {
 public:
@@ -40,6 +42,7 @@
         std::string kind;
         Object object;
         bool isRemoval = false;
+        std::chrono::steady_clock::time_point at;
     };
 
     bool handle(int socket, const HttpRequest &request);
@@ -47,8 +50,10 @@
              const std::map<std::string, std::string> &query);
     void change(int socket, const HttpRequest &request, const std::string &kind,
                 const std::string &name);
+    /// Empty when the store has forgotten changes after that revision.
     std::string watch(const std::string &kind, std::uint64_t after, std::uint64_t waitMs);
-    std::string list(const std::string &kind);
+    std::string list(const std::string &kind, const std::string &after);
+    void remember(Change change);
     Object write(const std::string &kind, const std::string &name, const std::string &spec);
     static std::string encode(const Object &object);
 
@@ -56,8 +61,9 @@
     std::condition_variable m_changed;
     std::uint64_t m_revision = 1;
     std::map<std::string, std::map<std::string, Object>> m_objects;
-    std::vector<Change> m_history;
-    HttpServer m_server; ///< Last, as it uses the others from its first call on.
+    std::deque<Change> m_history;
+    std::uint64_t m_forgotten = 0; ///< Revision of the newest change that was forgotten.
+    HttpServer m_server;           ///< Last, as it uses the others from its first call on.
 };
 
 } // namespace review
