--- a/review/standins-2/case-8.cpp
+++ b/review/standins-2/case-8.cpp
@@ -3,13 +3,11 @@
 
 #include "booking.h"
 #include "casesetup.h"
+#include "machine.h"
 
 #include <atomic>
-#include <fstream>
 #include <list>
 #include <memory>
-#include <mutex>
-#include <sstream>
 
 namespace {
 
@@ -20,13 +18,11 @@
 constexpr int RouterCount = 3;
 constexpr int ServerCount = 4;
 
-// Limits of the sheet: of a machine's memory and of a stored object.
-constexpr long MemoryMb = 96;
+/// Limit of a stored object.
 constexpr std::size_t ValueBytes = 1048576;
 
 constexpr int OddEntries = 4;
 constexpr milliseconds Heartbeat{1200};
-constexpr milliseconds RestartDelay{1000};
 constexpr milliseconds PhaseBefore{4000};
 constexpr milliseconds PhaseDuring{25000};
 
@@ -34,83 +30,6 @@
 constexpr int EndsOfAMachine = 3;
 constexpr int MachinesWithEnds = 2;
 
-/// Anonymous memory of a process, in kB; 0 if it doesn't run.
-long anonymousMemory(pid_t process)
-{
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (line.rfind("RssAnon:", 0) != 0)
-            continue;
-        std::istringstream fields(line.substr(line.find(':') + 1));
-        long kilobytes = 0;
-        fields >> kilobytes;
-        return kilobytes;
-    }
-    return 0;
-}
-
-/// A machine of the platform: runs one router, kills it when it takes more memory than the machine
-/// has, and starts it again after a short delay.
-class Machine
-{
-public:
-    Machine(RouterPlace place, std::string folder, Record &record)
-        : m_place(std::move(place))
-        , m_folder(std::move(folder))
-        , m_record(record)
-        , m_router(std::make_unique<Router>(m_place, m_folder, m_place.name))
-        , m_watch([this] { watch(); })
-    {}
-
-    ~Machine()
-    {
-        m_stopped = true;
-        m_watch.join();
-    }
-
-    Machine(const Machine &) = delete;
-    Machine &operator=(const Machine &) = delete;
-
-    bool isReady()
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        return m_router && m_router->isReady();
-    }
-
-    int ends() const { return m_ends; }
-    long mostKilobytes() const { return m_most; }
-    const std::string &name() const { return m_place.name; }
-
-private:
-    void watch()
-    {
-        while (!m_stopped) {
-            std::this_thread::sleep_for(milliseconds(1));
-            const long kilobytes = anonymousMemory(m_router->process());
-            m_most = std::max(m_most.load(), kilobytes);
-            if (kilobytes <= MemoryMb * 1024)
-                continue;
-            ++m_ends;
-            m_record.write(m_place.name + " takes " + std::to_string(kilobytes)
-                           + " kB of its own; the platform kills it");
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            m_router.reset();
-            std::this_thread::sleep_for(RestartDelay);
-            m_router = std::make_unique<Router>(m_place, m_folder, m_place.name);
-        }
-    }
-
-    RouterPlace m_place;
-    std::string m_folder;
-    Record &m_record;
-    std::mutex m_mutex;
-    std::unique_ptr<Router> m_router;
-    std::atomic<int> m_ends{0};
-    std::atomic<long> m_most{0};
-    std::atomic<bool> m_stopped{false};
-    std::thread m_watch;
-};
-
 /// An entry of that size with a field of another type: it names no server to use.
 std::string oddEntry(int sequence)
 {
@@ -155,6 +74,14 @@
     std::thread m_beats;
 };
 
+/// The place of a router on a machine of that sheet.
+RouterPlace placeOf(int number, const std::string &network, const std::string &store)
+{
+    RouterPlace place = bookingPlace(number, network, store);
+    place.memoryMb = Machine::MemoryMb;
+    return place;
+}
+
 int play(Record &record)
 {
     const std::string network = loopbackNetwork();
@@ -167,8 +94,8 @@
         servers.emplace_back(store, record, number, network + "." + std::to_string(11 + number));
     std::list<Machine> machines;
     for (int number = 0; number < RouterCount; ++number)
-        machines.emplace_back(bookingPlace(number, network, store.address()), folder.path(),
-                              record);
+        machines.emplace_back(placeOf(number, network, store.address()), folder.path(),
+                              Machine::Counts::Own, record);
     for (Machine &machine : machines) {
         if (!waitUntil([&] { return machine.isReady(); }, milliseconds(15000)))
             return CouldNotRun;
@@ -186,7 +113,7 @@
     int machinesWithEnds = 0;
     for (const Machine &machine : machines) {
         machinesWithEnds += machine.ends() >= EndsOfAMachine ? 1 : 0;
-        record.write(machine.name() + ": " + std::to_string(machine.ends())
+        record.write(machine.place().name + ": " + std::to_string(machine.ends())
                      + " ends by memory over the limit, at most "
                      + std::to_string(machine.mostKilobytes()) + " kB seen");
     }
--- a/review/standins-2/router.cpp
+++ b/review/standins-2/router.cpp
@@ -86,7 +86,7 @@
     std::string file = settings;
     const std::array<char *, 4> arguments{program.data(), option.data(), file.data(), nullptr};
     std::string path = "PATH=/usr/bin:/bin";
-    std::string memory = "ALMONDMILL_MAX_MEMORY=182";
+    std::string memory = "ALMONDMILL_MAX_MEMORY=" + std::to_string(m_place.memoryMb);
     const std::array<char *, 3> environment{path.data(), memory.data(), nullptr};
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     m_process = ::fork();
--- a/review/standins-2/router.h
+++ b/review/standins-2/router.h
@@ -12,7 +12,8 @@
     std::string name; ///< `node_name` of the settings.
     std::string ip;
     std::string zone;
-    std::string store; ///< Address of the platform's store.
+    std::string store;  ///< Address of the platform's store.
+    int memoryMb = 182; ///< `memory_mb` of the sheet.
 };
 
 /// One router as a process of its own: the program of the deploy file, with settings from the
