--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -124,8 +124,10 @@
     if (!line)
         return false;
     const std::size_t space = line->find(' ');
+    const std::size_t lastSpace = line->rfind(' ');
+    request.isMalformed = line->find(' ', space + 1) != lastSpace;
     request.method = line->substr(0, space);
-    request.target = line->substr(space + 1, line->rfind(' ') - space - 1);
+    request.target = line->substr(space + 1, lastSpace - space - 1);
     return takeBody(socket, buffer, request.fields, request.body);
 }
 
@@ -136,7 +138,11 @@
     try {
         for (;;) {
             HttpRequest request;
-            if (!takeRequest(socket, buffer, request) || !handler(socket, request))
+            if (!takeRequest(socket, buffer, request))
+                break;
+            if (request.isMalformed)
+                sendAnswer(socket, 400, "", "Connection: close\r\n");
+            if (request.isMalformed || !handler(socket, request))
                 break;
         }
     } catch (const std::system_error &) {
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -15,6 +15,7 @@
     std::string target;
     std::map<std::string, std::string> fields;
     std::string body;
+    bool isMalformed = false; ///< The request line has more than two spaces.
 
     std::string field(const std::string &name) const;
 };
