--- a/review/standins-2/case-7.cpp
+++ b/review/standins-2/case-7.cpp
@@ -210,26 +210,35 @@
         return "two holders with one epoch number";
     if (second.fencing < first.fencing)
         return "a lower epoch number after a higher one";
-    if (second.at - first.at < LeaseTurn)
-        return "holders take turns within lease_ms";
     return {};
 }
 
+/// Whether the holders of three orders take turns: the first one is back within the bound.
+bool takeTurns(const Order &first, const Order &between, const Order &last)
+{
+    return first.machine == last.machine && first.machine != between.machine
+           && last.at - first.at < LeaseTurn;
+}
+
 int check(Record &record, std::list<ModelServer> &servers)
 {
     int broken = 0;
+    const auto report = [&](const ModelServer &server, const std::string &fault, const Order &first,
+                            const Order &second) {
+        ++broken;
+        record.write("ONE broken at " + server.id() + ": " + fault + ": machine " + first.machine
+                     + " at " + std::to_string(first.at) + " s, machine " + second.machine + " at "
+                     + std::to_string(second.at) + " s");
+    };
     for (ModelServer &server : servers) {
         const auto orders = server.orders();
         for (std::size_t later = 1; later < orders.size(); ++later) {
-            const Order &first = orders[later - 1];
-            const Order &second = orders[later];
-            const std::string fault = faultOf(first, second);
-            if (fault.empty())
-                continue;
-            ++broken;
-            record.write("ONE broken at " + server.id() + ": " + fault + ": machine "
-                         + first.machine + " at " + std::to_string(first.at) + " s, machine "
-                         + second.machine + " at " + std::to_string(second.at) + " s");
+            const std::string fault = faultOf(orders[later - 1], orders[later]);
+            if (!fault.empty())
+                report(server, fault, orders[later - 1], orders[later]);
+            if (later > 1 && takeTurns(orders[later - 2], orders[later - 1], orders[later]))
+                report(server, "holders take turns within lease_ms", orders[later - 1],
+                       orders[later]);
         }
     }
     if (broken == 0)
--- a/review/standins-2/case-9.cpp
+++ b/review/standins-2/case-9.cpp
@@ -67,9 +67,9 @@
             break;
         crowds.emplace_back([&record, &machine, end] {
             const Crowd crowd(machine.place().ip, Router::CallerPort, Callers);
-            while (Clock::now() + Visit < end) {
+            for (int visit = 0; Clock::now() + Visit < end; ++visit) {
                 record.write(std::to_string(Callers) + " callers come to " + machine.place().name);
-                crowd.visit(Visit);
+                crowd.visit(visit, Visit);
                 std::this_thread::sleep_for(Pause);
             }
         });
--- a/review/standins-2/crowd.cpp
+++ b/review/standins-2/crowd.cpp
@@ -83,7 +83,7 @@
     raiseDescriptorLimit();
 }
 
-void Crowd::visit(std::chrono::milliseconds length) const
+void Crowd::visit(int visit, std::chrono::milliseconds length) const
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -95,8 +95,9 @@
         Caller &caller = callers[number];
         caller.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         caller.head = "POST /entry/crowd HTTP/1.1\r\nHost: herd.example\r\nRequest-Id: crowd-"
-                      + std::to_string(number) + "\r\nDeadline-Ms: 2500\r\nContent-Length: "
-                      + std::to_string(BodyBytes) + "\r\n\r\n";
+                      + m_ip + "-" + std::to_string(visit) + "-" + std::to_string(number)
+                      + "\r\nDeadline-Ms: 2500\r\nContent-Length: " + std::to_string(BodyBytes)
+                      + "\r\n\r\n";
         (void)::connect(caller.socket, reinterpret_cast<const sockaddr *>(&address),
                         sizeof(address));
         epoll_event event{};
--- a/review/standins-2/crowd.h
+++ b/review/standins-2/crowd.h
@@ -11,8 +11,9 @@
 public:
     Crowd(std::string ip, int port, int callers);
 
-    /// All callers connect at once and stay for that time.
-    void visit(std::chrono::milliseconds length) const;
+    /// All callers connect at once and stay for that time. The number of the visit is part of their
+    /// requests' ids.
+    void visit(int visit, std::chrono::milliseconds length) const;
 
 private:
     std::string m_ip;
--- a/review/standins-2/router.cpp
+++ b/review/standins-2/router.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -91,6 +92,8 @@
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     m_process = ::fork();
     if (m_process == 0) {
+        // The router ends with this process, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
         ::execve(Program, arguments.data(), environment.data());
