Names of other writers are percent-encoded in requests to the store

What callers saw: an entry of another writer stood among those of the servers, under a name with a blank, &, +, # or %, and the list was longer than one page. Routers that started beside it answered 503 for as long as it stood.

Cause: Store::list put the last name of a page into `after` as it was, and read and update put the name into the path. A blank ends the target (400), & and # end the field, %41 and + stand for other characters, so the list failed, began again or left entries out; one failed page fails the list. Ruled out: the decoding of such an entry (a page with it alone was read) and the watch (routers that ran on were not affected).

The stand-in of the store decodes targets and returns its lists in pages.

--- a/src/store/httpplatform.cpp
+++ b/src/store/httpplatform.cpp
@@ -1,15 +1,14 @@
 #include "almondmill/store/httpplatform.h"
 
 #include "almondmill/http/boundedclient.h"
+#include "almondmill/http/percentencoding.h"
 #include "almondmill/kernel/node.h"
 #include "almondmill/metrics/metrics.h"
 #include "almondmill/store/circuitbreakerplatform.h"
 
 #include <nlohmann/json.hpp>
 
-#include <cctype>
 #include <memory>
-#include <string_view>
 
 namespace almondmill {
 
@@ -27,33 +26,9 @@
 /// Largest answer of the platform, with its framing. Pages have about 1 MB.
 constexpr std::size_t MaxAnswerBytes = std::size_t(16) << 20U;
 
-bool isUnescaped(char character)
-{
-    return std::isalnum(static_cast<unsigned char>(character)) != 0
-           || std::string_view("-._~/").find(character) != std::string_view::npos;
-}
-
-/// Percent-encodes all characters other than unreserved characters (RFC 3986) and slashes.
-std::string percentEncoded(const std::string &text)
-{
-    constexpr char Digits[] = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char character : text) {
-        if (isUnescaped(character)) {
-            encoded += character;
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(character);
-        encoded += '%';
-        encoded += Digits[byte >> 4U];
-        encoded += Digits[byte & 0x0fU];
-    }
-    return encoded;
-}
-
 std::string objectPath(const std::string &name)
 {
-    return "/objects/" + percentEncoded(name);
+    return "/objects/" + percentEncodedPath(name);
 }
 
 std::unique_ptr<BoundedClient> makeClient(const std::string &baseUrl,
@@ -151,7 +126,7 @@
 {
     count("list");
     auto client = makeClient(m_baseUrl, timeout);
-    const auto result = client->Get("/objects?prefix=" + percentEncoded(prefix));
+    const auto result = client->Get("/objects?prefix=" + percentEncodedPath(prefix));
     if (!result || result->status != 200)
         return Unavailable{describe(result)};
     return parseBody<ListResult>(result->body, [](const Json &json) {
@@ -169,7 +144,7 @@
     count("watch");
     auto client = makeClient(m_baseUrl, wait + WatchTimeoutMargin);
     const auto result =
-            client->Get("/watch?prefix=" + percentEncoded(prefix) + "&after="
+            client->Get("/watch?prefix=" + percentEncodedPath(prefix) + "&after="
                         + std::to_string(revision) + "&wait_ms=" + std::to_string(wait.count()));
     if (!result || result->status != 200)
         return Unavailable{describe(result)};
--- a/standins/rietwerk/metadataserver.cpp
+++ b/standins/rietwerk/metadataserver.cpp
@@ -1,6 +1,7 @@
 #include "metadataserver.h"
 
 #include "../spawn.h"
+#include "percentdecoding.h"
 
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/http/httphead.h"
@@ -108,10 +109,13 @@
                 absl::StrSplit(abslView(text.substr(ObjectsPath.size())), absl::MaxSplits('?', 1));
         const std::pair<std::string, std::string> kindAndName =
                 absl::StrSplit(pathAndQuery.first, absl::MaxSplits('/', 1));
-        Target target{kindAndName.first, kindAndName.second, {}};
+        Target target{kindAndName.first, percentDecoded(kindAndName.second), {}};
         for (const absl::string_view field :
-             absl::StrSplit(pathAndQuery.second, '&', absl::SkipEmpty()))
-            target.query.insert(absl::StrSplit(field, absl::MaxSplits('=', 1)));
+             absl::StrSplit(pathAndQuery.second, '&', absl::SkipEmpty())) {
+            const std::pair<std::string, std::string> nameAndValue =
+                    absl::StrSplit(field, absl::MaxSplits('=', 1));
+            target.query.emplace(nameAndValue.first, queryDecoded(nameAndValue.second));
+        }
         return target;
     }
 };
@@ -171,12 +175,25 @@
             co_return answerWith(http::status::not_found);
         co_return answerWith(http::status::ok, encode(*object));
     }
+    co_return list(target);
+}
+
+HttpAnswer MetadataServer::list(const Target &target) const
+{
+    const auto after = target.query.find("after");
     json items = json::array();
-    for (const MetadataObject &object : m_store.list(target.kind))
+    bool hasMore = false;
+    for (const MetadataObject &object : m_store.list(target.kind)) {
+        if (after != target.query.end() && object.name <= after->second)
+            continue;
+        hasMore = items.size() == m_pageSize;
+        if (hasMore)
+            break;
         items.push_back(encode(object));
-    co_return answerWith(
-            http::status::ok,
-            {{"items", items}, {"more", false}, {"store_revision", m_store.revision()}});
+    }
+    return answerWith(http::status::ok, {{"items", std::move(items)},
+                                         {"more", hasMore},
+                                         {"store_revision", m_store.revision()}});
 }
 
 HttpAnswer MetadataServer::change(const HttpRequest &request, const Target &target)
--- a/standins/rietwerk/metadataserver.h
+++ b/standins/rietwerk/metadataserver.h
@@ -36,6 +36,9 @@
 
     void setFault(Fault fault, std::chrono::milliseconds delay = {});
 
+    /// Sets the number of objects in a page of a list.
+    void setPageSize(std::size_t objects) { m_pageSize = objects; }
+
     /// Number of calls received, whatever their outcome.
     std::uint64_t calls() const { return m_calls; }
 
@@ -49,6 +52,7 @@
 
     Awaitable<bool> handle(const HttpRequest &request, HttpConnection &connection);
     Awaitable<HttpAnswer> answerTo(const HttpRequest &request, const Target &target);
+    HttpAnswer list(const Target &target) const;
     Awaitable<HttpAnswer> watch(const Target &target);
     HttpAnswer change(const HttpRequest &request, const Target &target);
     Awaitable<void> waitForChange(Time until);
@@ -58,6 +62,7 @@
     MetadataStore m_store;
     Fault m_fault = Fault::None;
     std::chrono::milliseconds m_delay{0};
+    std::size_t m_pageSize = 500;
     std::uint64_t m_calls = 0;
     std::set<boost::asio::steady_timer *> m_watchTimers;
     HttpListener m_listener;
--- a/tests/support/forwardingprocess.cpp
+++ b/tests/support/forwardingprocess.cpp
@@ -44,7 +44,7 @@
     {}
 };
 
-ForwardingProcess::ForwardingProcess(const Limits &limits)
+ForwardingProcess::ForwardingProcess(const Limits &limits, const ForeignEntries &foreign)
     : m_limits(limits)
     , m_address(nextLoopbackAddress())
     , m_settingsFile("/tmp/almondmill-test-" + m_address + ".toml")
@@ -55,8 +55,13 @@
     soak::SiteConfiguration configuration;
     configuration.version = 1;
     configuration.keys = {Key};
-    m_store.store().put("config", "main", nlohmann::json::parse(configuration.encode()),
-                        std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    m_store.store().put("config", "main", nlohmann::json::parse(configuration.encode()), now);
+    if (!foreign.empty())
+        m_store.setPageSize(1);
+    // Nobody renews them, and they must not expire.
+    for (const ForeignEntry &entry : foreign)
+        m_store.store().put("servers", entry.name, entry.spec, now + std::chrono::hours(1));
     m_endpoint = std::make_unique<standin::rietwerk::RegisteredEndpoint>(
             m_loop, endpointPlan(), m_store.address(), *m_observer);
     m_thread = std::thread([this] { m_loop.run(); });
--- a/tests/support/forwardingprocess.h
+++ b/tests/support/forwardingprocess.h
@@ -9,10 +9,13 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace almondmill::test {
 
@@ -27,7 +30,16 @@
         std::uint32_t descriptors = 0;
     };
 
-    explicit ForwardingProcess(const Limits &limits);
+    /// An entry of another writer among those of the endpoints.
+    struct ForeignEntry
+    {
+        std::string name;
+        nlohmann::json spec;
+    };
+    using ForeignEntries = std::vector<ForeignEntry>;
+
+    /// The store returns its lists in pages of one object when there are foreign entries.
+    explicit ForwardingProcess(const Limits &limits, const ForeignEntries &foreign = {});
     ~ForwardingProcess();
     ForwardingProcess(const ForwardingProcess &) = delete;
     ForwardingProcess &operator=(const ForwardingProcess &) = delete;
--- a/tests/unit-metadatastore.cpp
+++ b/tests/unit-metadatastore.cpp
@@ -1,14 +1,6 @@
 // The stand-in for the platform's metadata store, and the platform adapter's client of that store.
 
-#include "standins/rietwerk/metadataserver.h"
-#include "standins/spawn.h"
-#include "support/loopback.h"
-
-#include "almondmill/forward/platformadapter.h"
-#include "almondmill/forward/socketaddress.h"
-#include "almondmill/store/asyncstore.h"
-
-#include <gtest/gtest.h>
+#include "support/storeclienttest.h"
 
 namespace almondmill::test {
 
@@ -21,42 +13,6 @@
 constexpr MetadataStore::Time Start{std::chrono::hours(1)};
 using Result = MetadataStore::Result;
 
-/// Runs the adapter's client and the stand-in on one event loop.
-class StoreClientTest : public testing::Test
-{
-protected:
-    StoreClientTest()
-        : server(loop, nextLoopbackAddress() + ":8200")
-        , adapter(PlatformAdapterRegistry::create("rietwerk"))
-        , client(adapter->makeStore(loop.get_executor(), parseSocketAddress(server.address())))
-    {}
-
-    template<typename T>
-    T wait(boost::asio::awaitable<T> call)
-    {
-        std::optional<T> result;
-        standin::spawn(loop, store(std::move(call), result));
-        while (!result)
-            loop.run_one();
-        return std::move(*result);
-    }
-
-    static SteadyTime deadline() { return std::chrono::steady_clock::now() + seconds(5); }
-
-    boost::asio::io_context loop;
-    MetadataServer server;
-    std::unique_ptr<PlatformAdapter> adapter;
-    std::unique_ptr<AsyncStore> client;
-
-private:
-    template<typename T>
-    static boost::asio::awaitable<void> store(boost::asio::awaitable<T> call,
-                                              std::optional<T> &result)
-    {
-        result = co_await std::move(call);
-    }
-};
-
 } // namespace
 
 TEST(MetadataStore, ChangesAreConditional)
