An entry that can't be read hides no other entry of the store

What callers saw: an entry of another writer whose name held bytes that are no text lay among those of the servers. Routers that started beside it answered 503 as long as it lay there; running ones learned of no change.

Cause: a string that can't be read becomes null, the decoder threw at that name, and lists, pages and changes were decoded in one piece. A failed call for changes was sent again from the same revision. Ruled out: odd bytes within the value, which were handled.

Change: ObjectReader takes the objects out of an answer one by one, ListCursor lets a list go on behind names that are no positions and ends one that doesn't advance, with what it found. The name of a registration has to be an endpoint's id: it is sent in a header field and to other routers.

--- a/include/almondmill/store/readresult.h
+++ b/include/almondmill/store/readresult.h
@@ -27,6 +27,7 @@
 {
     std::vector<StoredObject> objects;
     std::uint64_t revision = 0;
+    bool isComplete = true; ///< False when objects may be missing, as the list could not go on.
 };
 
 using ListResult = std::variant<ObjectList, Unavailable>;
--- a/src/forward/registrationssync.cpp
+++ b/src/forward/registrationssync.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/forward/registrationssync.h"
 
+#include "almondmill/directory/endpointid.h"
 #include "almondmill/directory/storeoutage.h"
 #include "almondmill/forward/endpointview.h"
 #include "almondmill/forward/forwardingcontext.h"
@@ -135,8 +136,9 @@
             entries.push_back(std::move(*entry));
     }
     return m_context.directory.replaceAll(
-            std::move(entries), list.revision,
-            [&](const Registration &entry) { return m_retention.retains(entry, now); });
+            std::move(entries), list.revision, [&](const Registration &entry) {
+                return !list.isComplete || m_retention.retains(entry, now);
+            });
 }
 
 void RegistrationsSync::applyEvents(const ObjectEvents &events, SteadyTime now)
@@ -258,6 +260,8 @@
 {
     const Registration *entry = m_context.directory.find(id);
     if (!entry) {
+        if (!isEndpointId(id))
+            return 0; // An entry of another writer; no router ever took it for an endpoint's.
         registrations.gone.push_back(id);
         return DeltasPerEntry;
     }
--- a/src/kernel/jsonsanitizer.cpp
+++ b/src/kernel/jsonsanitizer.cpp
@@ -74,8 +74,9 @@
 class JsonSanitizer
 {
 public:
-    explicit JsonSanitizer(std::string_view text)
+    JsonSanitizer(std::string_view text, UnreadableStrings unreadable)
         : m_text(text)
+        , m_unreadable(unreadable)
     {
         m_result.reserve(text.size());
     }
@@ -152,7 +153,8 @@
         ++m_at;
     }
 
-    /// A string that isn't text becomes null, but for a name in an object, which has to be one.
+    /// A string that isn't text becomes null, but for a name in an object, which has to be one, and
+    /// where such strings are marked.
     void readString()
     {
         const std::size_t from = m_result.size();
@@ -163,7 +165,7 @@
         copy(1);
         const std::size_t next = m_text.find_first_not_of(WhiteSpace, m_at);
         const bool isName = next != std::string_view::npos && m_text[next] == ':';
-        if (m_isText || isName)
+        if (m_isText || isName || m_unreadable == UnreadableStrings::Marked)
             return;
         m_result.resize(from);
         m_result += Null;
@@ -179,9 +181,7 @@
         }
         const std::size_t length = characterLength(rest);
         if (length == 0 || byteAt(rest, 0) < FirstPrintable) {
-            m_result += '?';
-            m_isText = false;
-            ++m_at;
+            replaceUnreadable(1);
             return;
         }
         copy(length);
@@ -194,14 +194,23 @@
         if (isPair) {
             copy(2 * UnicodeEscapeLength);
         } else if (isHighSurrogate(rest) || isLowSurrogate(rest)) {
-            m_result += '?';
-            m_isText = false;
-            m_at += UnicodeEscapeLength;
+            replaceUnreadable(UnicodeEscapeLength);
         } else {
             copy(2);
         }
     }
 
+    /// One mark is enough for a string, and more of them could make it many times as long.
+    void replaceUnreadable(std::size_t length)
+    {
+        if (m_unreadable == UnreadableStrings::Null)
+            m_result += '?';
+        else if (m_isText)
+            m_result += UnreadableMark;
+        m_isText = false;
+        m_at += length;
+    }
+
     void readNumber()
     {
         const std::string_view number = take(NumberCharacters);
@@ -238,6 +247,7 @@
     }
 
     std::string_view m_text;
+    const UnreadableStrings m_unreadable;
     std::size_t m_at = 0;
     std::size_t m_depth = 0;
     bool m_isText = true; ///< All characters of the string so far can be read.
@@ -246,9 +256,9 @@
 
 } // namespace
 
-std::string sanitizeJson(std::string_view text)
+std::string sanitizeJson(std::string_view text, UnreadableStrings unreadable)
 {
-    return JsonSanitizer(text).run();
+    return JsonSanitizer(text, unreadable).run();
 }
 
 } // namespace almondmill
--- a/src/peers/peerdiscovery.cpp
+++ b/src/peers/peerdiscovery.cpp
@@ -2,6 +2,7 @@
 
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/kernel/samejson.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/datagramaddress.h"
@@ -114,7 +115,7 @@
     const auto *conflict = std::get_if<Conflict>(&created);
     if (!conflict || !conflict->current)
         co_return false;
-    if (conflict->current->value == value)
+    if (isSameJson(conflict->current->value, value))
         co_return true;
     const auto updated = co_await m_store.update(ObjectKind::Routers, m_context.settings.name,
                                                  value, conflict->current->version, deadline());
--- a/tests/failure-oddentries.cpp
+++ b/tests/failure-oddentries.cpp
@@ -1,7 +1,8 @@
 // Guards against one odd entry of another writer that hides the sound ones from routers, or ends
-// them: very deeply nested, with a number that is too large, with bytes that are no text, or with a
-// port out of range.
+// them: very deeply nested, with a number that is too large, with bytes that are no text, with a
+// port out of range, or under a name that is missing, no text or too long.
 
+#include "standins/rietwerk/percentdecoding.h"
 #include "support/rawendpoint.h"
 
 #include "almondmill/forward/platformadapter.h"
@@ -11,6 +12,8 @@
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/store/asyncstore.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <nlohmann/json.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -20,8 +23,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -75,14 +81,17 @@
     return R"({"metadata":{"name":")" + name + R"(","revision":7},"spec":)" + spec + "}";
 }
 
-/// Answers every call with that body.
-class FixedStore
+/// Answers a call with the body that a function of the test finds for it.
+class ScriptedPages
 {
 public:
-    explicit FixedStore(std::string body)
-        : m_endpoint([body = std::move(body)](int socket, const std::string &, unsigned) {
+    using BodyOf = std::function<std::string(const std::string &call)>;
+
+    explicit ScriptedPages(const BodyOf &bodyOf)
+        : m_endpoint([bodyOf](int socket, const std::string &call, unsigned) {
+            const std::string body = bodyOf(call);
             RawEndpoint::write(socket, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                                       "Content-Length: "
+                                       "Connection: close\r\nContent-Length: "
                                                + std::to_string(body.size()) + "\r\n\r\n" + body);
         })
     {}
@@ -96,11 +105,11 @@
 template<typename Result>
 using Call = std::function<boost::asio::awaitable<Result>(AsyncStore &)>;
 
-/// The result of one call to a store that answers with `body`.
+/// The result of one call to a store that answers as `bodyOf` says.
 template<typename Result>
-Result callStore(const std::string &body, const Call<Result> &call)
+Result callStore(const ScriptedPages::BodyOf &bodyOf, const Call<Result> &call)
 {
-    const FixedStore server(body);
+    const ScriptedPages server(bodyOf);
     boost::asio::io_context loop;
     const auto store =
             PlatformAdapterRegistry::create("rietwerk")
@@ -115,6 +124,13 @@
     return result.value_or(Unavailable{"no answer"});
 }
 
+/// The result of one call to a store that answers with `body`.
+template<typename Result>
+Result callStore(const std::string &body, const Call<Result> &call)
+{
+    return callStore<Result>([body](const std::string &) { return body; }, call);
+}
+
 bool isSound(const StoredObject &object)
 {
     try {
@@ -130,8 +146,157 @@
     return steadyNow() + std::chrono::seconds(3);
 }
 
+/// Metadata of entries that can't be told by a name, or have no revision.
+std::vector<std::string> oddMetadata()
+{
+    return {"{\"name\":\"desk-\xff\xfe\",\"revision\":7}",
+            R"({"name":"\ud800","revision":7})",
+            "{\"name\":\"\x01\",\"revision\":7}",
+            R"({"name":"","revision":7})",
+            R"({"name":17,"revision":7})",
+            R"({"name":null,"revision":7})",
+            R"({"revision":7})",
+            R"({"name":"odd"})",
+            R"({"name":"odd","revision":"7"})",
+            R"({"name":"odd","revision":-7})",
+            R"({"name":")" + std::string(100000, 'n') + R"(","revision":7})",
+            R"("odd")",
+            "[]"};
+}
+
+/// Items that are no objects of the store, or that have odd metadata.
+std::vector<std::string> oddItems()
+{
+    std::vector<std::string> items{"17",     "null", R"("odd")",      "[]",
+                                   "[[{}]]", "{}",   R"({"spec":{}})"};
+    for (const std::string &metadata : oddMetadata())
+        items.push_back(absl::StrCat(R"({"metadata":)", metadata, R"(,"spec":)", SoundEntry, "}"));
+    return items;
+}
+
+std::vector<std::string> namesOf(const ListResult &result)
+{
+    std::vector<std::string> names;
+    if (const auto *list = std::get_if<ObjectList>(&result)) {
+        for (const StoredObject &object : list->objects)
+            names.push_back(object.name);
+    }
+    return names;
+}
+
+/// The position that the call for a page of a list names, decoded; empty for the first page.
+std::string positionIn(const std::string &call)
+{
+    constexpr std::string_view Field = "after=";
+    const auto from = call.find(Field);
+    if (from == std::string::npos)
+        return {};
+    const auto begin = from + Field.size();
+    return standin::rietwerk::queryDecoded(
+            std::string_view(call).substr(begin, call.find(' ', begin) - begin));
+}
+
+/// Answers with pages of one object each, in the order of the names' bytes.
+ScriptedPages::BodyOf pagesOf(std::vector<std::string> names)
+{
+    std::sort(names.begin(), names.end());
+    return [names](const std::string &call) {
+        const auto next = std::upper_bound(names.begin(), names.end(), positionIn(call));
+        const std::string item = next == names.end() ? "" : object(*next, SoundEntry);
+        const bool hasMore = next != names.end() && next + 1 != names.end();
+        return R"({"items":[)" + item + R"(],"more":)" + (hasMore ? "true" : "false")
+               + R"(,"store_revision":9})";
+    };
+}
+
+ListResult listOf(const ScriptedPages::BodyOf &bodyOf)
+{
+    return callStore<ListResult>(bodyOf, [](AsyncStore &store) {
+        return store.list(ObjectKind::Registrations, Freshness::Current, soon());
+    });
+}
+
+ListResult listOf(const std::string &body)
+{
+    return listOf([body](const std::string &) { return body; });
+}
+
 } // namespace
 
+// Guards against an item without a readable name or revision that makes a whole page unreadable.
+TEST(OddEntries, AnItemThatIsNoObjectHidesNoOther)
+{
+    for (const std::string &odd : oddItems()) {
+        const ListResult result = listOf(absl::StrCat(
+                R"({"items":[)", odd, ",", object("a", SoundEntry), ",", odd, ",",
+                object("z", SoundEntry), ",", odd, R"(],"more":false,"store_revision":9})"));
+        EXPECT_EQ(namesOf(result), (std::vector<std::string>{"a", "z"})) << odd.substr(0, 300);
+    }
+}
+
+// Guards against such an item among the changes, after which the same changes are read for ever.
+TEST(OddEntries, AnItemThatIsNoObjectHidesNoOtherChange)
+{
+    for (const std::string &odd : oddItems()) {
+        const std::string body =
+                absl::StrCat(R"({"events":[{"object":)", odd, R"(,"deleted":true},)", odd,
+                             R"(,{"object":)", object("z", SoundEntry), R"(},{"object":)",
+                             object("z", SoundEntry), R"(,"deleted":false}],"store_revision":9})");
+        const auto result = callStore<EventsResult>(body, [](AsyncStore &store) {
+            return store.events(ObjectKind::Registrations, 7, std::chrono::milliseconds(10),
+                                soon());
+        });
+        const auto *events = std::get_if<ObjectEvents>(&result);
+        ASSERT_NE(events, nullptr) << odd.substr(0, 300);
+        EXPECT_EQ(events->revision, 9U);
+        ASSERT_EQ(events->events.size(), 1U) << odd.substr(0, 300);
+        EXPECT_TRUE(isSound(events->events.front().object));
+    }
+}
+
+// Guards against a list that ends at a page whose only object has a name that is no position.
+TEST(OddEntries, AListGoesOnBehindANameThatCannotBeRead)
+{
+    const std::vector<std::string> sound{"a", "desk", "desk-1", "desk-2", "desks", "z"};
+    const std::vector<std::string> unreadable{"desk-\xff\xfe", "desk-\xff\xfe\xff", "desk-2\xc3",
+                                              "desk-" + std::string(100000, 'n'), "\xff"};
+    for (const std::string &odd : unreadable) {
+        std::vector<std::string> names = sound;
+        names.push_back(odd);
+        EXPECT_EQ(namesOf(listOf(pagesOf(names))), sound) << odd.substr(0, 300);
+    }
+    std::vector<std::string> all = sound;
+    all.insert(all.end(), unreadable.begin(), unreadable.end());
+    EXPECT_EQ(namesOf(listOf(pagesOf(all))), sound);
+}
+
+// Guards against a list that is read round in circles, or taken for whole, when the store goes on
+// at no position.
+TEST(OddEntries, AListThatDoesNotAdvanceEnds)
+{
+    const ListResult result =
+            listOf(absl::StrCat(R"({"items":[)", object("a", SoundEntry), ",",
+                                object("z", SoundEntry), R"(],"more":true,"store_revision":9})"));
+    const auto *list = std::get_if<ObjectList>(&result);
+    ASSERT_NE(list, nullptr);
+    EXPECT_FALSE(list->isComplete);
+    EXPECT_EQ(list->objects.front().name, "a");
+}
+
+// Guards against a name that ends the field of a request in which it is sent, or that is longer
+// than a datagram to another router.
+TEST(OddEntries, ANameThatIsNoIdNamesNoEndpoint)
+{
+    for (const std::string &name :
+         {std::string("a desk"), std::string("a&desk"), std::string("a+desk"),
+          std::string("a#desk"), std::string("a%desk"), std::string("a\r\nHold: 1"),
+          std::string("a\u00e9"), std::string(), std::string(129, 'a')})
+        EXPECT_FALSE(isSound({name, SoundEntry, 7})) << name;
+    for (const std::string &name : {std::string("i-7f3a91c2"), std::string("desk-1.2"),
+                                    std::string("10.0.0.1:8080"), std::string(128, 'a')})
+        EXPECT_TRUE(isSound({name, SoundEntry, 7})) << name;
+}
+
 TEST(OddEntries, OneInTheListOfEndpointsHidesNoOther)
 {
     for (const std::string &odd : oddEntries()) {
@@ -189,6 +354,19 @@
     EXPECT_EQ(deep, std::string(MaxJsonDepth, '[') + "null" + std::string(MaxJsonDepth, ']'));
 }
 
+TEST(JsonSanitizer, MarksWhatCannotBeReadInAString)
+{
+    const auto marked = [](const std::string &text) {
+        return sanitizeJson(text, UnreadableStrings::Marked);
+    };
+    const std::string mark(UnreadableMark);
+    EXPECT_EQ(marked(SoundEntry), SoundEntry);
+    EXPECT_EQ(marked("[\"a\xff\xfe"
+                     "b\x01\"]"),
+              "[\"a" + mark + "b\"]");
+    EXPECT_EQ(marked(R"(["\ud800",1e999])"), "[\"" + mark + "\",null]");
+}
+
 RC_GTEST_PROP(JsonSanitizerProperty, AnyTextIsReadToItsEnd, ())
 {
     const auto text = *rc::gen::container<std::string>(
