A large entry of another writer takes no more memory than its text

What callers saw: other writers put entries of 1 MB among those of the servers and renewed them. Routers with 96 MB were killed for their memory, again and again; the requests that they held were cut.

Cause: an answer of the store was limited to 16 MB of text, then parsed into a tree, in which an empty object takes many times its 3 bytes; the value was parsed into a second tree by the decoder of registrations. Nothing counted it. Ruled out: the bytes that the kernel holds (the case counts own memory only).

An answer has up to 4 MB; changes that take more are listed instead, page by page.

--- a/include/almondmill/http/httpclient.h
+++ b/include/almondmill/http/httpclient.h
@@ -29,6 +29,7 @@
 {
     std::string reason;
     bool sent = false; ///< Whether the server may have received any part of the request.
+    bool isAnswerTooLarge = false; ///< The answer's body was longer than the client reads.
 };
 
 using HttpOutcome = std::variant<HttpReply, HttpFailure>;
@@ -37,8 +38,9 @@
 class HttpClient
 {
 public:
-    /// Largest answer of the platform's store, which returns pages of about 1 MB.
-    static constexpr std::uint64_t MaxStoreAnswerBytes = 16U << 20U;
+    /// Largest answer of the platform's store. A page has about 1 MB, or one object of that size;
+    /// changes that take more are listed instead.
+    static constexpr std::uint64_t MaxStoreAnswerBytes = 4U << 20U;
 
     /// A call fails whose answer has a body of more than `maxAnswerBytes`.
     HttpClient(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint server,
--- a/include/almondmill/store/asyncstore.h
+++ b/include/almondmill/store/asyncstore.h
@@ -45,8 +45,8 @@
     std::uint64_t revision = 0; ///< Revision to request the next changes from.
 };
 
-/// The store no longer holds the changes after the requested revision; the caller has to list
-/// again.
+/// The changes after the requested revision can't be read: the store no longer holds them, or they
+/// are too large for one answer. The caller has to list again.
 struct HistoryGone
 {};
 
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -103,7 +103,8 @@
     if (error) {
         const bool timedOut = socket->closeReason() == TimedSocket::CloseReason::Deadline;
         socket->abort();
-        co_return HttpFailure{timedOut ? "timeout" : "receive: " + error.message(), true};
+        co_return HttpFailure{timedOut ? "timeout" : "receive: " + error.message(), true,
+                              error == boost::beast::http::error::body_limit};
     }
     HttpReply reply{parser->head(), std::move(parser->body())};
     if (parser->keep_alive() && !hasConnectionOption(reply.head.fields, "close"))
--- a/tests/failure-oddentries.cpp
+++ b/tests/failure-oddentries.cpp
@@ -3,6 +3,8 @@
 // port out of range, or under a name that is missing, no text or too long.
 
 #include "standins/rietwerk/percentdecoding.h"
+#include "support/forwardingprocess.h"
+#include "support/processmemory.h"
 #include "support/rawendpoint.h"
 
 #include "almondmill/forward/platformadapter.h"
@@ -28,6 +30,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <variant>
 #include <vector>
 
@@ -51,6 +54,14 @@
     return text;
 }
 
+std::string repeated(const std::string &text, int times)
+{
+    std::string all;
+    for (int time = 0; time < times; ++time)
+        all += text;
+    return all;
+}
+
 std::string nested()
 {
     return with("48", std::string(DeepNesting, '[') + std::string(DeepNesting, ']'));
@@ -221,6 +232,30 @@
     return listOf([body](const std::string &) { return body; });
 }
 
+/// Limits of a router's process: those of a small VM.
+constexpr ForwardingProcess::Limits RouterLimits{96, 1024};
+
+/// What control may take of the memory of a VM.
+constexpr std::size_t ControlBytes = 32000000;
+
+constexpr int Renewals = 8;
+constexpr std::chrono::milliseconds RenewalInterval{400};
+
+/// Entries of about 1 MB, the most that the store takes, which are many times as large when they
+/// are parsed.
+ForwardingProcess::ForeignEntries largeEntries(int sequence)
+{
+    constexpr int Entries = 4;
+    constexpr std::size_t Elements = 349000;
+    const json spec{{"service", "desk"},
+                    {"sequence", sequence},
+                    {"slots", std::vector<json>(Elements, json::object())}};
+    ForwardingProcess::ForeignEntries entries;
+    for (int number = 0; number < Entries; ++number)
+        entries.push_back({"old-" + std::to_string(number), spec});
+    return entries;
+}
+
 } // namespace
 
 // Guards against an item without a readable name or revision that makes a whole page unreadable.
@@ -297,6 +332,53 @@
         EXPECT_TRUE(isSound({name, SoundEntry, 7})) << name;
 }
 
+// Guards against a value of another writer that takes many times its length when it is parsed.
+TEST(OddEntries, AValueThatIsTooLongIsNotKept)
+{
+    const std::string large = with("48", "[{}" + repeated(",{}", 300000) + "]");
+    const ListResult result = listOf(
+            absl::StrCat(R"({"items":[)", object("a", SoundEntry), ",", object("odd", large), ",",
+                         object("z", SoundEntry), R"(],"more":false,"store_revision":9})"));
+    const auto *list = std::get_if<ObjectList>(&result);
+    ASSERT_NE(list, nullptr);
+    ASSERT_EQ(list->objects.size(), 3U);
+    EXPECT_TRUE(isSound(list->objects[0]));
+    EXPECT_TRUE(list->objects[1].value.empty());
+    EXPECT_TRUE(isSound(list->objects[2]));
+}
+
+// Guards against a router that is killed for its memory while other writers' entries are as large
+// as the store takes them, when it starts beside them and when they are renewed.
+TEST(StoreMemoryUnderAbuse, LargeEntriesTakeNoMoreThanControlMay)
+{
+    ForwardingProcess calm(RouterLimits);
+    ASSERT_TRUE(calm.waitUntilServing());
+    ForwardingProcess router(RouterLimits, largeEntries(0));
+    ASSERT_TRUE(router.waitUntilServing());
+    for (int sequence = 1; sequence <= Renewals; ++sequence) {
+        router.put(largeEntries(sequence));
+        std::this_thread::sleep_for(RenewalInterval);
+    }
+    EXPECT_FALSE(router.process().hasEnded());
+    EXPECT_EQ(router.request(), 200);
+    EXPECT_LE(peakMemoryOf(router.process().pid()),
+              peakMemoryOf(calm.process().pid()) + ControlBytes);
+}
+
+// Guards against changes that are too large to be read and are asked for again and again.
+TEST(OddEntries, ChangesThatAreTooLargeAreListedInstead)
+{
+    std::string body = R"({"events":[)";
+    for (int event = 0; event < 5; ++event)
+        absl::StrAppend(&body, R"({"deleted":false,"object":)",
+                        object("odd", std::string(1000000, '1')), "},");
+    body += R"({"deleted":false,"object":)" + object("z", SoundEntry) + R"(}],"store_revision":9})";
+    const auto result = callStore<EventsResult>(body, [](AsyncStore &store) {
+        return store.events(ObjectKind::Registrations, 7, std::chrono::milliseconds(10), soon());
+    });
+    EXPECT_TRUE(std::holds_alternative<HistoryGone>(result));
+}
+
 TEST(OddEntries, OneInTheListOfEndpointsHidesNoOther)
 {
     for (const std::string &odd : oddEntries()) {
--- a/tests/support/forwardingprocess.cpp
+++ b/tests/support/forwardingprocess.cpp
@@ -4,11 +4,14 @@
 #include "support/loopback.h"
 #include "support/waituntil.h"
 
+#include <boost/asio/post.hpp>
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
 #include <fstream>
+#include <future>
 
 namespace almondmill::test {
 
@@ -59,9 +62,7 @@
     m_store.store().put("config", "main", nlohmann::json::parse(configuration.encode()), now);
     if (!foreign.empty())
         m_store.setPageSize(1);
-    // Nobody renews them, and they must not expire.
-    for (const ForeignEntry &entry : foreign)
-        m_store.store().put("servers", entry.name, entry.spec, now + std::chrono::hours(1));
+    putUnexpiring(foreign);
     m_endpoint = std::make_unique<standin::rietwerk::RegisteredEndpoint>(
             m_loop, endpointPlan(), m_store.address(), *m_observer);
     m_thread = std::thread([this] { m_loop.run(); });
@@ -76,6 +77,23 @@
     std::remove(m_settingsFile.c_str());
 }
 
+void ForwardingProcess::put(const ForeignEntries &entries)
+{
+    std::promise<void> done;
+    boost::asio::post(m_loop, [&] {
+        putUnexpiring(entries);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void ForwardingProcess::putUnexpiring(const ForeignEntries &entries)
+{
+    const auto later = std::chrono::steady_clock::now() + std::chrono::hours(1);
+    for (const ForeignEntry &entry : entries)
+        m_store.store().put("servers", entry.name, entry.spec, later);
+}
+
 void ForwardingProcess::start(bool withMemoryLimit)
 {
     std::ofstream out(m_settingsFile);
--- a/tests/support/forwardingprocess.h
+++ b/tests/support/forwardingprocess.h
@@ -47,6 +47,9 @@
     std::string callersUrl() const { return "http://" + m_address + ":8100"; }
     ChildProcess &process() { return *m_process; }
 
+    /// Creates or replaces entries of another writer.
+    void put(const ForeignEntries &entries);
+
     /// Blocks until a request is answered. Returns false after the limit of `waitUntil`.
     bool waitUntilServing();
 
@@ -62,6 +65,9 @@
 
     void start(bool withMemoryLimit);
 
+    /// Entries that nobody renews must not expire.
+    void putUnexpiring(const ForeignEntries &entries);
+
     Limits m_limits;
     std::string m_address;
     std::string m_settingsFile;
