An early answer without a length whose connection breaks is not complete

What callers could see: an endpoint answered a long upload at once, without a length, sent a part, closed the connection for sending and reset it while the upload was being written. The caller got the part as the whole answer. A reset alone, and a close with unread bytes, were recognized already.

Cause: after a close by the peer a reset is reported to a write as a broken pipe, which TimedSocket takes for no failure; the end of input that follows then ended the answer.

Evidence, before: AnswerFraming.AnEarlyAnswerWhoseConnectionBreaksIsNoEnd failed for that way on all four kinds of route, and held for the two others.

Change: the exchange notes that the request was not sent whole; an answer that only the end of its connection ends is then broken. After: the test passes.

--- a/include/almondmill/forward/endpointexchange.h
+++ b/include/almondmill/forward/endpointexchange.h
@@ -140,6 +140,7 @@
     GrowingInterval m_silenceChecks;
     bool m_isConnectionUsed = false; ///< Another request or answer went over the connection before.
     bool m_sent = false;
+    bool m_isRequestCut = false;    ///< The connection broke before the request was sent whole.
     bool m_asksForHeadOnly = false; ///< The request's method is HEAD.
     bool m_cancelled = false;
     bool m_wasSilent = false; ///< When the time passed to `expectBytesBy` was reached.
--- a/src/forward/endpointexchange.cpp
+++ b/src/forward/endpointexchange.cpp
@@ -94,6 +94,7 @@
     // that answer may still be readable although the write failed.
     if (error && m_socket->closeReason() != TimedSocket::CloseReason::None)
         co_return errorOf(error);
+    m_isRequestCut = bool(error);
     co_return ExchangeError::None;
 }
 
@@ -207,8 +208,10 @@
     if (error)
         co_return errorOf(error);
     updateReservation();
-    const bool isEnded = m_reservation && m_reservation->isEvicted();
-    co_return isEnded ? ExchangeError::ConnectionBroken : ExchangeError::None;
+    const bool isEvicted = m_reservation && m_reservation->isEvicted();
+    // The connection broke while the request was sent, and only its end ends the answer.
+    const bool isCut = m_isRequestCut && endsWithConnection() && isComplete();
+    co_return isEvicted || isCut ? ExchangeError::ConnectionBroken : ExchangeError::None;
 }
 
 EndpointExchange::Awaitable<ExchangeError> EndpointExchange::readBody(SteadyTime deadline)
--- a/tests/failure-answerframing.cpp
+++ b/tests/failure-answerframing.cpp
@@ -9,8 +9,12 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace almondmill::test {
 
@@ -18,6 +22,24 @@
 
 using std::chrono::milliseconds;
 
+/// Size of a body that is larger than the buffers of a connection.
+constexpr std::size_t LargeBody = std::size_t(16) << 20U;
+
+bool looksComplete(const std::string &answer)
+{
+    return hasStatus(answer, 200)
+           && (headerOf(answer, "Transfer-Encoding").empty() || endsWithLastChunk(answer));
+}
+
+/// A stream of one event, after which the connection stays open.
+std::string keptAnswer(const std::string &call)
+{
+    const std::string body = eventText(1);
+    return signedHead(call, "Content-Type: text/event-stream\r\nContent-Length: "
+                                    + std::to_string(body.size()) + "\r\n")
+           + body;
+}
+
 constexpr Framing AllFramings[] = {Framing::Chunked, Framing::Length, Framing::UntilClose};
 
 /// A router with one endpoint per service that answers every request with the same function.
@@ -60,6 +82,30 @@
         return sendRequest(m_harness, requestText(method, "/" + route + "/x", moreHeaders));
     }
 
+    /// The router's answer to a large request. Its endpoint sends a part of an answer without a
+    /// length before it has read the request, and then calls `breakConnection` and closes the
+    /// connection.
+    std::string askWithEarlyAnswer(const std::string &route,
+                                   const std::function<void(int socket)> &breakConnection)
+    {
+        const RawEndpoint endpoint([&](int socket, const std::string &first, unsigned) {
+            RawEndpoint::write(socket, keptAnswer(first));
+            RawEndpoint::waitForBytes(socket);
+            RawEndpoint::write(
+                    socket, streamAnswer(first, eventText(1) + eventText(2), Framing::UntilClose));
+            std::this_thread::sleep_for(milliseconds(50));
+            breakConnection(socket);
+        });
+        ForwardingHarness router;
+        RoutingConfiguration configuration = oneRouteOfEachKind();
+        configuration.bounds.maxBodyBytes = LargeBody;
+        router.configure(configuration);
+        router.addEndpoint("early", route, endpoint.address(), 1);
+        const std::string path = "/" + route + "/x";
+        EXPECT_TRUE(hasStatus(sendRequest(router, requestText("POST", path)), 200));
+        return sendRequest(router, requestText("POST", path, {}, std::string(LargeBody, 'b')));
+    }
+
     ForwardingHarness &harness() { return m_harness; }
 
 private:
@@ -216,9 +262,8 @@
 // The write of the request took the error of a reset; the next read then reported a regular end.
 TEST_F(AnswerFraming, AResetWhileTheRequestIsSentIsNoEnd)
 {
-    constexpr std::size_t LargerThanTheSocketBuffers = std::size_t(16) << 20U;
     RoutingConfiguration configuration = oneRouteOfEachKind();
-    configuration.bounds.maxBodyBytes = LargerThanTheSocketBuffers;
+    configuration.bounds.maxBodyBytes = LargeBody;
     harness().configure(configuration);
     serveRaw("once", [](int socket, const std::string &first, unsigned) {
         RawEndpoint::write(socket, signedAnswer(first, "200 OK", "done"));
@@ -229,11 +274,33 @@
     });
     EXPECT_TRUE(hasStatus(ask("POST", "once"), 200));
     const std::string answer =
-            sendRequest(harness(), requestText("POST", "/once/x", {},
-                                               std::string(LargerThanTheSocketBuffers, 'b')));
+            sendRequest(harness(), requestText("POST", "/once/x", {}, std::string(LargeBody, 'b')));
     EXPECT_TRUE(hasStatus(answer, 502)) << answer;
 }
 
+// Guards against a part of an answer that is passed on as the whole: an answer without a length
+// that comes while the request is still being sent, and whose connection then breaks, in each way
+// that a server's kernel may break it.
+TEST_F(AnswerFraming, AnEarlyAnswerWhoseConnectionBreaksIsNoEnd)
+{
+    const std::vector<std::pair<const char *, void (*)(int)>> breaks{
+            {"reset", [](int socket) { RawEndpoint::reset(socket); }},
+            {"closed with unread bytes", [](int) {}},
+            {"closed for sending, then reset", [](int socket) {
+                 ::shutdown(socket, SHUT_WR);
+                 std::this_thread::sleep_for(milliseconds(20));
+                 RawEndpoint::reset(socket);
+             }}};
+    for (const char *route : {"once", "any", "stream", "resume"}) {
+        for (const auto &[name, breakConnection] : breaks) {
+            SCOPED_TRACE(std::string(route) + ", " + name);
+            const std::string answer = askWithEarlyAnswer(route, breakConnection);
+            EXPECT_FALSE(answer.empty());
+            EXPECT_FALSE(looksComplete(answer)) << answer;
+        }
+    }
+}
+
 TEST_F(AnswerFraming, AnAnswerWithoutLengthIsCompleteOnlyWhenItsConnectionIsClosed)
 {
     const auto answer = [](const std::string &call) { return signedHead(call, {}) + "whole"; };
