An answer whose status is none is broken

What callers could see: an answer with the status 600 or 999 came to them as it was. 000, 001 and 099 were passed over like an informational answer; the router then waited for another one, in some framings until the deadline (504). On the product's own interface all five counted as a complete answer.

Cause: the parsers take any three digits for a status; nothing behind them checked the range.

Evidence, before: AnswerFraming.AnAnswerWhoseStatusIsNoneIsAnError failed (24 answers relayed, 8 waited out), OwnEndpoints.AnAnswerWhoseStatusIsNoneIsBroken failed for all five.

Change: isStatus (100 to 599) in MessageParser, which reads answers of endpoints, the store, orders and reports, and in Attempt. After: both pass.

--- a/include/almondmill/http/httphead.h
+++ b/include/almondmill/http/httphead.h
@@ -48,6 +48,10 @@
     HttpFields fields;
 };
 
+/// Whether the number is the status of an answer, 100 to 599 (RFC 9110, 15). Parsers let other
+/// numbers of three digits pass.
+bool isStatus(unsigned number);
+
 /// Compares two header names case-insensitively.
 bool sameHeaderName(std::string_view first, std::string_view second);
 
--- a/include/almondmill/http/messageparser.h
+++ b/include/almondmill/http/messageparser.h
@@ -48,7 +48,9 @@
     {
         m_head.version = version;
         m_head.status = static_cast<unsigned>(status);
-        if (containsStatusLine(reason))
+        if (!isStatus(m_head.status))
+            error = boost::beast::http::error::bad_status;
+        else if (containsStatusLine(reason))
             error = boost::beast::http::error::bad_reason;
     }
 
--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -6,6 +6,7 @@
 #include "almondmill/endpoint/forwardedheaders.h"
 #include "almondmill/endpoint/headernames.h"
 #include "almondmill/http/boundedclient.h"
+#include "almondmill/http/httphead.h"
 #include "almondmill/kernel/hash.h"
 
 #include <netinet/tcp.h>
@@ -110,6 +111,8 @@
     auto libraryRequest = toLibraryRequest(request);
     bool stoppedByObserver = false;
     libraryRequest.response_handler = [&](const httplib::Response &response) {
+        if (!isStatus(static_cast<unsigned>(response.status)))
+            return false;
         stoppedByObserver = !observer.onHead(toHead(response));
         return !stoppedByObserver;
     };
--- a/src/http/httphead.cpp
+++ b/src/http/httphead.cpp
@@ -10,10 +10,18 @@
 
 namespace {
 
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+
 constexpr std::size_t MaxDigits = 18; ///< Every number of this length fits 64 bits.
 
 } // namespace
 
+bool isStatus(unsigned number)
+{
+    return number >= MinStatus && number <= MaxStatus;
+}
+
 bool sameHeaderName(std::string_view first, std::string_view second)
 {
     return absl::EqualsIgnoreCase(abslView(first), abslView(second));
--- a/tests/failure-answerframing.cpp
+++ b/tests/failure-answerframing.cpp
@@ -301,6 +301,30 @@
     }
 }
 
+// Guards against an answer that is passed on, or waited behind, though its status is none.
+TEST_F(AnswerFraming, AnAnswerWhoseStatusIsNoneIsAnError)
+{
+    const std::vector<std::string> statuses{"000", "001", "099", "600", "999"};
+    for (const char *route : {"once", "any", "stream", "resume"}) {
+        for (const std::string &status : statuses) {
+            for (const Framing framing : AllFramings) {
+                SCOPED_TRACE(std::string(route) + " " + status);
+                const RawEndpoint endpoint([&](int socket, const std::string &call, unsigned) {
+                    std::string answer = streamAnswer(call, eventText(1), framing);
+                    RawEndpoint::write(socket, answer.replace(answer.find("200"), 3, status));
+                });
+                ForwardingHarness router;
+                router.configure(oneRouteOfEachKind());
+                router.addEndpoint("odd", route, endpoint.address(), 1);
+                const std::string answer =
+                        sendRequest(router, requestText("POST", std::string("/") + route + "/x",
+                                                        "Deadline-Ms: 600\r\n"));
+                EXPECT_TRUE(hasStatus(answer, 502)) << answer;
+            }
+        }
+    }
+}
+
 TEST_F(AnswerFraming, AnAnswerWithoutLengthIsCompleteOnlyWhenItsConnectionIsClosed)
 {
     const auto answer = [](const std::string &call) { return signedHead(call, {}) + "whole"; };
--- a/tests/failure-ownendpoints.cpp
+++ b/tests/failure-ownendpoints.cpp
@@ -168,6 +168,20 @@
     }
 }
 
+// Guards against an answer that is relayed though its status is none.
+TEST(OwnEndpoints, AnAnswerWhoseStatusIsNoneIsBroken)
+{
+    for (const char *status : {"000 None", "001 None", "099 None", "600 None", "999 None"}) {
+        const RawEndpoint endpoint([&](int socket, const std::string &, unsigned) {
+            RawEndpoint::write(socket, answerFor("a1", status, "text/plain", "text"));
+        });
+        Attempt attempt;
+        BufferedResponse response("a1", MaxBodyBytes);
+        const auto result = attempt.run(requestTo(endpoint.address(), "a1"), response);
+        EXPECT_TRUE(std::holds_alternative<AttemptBroken>(result)) << status;
+    }
+}
+
 // A refusal that was written once more on a kept connection answered the next request.
 TEST(OwnEndpoints, ASecondCopyOfARefusalAnswersNoOtherRequest)
 {
