Return times of quotas are computed in one place

LongestReturn and the time in which a rate adds up to an amount stood in QuotaBucket and QuotaClient. Both are in quotareturns now; behaviour is the same (suites Quota*, AccountQuotas pass).

--- a/src/peers/quotabucket.cpp
+++ b/src/peers/quotabucket.cpp
@@ -1,5 +1,6 @@
 #include "almondmill/peers/quotabucket.h"
 
+#include "almondmill/peers/quotareturns.h"
 #include "almondmill/route/accountquota.h"
 
 #include <algorithm>
@@ -28,18 +29,9 @@
 /// leave a debt, and a small quota would refuse requests that it has tokens for.
 constexpr double NeededRatio = 0.6;
 
-/// Callers come back only while their request can still be in time.
-constexpr milliseconds LongestReturn{2000};
-
 /// A share of nothing would make the return time infinite.
 constexpr double SmallestShare = 0.02;
 
-SteadyTime::duration timeFor(double amount, double perSecond)
-{
-    return std::chrono::duration_cast<SteadyTime::duration>(
-            std::min(Seconds(amount / perSecond), Seconds(LongestReturn)));
-}
-
 } // namespace
 
 QuotaBucket::QuotaBucket(double level, SteadyTime now)
@@ -83,9 +75,9 @@
 {
     const double perSecond = quota.perSecond * std::max(share, SmallestShare);
     const double missing = std::max(neededLevel(quota) - m_level, 0.0);
-    m_lastReturn = std::max(m_lastReturn + timeFor(amount / ReturnsPerAmount, perSecond),
-                            now + timeFor(missing, perSecond));
-    m_lastReturn = std::min(m_lastReturn, now + LongestReturn);
+    m_lastReturn = std::max(m_lastReturn + quotaTime(amount / ReturnsPerAmount, perSecond),
+                            now + quotaTime(missing, perSecond));
+    m_lastReturn = std::min(m_lastReturn, now + LongestQuotaReturn);
     return std::max(std::chrono::ceil<milliseconds>(m_lastReturn - now), milliseconds(1));
 }
 
--- a/src/peers/quotaclient.cpp
+++ b/src/peers/quotaclient.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/observe/eventline.h"
 #include "almondmill/peers/fleetreach.h"
 #include "almondmill/peers/permitissuers.h"
+#include "almondmill/peers/quotareturns.h"
 
 #include <algorithm>
 #include <memory>
@@ -27,9 +28,8 @@
 /// A level is passed on as it was stated for this time, as other routers take what comes in.
 constexpr milliseconds LevelUnchanged{1000};
 
-/// Retry-After of a request that this router refuses without an issuer, and the longest one.
+/// Retry-After of a request that this router refuses without an issuer.
 constexpr milliseconds NoIssuerReturn{500};
-constexpr milliseconds LongestReturn{2000};
 
 /// Part of the rate that a router admits that doesn't know the fleet yet.
 constexpr double StartShare = 1.0 / 320;
@@ -92,10 +92,9 @@
         return std::nullopt;
     const double perSecond =
             account.quota.perSecond / static_cast<double>(m_issuers.routers().size());
-    const Seconds forAmount = std::min(Seconds(amount / perSecond), Seconds(LongestReturn));
-    account.lastReturn = std::max(account.lastReturn, account.deniedUntil)
-                         + std::chrono::duration_cast<SteadyTime::duration>(forAmount);
-    account.lastReturn = std::min(account.lastReturn, now + LongestReturn);
+    account.lastReturn =
+            std::max(account.lastReturn, account.deniedUntil) + quotaTime(amount, perSecond);
+    account.lastReturn = std::min(account.lastReturn, now + LongestQuotaReturn);
     return QuotaRefused{std::chrono::ceil<milliseconds>(account.lastReturn - now)};
 }
 
