--- a/tests/unit-metadatastore.cpp
+++ b/tests/unit-metadatastore.cpp
@@ -2,6 +2,10 @@
 
 #include "support/storeclienttest.h"
 
+#include "almondmill/kernel/samejson.h"
+
+#include <nlohmann/json.hpp>
+
 namespace almondmill::test {
 
 namespace {
@@ -88,6 +92,27 @@
             wait(client->read(ObjectKind::Leases, "m", Freshness::Current, deadline()))));
 }
 
+TEST_F(StoreClientTest, ValuesAreReadAsTheyWereWritten)
+{
+    for (const std::string value :
+         {"{}", "[]", "[[],{},[{}]]", R"({"a":{"b":[1,-2,2.5e-7,true,false,null]},"c":""})",
+          R"({"metadata":{"name":"other","revision":1},"spec":{"spec":"x"},"items":[1]})",
+          R"({"text":"\"quoted\" \\ \u0001 é 😀","key \"x\"":18446744073709551615})", "17",
+          "\"text\"", "null"}) {
+        SCOPED_TRACE(value);
+        server.store().put("almondmill-leases", "l", nlohmann::json::parse(value),
+                           std::chrono::steady_clock::now());
+        const auto read =
+                wait(client->read(ObjectKind::Leases, "l", Freshness::Current, deadline()));
+        ASSERT_TRUE(std::holds_alternative<StoredObject>(read));
+        EXPECT_TRUE(isSameJson(std::get<StoredObject>(read).value, value))
+                << std::get<StoredObject>(read).value;
+        const auto list = wait(client->list(ObjectKind::Leases, Freshness::Current, deadline()));
+        ASSERT_EQ(std::get<ObjectList>(list).objects.size(), 1U);
+        EXPECT_TRUE(isSameJson(std::get<ObjectList>(list).objects[0].value, value));
+    }
+}
+
 TEST_F(StoreClientTest, WatchesReturnChangesAndSayWhenHistoryIsGone)
 {
     const auto list = wait(client->list(ObjectKind::Leases, Freshness::Current, deadline()));
