--- a/tests/failure-oddentries.cpp
+++ b/tests/failure-oddentries.cpp
@@ -4,6 +4,7 @@
 
 #include "standins/rietwerk/percentdecoding.h"
 #include "support/forwardingprocess.h"
+#include "support/listednames.h"
 #include "support/processmemory.h"
 #include "support/rawendpoint.h"
 
@@ -185,16 +186,6 @@
     return items;
 }
 
-std::vector<std::string> namesOf(const ListResult &result)
-{
-    std::vector<std::string> names;
-    if (const auto *list = std::get_if<ObjectList>(&result)) {
-        for (const StoredObject &object : list->objects)
-            names.push_back(object.name);
-    }
-    return names;
-}
-
 /// The position that the call for a page of a list names, decoded; empty for the first page.
 std::string positionIn(const std::string &call)
 {
@@ -265,7 +256,7 @@
         const ListResult result = listOf(absl::StrCat(
                 R"({"items":[)", odd, ",", object("a", SoundEntry), ",", odd, ",",
                 object("z", SoundEntry), ",", odd, R"(],"more":false,"store_revision":9})"));
-        EXPECT_EQ(namesOf(result), (std::vector<std::string>{"a", "z"})) << odd.substr(0, 300);
+        EXPECT_EQ(listedNames(result), (std::vector<std::string>{"a", "z"})) << odd.substr(0, 300);
     }
 }
 
@@ -298,11 +289,11 @@
     for (const std::string &odd : unreadable) {
         std::vector<std::string> names = sound;
         names.push_back(odd);
-        EXPECT_EQ(namesOf(listOf(pagesOf(names))), sound) << odd.substr(0, 300);
+        EXPECT_EQ(listedNames(listOf(pagesOf(names))), sound) << odd.substr(0, 300);
     }
     std::vector<std::string> all = sound;
     all.insert(all.end(), unreadable.begin(), unreadable.end());
-    EXPECT_EQ(namesOf(listOf(pagesOf(all))), sound);
+    EXPECT_EQ(listedNames(listOf(pagesOf(all))), sound);
 }
 
 // Guards against a list that is read round in circles, or taken for whole, when the store goes on
--- a/tests/failure-oddnames.cpp
+++ b/tests/failure-oddnames.cpp
@@ -2,6 +2,7 @@
 // routers, above all from those that start.
 
 #include "support/forwardingprocess.h"
+#include "support/listednames.h"
 #include "support/storeclienttest.h"
 
 #include <nlohmann/json.hpp>
@@ -32,16 +33,6 @@
     return names;
 }
 
-std::vector<std::string> namesOf(const ListResult &result)
-{
-    std::vector<std::string> names;
-    if (const auto *list = std::get_if<ObjectList>(&result)) {
-        for (const StoredObject &object : list->objects)
-            names.push_back(object.name);
-    }
-    return names;
-}
-
 } // namespace
 
 class OddNames : public StoreClientTest
@@ -63,7 +54,8 @@
     for (const std::size_t pageSize : {1U, 2U, 3U}) {
         server.setPageSize(pageSize);
         for (const Freshness freshness : {Freshness::Current, Freshness::MayBeStale})
-            EXPECT_EQ(namesOf(wait(client->list(ObjectKind::Registrations, freshness, deadline()))),
+            EXPECT_EQ(listedNames(
+                              wait(client->list(ObjectKind::Registrations, freshness, deadline()))),
                       names);
     }
 }
