--- a/standins/rietwerk/metadataserver.cpp
+++ b/standins/rietwerk/metadataserver.cpp
@@ -26,6 +26,9 @@
 
 constexpr std::string_view ObjectsPath = "/v1/objects/";
 
+/// Rises by one each time that the store returns to an older copy.
+constexpr const char *StoreEra = "Store-Era";
+
 /// Kind of the objects with which endpoints register.
 constexpr const char *RegistrationKind = "servers";
 
@@ -156,6 +159,8 @@
     if (fault == Fault::Slow)
         co_await sleepFor(m_loop, m_delay);
     HttpAnswer answer = co_await answerTo(request, *target);
+    if (m_store.era() != 0)
+        answer.set(StoreEra, std::to_string(m_store.era()));
     const bool isChange = request.method() != http::verb::get;
     if (fault == Fault::LoseAnswer && isChange)
         co_return false;
--- a/standins/rietwerk/metadatastore.cpp
+++ b/standins/rietwerk/metadatastore.cpp
@@ -92,7 +92,7 @@
 std::optional<std::vector<MetadataEvent>> MetadataStore::eventsAfter(const std::string &kind,
                                                                      std::uint64_t revision) const
 {
-    if (revision < m_historyStartRevision)
+    if (revision < m_historyStartRevision || revision > m_revision)
         return std::nullopt;
     std::vector<MetadataEvent> events;
     for (const MetadataEvent &event : m_history) {
@@ -110,6 +110,18 @@
         m_onChange();
 }
 
+void MetadataStore::returnTo(const Copy &copy, Time now)
+{
+    m_objects = copy.objects;
+    m_revision = copy.revision;
+    for (auto &[kind, objects] : m_objects) {
+        for (auto &[name, object] : objects)
+            object.writtenAt = now;
+    }
+    ++m_era;
+    forgetHistory();
+}
+
 MetadataObject *MetadataStore::findObject(const std::string &kind, const std::string &name)
 {
     auto &objects = m_objects[kind];
--- a/standins/rietwerk/metadatastore.h
+++ b/standins/rietwerk/metadatastore.h
@@ -77,6 +77,23 @@
     /// Discards all past events; watches from an earlier revision then fail.
     void forgetHistory();
 
+    /// The contents at one moment.
+    struct Copy
+    {
+        std::map<std::string, std::map<std::string, MetadataObject>> objects;
+        std::uint64_t revision = 0;
+    };
+
+    Copy copy() const { return {m_objects, m_revision}; }
+
+    /// Returns to an earlier copy: later changes are lost, revisions go back, the history is gone
+    /// and the era rises by one.
+    void returnTo(const Copy &copy, Time now);
+
+    /// Rises by one with each return to a copy. Zero, which calls don't show, until it is set.
+    std::uint64_t era() const { return m_era; }
+    void setEra(std::uint64_t era) { m_era = era; }
+
     /// Sets the callback that is called after each change.
     void onChange(std::function<void()> callback) { m_onChange = std::move(callback); }
 
@@ -89,6 +106,7 @@
     std::map<std::string, Objects> m_objects;
     std::deque<MetadataEvent> m_history;
     std::uint64_t m_revision = 1;
+    std::uint64_t m_era = 0;
 
     /// The history contains all changes after this revision.
     std::uint64_t m_historyStartRevision = 1;
--- a/tests/support/forwardingprocess.cpp
+++ b/tests/support/forwardingprocess.cpp
@@ -22,10 +22,13 @@
 constexpr std::chrono::seconds AnswerTimeout{60};
 constexpr int InvalidSettingsExitCode = 2;
 
-standin::rietwerk::EndpointPlan endpointPlan()
+/// Era of the store before its first return to a copy.
+constexpr std::uint64_t FirstEra = 7;
+
+standin::rietwerk::EndpointPlan endpointPlan(std::size_t number)
 {
     standin::rietwerk::EndpointPlan plan;
-    plan.id = "desk-1";
+    plan.id = "desk-" + std::to_string(number);
     plan.service = "desk";
     plan.dataCentre = "dc-1";
     plan.listen = nextLoopbackAddress() + ":9000";
@@ -63,8 +66,8 @@
     if (!foreign.empty())
         m_store.setPageSize(1);
     putUnexpiring(foreign);
-    m_endpoint = std::make_unique<standin::rietwerk::RegisteredEndpoint>(
-            m_loop, endpointPlan(), m_store.address(), *m_observer);
+    m_store.store().setEra(FirstEra);
+    startEndpoint();
     m_thread = std::thread([this] { m_loop.run(); });
     start(true);
 }
@@ -78,10 +81,39 @@
 }
 
 void ForwardingProcess::put(const ForeignEntries &entries)
+{
+    onLoop([&] { putUnexpiring(entries); });
+}
+
+void ForwardingProcess::copyStore()
+{
+    onLoop([this] { m_copy = m_store.store().copy(); });
+}
+
+void ForwardingProcess::returnStoreToCopy()
+{
+    onLoop([this] { m_store.store().returnTo(m_copy, std::chrono::steady_clock::now()); });
+}
+
+void ForwardingProcess::replaceEndpoint()
+{
+    onLoop([this] {
+        m_endpoints.back()->crash();
+        startEndpoint();
+    });
+}
+
+void ForwardingProcess::startEndpoint()
+{
+    m_endpoints.push_back(std::make_unique<standin::rietwerk::RegisteredEndpoint>(
+            m_loop, endpointPlan(m_endpoints.size() + 1), m_store.address(), *m_observer));
+}
+
+void ForwardingProcess::onLoop(const std::function<void()> &task)
 {
     std::promise<void> done;
     boost::asio::post(m_loop, [&] {
-        putUnexpiring(entries);
+        task();
         done.set_value();
     });
     done.get_future().wait();
--- a/tests/support/forwardingprocess.h
+++ b/tests/support/forwardingprocess.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -50,6 +51,15 @@
     /// Creates or replaces entries of another writer.
     void put(const ForeignEntries &entries);
 
+    /// Keeps a copy of the store's contents.
+    void copyStore();
+
+    /// Returns the store to that copy, as in a drill of the platform.
+    void returnStoreToCopy();
+
+    /// Ends the endpoint without a word and starts one with another id at another address.
+    void replaceEndpoint();
+
     /// Blocks until a request is answered. Returns false after the limit of `waitUntil`.
     bool waitUntilServing();
 
@@ -64,6 +74,8 @@
     class Observer;
 
     void start(bool withMemoryLimit);
+    void startEndpoint();
+    void onLoop(const std::function<void()> &task);
 
     /// Entries that nobody renews must not expire.
     void putUnexpiring(const ForeignEntries &entries);
@@ -74,7 +86,9 @@
     boost::asio::io_context m_loop;
     standin::rietwerk::MetadataServer m_store;
     std::unique_ptr<Observer> m_observer;
-    std::unique_ptr<standin::rietwerk::RegisteredEndpoint> m_endpoint;
+    standin::rietwerk::MetadataStore::Copy m_copy;
+    /// The last one serves; the ones before it have crashed.
+    std::vector<std::unique_ptr<standin::rietwerk::RegisteredEndpoint>> m_endpoints;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::thread m_thread;
     std::unique_ptr<ChildProcess> m_process;
