Revisions of the store carry its era

Cause: freshness was judged by the revision alone, and the store gives revisions out again. Lists were dropped as older, removals hid new entries, and a conditional update could hold for another version with the same number. Store-Era was not read.

Change: inside the router a revision is one number with the era above the store's own number (store/revision.h), made where the platform is translated. So every comparison of the product - directory, removals, watches, deltas between routers, evidence - takes what comes after a return for newer. A store that states no era is in era 0, where nothing changes.

Weighed: (era, revision) as a type of its own in all messages (the same order, every message changes); a reset of all state at a new era (loses what only this router knows).

--- a/include/almondmill/store/asyncstore.h
+++ b/include/almondmill/store/asyncstore.h
@@ -80,6 +80,9 @@
     /// Returns Conflict if the object's version is not `expectedVersion`.
     virtual Awaitable<UpdateResult> update(ObjectKind kind, std::string name, std::string value,
                                            std::uint64_t expectedVersion, SteadyTime deadline) = 0;
+
+    /// The highest era that the store has stated; zero when it states none. See revision.h.
+    virtual std::uint64_t era() const { return 0; }
 };
 
 } // namespace almondmill
--- a/include/almondmill/store/countingstore.h
+++ b/include/almondmill/store/countingstore.h
@@ -27,6 +27,7 @@
                                    SteadyTime deadline) override;
     Awaitable<UpdateResult> update(ObjectKind kind, std::string name, std::string value,
                                    std::uint64_t expectedVersion, SteadyTime deadline) override;
+    std::uint64_t era() const override { return m_store->era(); }
 
 private:
     void count(const char *verb, ObjectKind kind, bool answered, std::size_t bytes);
--- a/include/almondmill/store/readresult.h
+++ b/include/almondmill/store/readresult.h
@@ -11,7 +11,9 @@
 
 /// No object of that name exists.
 struct Absent
-{};
+{
+    std::uint64_t era = 0; ///< Of the store; see revision.h.
+};
 
 /// The platform gave no answer, or an answer that cannot be used.
 struct Unavailable
--- a/include/almondmill/store/storedobject.h
+++ b/include/almondmill/store/storedobject.h
@@ -10,7 +10,7 @@
 {
     std::string name;
     std::string value;
-    std::uint64_t version = 0; ///< Increases with each update of this object.
+    std::uint64_t version = 0; ///< Revision of its last update; see revision.h.
 };
 
 } // namespace almondmill
--- a/src/forward/operatorview.cpp
+++ b/src/forward/operatorview.cpp
@@ -7,6 +7,8 @@
 #include "almondmill/kernel/clocktimes.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/observe/eventlog.h"
+#include "almondmill/store/asyncstore.h"
+#include "almondmill/store/revision.h"
 
 #include <nlohmann/json.hpp>
 
@@ -66,6 +68,8 @@
                      [this] { return static_cast<double>(m_callers.openSessions()); });
     metrics.setGauge("almondmill_holds_rollout_lease",
                      [this] { return m_leader.holdsLease() ? 1.0 : 0.0; });
+    metrics.setGauge("almondmill_store_era",
+                     [this] { return static_cast<double>(m_store->era()); });
     metrics.setGauge("almondmill_log_lines_dropped",
                      [] { return static_cast<double>(eventLog().droppedLines()); });
 }
@@ -159,7 +163,8 @@
                                {"draining", m_context.isDraining()},
                                {"config_version", table ? table->version() : 0},
                                {"parts", {{"configuration", describeConfiguration(now.steady)}}},
-                               {"registrations_revision", m_context.directory.revision()},
+                               {"registrations_revision", numberOf(m_context.directory.revision())},
+                               {"store_era", m_store->era()},
                                {"sessions", m_callers.openSessions()},
                                {"live_peers", m_context.peers.liveCount()},
                                {"weights", describeWeights()},
--- a/src/forward/partevidencearchive.cpp
+++ b/src/forward/partevidencearchive.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/store/asyncstore.h"
+#include "almondmill/store/revision.h"
 
 #include <utility>
 
@@ -124,7 +125,7 @@
         m_storedDigest = digestOf(evidence);
         EventLine("part_evidence.saved")
                 .add("parts", std::uint64_t(evidence.size()))
-                .add("revision", m_version);
+                .add("revision", revisionText(m_version));
         co_return;
     }
     // Any other outcome is followed by another attempt at the next check.
@@ -142,14 +143,14 @@
     m_storedDigest = 0;
     const auto evidence = decodeStoredEvidence(object.value, now);
     if (!evidence) {
-        EventLine("part_evidence.unreadable").add("revision", object.version);
+        EventLine("part_evidence.unreadable").add("revision", revisionText(object.version));
         return;
     }
     m_storedDigest = digestOf(*evidence);
     m_breakers.merge(*evidence, PartBreakers::Audience::ThisRouter, now.steady);
     EventLine("part_evidence.restored")
             .add("parts", std::uint64_t(evidence->size()))
-            .add("revision", object.version);
+            .add("revision", revisionText(object.version));
 }
 
 } // namespace almondmill
--- a/src/forward/registrationssync.cpp
+++ b/src/forward/registrationssync.cpp
@@ -8,6 +8,7 @@
 #include "almondmill/http/asyncsleep.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/observe/eventline.h"
+#include "almondmill/store/revision.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -49,7 +50,7 @@
     } catch (const Error &error) {
         EventLine("registration.unreadable")
                 .add("name", object.name)
-                .add("revision", object.version)
+                .add("revision", revisionText(object.version))
                 .add("reason", error.what());
         return std::nullopt;
     }
--- a/src/forward/storestatesync.cpp
+++ b/src/forward/storestatesync.cpp
@@ -8,6 +8,7 @@
 #include "almondmill/http/supervisedtask.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/observe/eventline.h"
+#include "almondmill/store/revision.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -216,12 +217,12 @@
         EventLine("configuration.in_force")
                 .add("version", version)
                 .add("before", current ? current->version() : 0)
-                .add("revision", object.version);
+                .add("revision", revisionText(object.version));
     } catch (const Error &error) {
         m_context.metrics.counter("almondmill_configuration_unreadable_total").add();
         m_configurationError = error.what();
         EventLine("configuration.unreadable")
-                .add("revision", object.version)
+                .add("revision", revisionText(object.version))
                 .add("reason", error.what());
     }
 }
@@ -234,11 +235,11 @@
             EventLine("weights.named")
                     .add("model", target.model)
                     .add("version", target.version)
-                    .add("revision", object.version);
+                    .add("revision", revisionText(object.version));
     } catch (const Error &error) {
         EventLine("weights.unreadable")
                 .add("name", object.name)
-                .add("revision", object.version)
+                .add("revision", revisionText(object.version))
                 .add("reason", error.what());
     }
 }
--- a/src/peers/peerdiscovery.cpp
+++ b/src/peers/peerdiscovery.cpp
@@ -8,6 +8,7 @@
 #include "almondmill/peers/datagramaddress.h"
 #include "almondmill/peers/registeredpeer.h"
 #include "almondmill/store/asyncstore.h"
+#include "almondmill/store/revision.h"
 
 #include <nlohmann/json.hpp>
 
@@ -54,7 +55,7 @@
     } catch (const std::exception &error) {
         EventLine("peer.entry_unreadable")
                 .add("name", object.name)
-                .add("revision", object.version)
+                .add("revision", revisionText(object.version))
                 .add("reason", error.what());
         return std::nullopt;
     }
