Lease: a record from before the store's return proves nothing

Cause: the store came back from an older copy, without the record of the holder or with that of an earlier one. The holder that still ordered was not waited for.

Change: each record states the store's era in which it was written. A record of another era, or none while the store states an era, says nothing about who holds the lease: a candidate waits the whole duration and an order's time from when it learned of the era, so the holder of before has stopped. Tokens are (era, count): the era stands above the count, so all tokens of an era are higher than those of all eras before, also when every process was restarted. A holder gives the lease up when it learns of a new era; routers tell their lease of it as soon as any answer of the store shows it. A store that states no era behaves as before, but that a record which was removed doesn't reset the token.

Weighed: routers as the memory of tokens (gone when all restart); the store's revision as token (beyond what a double holds with the era); the same holder going on in the new era (saves up to 5 s of a roll-out, and a second way to become the holder).

--- a/include/almondmill/rollout/rolloutleader.h
+++ b/include/almondmill/rollout/rolloutleader.h
@@ -57,6 +57,8 @@
     void runOnce();
     bool shouldRequestLease(SteadyTime now);
     void requestLease();
+    /// Tells the lease of the store's era, so that its wait for an earlier holder begins early.
+    void recordStoreEra();
     void releaseLease();
     /// Restores what the lease's record says of named weights, and continues the lease if a
     /// previous process of this VM held it.
@@ -74,6 +76,7 @@
     bool pause(std::chrono::milliseconds duration);
 
     ForwardingContext &m_context;
+    AsyncStore &m_platformStore; ///< Used on the event loop.
     WeightsRollout &m_rollout;
     std::unique_ptr<BlockingStore> m_store;
     std::unique_ptr<BlockingStore> m_staleStore; ///< Reads that cost less and may be outdated.
@@ -89,6 +92,8 @@
     bool m_stopping = false;
     SteadyTime m_neededSince;
     SteadyTime m_lastProgress;
+    std::uint64_t m_storeEra = 0;
+    SteadyTime m_storeEraSince; ///< On the boot clock.
     std::thread m_thread;
 };
 
--- a/src/orders/leaserecord.cpp
+++ b/src/orders/leaserecord.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr const char *PreviousOrdersAge = "previous_orders_age_ms";
+constexpr const char *Era = "era";
 
 std::optional<std::chrono::milliseconds> decodePreviousOrdersAge(const Json &record)
 {
@@ -33,6 +34,8 @@
               {"note", record.note}};
     if (record.previousOrdersAge)
         json[PreviousOrdersAge] = record.previousOrdersAge->count();
+    if (record.era != 0)
+        json[Era] = record.era;
     return json.dump();
 }
 
@@ -47,7 +50,8 @@
                 std::chrono::milliseconds(json.at("duration_ms").get<std::int64_t>()),
                 std::chrono::milliseconds(json.value("idle_ms", std::int64_t(0))),
                 json.value("note", std::string()),
-                decodePreviousOrdersAge(json)};
+                decodePreviousOrdersAge(json),
+                json.value(Era, std::uint64_t(0))};
     } catch (const Json::exception &error) {
         throw Error("orders.101", std::string("cannot parse stored lease record: ") + error.what());
     }
--- a/src/rollout/rolloutleader.cpp
+++ b/src/rollout/rolloutleader.cpp
@@ -79,6 +79,7 @@
 
 RolloutLeader::RolloutLeader(ForwardingContext &context, AsyncStore &store, WeightsRollout &rollout)
     : m_context(context)
+    , m_platformStore(store)
     , m_rollout(rollout)
     , m_store(std::make_unique<BlockingStore>(context.loop, store, ObjectKind::Leases,
                                               Freshness::Current))
@@ -124,6 +125,10 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_candidates = std::move(candidates);
     m_lastProgress = lastProgress;
+    if (m_platformStore.era() != m_storeEra) {
+        m_storeEra = m_platformStore.era();
+        m_storeEraSince = bootTime();
+    }
     if (needed == m_needed)
         return;
     m_needed = needed;
@@ -200,6 +205,18 @@
     logHolderChange();
 }
 
+void RolloutLeader::recordStoreEra()
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    const std::uint64_t era = m_storeEra;
+    const SteadyTime since = m_storeEraSince;
+    lock.unlock();
+    if (era == 0)
+        return;
+    m_lease.recordEra(era, since);
+    logHolderChange();
+}
+
 void RolloutLeader::writeNote()
 {
     const auto note = std::make_shared<std::string>();
@@ -219,6 +236,7 @@
         if (!isFirstCandidate())
             continue;
         lock.unlock();
+        recordStoreEra();
         guarded([this] { m_lease.observe(bootTime); });
         lock.lock();
     }
@@ -247,6 +265,7 @@
 
 void RolloutLeader::runOnce()
 {
+    recordStoreEra();
     if (!shouldRequestLease(std::chrono::steady_clock::now()))
         return;
     const auto now = bootTime();
@@ -273,7 +292,8 @@
     EventLine("lease.changed")
             .add("held", holds)
             .add("fencing", m_lease.fencing())
-            .add("holder", m_lease.lastSeenHolder());
+            .add("holder", m_lease.lastSeenHolder())
+            .add("store_era", m_lease.storeEra());
 }
 
 void RolloutLeader::postStep(const LeaseGrant &grant)
--- a/standins/memorystore.h
+++ b/standins/memorystore.h
@@ -24,7 +24,25 @@
     UpdateResult remove(const std::string &name, std::uint64_t expectedVersion,
                         std::chrono::milliseconds timeout) override;
 
+    /// The contents at one moment.
+    struct Copy
+    {
+        std::map<std::string, StoredObject> objects;
+        std::uint64_t revision = 0;
+    };
+
+    Copy copy();
+
+    /// Returns to an earlier copy: later changes are lost, revisions are given out again, and the
+    /// era rises by one.
+    void returnTo(const Copy &copy);
+
+    /// Sets the era, which is zero before; see revision.h.
+    void setEra(std::uint64_t era);
+
 private:
+    /// The object as it is stored, with its version of the present era.
+    StoredObject inThisEra(const StoredObject &object) const;
     UpdateResult store(const std::string &name, const std::string &value);
     ObjectChanges changesAfter(const std::string &prefix, std::uint64_t revision) const;
 
@@ -32,7 +50,8 @@
     std::condition_variable m_changed;
     std::map<std::string, StoredObject> m_objects;
     std::map<std::string, std::uint64_t> m_changeRevisions;
-    std::uint64_t m_revision = 0;
+    std::uint64_t m_revision = 0; ///< The store's own number, like those of the objects.
+    std::uint64_t m_era = 0;
 };
 
 } // namespace almondmill::standin
--- a/tests/failure-storereturn.cpp
+++ b/tests/failure-storereturn.cpp
@@ -219,7 +219,8 @@
 TEST_F(StoreReturn, AnEarlierHolderDoesNotGoOnWithItsToken)
 {
     start("a");
-    run(Duration);
+    run(Duration * 3);
+    ASSERT_EQ(lastHolder(), "a");
     const MetadataStore::Copy copy = copyStore();
     kill("a");
     start("b");
@@ -237,7 +238,8 @@
 TEST_F(StoreReturn, RoutersThatAllRestartGiveOutNoTokenAgain)
 {
     start("a");
-    run(Duration);
+    run(Duration * 3);
+    ASSERT_EQ(lastHolder(), "a");
     const MetadataStore::Copy copy = copyStore();
     for (const char *name : {"b", "c", "b"}) {
         kill(lastHolder());
