Pauses between calls for histories that are gone

The store's reading calls are limited for all routers together, so others that have just started find none.

Cause: a call for changes that gets 410 is followed by a list at once, and after the list's answer by the next call; neither is a failure, so there was no backoff.

Change: from the second gone history in a row a watcher waits as after failures. Evidence: StoreWatcher.WaitsBetweenCallsForHistoriesThatAreGone, new; without the change it doesn't end, as the event loop never waits.

--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -87,9 +87,10 @@
     Handlers m_handlers;
     std::shared_ptr<StoreOutage> m_outage;
     std::uint64_t m_revision = 0;
-    std::uint64_t m_missing = 0;     ///< Revision up to which changes are to be read.
-    std::uint32_t m_failedLists = 0; ///< Until the first answer.
-    std::uint32_t m_failures = 0;    ///< Consecutive failures.
+    std::uint64_t m_missing = 0;       ///< Revision up to which changes are to be read.
+    std::uint32_t m_failedLists = 0;   ///< Until the first answer.
+    std::uint32_t m_failures = 0;      ///< Consecutive failures.
+    std::uint32_t m_goneHistories = 0; ///< Consecutive calls for changes that found no history.
     ListRequests m_lists;
     bool m_isWatching = false;                         ///< A call for changes is waiting.
     bool m_isListingDuringWatch = false;               ///< A list was requested meanwhile.
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -57,6 +57,13 @@
     return milliseconds(distribution(random));
 }
 
+/// Time before the next call after so many vain ones.
+milliseconds backoffAfter(std::uint32_t calls)
+{
+    const auto doublings = std::min(calls - 1, MaxDoublings);
+    return withJitter(std::min(InitialBackoff * (1U << doublings), MaxBackoff));
+}
+
 } // namespace
 
 StoreWatcher::StoreWatcher(asio::io_context &loop, AsyncStore &store, Options options,
@@ -84,6 +91,9 @@
             co_await idle();
         if (m_failures != 0) {
             co_await backOff();
+        } else if (m_goneHistories > 1) {
+            // The list that followed the first one gave no revision to go on from.
+            co_await sleepFor(m_loop, backoffAfter(m_goneHistories));
         } else if (reached && m_options.pause.count() > 0) {
             co_await sleepFor(m_loop, m_options.pause);
         }
@@ -92,8 +102,7 @@
 
 asio::awaitable<void> StoreWatcher::backOff()
 {
-    const auto doublings = std::min(m_failures - 1, MaxDoublings);
-    co_await sleepFor(m_loop, withJitter(std::min(InitialBackoff * (1U << doublings), MaxBackoff)));
+    co_await sleepFor(m_loop, backoffAfter(m_failures));
     for (;;) {
         if (m_outage->mayProbe(*this))
             co_return;
@@ -207,9 +216,11 @@
     m_isWatching = false;
     if (std::holds_alternative<HistoryGone>(result)) {
         EventLine("store.history_gone").add("kind", m_options.label);
+        ++m_goneHistories;
         m_lists.request();
         co_return false;
     }
+    m_goneHistories = 0;
     if (const auto *missing = std::get_if<Unavailable>(&result)) {
         recordFailure(missing->reason);
         m_lists.request(); // The lost answer may have contained changes.
--- a/tests/unit-storewatcher.cpp
+++ b/tests/unit-storewatcher.cpp
@@ -24,6 +24,8 @@
     std::uint64_t staleRevision = 5;
     std::uint64_t currentRevision = 10;
     bool isDown = false;
+    bool isHistoryGone = false;
+    std::size_t watches = 0;
 
     Awaitable<ListResult> list(ObjectKind, Freshness freshness, SteadyTime) override
     {
@@ -42,6 +44,9 @@
 
     Awaitable<EventsResult> events(ObjectKind, std::uint64_t, milliseconds, SteadyTime) override
     {
+        ++watches;
+        if (isHistoryGone)
+            co_return HistoryGone{};
         co_return Unavailable{"not used"};
     }
 
@@ -130,6 +135,24 @@
     EXPECT_EQ(listed, (std::vector<std::uint64_t>{5, 9}));
 }
 
+// Guards against a watcher that lists and watches in turn without a pause when the store answers
+// each call for changes with 410, which leaves no calls for the other routers.
+TEST(StoreWatcher, WaitsBetweenCallsForHistoriesThatAreGone)
+{
+    constexpr milliseconds Duration{2000};
+    // As after failures: 100, 200 and 400 ms, then 800 ms, and in each case half of it at least.
+    constexpr std::size_t MaxWatches = 4 + Duration / milliseconds(400);
+    boost::asio::io_context loop;
+    ListedStore store;
+    store.isHistoryGone = true;
+    StoreWatcher watcher(loop, store, {}, {[](const ObjectList &, SteadyTime) {}, nullptr});
+    boost::asio::co_spawn(loop, watcher.run([] { return true; }), boost::asio::detached);
+    loop.run_for(Duration);
+    EXPECT_GE(store.watches, 2U);
+    EXPECT_LE(store.watches, MaxWatches);
+    EXPECT_LE(store.lists.size(), MaxWatches + 1);
+}
+
 // While the store is down, all routers of a fleet call it, each for all kinds of objects.
 TEST_F(StoreWatcherTest, OneWatcherOfARouterProbesAnOutage)
 {
