A broken stream goes on only at the software that began it

Cause: when an endpoint broke a resumable stream off, the router sent it to whatever endpoint of the service was best. The `version` of a registration was checked and dropped; no endpoint checks it either.

Change: registrations keep it, also between routers, and a request whose events have been passed on is planned only for endpoints of the same service and version (SoftwareHash). Where none takes requests, the stream waits 1.5 s after its last event, as a crashed endpoint may be back by then, and is then closed as incomplete, instead of being held until its deadline.

Ruled out: late registrations as the cause (nothing compared versions).

The test of control traffic counts registrations with a version. endpoint.registered names the version.

--- a/include/almondmill/directory/registration.h
+++ b/include/almondmill/directory/registration.h
@@ -25,8 +25,9 @@
     std::uint32_t slots = 1; ///< Requests that it runs concurrently.
     bool draining = false;   ///< Takes no new requests.
     std::vector<ServedModel> models;
-    std::uint64_t orderCount = 0; ///< Orders that it has accepted in this incarnation.
-    std::uint64_t revision = 0;   ///< Revision of the store at which the entry was written.
+    std::uint64_t orderCount = 0;     ///< Orders that it has accepted in this incarnation.
+    std::uint64_t revision = 0;       ///< Revision of the store at which the entry was written.
+    std::string softwareVersion = {}; ///< Of the endpoint's program, not of the weights.
 };
 
 } // namespace almondmill
--- a/include/almondmill/forward/callerrequest.h
+++ b/include/almondmill/forward/callerrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondmill/directory/softwarehash.h"
 #include "almondmill/forward/promptrequest.h"
 #include "almondmill/http/httphead.h"
 
@@ -21,6 +22,8 @@
     std::optional<std::chrono::milliseconds> timeLeft; ///< How long the caller will still wait.
     std::optional<PromptRequest> prompt;
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller received.
+    /// Software at which the stream began; empty while it may begin anywhere.
+    std::optional<SoftwareHash> software;
     HttpFields forwardedFields; ///< Header fields forwarded to the endpoint unchanged.
     std::string body;
     bool acceptsChunks = true; ///< The caller can read chunked transfer encoding.
--- a/include/almondmill/forward/endpointview.h
+++ b/include/almondmill/forward/endpointview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/directory/registration.h"
+#include "almondmill/directory/softwarehash.h"
 #include "almondmill/forward/connectionpool.h"
 #include "almondmill/forward/endpointavailability.h"
 #include "almondmill/forward/endpointhealth.h"
@@ -34,6 +35,9 @@
     std::uint64_t incarnation() const { return m_incarnation; }
     const boost::asio::ip::tcp::endpoint &address() const { return m_address; }
 
+    /// Of the endpoint's service and version.
+    SoftwareHash software() const { return m_software; }
+
     /// Whether `registration` belongs to this incarnation, at the same address.
     bool isSameIncarnation(const Registration &registration) const;
 
@@ -88,6 +92,7 @@
 private:
     Registration m_registration;
     std::uint64_t m_incarnation = 0;
+    SoftwareHash m_software = 0;
     boost::asio::ip::tcp::endpoint m_address;
     /// Versions that answers showed after the registration.
     std::vector<ServedModel> m_observedVersions;
--- a/include/almondmill/forward/sendplanner.h
+++ b/include/almondmill/forward/sendplanner.h
@@ -102,6 +102,10 @@
     std::optional<SteadyTime> earliestReturn(const RoutedRequest &placed,
                                              const ClockTimes &now) const;
 
+    /// Whether an endpoint that takes requests runs the software at which the request's stream
+    /// began.
+    bool hasSoftware(const RoutedRequest &placed) const;
+
     /// Whether every endpoint that serves the request leaves, so that only a new one could take it.
     bool needsNewEndpoint(const RoutedRequest &placed, const ClockTimes &now) const;
 
@@ -139,6 +143,8 @@
     PerformanceFigures figuresOf(const EndpointView &view, SteadyTime now) const;
     bool isLastResort(const EndpointView &view, const ClockTimes &now) const;
     bool isUsable(const RoutedRequest &placed, const EndpointView &view, SteadyTime now) const;
+    /// Whether the endpoint takes requests and may go on with the request's stream.
+    static bool canContinue(const RoutedRequest &placed, const EndpointView &view);
     EndpointCandidate makeCandidate(const RoutedRequest &placed, const EndpointView &view,
                                     std::vector<VersionedParts> &known,
                                     const ClockTimes &now) const;
--- a/src/forward/endpointview.cpp
+++ b/src/forward/endpointview.cpp
@@ -30,6 +30,7 @@
                            std::shared_ptr<EndpointAvailability> availability)
     : m_registration(std::move(registration))
     , m_incarnation(incarnationHash(m_registration))
+    , m_software(softwareHash(m_registration))
     , m_address(parseSocketAddress(m_registration.address))
     , m_availability(std::move(availability))
 {}
--- a/src/forward/endpointviews.cpp
+++ b/src/forward/endpointviews.cpp
@@ -33,6 +33,7 @@
             .add("endpoint", change.id)
             .add("service", change.entry->service)
             .add("address", change.entry->address)
+            .add("software", change.entry->softwareVersion)
             .add("started_at", change.entry->startedAt);
     const auto newAt = newSince(*change.entry);
     auto availability = m_availability.of(*change.entry, newAt);
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -92,7 +92,9 @@
     }
     if (events.empty())
         co_return true;
-    recordEvents(steadyNow());
+    m_lastEventsAt = steadyNow();
+    recordEvents(m_lastEventsAt);
+    m_request.software = exchange.endpoint().software();
     std::string text;
     if (!m_streamStarted) {
         m_streamStarted = true;
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -126,6 +126,8 @@
     bool maySendTo(const SendPlanner::View &view, const ClockTimes &now) const;
     /// Whether a request that found no endpoint waits for one.
     bool waitsForEndpoint(const ClockTimes &now) const;
+    /// Whether an endpoint may still be found for a stream that has begun.
+    bool mayContinue(SteadyTime now) const;
     void recordSilence(EndpointView &view, SteadyTime now);
     AttemptOutcome handleBrokenStream(const char *reason, EndpointExchange &exchange,
                                       SteadyTime now);
@@ -194,6 +196,7 @@
     bool m_attemptSentData = false; ///< The current attempt's stream contained an event with data.
     bool m_streamStarted = false;   ///< The head, and possibly events, were sent to the caller.
     SteadyTime m_firstByteAt;
+    SteadyTime m_lastEventsAt;
 };
 
 } // namespace almondmill
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -26,6 +26,10 @@
 /// refusal takes a round trip to another router.
 constexpr int MaxPermitsDenied = 6;
 
+/// A stream waits so long after its last event for an endpoint of its software: one that crashed
+/// may be back by then, and callers leave soon after.
+constexpr milliseconds SoftwareReturnTime{1500};
+
 /// Pause between two searches for an endpoint that continues a stream.
 constexpr milliseconds SearchInterval{100};
 
@@ -85,7 +89,7 @@
     if (now.steady >= m_deadline || m_session.hasDisconnected())
         return false;
     if (m_streamStarted)
-        return true; // It cannot be refused any more.
+        return mayContinue(now.steady); // It cannot be refused any more.
     if (!m_mayHaveRun || m_refusals == 0 || m_failure)
         return false;
     if (m_planner.canPick(placed(), {}, now))
@@ -94,6 +98,11 @@
     return returnsAt && *returnsAt - now.boot < m_deadline - now.steady;
 }
 
+bool ForwardedRequest::mayContinue(SteadyTime now) const
+{
+    return m_planner.hasSoftware(placed()) || now < m_lastEventsAt + SoftwareReturnTime;
+}
+
 ForwardedRequest::Awaitable<void> ForwardedRequest::pauseSearch(milliseconds pause)
 {
     const auto left = std::chrono::ceil<milliseconds>(m_deadline - steadyNow());
--- a/src/forward/sendplanner.cpp
+++ b/src/forward/sendplanner.cpp
@@ -488,10 +488,23 @@
     });
 }
 
+bool SendPlanner::hasSoftware(const RoutedRequest &placed) const
+{
+    const auto &views = m_context.endpoints.ofService(placed.service);
+    return std::any_of(views.begin(), views.end(),
+                       [&](const View &view) { return canContinue(placed, *view); });
+}
+
+bool SendPlanner::canContinue(const RoutedRequest &placed, const EndpointView &view)
+{
+    const auto &software = placed.request.software;
+    return view.takesRequests() && (!software || *software == view.software());
+}
+
 bool SendPlanner::isUsable(const RoutedRequest &placed, const EndpointView &view,
                            SteadyTime now) const
 {
-    if (!view.takesRequests())
+    if (!canContinue(placed, view))
         return false;
     if (!placed.request.prompt)
         return true;
--- a/src/peers/storeupdate.cpp
+++ b/src/peers/storeupdate.cpp
@@ -24,7 +24,7 @@
 {
     return json::array({entry.id, entry.startedAt.count(), entry.service, entry.address,
                         entry.dataCentre, entry.slots, entry.draining, encodeModels(entry.models),
-                        entry.revision});
+                        entry.revision, entry.softwareVersion});
 }
 
 Registration decodeRegistration(const json &fields)
@@ -40,6 +40,8 @@
     for (const json &model : fields.at(7))
         entry.models.push_back({model.at(0).get<std::string>(), model.at(1).get<std::uint64_t>()});
     entry.revision = fields.at(8).get<std::uint64_t>();
+    if (fields.size() > 9) // Earlier releases don't send it.
+        entry.softwareVersion = fields.at(9).get<std::string>();
     return entry;
 }
 
--- a/tests/unit-controltraffic.cpp
+++ b/tests/unit-controltraffic.cpp
@@ -69,7 +69,8 @@
             false,
             {{"assistant-large", 41}},
             0,
-            1000000 + number};
+            1000000 + number,
+            "v1.2.3"};
 }
 
 double stateBytes(const Fleet &fleet)
