Streams that callers take up go on at the software that began them

Cause: of a take-up only Last-Event-Id was read. Resumes, which names the request that began the stream, was passed on unread, and no router knew where a stream of another router had begun.

Change: routers remember at which service and version the streams began whose events they pass on; while a service runs several versions, or may have in the last minute, they report each to up to four owners among the routers before its first event, and ask these at a take-up. What nobody knows goes on only if all that answer saw a single version; otherwise it is refused with 503 at once. The share of a route with several services is drawn from the id that began the stream.

--- a/include/almondmill/forward/callerrequest.h
+++ b/include/almondmill/forward/callerrequest.h
@@ -22,6 +22,7 @@
     std::optional<std::chrono::milliseconds> timeLeft; ///< How long the caller will still wait.
     std::optional<PromptRequest> prompt;
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller received.
+    std::string streamId; ///< Id of the request that began the stream: this one, or an earlier one.
     /// Software at which the stream began; empty while it may begin anywhere.
     std::optional<SoftwareHash> software;
     HttpFields forwardedFields; ///< Header fields forwarded to the endpoint unchanged.
--- a/include/almondmill/forward/endpointviews.h
+++ b/include/almondmill/forward/endpointviews.h
@@ -2,6 +2,7 @@
 
 #include "almondmill/directory/endpointdirectory.h"
 #include "almondmill/forward/availabilityrecords.h"
+#include "almondmill/forward/softwarehistory.h"
 #include "almondmill/kernel/time.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -36,6 +37,9 @@
         return m_byService;
     }
 
+    /// The software that the endpoints of each service have run lately.
+    const SoftwareHistory &softwareHistory() const { return m_softwareHistory; }
+
     /// Null when no endpoint has that id.
     View find(std::string_view id) const;
 
@@ -52,6 +56,7 @@
     void remove(const std::string &id);
 
     AvailabilityRecords m_availability;
+    SoftwareHistory m_softwareHistory;
     absl::flat_hash_map<std::string, SteadyTime>
             m_servicesSince; ///< First seen, on the boot clock.
     absl::flat_hash_map<std::string, View> m_byId;
--- a/include/almondmill/forward/forwardingcontext.h
+++ b/include/almondmill/forward/forwardingcontext.h
@@ -22,6 +22,7 @@
 #include "almondmill/peers/placementbroadcastqueue.h"
 #include "almondmill/peers/routerplaces.h"
 #include "almondmill/peers/sendpermits.h"
+#include "almondmill/peers/streamorigins.h"
 #include "almondmill/route/routingtable.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -67,6 +68,7 @@
     PlacementBroadcastQueue
             placements; ///< Placements of prompt parts to be sent to the other routers.
     PartLookups partLookups;
+    StreamOrigins streamOrigins;
     SendPermits sendPermits;
     const std::unique_ptr<AccountQuotas> accountQuotas;
     CallerReturns callerReturns;
--- a/include/almondmill/forward/forwardingmetrics.h
+++ b/include/almondmill/forward/forwardingmetrics.h
@@ -45,6 +45,9 @@
     /// Counts a request sent to an endpoint with a rate limit.
     void recordLimitedSend() { m_limitedSends.add(); }
 
+    /// Counts a stream that a caller took up again; `known` when it is known where it began.
+    void recordTakeUp(bool known);
+
     /// Counts a finished request and adds its latencies. `kind` is empty when no route matched,
     /// `firstByte` when no answer started.
     void recordRequest(std::optional<RetrySafety> kind, std::string_view outcome, Latency total,
--- a/include/almondmill/peers/peermessagekind.h
+++ b/include/almondmill/peers/peermessagekind.h
@@ -16,9 +16,10 @@
     PartReport, ///< Placements told to the owners of a part in a large fleet.
     Evidence,
     RateLimit,
-    Permit, ///< Requests, replies and returns.
-    Quota,  ///< Questions about quotas of accounts, and probes of the issuers' reach.
-    Pace,   ///< Limits of endpoints in slow start.
+    Permit,       ///< Requests, replies and returns.
+    Quota,        ///< Questions about quotas of accounts, and probes of the issuers' reach.
+    Pace,         ///< Limits of endpoints in slow start.
+    StreamOrigin, ///< Reports, questions and replies.
     Other,
 };
 
--- a/src/forward/endpointviews.cpp
+++ b/src/forward/endpointviews.cpp
@@ -85,6 +85,7 @@
 
 void EndpointViews::add(View view)
 {
+    m_softwareHistory.added(view->registration(), bootTime());
     m_byService[view->registration().service].push_back(view);
     m_byHash[shortHash(view->id())] = view;
     m_byId[view->id()] = std::move(view);
@@ -98,6 +99,7 @@
     const View view = found->second;
     view->retire();
     m_availability.removed(view->registration());
+    m_softwareHistory.removed(view->registration(), bootTime());
     auto &views = m_byService[view->registration().service];
     views.erase(std::remove(views.begin(), views.end(), view), views.end());
     m_byHash.erase(shortHash(id));
--- a/src/forward/eventrelay.cpp
+++ b/src/forward/eventrelay.cpp
@@ -8,6 +8,7 @@
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/forward/wirecodec.h"
 #include "almondmill/kernel/abslview.h"
+#include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/steadynow.h"
 
 #include <absl/strings/str_cat.h>
@@ -94,7 +95,7 @@
         co_return true;
     m_lastEventsAt = steadyNow();
     recordEvents(m_lastEventsAt);
-    m_request.software = exchange.endpoint().software();
+    recordOrigin(exchange.endpoint());
     std::string text;
     if (!m_streamStarted) {
         m_streamStarted = true;
@@ -104,6 +105,14 @@
     co_return co_await m_session.send(text);
 }
 
+void ForwardedRequest::recordOrigin(const EndpointView &view)
+{
+    if (m_route->retrySafety != RetrySafety::ResumableStream)
+        return;
+    m_request.software = view.software();
+    m_context.streamOrigins.record(m_request.streamId, m_service, view.software(), bootTime());
+}
+
 bool ForwardedRequest::isStreamTruncated(EndpointExchange &exchange) const
 {
     // Without framing, the end of a connection that carried no event says nothing.
--- a/src/forward/forwardedrequest.cpp
+++ b/src/forward/forwardedrequest.cpp
@@ -93,6 +93,13 @@
     const auto refusal = resolveRoute();
     if (refusal)
         co_return co_await answer(*refusal);
+    const bool isOriginKnown = co_await findOrigin();
+    if (m_session.hasDisconnected()) {
+        logEnd("caller_left", 0);
+        co_return false;
+    }
+    if (!isOriginKnown)
+        co_return co_await answer({ServiceUnavailable, "stream_origin_unknown"});
     if (m_account && m_account->quota) {
         const bool isWithinQuota = co_await takeQuota();
         if (!isWithinQuota)
@@ -146,7 +153,7 @@
         return refusal;
     if (m_request.id.empty())
         return Refusal{BadRequest, "no_request_id"};
-    m_service = RoutingTable::serviceFor(*m_route, hash64(m_request.id));
+    m_service = RoutingTable::serviceFor(*m_route, hash64(m_request.streamId));
     const auto timeout = std::min(m_route->timeout, m_request.timeLeft.value_or(m_route->timeout));
     m_deadline = m_startedAt + timeout;
     const auto &stop = m_context.plannedStop;
@@ -167,6 +174,21 @@
     return std::nullopt;
 }
 
+ForwardedRequest::Awaitable<bool> ForwardedRequest::findOrigin()
+{
+    if (!m_request.resumeAfter || m_route->retrySafety != RetrySafety::ResumableStream)
+        co_return true;
+    m_request.software =
+            co_await m_context.streamOrigins.find(m_request.streamId, m_service, bootTime());
+    EventLine("request.taken_up")
+            .add("id", m_request.id)
+            .add("stream", m_request.streamId)
+            .add("after", *m_request.resumeAfter)
+            .add("known", m_request.software.has_value());
+    m_context.requestMetrics.recordTakeUp(m_request.software.has_value());
+    co_return m_request.software.has_value();
+}
+
 ForwardedRequest::Awaitable<bool> ForwardedRequest::takeQuota()
 {
     const AccountQuota &quota = *m_account->quota;
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -79,6 +79,11 @@
     Awaitable<bool> takeQuota();
     /// Gives back what the request took of the quota; it did not run.
     void returnQuota();
+    /// Finds out at which software the stream began that the caller takes up again. Returns false
+    /// when that can't be known.
+    Awaitable<bool> findOrigin();
+    /// Records where the stream goes on, before its events are passed on.
+    void recordOrigin(const EndpointView &view);
     Awaitable<bool> tryEndpoints();
     Awaitable<AttemptOutcome> attempt(SendPlanner::View view);
     Awaitable<AttemptOutcome> exchangeAnswer(EndpointExchange &exchange);
--- a/src/forward/forwardingcontext.cpp
+++ b/src/forward/forwardingcontext.cpp
@@ -40,6 +40,7 @@
     , routerPlaces(settings.name)
     , partBreakers(settings.name, metrics)
     , partLookups(eventLoop, partLocations, metrics)
+    , streamOrigins(eventLoop, endpoints.softwareHistory())
     , sendPermits(eventLoop, settings.name, rateLimits, metrics, ClockTimes::now())
     , accountQuotas(
               std::make_unique<AccountQuotas>(eventLoop, sendPermits.issuers(), table, metrics))
--- a/src/forward/forwardingmetrics.cpp
+++ b/src/forward/forwardingmetrics.cpp
@@ -63,6 +63,14 @@
     m_metrics.counter("almondmill_failed_attempts_total", label("reason", reason)).add();
 }
 
+void ForwardingMetrics::recordTakeUp(bool known)
+{
+    m_metrics
+            .counter("almondmill_stream_take_ups_total",
+                     label("origin", known ? "known" : "unknown"))
+            .add();
+}
+
 void ForwardingMetrics::recordRequest(std::optional<RetrySafety> kind, std::string_view outcome,
                                       Latency total, std::optional<Latency> firstByte)
 {
--- a/src/peers/layoutversions.h
+++ b/src/peers/layoutversions.h
@@ -23,5 +23,8 @@
 inline constexpr std::uint32_t ReachProbe = 413;
 inline constexpr std::uint32_t ReachReply = 414;
 inline constexpr std::uint32_t Pace = 701;
+inline constexpr std::uint32_t StreamOriginReport = 801;
+inline constexpr std::uint32_t StreamOriginQuestion = 802;
+inline constexpr std::uint32_t StreamOriginReply = 803;
 
 } // namespace almondmill::layout
--- a/src/peers/peerexchange.cpp
+++ b/src/peers/peerexchange.cpp
@@ -138,6 +138,9 @@
     m_context.accountQuotas->start(
             [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); },
             [this] { m_discovery.listEarly(); });
+    m_context.streamOrigins.start(
+            m_context.settings.name,
+            [this](const std::string &router, std::string_view bytes) { sendTo(router, bytes); });
     m_rateLimits.start();
     m_context.routerPlaces.setUnknown();
     m_paces.start();
@@ -232,6 +235,7 @@
         m_context.retryBudgets.setRouters(static_cast<std::uint32_t>(m_peers.size() + 1));
         m_context.partBreakers.refresh(now);
         publishEvidence();
+        m_context.streamOrigins.reportOpen(bootTime());
         if (m_roundRobin.empty())
             continue;
         const std::string bytes = encodePeerMessage(describeState(now));
@@ -305,6 +309,12 @@
         m_rateLimits.handle(*limits, bytes);
     else if (const auto paces = decodePaces(bytes))
         m_paces.handle(*paces, bytes, now.boot);
+    else if (const auto report = decodeStreamOriginReport(bytes))
+        m_context.streamOrigins.handleReport(*report, now.boot);
+    else if (const auto question = decodeStreamOriginQuestion(bytes))
+        sendTo(from, encodeStreamOrigin(m_context.streamOrigins.answer(*question, now.boot)));
+    else if (const auto origin = decodeStreamOriginReply(bytes))
+        m_context.streamOrigins.handleReply(*origin);
     else if (const auto request = decodePermitRequest(bytes, now.boot))
         sendTo(from, encodePermit(m_context.sendPermits.answer(*request, now), now.boot));
     else if (const auto reply = decodePermitReply(bytes, now.boot))
@@ -327,6 +337,7 @@
 {
     addPeer(message.sender, from);
     m_context.sendPermits.recordMessage(message.sender, message.leaving, now);
+    m_context.streamOrigins.recordMessage(message.sender, message.leaving);
     if (isNewIncarnation(message))
         informNewRouter(from, now);
     if (m_context.peers.applyMessage(message, now))
@@ -452,6 +463,7 @@
     m_ring.insert(std::lower_bound(m_ring.begin(), m_ring.end(), name), name);
     m_context.partLookups.addRouter(name);
     m_context.partBreakers.addRouter(name);
+    m_context.streamOrigins.addRouter(name);
     m_context.sendPermits.addRouter(name);
     m_context.routerPlaces.addRouter(name);
 }
--- a/src/peers/peermessagekind.cpp
+++ b/src/peers/peermessagekind.cpp
@@ -62,6 +62,8 @@
         return "quota";
     case PeerMessageKind::Pace:
         return "pace";
+    case PeerMessageKind::StreamOrigin:
+        return "stream_origin";
     case PeerMessageKind::Other:
         break;
     }
@@ -101,6 +103,10 @@
         return PeerMessageKind::Quota;
     case layout::Pace:
         return PeerMessageKind::Pace;
+    case layout::StreamOriginReport:
+    case layout::StreamOriginQuestion:
+    case layout::StreamOriginReply:
+        return PeerMessageKind::StreamOrigin;
     default:
         return PeerMessageKind::Other;
     }
--- a/tests/failure-streamsoftware.cpp
+++ b/tests/failure-streamsoftware.cpp
@@ -103,6 +103,28 @@
     EXPECT_EQ(answer.find("id: 4"), std::string::npos) << answer;
 }
 
+// Guards against a caller's take-up that goes on at another version than the one that began it.
+TEST_F(StreamSoftware, ATakenUpStreamGoesOnAtTheVersionThatBeganIt)
+{
+    const RawEndpoint first([this](int socket, const std::string &call, unsigned before) {
+        breaksOffNewStreams("v1")(socket, call, before);
+        harness.onLoop([](ForwardingContext &context) { context.directory.remove("e0", 1); });
+    });
+    add("e0", "v1", first);
+    const std::string begun = send();
+    ASSERT_EQ(begun.find("id: 4"), std::string::npos) << begun;
+    add("e2", "v2", newer);
+    const std::string early = send("Last-Event-Id: 2\r\nResumes: r1\r\n");
+    EXPECT_EQ(early.substr(0, 12), "HTTP/1.1 503") << early;
+    add("e1", "v1", older);
+    for (const char *id : {"2", "3"}) {
+        const std::string answer =
+                send(std::string("Last-Event-Id: ") + id + "\r\nResumes: r1\r\n");
+        EXPECT_NE(answer.find("by v1"), std::string::npos) << answer;
+    }
+    EXPECT_EQ(newer.calls(), 0U);
+}
+
 // Guards against a router that goes on with a stream that a caller takes up again, at any version,
 // though it can't know which one began it: all routers may have been killed in between.
 TEST_F(StreamSoftware, AStreamOfUnknownOriginIsRefusedBesideTwoVersions)
