A VM that replaces the holder of its name waits like any other

Cause: the lease tells its own record by name and incarnation, and the incarnation was the constant 1. A name stood for a VM.

Change: the incarnation is a hash of the VM's address for peers. A restarted process on the same VM goes on with the lease, another VM waits it out and takes a higher token.

Weighed: an incarnation drawn at each start (each restart of the holder would cost 5 s of a roll-out).

Lease.AnotherVmOfTheSameNameWaitsLikeAnyOther is new; it isn't red before, as the fault was the constant.

--- a/src/rollout/rolloutleader.cpp
+++ b/src/rollout/rolloutleader.cpp
@@ -24,10 +24,6 @@
 
 constexpr const char *LeaseObject = "weights-rollout";
 
-/// All router processes of a VM use the same incarnation for the lease, so that a restarted process
-/// continues the lease of its predecessor. A VM runs one router process at a time.
-constexpr std::uint64_t LeaseIncarnation = 1;
-
 constexpr milliseconds StoreTimeout{500};
 
 /// Interval between two rounds of a roll-out. Engines take several times as long to load.
@@ -63,12 +59,20 @@
 /// Routers that start at the same time spread their first reads of the lease over this time.
 constexpr std::uint64_t StartJitterMs = 1500;
 
+/// Tells VMs apart that have the same name one after the other: a new one has another address. The
+/// router processes of one VM, of which one runs at a time, share it, so that a restarted one goes
+/// on with the lease.
+std::uint64_t vmIncarnation(const ForwarderSettings &settings)
+{
+    return hash64(settings.peersListen);
+}
+
 LeaseOptions leaseOptions(const ForwardingContext &context)
 {
     LeaseOptions options;
     options.objectName = LeaseObject;
     options.holder = context.settings.name;
-    options.incarnation = LeaseIncarnation;
+    options.incarnation = vmIncarnation(context.settings);
     options.duration = OrderLeaseDuration;
     options.orderTimeout = OrderTimeout;
     options.storeTimeout = StoreTimeout;
@@ -195,7 +199,9 @@
     const LeaseRecord record = decodeLease(object->value);
     boost::asio::post(m_context.loop,
                       [this, note = record.note] { restoreNamedWeights(m_context.weights, note); });
-    if (record.holder == m_context.settings.name)
+    const bool isOwn = record.holder == m_context.settings.name
+                       && record.incarnation == vmIncarnation(m_context.settings);
+    if (isOwn)
         requestLease(); // This VM's previous process held the lease.
 }
 
--- a/tests/unit-lease.cpp
+++ b/tests/unit-lease.cpp
@@ -242,6 +242,25 @@
     EXPECT_LE(*second.previousOrdersEnd(), ordersEnd + milliseconds(100));
 }
 
+// Guards against a VM that goes on with the lease of a removed one which had the same name.
+TEST(Lease, AnotherVmOfTheSameNameWaitsLikeAnyOther)
+{
+    UnreliableStore store;
+    TestTime time;
+    LeaseOptions options = optionsOf("a");
+    Lease removed(store, options);
+    removed.maintain(time.clock());
+    ++options.incarnation;
+    Lease replacement(store, options);
+    replacement.maintain(time.clock());
+    EXPECT_FALSE(replacement.held(time.now));
+    time.now += Duration + OrderTimeout;
+    replacement.maintain(time.clock());
+    EXPECT_TRUE(replacement.mayOrder(time.now));
+    EXPECT_GT(replacement.fencing(), removed.fencing());
+    EXPECT_TRUE(replacement.previousOrdersEnd());
+}
+
 TEST(Lease, NoteIsReadableByOtherProcesses)
 {
     UnreliableStore store;
