Soak: the store returns to older copies

--returns plans, beside the faults of a seed and independent of them, returns of the store to copies of 0.2 to 6 s before; the operator writes again after 0.05 to 1.5 s, endpoints with their heartbeats. Plans without the option are what they were.

--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -29,6 +29,13 @@
 
 constexpr milliseconds EndCheck{20};
 
+/// Interval between copies of the store, and how many are kept.
+constexpr milliseconds CopyInterval{250};
+constexpr std::size_t MaxCopies = 40;
+
+/// After a return endpoints have written their entries again within this time.
+constexpr milliseconds HeartbeatsTime{2500};
+
 void apply(FaultProxy &link, LinkFault fault)
 {
     switch (fault) {
@@ -132,6 +139,7 @@
         self.m_operator.change(fault.step, steadyNow());
         co_return;
     }
+    Awaitable operator()(const ReturnStore &fault) const { return self.returnStore(fault); }
     Awaitable operator()(const PublishWeights &) const
     {
         self.m_operator.publishWeights(steadyNow());
@@ -154,6 +162,7 @@
 FaultInjector::Awaitable FaultInjector::run(std::vector<PlannedFault> plan)
 {
     const SteadyTime begun = steadyNow();
+    standin::spawn(m_loop, copyStore());
     for (const PlannedFault &planned : plan) {
         const auto wait =
                 std::chrono::duration_cast<milliseconds>(begun + planned.at - steadyNow());
@@ -199,6 +208,31 @@
     m_history.endDisturbance(disturbance, steadyNow());
 }
 
+FaultInjector::Awaitable FaultInjector::copyStore()
+{
+    for (;;) {
+        m_copies.push_back({steadyNow(), m_store.store().copy()});
+        if (m_copies.size() > MaxCopies)
+            m_copies.pop_front();
+        co_await sleepFor(m_loop, CopyInterval);
+    }
+}
+
+FaultInjector::Awaitable FaultInjector::returnStore(ReturnStore fault)
+{
+    const auto disturbance =
+            m_history.beginDisturbance(Disturbance::Scope::Store, "store", steadyNow());
+    const SteadyTime now = steadyNow();
+    std::size_t chosen = 0;
+    while (chosen + 1 < m_copies.size() && m_copies[chosen + 1].at <= now - fault.age)
+        ++chosen;
+    m_store.store().returnTo(m_copies[chosen].contents, now);
+    co_await sleepFor(m_loop, fault.rewriteAfter);
+    m_operator.writeAgain(steadyNow());
+    co_await sleepFor(m_loop, HeartbeatsTime);
+    m_history.endDisturbance(disturbance, steadyNow());
+}
+
 FaultInjector::Awaitable FaultInjector::killAll(KillAllRouters fault)
 {
     for (std::size_t router = 1; router < m_routers.size(); ++router) {
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -3,10 +3,14 @@
 #include "faultplan.h"
 #include "soakhistory.h"
 
+#include "almondmill/kernel/time.h"
+#include "standins/rietwerk/metadatastore.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
+#include <deque>
 #include <vector>
 
 namespace almondmill::standin {
@@ -38,7 +42,16 @@
     using Awaitable = boost::asio::awaitable<void>;
     struct Visitor;
 
+    /// Contents of the store at one moment.
+    struct StoreCopy
+    {
+        SteadyTime at;
+        standin::rietwerk::MetadataStore::Copy contents;
+    };
+
     Awaitable inject(Fault fault);
+    Awaitable copyStore();
+    Awaitable returnStore(ReturnStore fault);
     Awaitable disturb(standin::FaultProxy &link, LinkFault fault,
                       std::chrono::milliseconds duration, Disturbance::Scope scope,
                       std::string name);
@@ -52,6 +65,7 @@
     standin::rietwerk::MetadataServer &m_store;
     SiteOperator &m_operator;
     std::size_t m_activeFaults = 0;
+    std::deque<StoreCopy> m_copies; ///< The oldest one first.
 };
 
 } // namespace almondmill::soak
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -22,6 +22,9 @@
 constexpr int MaxSeriesLength = 4;
 constexpr milliseconds SeriesInterval{250};
 
+/// Mean interval between returns of the store, in soaks with such.
+constexpr double MeanReturnIntervalMs = 4000;
+
 class Planner
 {
 public:
@@ -270,6 +273,12 @@
     {
         return "the operator publishes new weights";
     }
+    std::string operator()(const ReturnStore &fault) const
+    {
+        return absl::StrCat("the store returns to a copy of ", fault.age.count(),
+                            " ms before; the operator writes again after ",
+                            fault.rewriteAfter.count(), " ms");
+    }
 };
 
 } // namespace
@@ -279,6 +288,32 @@
     return Planner(seed, size).plan(length);
 }
 
+std::vector<PlannedFault> planReturns(std::uint64_t seed, milliseconds length)
+{
+    // Independent of the other faults of the seed.
+    std::mt19937_64 random(~seed);
+    std::exponential_distribution<double> pause(1 / MeanReturnIntervalMs);
+    std::uniform_int_distribution<int> age(200, 6000);
+    std::uniform_int_distribution<int> rewriteAfter(50, 1500);
+    std::vector<PlannedFault> returns;
+    for (milliseconds at(0);;) {
+        at += milliseconds(static_cast<std::int64_t>(pause(random)));
+        if (at >= length)
+            return returns;
+        returns.push_back(
+                {at, ReturnStore{milliseconds(age(random)), milliseconds(rewriteAfter(random))}});
+    }
+}
+
+std::vector<PlannedFault> merged(std::vector<PlannedFault> first, std::vector<PlannedFault> second)
+{
+    first.insert(first.end(), second.begin(), second.end());
+    std::stable_sort(
+            first.begin(), first.end(),
+            [](const PlannedFault &one, const PlannedFault &other) { return one.at < other.at; });
+    return first;
+}
+
 std::string describe(const Fault &fault)
 {
     return std::visit(Describer{}, fault);
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -77,6 +77,14 @@
     std::chrono::milliseconds duration{0};
 };
 
+/// The store returns to a copy of its contents that is `age` old. The operator writes again what he
+/// had written, `rewriteAfter` later; endpoints do so with their next heartbeats.
+struct ReturnStore
+{
+    std::chrono::milliseconds age{0};
+    std::chrono::milliseconds rewriteAfter{0};
+};
+
 /// An endpoint ends without draining; a new incarnation starts at its address after `downtime`.
 struct CrashEndpoint
 {
@@ -127,7 +135,7 @@
 using Fault = std::variant<KillRouter, StopRouter, PauseRouter, ReloadRouter, KillAllRouters,
                            DisturbStoreLink, DisturbCallerLink, DisturbEndpoint, DisturbStore,
                            CrashEndpoint, ReplaceEndpoint, FailRequests, LimitRate,
-                           ChangeConfiguration, PublishWeights>;
+                           ChangeConfiguration, PublishWeights, ReturnStore>;
 
 struct PlannedFault
 {
@@ -147,6 +155,12 @@
 std::vector<PlannedFault> planFaults(std::uint64_t seed, std::chrono::milliseconds length,
                                      const SoakSize &size);
 
+/// Returns of the store for a seed, to overlap with the faults of a plan.
+std::vector<PlannedFault> planReturns(std::uint64_t seed, std::chrono::milliseconds length);
+
+/// Both plans as one, ordered by time.
+std::vector<PlannedFault> merged(std::vector<PlannedFault> first, std::vector<PlannedFault> second);
+
 /// Describes the fault in one line, such as "kill router-2, down for 300 ms".
 std::string describe(const Fault &fault);
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -55,6 +55,7 @@
     app.add_option("--routers", options.routers, "router processes")->check(CLI::Range(1, 100));
     app.add_option("--callers", options.callers, "number of concurrent callers")
             ->check(CLI::Range(1, 1000));
+    app.add_flag("--returns", options.storeReturns, "the store also returns to older copies");
     CLI11_PARSE(app, argc, argv);
     options.faultsFor = std::chrono::seconds(seconds);
     std::size_t failed = 0;
--- a/soak/siteoperator.cpp
+++ b/soak/siteoperator.cpp
@@ -40,6 +40,12 @@
     writeWeights(now);
 }
 
+void SiteOperator::writeAgain(SteadyTime now)
+{
+    m_store.put("config", "main", nlohmann::json::parse(m_configuration.encode()), now);
+    m_store.put("versions", ModelName, {{"model", ModelName}, {"version", m_weightsVersion}}, now);
+}
+
 void SiteOperator::apply(ConfigurationStep step)
 {
     switch (step) {
--- a/soak/siteoperator.h
+++ b/soak/siteoperator.h
@@ -29,6 +29,9 @@
     void change(ConfigurationStep step, SteadyTime now);
     void publishWeights(SteadyTime now);
 
+    /// Writes the present state again, after the store has lost it.
+    void writeAgain(SteadyTime now);
+
     std::uint64_t weightsVersion() const { return m_weightsVersion; }
 
     /// Prefixes of all added routes, including removed ones.
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -40,6 +40,9 @@
 
 constexpr unsigned ServiceUnavailable = 503;
 
+/// Era of a store that returns to copies, before it does so first.
+constexpr std::uint64_t FirstEra = 1;
+
 constexpr milliseconds EndCheck{20};
 constexpr std::size_t PlainEndpoints = 3;
 constexpr std::size_t Engines = 4;
@@ -64,6 +67,8 @@
 
     SoakReport run()
     {
+        if (m_options.storeReturns)
+            m_store.store().setEra(FirstEra);
         m_operator.writeInitialState(steadyNow());
         if (!m_options.endpointsPause)
             m_endpoints.disablePauses();
@@ -102,6 +107,8 @@
         std::vector<PlannedFault> faults = m_options.faults;
         if (faults.empty())
             faults = planFaults(m_options.seed, m_options.faultsFor, size);
+        if (m_options.storeReturns)
+            faults = merged(std::move(faults), planReturns(m_options.seed, m_options.faultsFor));
         co_await m_injector.run(std::move(faults));
         m_lastFaultEnd = steadyNow();
         co_await sleepFor(m_loop, m_options.recovery);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -19,6 +19,7 @@
     std::size_t routers = 4;
     std::size_t callers = 24;
     bool endpointsPause = true; ///< Endpoints ask for pauses at random.
+    bool storeReturns = false;  ///< The store also returns to older copies.
     /// The faults to inject; those of the seed when empty.
     std::vector<PlannedFault> faults;
     std::string folder; ///< For the routers' settings and logs.
--- a/tests/failure-soak.cpp
+++ b/tests/failure-soak.cpp
@@ -13,14 +13,18 @@
 namespace {
 
 class ShortSoak : public testing::TestWithParam<std::uint64_t>
-{};
+{
+protected:
+    static void run(bool storeReturns);
+};
 
 } // namespace
 
-TEST_P(ShortSoak, RequestChecksHoldUnderFaults)
+void ShortSoak::run(bool storeReturns)
 {
     SoakOptions options;
     options.seed = GetParam();
+    options.storeReturns = storeReturns;
     options.faultsFor = std::chrono::seconds(6);
     options.recovery = std::chrono::milliseconds(0);
     options.routers = 3;
@@ -35,6 +39,16 @@
     EXPECT_GT(report.runs, 0U);
 }
 
+TEST_P(ShortSoak, RequestChecksHoldUnderFaults)
+{
+    run(false);
+}
+
+TEST_P(ShortSoak, RequestChecksHoldWhenTheStoreReturnsToCopies)
+{
+    run(true);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ShortSoak, testing::Values(1, 2));
 
 } // namespace almondmill::soak
