--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -295,14 +295,20 @@
     std::exponential_distribution<double> pause(1 / MeanReturnIntervalMs);
     std::uniform_int_distribution<int> age(200, 6000);
     std::uniform_int_distribution<int> rewriteAfter(50, 1500);
+    std::uniform_int_distribution<int> weightsAfter(-2500, 2500);
     std::vector<PlannedFault> returns;
+    std::vector<PlannedFault> weights;
     for (milliseconds at(0);;) {
         at += milliseconds(static_cast<std::int64_t>(pause(random)));
         if (at >= length)
-            return returns;
+            break;
         returns.push_back(
                 {at, ReturnStore{milliseconds(age(random)), milliseconds(rewriteAfter(random))}});
+        // The holder of the lease orders around the return.
+        weights.push_back({std::max(at + milliseconds(weightsAfter(random)), milliseconds(0)),
+                           PublishWeights{}});
     }
+    return merged(std::move(returns), std::move(weights));
 }
 
 std::vector<PlannedFault> merged(std::vector<PlannedFault> first, std::vector<PlannedFault> second)
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -155,7 +155,8 @@
 std::vector<PlannedFault> planFaults(std::uint64_t seed, std::chrono::milliseconds length,
                                      const SoakSize &size);
 
-/// Returns of the store for a seed, to overlap with the faults of a plan.
+/// Returns of the store for a seed, and new weights around them, to overlap with the faults of a
+/// plan.
 std::vector<PlannedFault> planReturns(std::uint64_t seed, std::chrono::milliseconds length);
 
 /// Both plans as one, ordered by time.
