Short soaks of one seed have folders of their own

Cause: the new case with returns of the store has the same seeds and wrote its routers' settings into the same folder, and ctest ran both at once. Two of them run side by side failed in each of three tries.

--- a/tests/failure-soak.cpp
+++ b/tests/failure-soak.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <filesystem>
+#include <string>
 
 namespace almondmill::soak {
 
@@ -29,8 +30,10 @@
     options.recovery = std::chrono::milliseconds(0);
     options.routers = 3;
     options.callers = 12;
+    // Tests run side by side, each with its routers' settings.
+    const std::string kind = storeReturns ? "returns-" : "faults-";
     const auto folder = std::filesystem::temp_directory_path()
-                        / ("almondmill-short-soak-" + std::to_string(options.seed));
+                        / ("almondmill-short-soak-" + kind + std::to_string(options.seed));
     std::filesystem::create_directories(folder);
     options.folder = folder;
     const SoakReport report = runSoak(options);
