Review: cases renumbered, gravest first; the stand-ins learn to crash

An endpoint can crash on a part of a prompt, before or after its first event, and comes back with a new id.

--- a/review/standins-3/case-13.cpp
+++ b/review/standins-3/case-13.cpp
@@ -1,5 +1,5 @@
-// Bodies in a transfer coding that isn't known, which hold the text of a request: does a server run
-// what no client sent?
+// Many clients whose bodies stop short of their end and stay open, with heads of legal size: does
+// the router stay within the memory of its machine?
 
 #include "casesetup.h"
 #include "channel.h"
@@ -8,8 +8,7 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <optional>
-#include <set>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -17,42 +16,58 @@
 using namespace review;
 using std::chrono::milliseconds;
 
-constexpr milliseconds Timeout{2500};
+/// A machine of the small installation of Rietwerk.
+constexpr int MachineMegabytes = 96;
+constexpr std::size_t BytesPerMegabyte = 1000000;
 
-Channel::Time inTime()
-{
-    return std::chrono::steady_clock::now() + Timeout;
-}
+constexpr int Clients = 1200;
+constexpr int ClientAddresses = 200;
+constexpr milliseconds TimeBetweenClients{3};
+constexpr milliseconds WatchedTime{8000};
+constexpr milliseconds WatchInterval{200};
+constexpr milliseconds Timeout{5000};
 
-/// The payload of a client's request: a text that looks like a request.
-std::string payloadOf(int number)
+/// Parts of a prompt in one head, which stays below `max_header_bytes`.
+constexpr int PromptParts = 3800;
+
+std::string headOf(int client)
 {
-    return "POST /booking/never-asked-for HTTP/1.1\r\n"
-           + commonFields("inside-" + std::to_string(number), 1500) + "Content-Length: 0\r\n\r\n";
+    std::string parts;
+    for (int part = 0; part < PromptParts; ++part)
+        parts += (part == 0 ? "" : ",") + std::string(1, "0123456789abcdef"[part % 16]) + ":1";
+    return "POST /verdict/history HTTP/1.1\r\n"
+           + commonFields("client-" + std::to_string(client), 5000) + "Model: reed\r\nToken-Usage: "
+           + std::to_string(PromptParts) + ",1\r\nPrompt-Prefix: " + parts + "\r\n";
 }
 
-std::string chunkedOf(const std::string &payload)
+/// The end of the head and what is sent of a body of one byte: in trouble, that byte is missing.
+std::string bodyOf(int client, bool trouble)
 {
-    char size[16];
-    (void)std::snprintf(size, sizeof(size), "%zx", payload.size());
-    return std::string(size) + "\r\n" + payload + "\r\n0\r\n\r\n";
+    const bool isChunked = client % 2 == 1;
+    std::string begin =
+            isChunked ? "Transfer-Encoding: chunked\r\n\r\n1\r\n" : "Content-Length: 1\r\n\r\n";
+    if (trouble)
+        return begin;
+    return begin + (isChunked ? "x\r\n0\r\n\r\n" : "x");
 }
 
-std::string post(const std::string &id, const std::string &coding)
+Channel::Time inTime()
 {
-    return "POST /booking/slot HTTP/1.1\r\n" + commonFields(id, 1500)
-           + "Transfer-Encoding: " + coding + "\r\n\r\n";
+    return std::chrono::steady_clock::now() + Timeout;
 }
 
-/// What a request got, and for which request that is.
-std::string lineOf(const std::string &id, const std::optional<HttpMessage> &answer)
+bool isServed(RouterProcess &router, Record &record)
 {
-    std::string line = id;
-    line += " gets ";
-    line += answer ? answer->startLine : "no answer";
-    if (answer)
-        line.append(", for ").append(answer->field("Request-Id"));
-    return line;
+    Channel channel = Channel::connect(router.callers(), Timeout);
+    if (!channel.isOpen())
+        return false;
+    channel.send("POST /booking/slot HTTP/1.1\r\n" + commonFields("ordinary", 1500)
+                         + "Content-Length: 0\r\n\r\n",
+                 inTime());
+    const auto answer = channel.readMessage(inTime());
+    record.write("the ordinary request gets "
+                 + (answer ? answer->startLine : std::string("no answer")));
+    return answer && answer->status() == 200;
 }
 
 int run(Deployment &deployment, Record &record)
@@ -60,44 +75,38 @@
     if (!deployment.waitUntilReady())
         return NotRun;
     const bool trouble = hasTrouble();
-    const std::vector<std::string> codings{"gzip", "identity", "chunked, identity", "x-packed"};
-    std::set<std::string> sent;
-    int foreign = 0;
-    for (std::size_t at = 0; at < codings.size(); ++at) {
-        const int number = static_cast<int>(at);
-        const std::string outer = "outer-" + std::to_string(number);
-        const std::string next = "next-" + std::to_string(number);
-        const std::string coding = trouble ? codings[at] : "chunked";
-        const std::string payload = payloadOf(number);
-        Channel channel = Channel::connect(deployment.router(number % 2).callers(), Timeout);
-        sent.insert(outer);
-        channel.send(post(outer, coding) + (trouble ? payload : chunkedOf(payload)), inTime());
-        record.write("a body in the transfer coding " + coding);
-        const auto first = channel.readMessage(inTime());
-        record.write(lineOf(outer, first));
-        if (!first || first->field("Connection") == "close")
-            continue;
-        // The next request of a caller behind the same kept channel.
-        sent.insert(next);
-        channel.send("POST /booking/slot HTTP/1.1\r\n" + commonFields(next, 1500)
-                             + "Content-Length: 0\r\n\r\n",
-                     inTime());
-        const auto second = channel.readMessage(inTime());
-        const std::string id = second ? second->field("Request-Id") : std::string();
-        record.write(lineOf(next, second));
-        if (second && id != next)
-            ++foreign;
+    RouterProcess &router = deployment.router(0);
+    const std::size_t before = router.anonymousMemory();
+    record.write("memory before: " + std::to_string(before) + " bytes; a head has "
+                 + std::to_string(headOf(0).size()) + " bytes");
+    std::vector<Channel> clients;
+    int answered = 0;
+    for (int client = 0; client < Clients; ++client) {
+        const std::string from = "127.0.2." + std::to_string(1 + client % ClientAddresses);
+        clients.push_back(Channel::connect(router.callers(), Timeout, from));
+        clients.back().send(headOf(client) + bodyOf(client, trouble), inTime());
+        std::this_thread::sleep_for(TimeBetweenClients);
+    }
+    for (Channel &client : clients) {
+        if (!trouble && client.readMessage(inTime()))
+            ++answered;
     }
-    int unasked = 0;
-    for (const Endpoint::Run &ran : deployment.runs()) {
-        if (sent.contains(ran.id))
-            continue;
-        ++unasked;
-        record.write("no client sent " + ran.id + ", and it ran: " + ran.method + " " + ran.target);
+    record.write(std::to_string(Clients) + " clients have sent their heads, "
+                 + (trouble ? "each body lacks its one byte"
+                            : std::to_string(answered) + " were answered"));
+    std::size_t most = 0;
+    const auto end = std::chrono::steady_clock::now() + WatchedTime;
+    while (std::chrono::steady_clock::now() < end) {
+        most = std::max(most, router.anonymousMemory());
+        std::this_thread::sleep_for(WatchInterval);
     }
-    record.write(std::to_string(unasked) + " requests ran that no client sent; "
-                 + std::to_string(foreign) + " answers belong to another request");
-    return unasked == 0 && foreign == 0 ? RuleHeld : RuleBroken;
+    record.write("most memory: " + std::to_string(most) + " bytes of "
+                 + std::to_string(MachineMegabytes * BytesPerMegabyte));
+    const bool isAlive = router.isRunning();
+    const bool isWithinMemory = most <= MachineMegabytes * BytesPerMegabyte;
+    const bool served = isServed(router, record);
+    record.write(std::string("the process ") + (isAlive ? "runs" : "has ended"));
+    return isAlive && isWithinMemory && served ? RuleHeld : RuleBroken;
 }
 
 } // namespace
@@ -107,7 +116,7 @@
     if (argc != 2)
         return NotRun;
     Record record(argv[1]);
-    Deployment deployment(record, {.routers = 2});
+    Deployment deployment(record, {.routers = 1, .memoryMb = MachineMegabytes});
     const int result = run(deployment, record);
     record.write("exit " + std::to_string(result));
     deployment.exit(result);
--- a/review/standins-3/case-15.cpp
+++ b/review/standins-3/case-15.cpp
@@ -1,5 +1,5 @@
-// The machines are stopped and started in turn, and the last one is killed before its turn: do the
-// streams of its clients go on at the others?
+// Most machines lose power and don't come back for a while: do the streams of their clients go on
+// at the machines that are left, which have served all the time?
 
 #include "casesetup.h"
 #include "deployment.h"
@@ -14,18 +14,15 @@
 
 using namespace review;
 
-constexpr int Routers = 6;
-constexpr int Streams = 24;
+constexpr int Routers = 14;
 
-/// Time in which the machines have served one software version of the service before the restarts.
-constexpr std::chrono::seconds CalmTime{62};
+/// Three of the four zones, of 4, 4 and 4 machines. The last two machines stay.
+constexpr int Lost = 12;
 
-/// Pause between two restarts.
-constexpr std::chrono::milliseconds RestartGap{1300};
+constexpr int Streams = 48;
 
-/// The bound `stable_window_ms`, from which on the machines that were started are in touch, and a
-/// second.
-constexpr std::chrono::milliseconds StableWindow{4000};
+/// Time in which the machines have served one software version of the service before the loss.
+constexpr std::chrono::seconds CalmTime{65};
 
 int run(Deployment &deployment, Record &record)
 {
@@ -33,33 +30,25 @@
         return NotRun;
     record.write("all routers are ready");
     std::this_thread::sleep_for(CalmTime);
-    const bool trouble = hasTrouble();
-    std::vector<RouterProcess *> others;
-    for (int index = 1; index < Routers; ++index) {
-        RouterProcess &router = deployment.router(index);
-        others.push_back(&router);
-        if (!trouble)
-            continue;
-        router.end(SIGTERM);
-        router.start();
-        record.write(router.name() + " was stopped with SIGTERM and started again");
-        std::this_thread::sleep_for(RestartGap);
-    }
-    for (RouterProcess *router : others) {
-        if (!Deployment::isReady(*router, std::chrono::milliseconds(1000)))
-            return NotRun;
-    }
-    std::this_thread::sleep_for(StableWindow);
     TakeUps streams(record);
     for (int stream = 0; stream < Streams; ++stream)
-        streams.begin(deployment.router(0));
+        streams.begin(deployment.router(stream % Lost));
     if (streams.readFirstEvents() < Streams / 2)
         return NotRun;
-    if (trouble) {
-        deployment.router(0).end(SIGKILL);
-        record.write(deployment.router(0).name() + " was killed");
+    if (hasTrouble()) {
+        for (int index = 0; index < Lost; ++index)
+            deployment.router(index).end(SIGKILL);
+        record.write(std::to_string(Lost) + " of " + std::to_string(Routers)
+                     + " machines have lost power");
+    }
+    std::vector<RouterProcess *> left;
+    for (int index = Lost; index < Routers; ++index)
+        left.push_back(&deployment.router(index));
+    streams.takeUp(left);
+    for (RouterProcess *router : left) {
+        if (!router->isRunning())
+            return NotRun;
     }
-    streams.takeUp(others);
     return streams.isRuleBroken() ? RuleBroken : RuleHeld;
 }
 
--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -102,6 +102,7 @@
         engine.service = "models";
         engine.model = "reed";
         engine.crashingPart = plan.crashingPart;
+        engine.crashesEarly = plan.crashesEarly;
         addEndpoint(record, engine);
     }
     for (int index = 0; index < Desks; ++index) {
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -23,6 +23,7 @@
 
     /// Part of a prompt that crashes engines; empty for none.
     std::string crashingPart;
+    bool crashesEarly = false; ///< Before the first event of an answer, not right after it.
 };
 
 /// A small deployment on loopback addresses: the store, engines of a model, two endpoints of a
--- a/review/standins-3/endpoint.cpp
+++ b/review/standins-3/endpoint.cpp
@@ -162,6 +162,13 @@
 bool Endpoint::sendStream(const HttpMessage &request, Channel &channel)
 {
     const std::string requestId = request.field("Request-Id");
+    const bool crashes =
+            !m_plan.crashingPart.empty()
+            && request.field("Prompt-Prefix").find(m_plan.crashingPart + ":") != std::string::npos;
+    if (crashes && m_plan.crashesEarly) {
+        crash();
+        return false;
+    }
     const bool isSent =
             channel.send(headOf("200 OK", requestId) + "Server-Signature: " + id() + "." + requestId
                                  + "\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n"
@@ -169,9 +176,6 @@
                          inTime());
     if (!isSent)
         return false;
-    const bool crashes =
-            !m_plan.crashingPart.empty()
-            && request.field("Prompt-Prefix").find(m_plan.crashingPart + ":") != std::string::npos;
     const int last = eventsAskedFor(request.field("Token-Usage"));
     for (int event = std::atoi(request.field("Last-Event-Id").c_str()) + 1; event <= last;
          ++event) {
--- a/review/standins-3/endpoint.h
+++ b/review/standins-3/endpoint.h
@@ -30,10 +30,13 @@
     std::chrono::milliseconds eventGap{100};
     int slots = 48;
 
-    /// Part of a prompt on which the endpoint crashes as it begins to write an answer, right after
-    /// the first event; empty for none.
+    /// Part of a prompt on which the endpoint crashes as it begins to write an answer; empty for
+    /// none.
     std::string crashingPart;
 
+    /// It crashes before the first event, not right after it.
+    bool crashesEarly = false;
+
     /// Time until a crashed endpoint is back.
     std::chrono::milliseconds restartTime{4000};
 };
