Review, case 15: take-ups at the machines that are left

The owners of a stream are drawn from all routers ever heard of. With 12 of 14 machines lost, the two that are left get no answer from them and refuse the stream, although their own history knows the service's only version.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Case 15. Needs the build of the deploy file and review/build-3.sh. Exits with 1 if the rule was broken, 0
+# if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-3/case-15 ] && [ -x target/almondmilld ] || exit 2
+timeout -k 2 118 target/review-3/case-15 review/15/record.txt
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
