--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,7 +3,13 @@
 # if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/case-12 ] && [ -x target/almondmilld ] || exit 2
-timeout -k 2 118 target/review-3/case-12 review/12/record.txt
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
+timeout -k 1 116 target/review-3/case-12 review/12/record.txt &
+case=$!
+trap 'kill "$case"; wait "$case"; exit 2' TERM INT
+wait "$case"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
