Message framing is decided once: a body without a known end is refused

Cause: the parser passes over codings that it doesn't know and takes such a request for one without a body. The same cause elsewhere: a coding beside a length, HTTP/1.0 with a coding, `gzip, chunked` (forwarded without the coding's name), answers of endpoints in such codings (passed on with 200), a GET with a body on the product's own interface, and its client's answers in `gzip, chunked`.

Ruled out: connections shared between callers (the inner request ran also alone), and a forwarded Transfer-Encoding (it is hop-by-hop).

Change: MessageFraming finds the end of a body from the whole head, for the parser of requests, endpoints' answers and the store, for headcheck, and for BoundedClient (AnswerHeadReader). 400 and the end of the connection where the end is unknown, 501 for another coding below `chunked`; an answer in any other coding is the endpoint's error.

--- a/include/almondmill/http/messageparser.h
+++ b/include/almondmill/http/messageparser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondmill/http/httphead.h"
+#include "almondmill/http/messageframing.h"
 
 #include <boost/beast/http/basic_parser.hpp>
 
@@ -10,7 +11,8 @@
 namespace almondmill {
 
 /// Incremental parser of one HTTP/1.1 message. The head is kept as received. The body is decoded
-/// from its transfer coding and appended to `body()` until the reader takes it.
+/// from its transfer coding and appended to `body()` until the reader takes it. A message whose
+/// framing is refused fails when its head is complete.
 template<bool IsRequest>
 class MessageParser : public boost::beast::http::basic_parser<IsRequest>
 {
@@ -20,6 +22,9 @@
 
     const HttpHead &head() const { return m_head; }
 
+    /// How the end of the body is found. Valid from the end of the head, also if that failed.
+    MessageFraming framing() const { return m_framing; }
+
     /// Body bytes that have been parsed and not yet taken.
     std::string &body() { return m_body; }
 
@@ -69,7 +74,17 @@
             error = boost::beast::http::error::header_limit;
     }
 
-    void on_header_impl(ErrorCode &) override { m_isHeadComplete = true; }
+    void on_header_impl(ErrorCode &error) override
+    {
+        m_isHeadComplete = true;
+        m_framing = IsRequest ? framingOfRequest(m_head) : framingOfAnswer(m_head);
+        // The base class reads the body, so it must see the same framing.
+        if (m_framing == MessageFraming::Chunked && !this->chunked())
+            m_framing = MessageFraming::Ambiguous;
+        if (isRefused(m_framing))
+            error = boost::beast::http::error::bad_transfer_encoding;
+    }
+
     void on_body_init_impl(const BodyLength &length, ErrorCode &) override
     {
         m_bodyBytes = length.value_or(0);
@@ -104,6 +119,7 @@
     static constexpr std::size_t MaxTrailerBytes = std::size_t(64) << 10U;
 
     HttpHead m_head;
+    MessageFraming m_framing = MessageFraming::None;
     std::string m_body;
     bool m_isHeadComplete = false;
     std::uint64_t m_bodyBytes = 0; ///< Announced; zero if unknown.
--- a/include/almondmill/request/headcheck.h
+++ b/include/almondmill/request/headcheck.h
@@ -22,7 +22,7 @@
 bool isModelListPath(const httplib::Request &request);
 
 /// Checks the headers, the method and the declared length of a request before its body is read.
-/// Throws RefusedError with status 400, 405, 411, 413, 415 or 431.
+/// Throws RefusedError with status 400, 405, 411, 413, 415, 431 or 501.
 void checkHead(const httplib::Request &request, const HeadLimits &limits);
 
 } // namespace almondmill
--- a/src/forward/callersession.cpp
+++ b/src/forward/callersession.cpp
@@ -25,6 +25,7 @@
 constexpr unsigned BadRequest = 400;
 constexpr unsigned BodyTooLarge = 413;
 constexpr unsigned HeaderTooLarge = 431;
+constexpr unsigned NotImplemented = 501;
 constexpr unsigned BadGateway = 502;
 constexpr unsigned ServiceUnavailable = 503;
 
@@ -48,9 +49,11 @@
 /// Bytes that are dropped meanwhile, so that a caller which sends without end is disconnected.
 constexpr std::size_t MaxLingerBytes = std::size_t(1) << 20U;
 
-unsigned statusOf(const boost::system::error_code &error)
+unsigned statusOf(const boost::system::error_code &error, const RequestParser &parser)
 {
     namespace http = boost::beast::http;
+    if (parser.framing() == MessageFraming::UnsupportedCoding)
+        return NotImplemented;
     if (error == http::error::header_limit)
         return HeaderTooLarge;
     if (error == http::error::body_limit)
@@ -357,7 +360,7 @@
     const auto error = co_await reader.readHead();
     if (error) {
         if (m_socket->closeReason() == TimedSocket::CloseReason::None && isParseError(error))
-            co_return co_await refuse(statusOf(error), "the header can't be read");
+            co_return co_await refuse(statusOf(error, parser), "the header can't be read");
         co_return Next::Close;
     }
     if (m_memory.isEvicted())
@@ -395,7 +398,7 @@
         co_return Next::Serve;
     releaseMemory(parser.body()); // Not needed while the refusal is sent.
     if (m_socket->closeReason() == TimedSocket::CloseReason::None && isParseError(error))
-        co_return co_await refuse(statusOf(error), "the body can't be read");
+        co_return co_await refuse(statusOf(error, parser), "the body can't be read");
     co_return Next::Close;
 }
 
--- a/src/http/boundedclient.cpp
+++ b/src/http/boundedclient.cpp
@@ -1,11 +1,9 @@
 #include "almondmill/http/boundedclient.h"
 
-#include "almondmill/kernel/abslview.h"
+#include "almondmill/http/answerheadreader.h"
 #include "almondmill/kernel/steadynow.h"
 #include "almondmill/kernel/time.h"
 
-#include <absl/strings/match.h>
-
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -48,13 +46,6 @@
     return colon == std::string::npos ? DefaultPort : std::atoi(hostAndPort.c_str() + colon + 1);
 }
 
-bool isChunkedField(std::string_view line)
-{
-    constexpr std::string_view Name = "transfer-encoding:";
-    return absl::StartsWithIgnoreCase(abslView(line), abslView(Name))
-           && absl::EndsWithIgnoreCase(abslView(line), "chunked\r\n");
-}
-
 milliseconds toTimeout(std::time_t seconds, std::time_t microseconds)
 {
     return std::chrono::ceil<milliseconds>(std::chrono::seconds(seconds)
@@ -102,7 +93,8 @@
             recordLineByte(*bytes);
         else
             m_line.clear();
-        if (m_line.size() > MaxLineBytes || m_client.m_readBytes > m_client.m_maxBytes)
+        if (m_line.size() > MaxLineBytes || m_client.m_readBytes > m_client.m_maxBytes
+            || isRefused(m_head.framing()))
             return -1;
         return static_cast<ssize_t>(taken);
     }
@@ -112,7 +104,7 @@
     bool isCutInChunks() const
     {
         const bool hasLastChunk = m_lineBefore.starts_with('0') && m_lastLine == "\r\n";
-        return m_isChunked && !(hasLastChunk && m_line.empty());
+        return m_head.framing() == MessageFraming::Chunked && !(hasLastChunk && m_line.empty());
     }
 
     ssize_t write(const char *bytes, size_t size) override
@@ -152,7 +144,8 @@
         m_line += byte;
         if (byte != '\n')
             return;
-        m_isChunked = m_isChunked || isChunkedField(m_line);
+        if (!m_head.isComplete())
+            m_head.addLine(m_line);
         m_lineBefore = std::move(m_lastLine);
         m_lastLine = std::move(m_line);
         m_line.clear();
@@ -180,7 +173,7 @@
     std::string m_line; ///< The line that is being read.
     std::string m_lastLine;
     std::string m_lineBefore; ///< Before the last one.
-    bool m_isChunked = false;
+    AnswerHeadReader m_head;
 };
 
 BoundedClient::BoundedClient(const std::string &address, std::size_t maxBytes)
--- a/src/request/headcheck.cpp
+++ b/src/request/headcheck.cpp
@@ -1,5 +1,7 @@
 #include "almondmill/request/headcheck.h"
 
+#include "almondmill/http/httphead.h"
+#include "almondmill/http/messageframing.h"
 #include "almondmill/request/refusederror.h"
 
 #include <httplib.h>
@@ -12,7 +14,6 @@
 namespace {
 
 constexpr const char *LengthHeader = "Content-Length";
-constexpr const char *TransferHeader = "Transfer-Encoding";
 
 [[noreturn]] void refuse(int status, const char *code, const char *message)
 {
@@ -38,20 +39,38 @@
         refuse(405, "method_not_allowed", "The list of models is read with GET.");
 }
 
+MessageFraming framingOf(const httplib::Request &request)
+{
+    HttpHead head;
+    head.version = request.version == "HTTP/1.0" ? 10 : 11;
+    for (const auto &[name, value] : request.headers)
+        head.fields.add(name, value);
+    return framingOfRequest(head);
+}
+
+/// Whether the library reads the body of a request with this method.
+bool readsBody(const std::string &method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH" || method == "DELETE";
+}
+
 void checkLength(const httplib::Request &request, std::size_t maxBytes)
 {
-    const bool hasLength = request.has_header(LengthHeader);
-    const bool hasTransfer = request.has_header(TransferHeader);
-    if (hasTransfer
-        && (hasLength || request.get_header_value(TransferHeader) != "chunked"
-            || request.get_header_value_count(TransferHeader) > 1))
+    const MessageFraming framing = framingOf(request);
+    if (framing == MessageFraming::UnsupportedCoding)
+        refuse(501, "unsupported_coding", "The transfer coding is not known.");
+    if (framing == MessageFraming::Ambiguous)
         refuse(400, "invalid_framing",
                "The body's length is told in two ways or in an unknown one.");
-    if (hasLength && contentLength(request) > maxBytes)
+    const std::uint64_t length = framing == MessageFraming::Length ? contentLength(request) : 0;
+    if (length > maxBytes)
         refuse(413, "body_too_large", "The body is too large.");
-    const bool expectsBody =
-            request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-    if (expectsBody && !hasLength && !hasTransfer)
+    const bool hasBody = framing == MessageFraming::Chunked || length != 0;
+    // An unread body would be taken for the next request.
+    if (hasBody && !readsBody(request.method))
+        refuse(400, "unexpected_body", "A request with this method has no body.");
+    const bool expectsBody = readsBody(request.method) && request.method != "DELETE";
+    if (expectsBody && framing == MessageFraming::None)
         refuse(411, "length_required", "The body's length is missing.");
 }
 
