A crash right after the first event of an answer is evidence against its parts

Cause: a crash counted only while no event had come, the second event cleared the part, and a stream that had begun was continued without asking the breaker. request.broken said answer_started=true for each crash, and no part.opened followed. Ruled out: evidence that was lost between routers (there was none).

Change: an answer is settled when events have come for 150 ms. Until then a crash counts, and the stream is continued only if no part of it was at two crashes; a settled answer, or the end of one, clears its parts. Streams that went on for longer are neither suspects nor held back, so a lost rack blames no part for them.

--- a/include/almondmill/forward/partevidence.h
+++ b/include/almondmill/forward/partevidence.h
@@ -19,7 +19,8 @@
 /// Hash of an engine's id and start time.
 std::uint64_t incarnationHash(const Registration &registration);
 
-/// The end of an engine's process while requests waited there for the start of their answers.
+/// The end of an engine's process while requests waited there for the start of their answers, or
+/// shortly after these had begun.
 struct EngineCrash
 {
     std::uint64_t engine = 0; ///< See incarnationHash.
--- a/src/forward/forwardedrequest.h
+++ b/src/forward/forwardedrequest.h
@@ -98,11 +98,14 @@
     Awaitable<bool> answerAfterFailures();
     Awaitable<bool> answer(const Refusal &refusal);
 
-    /// Records a crash of the engine if the attempt ended with it before an answer started.
+    /// Records a crash of the engine if the attempt ended with it before its answer was settled.
     Awaitable<void> examineBreak(SendPlanner::View view);
     Awaitable<bool> refusesConnections(EndpointView &view);
     /// Records that complete events of the current attempt arrived.
     void recordEvents(SteadyTime now);
+    /// Whether the engine went on with the current attempt's answer for so long that its start
+    /// can't have ended the engine.
+    bool isAnswerSettled() const;
     /// Records that one of the request's parts is open; returns false when none is.
     bool findsOpenPart(std::optional<PartBreakers::OpenPart> open);
 
--- a/src/forward/requestparts.cpp
+++ b/src/forward/requestparts.cpp
@@ -23,6 +23,10 @@
 /// defaults.
 constexpr milliseconds ProbeReuse{2000};
 
+/// An engine that has gone on with an answer for this long was not ended by its start: several
+/// steps of a busy engine.
+constexpr milliseconds SettlingTime{150};
+
 } // namespace
 
 bool ForwardedRequest::findsOpenPart(std::optional<PartBreakers::OpenPart> open)
@@ -43,14 +47,18 @@
 
 void ForwardedRequest::recordEvents(SteadyTime now)
 {
-    // An engine that goes on after the start of an answer was not ended by it. Waiting for the end
-    // would leave the parts of long answers suspected for long.
-    if (m_answerStartedAt && !m_isAnswerRecorded) {
+    if (!m_answerStartedAt)
+        m_answerStartedAt = now;
+    // Waiting for the end would leave the parts of long answers suspected for long.
+    if (isAnswerSettled() && !m_isAnswerRecorded) {
         m_isAnswerRecorded = true;
         m_context.partBreakers.recordAnswer(m_parts, *m_answerStartedAt);
     }
-    if (!m_answerStartedAt)
-        m_answerStartedAt = now;
+}
+
+bool ForwardedRequest::isAnswerSettled() const
+{
+    return m_answerStartedAt && m_lastEventsAt - *m_answerStartedAt >= SettlingTime;
 }
 
 ForwardedRequest::Awaitable<void> ForwardedRequest::examineBreak(SendPlanner::View view)
@@ -60,15 +68,16 @@
     const SteadyTime brokeAt = steadyNow();
     const std::uint64_t engine = incarnationHash(view->registration());
     bool hasEnded = m_context.partBreakers.hasCrashed(engine);
-    if (!hasEnded && !m_answerStartedAt)
+    if (!hasEnded && !isAnswerSettled())
         hasEnded = co_await refusesConnections(*view);
     EventLine("request.broken")
             .add("id", m_request.id)
             .add("endpoint", view->id())
             .add("engine_ended", hasEnded)
             .add("answer_started", m_answerStartedAt.has_value())
+            .add("answer_settled", isAnswerSettled())
             .add("suspected", std::uint64_t(m_context.partBreakers.crashesOf(m_parts)));
-    if (hasEnded && !m_answerStartedAt)
+    if (hasEnded && !isAnswerSettled())
         m_context.partBreakers.recordCrash(engine, m_parts, brokeAt);
 }
 
--- a/src/forward/retries.cpp
+++ b/src/forward/retries.cpp
@@ -46,7 +46,7 @@
             return false;
         if (m_streamStarted && !m_continuity.canResume())
             return false;
-        if (m_hasBroken && !m_answerStartedAt && !m_context.partBreakers.mayRetry(m_parts)) {
+        if (m_hasBroken && !isAnswerSettled() && !m_context.partBreakers.mayRetry(m_parts)) {
             m_lastReason = "part_suspected";
             return false;
         }
--- a/tests/failure-crashingparts.cpp
+++ b/tests/failure-crashingparts.cpp
@@ -39,18 +39,31 @@
     return headerOf(call, "Prompt-Prefix").find(part + ":") != std::string::npos;
 }
 
-/// Engines whose process ends when an answer to a prompt with the part "dead" would begin.
+/// The beginning of a stream, up to its first event.
+std::string streamStart(const std::string &call)
+{
+    const std::string whole = stream(call);
+    return whole.substr(0, whole.rfind("0\r\n\r\n"));
+}
+
+/// When an engine ends that begins to write an answer to a prompt with the part "dead".
+enum class CrashPoint { BeforeFirstEvent, AfterFirstEvent };
+
+/// Engines whose process ends when an answer to a prompt with the part "dead" begins.
 class CrashingEngines
 {
 public:
-    CrashingEngines(ForwardingHarness &harness, const std::string &service, std::size_t count)
+    CrashingEngines(ForwardingHarness &harness, const std::string &service, std::size_t count,
+                    CrashPoint point = CrashPoint::BeforeFirstEvent)
     {
         for (std::size_t index = 0; index < count; ++index) {
-            m_engines.emplace_back([this, index](int socket, const std::string &call, unsigned) {
+            m_engines.emplace_back([=, this](int socket, const std::string &call, unsigned) {
                 if (!hasPart(call, "dead")) {
                     RawEndpoint::write(socket, stream(call));
                     return;
                 }
+                if (point == CrashPoint::AfterFirstEvent)
+                    RawEndpoint::write(socket, streamStart(call));
                 ++m_crashes;
                 m_engines[index].crash();
             });
@@ -126,6 +139,47 @@
     EXPECT_GT(std::stod("0" + headerOf(answer, "Retry-After")), 10.0);
 }
 
+// Guards against a part that crashes each engine right after the first event of its answer: such
+// crashes counted for nothing, and each stream was continued at the next engine.
+TEST(CrashingParts, ACrashRightAfterTheFirstEventCounts)
+{
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    const CrashingEngines engines(harness, "resume", 16, CrashPoint::AfterFirstEvent);
+    EXPECT_EQ(sendBoth(harness, "resume"), 10);
+    EXPECT_LE(engines.crashes(), 5);
+    const auto answer = prompt(harness, "resume", "f1:10,dead:15,e1:5");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+}
+
+// Guards against blaming a part for engines that end in the middle of its answers, as a lost rack
+// does: requests with it must still be served.
+TEST(CrashingParts, ACrashInTheMiddleOfAnAnswerCountsForNothing)
+{
+    constexpr std::size_t Crashing = 4;
+    ForwardingHarness harness;
+    harness.configure(oneRouteOfEachKind());
+    std::deque<RawEndpoint> engines;
+    for (std::size_t index = 0; index < Crashing; ++index) {
+        engines.emplace_back([&, index](int socket, const std::string &call, unsigned) {
+            RawEndpoint::write(socket, streamStart(call));
+            std::this_thread::sleep_for(Pause);
+            RawEndpoint::write(socket, "11\r\nid: 2\ndata: abc\n\n\r\n");
+            std::this_thread::sleep_for(Pause / 10);
+            engines[index].crash();
+        });
+        const std::string id = "e" + std::to_string(index);
+        harness.addEndpoint(id, "stream", engines.back().address(), 1);
+        prompt(harness, "stream", "f1:10,b2:15,c1:5");
+    }
+    const RawEndpoint sound([](int socket, const std::string &call, unsigned) {
+        RawEndpoint::write(socket, stream(call));
+    });
+    harness.addEndpoint("sound", "stream", sound.address(), 1);
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    EXPECT_TRUE(isServed(prompt(harness, "stream", "f1:10,b2:15,d1:5")));
+}
+
 // Issue 24: the same for streams that may run once only, which end without a retry.
 TEST(CrashingParts, APartOfStreamsThatAreNotRepeatableIsRefusedToo)
 {
