A stream whose owners are gone goes on if the store confirms the only version

Cause: when no owner of a stream answers, a router can't tell whether they are gone or it is cut off itself, and gave up, whatever it knew. Ruled out: a history that is too young, and lost datagrams (the quarter that went on had the other router among its owners).

Change: an endpoint is registered before it serves, so a view of the registrations that the store confirms as of the question contains the version that began the stream. StoreWatcher::confirm reads what is missing since the last read, also at routers that are no readers; questions that come together share a read, and one that comes during a read has the next one. Where the store can't be read the take-up is refused as before, so a router that is cut off joins no versions.

--- a/include/almondmill/directory/storewatcher.h
+++ b/include/almondmill/directory/storewatcher.h
@@ -68,7 +68,14 @@
     /// Skips changes up to `revision`, which are known from another source.
     void advance(std::uint64_t revision);
 
+    /// Reads the changes that are missing here, also when this router is not a reader. Completes
+    /// within a bounded time, with whether the objects known here contain all that the store had
+    /// acknowledged before the call. Calls that wait at the same time share one read.
+    boost::asio::awaitable<bool> confirm();
+
 private:
+    struct Confirmation;
+
     boost::asio::awaitable<void> backOff();
     boost::asio::awaitable<bool> list();
     std::chrono::milliseconds listTimeout() const;
@@ -78,6 +85,8 @@
     boost::asio::awaitable<void> listDuringWatch();
     boost::asio::awaitable<bool> waitForChanges();
     boost::asio::awaitable<void> idle();
+    boost::asio::awaitable<void> answerConfirmations();
+    boost::asio::awaitable<bool> readMissing();
     void recordSuccess();
     void recordFailure(const std::string &reason);
 
@@ -95,6 +104,8 @@
     bool m_isWatching = false;                         ///< A call for changes is waiting.
     bool m_isListingDuringWatch = false;               ///< A list was requested meanwhile.
     std::shared_ptr<boost::asio::steady_timer> m_idle; ///< Cancelled by `refresh`.
+    std::shared_ptr<Confirmation> m_nextConfirmation;  ///< Of calls whose read is not sent yet.
+    bool m_isConfirming = false;
 };
 
 } // namespace almondmill
--- a/include/almondmill/forward/registrationssync.h
+++ b/include/almondmill/forward/registrationssync.h
@@ -41,6 +41,14 @@
     /// Applies changes that another router read.
     void learn(const StoreUpdate::Registrations &registrations, SteadyTime now);
 
+    /// Whether the directory was up to date, as this router or another one read it from the store,
+    /// a short time before `bootNow`, a time on the boot clock.
+    bool isFresh(SteadyTime bootNow) const;
+
+    /// Brings the directory up to date. Completes with whether it contains all registrations that
+    /// the store had acknowledged before the call.
+    boost::asio::awaitable<bool> confirm() { return m_watcher->confirm(); }
+
 private:
     /// Returns the ids of the entries that were removed.
     std::vector<std::string> applyList(const ObjectList &list, SteadyTime now);
@@ -81,6 +89,7 @@
     std::shared_ptr<StoreWatcher> m_watcher;
     RemovalRetention m_retention;
     bool m_refreshScheduled = false; ///< For the end of the retention.
+    SteadyTime m_upToDateAt;         ///< On the boot clock.
 };
 
 } // namespace almondmill
--- a/include/almondmill/forward/storestatesync.h
+++ b/include/almondmill/forward/storestatesync.h
@@ -48,6 +48,9 @@
     /// Starts following the store.
     void start();
 
+    /// The registrations of endpoints, as far as this router knows them. Valid after `start`.
+    RegistrationsSync &registrations() { return m_registrations; }
+
     /// Applies an update that another router read from the store.
     void learn(const StoreUpdate &update);
 
--- a/include/almondmill/peers/streamorigins.h
+++ b/include/almondmill/peers/streamorigins.h
@@ -34,12 +34,24 @@
     /// Sends a datagram to the router of that name.
     using Sender = std::function<void(const std::string &router, std::string_view bytes)>;
 
+    /// This router's view of the endpoints that are registered in the platform's store.
+    struct View
+    {
+        /// Whether it was up to date a short time before `now`.
+        std::function<bool(SteadyTime now)> isFresh;
+        /// Brings it up to date; completes with whether it contains all that was registered before.
+        std::function<boost::asio::awaitable<bool>()> confirm;
+    };
+
     /// Origins that are remembered; the oldest ones give way.
     static constexpr std::size_t MaxOrigins = 20000;
 
     StreamOrigins(boost::asio::io_context &loop, const SoftwareHistory &history);
     ~StreamOrigins();
 
+    /// Sets the view of the registrations. Without one it is never confirmed.
+    void setView(View view) { m_view = std::move(view); }
+
     /// Begins to take part as router `self`. Before that, this router knows of no others.
     void start(const std::string &self, Sender send);
 
@@ -92,6 +104,7 @@
     std::size_t m_routers = 0;
     std::string m_self;
     Sender m_send;
+    View m_view;
     absl::flat_hash_map<std::uint64_t, Origin> m_origins; ///< By stream.
     std::deque<std::uint64_t> m_order;                    ///< Streams, the oldest record first.
     std::uint32_t m_lastId = 0;
--- a/src/directory/storewatcher.cpp
+++ b/src/directory/storewatcher.cpp
@@ -33,6 +33,9 @@
 /// Wait of a call for changes that are known to exist.
 constexpr milliseconds CatchUpWait{1};
 
+/// Timeout of a read for a confirmation; a caller waits for it.
+constexpr milliseconds ConfirmTimeout{300};
+
 /// Added to the long-polling timeout of a call for changes, for its answer to arrive.
 constexpr milliseconds AnswerTimeout{700};
 
@@ -66,6 +69,18 @@
 
 } // namespace
 
+/// A read that several calls of `confirm` wait for.
+struct StoreWatcher::Confirmation
+{
+    explicit Confirmation(asio::io_context &loop)
+        : done(loop, 2 * ConfirmTimeout)
+    {}
+
+    asio::steady_timer done; ///< Cancelled when the read has ended.
+    bool hasEnded = false;
+    bool isConfirmed = false;
+};
+
 StoreWatcher::StoreWatcher(asio::io_context &loop, AsyncStore &store, Options options,
                            Handlers handlers, std::shared_ptr<StoreOutage> outage)
     : m_loop(loop)
@@ -154,6 +169,49 @@
     m_revision = std::max(m_revision, revision);
 }
 
+asio::awaitable<bool> StoreWatcher::confirm()
+{
+    if (m_revision == 0 || !m_outage->isAnswering())
+        co_return false;
+    if (!m_nextConfirmation)
+        m_nextConfirmation = std::make_shared<Confirmation>(m_loop);
+    const auto joined = m_nextConfirmation;
+    if (!std::exchange(m_isConfirming, true))
+        asio::co_spawn(m_loop, answerConfirmations(), asio::detached);
+    if (!joined->hasEnded) {
+        boost::system::error_code ignored; // The end of the read cancels the timer.
+        co_await joined->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return joined->isConfirmed;
+}
+
+asio::awaitable<void> StoreWatcher::answerConfirmations()
+{
+    // A call that comes while a read is on its way needs another one.
+    while (const auto current = std::exchange(m_nextConfirmation, nullptr)) {
+        current->isConfirmed = co_await readMissing();
+        current->hasEnded = true;
+        current->done.cancel();
+    }
+    m_isConfirming = false;
+}
+
+asio::awaitable<bool> StoreWatcher::readMissing()
+{
+    const auto deadline = std::chrono::steady_clock::now() + ConfirmTimeout;
+    const auto result = co_await m_store.events(m_options.kind, m_revision, CatchUpWait, deadline);
+    if (std::holds_alternative<HistoryGone>(result)) {
+        m_lists.request();
+        co_return co_await list();
+    }
+    const auto *events = std::get_if<ObjectEvents>(&result);
+    if (!events)
+        co_return false;
+    m_revision = std::max(m_revision, events->revision);
+    (m_handlers.caughtUp ? m_handlers.caughtUp : m_handlers.changed)(*events);
+    co_return true;
+}
+
 asio::awaitable<void> StoreWatcher::idle()
 {
     m_idle->expires_after(ReaderCheckInterval);
--- a/src/forward/forwardingrouter.cpp
+++ b/src/forward/forwardingrouter.cpp
@@ -107,6 +107,9 @@
             .add("data_centre", m_context.settings.dataCentre)
             .add("callers", m_context.settings.callersListen);
     m_views.start();
+    m_context.streamOrigins.setView(
+            {[this](SteadyTime now) { return m_views.registrations().isFresh(now); },
+             [this] { return m_views.registrations().confirm(); }});
     m_peers.start();
     startSupervised(m_loop, "parts.archive", [this] { return m_evidenceArchive.run(); });
     m_callers.start();
--- a/src/forward/registrationssync.cpp
+++ b/src/forward/registrationssync.cpp
@@ -6,6 +6,7 @@
 #include "almondmill/forward/forwardingcontext.h"
 #include "almondmill/forward/platformadapter.h"
 #include "almondmill/http/asyncsleep.h"
+#include "almondmill/kernel/boottime.h"
 #include "almondmill/kernel/error.h"
 #include "almondmill/observe/eventline.h"
 #include "almondmill/store/revision.h"
@@ -31,6 +32,9 @@
 constexpr milliseconds RegistrationsWait{300};
 constexpr milliseconds RegistrationsPause{200};
 
+/// Readers report about every half second; one report may be lost.
+constexpr milliseconds FreshnessTime{1200};
+
 /// Changes after which an update is full: whole entries take up to 200 bytes, deltas with one model
 /// up to 25. One whole entry more, the head and the engines that load weights still fit into a
 /// datagram.
@@ -106,6 +110,8 @@
     bool isComplete = registrations.from <= directory.revision();
     for (const RegistrationDelta &delta : registrations.deltas)
         isComplete = learnDelta(delta) && isComplete;
+    if (isComplete)
+        m_upToDateAt = bootTime();
     if (registrations.to <= directory.revision())
         return;
     if (!isComplete) {
@@ -142,8 +148,14 @@
             });
 }
 
+bool RegistrationsSync::isFresh(SteadyTime bootNow) const
+{
+    return bootNow - m_upToDateAt < FreshnessTime;
+}
+
 void RegistrationsSync::applyEvents(const ObjectEvents &events, SteadyTime now)
 {
+    m_upToDateAt = bootTime();
     checkOutage(now);
     m_retention.recordRead(events.revision);
     for (const ObjectEvent &event : events.events)
--- a/src/peers/streamorigins.cpp
+++ b/src/peers/streamorigins.cpp
@@ -103,10 +103,14 @@
     co_await ask(owners, question);
     if (question.software)
         co_return question.software;
-    // Without an answer, another router may know of a version that this one doesn't.
-    if (!owners.empty() && !question.isAnswered)
-        co_return std::nullopt;
-    co_return soleSoftware(question.recent);
+    // Without an answer, another router may know of a version that this one doesn't. An endpoint is
+    // registered before it serves, so the store knows it too.
+    if (!owners.empty() && !question.isAnswered) {
+        const bool isConfirmed = m_view.confirm && co_await m_view.confirm();
+        if (!isConfirmed)
+            co_return std::nullopt;
+    }
+    co_return soleSoftware(merge(question.recent, m_history.recent(serviceHash, now)));
 }
 
 asio::awaitable<void> StreamOrigins::ask(const std::vector<std::string> &owners, Question &question)
--- a/tests/unit-storewatcher.cpp
+++ b/tests/unit-storewatcher.cpp
@@ -84,6 +84,61 @@
     boost::asio::io_context &m_loop;
 };
 
+/// A store that answers calls for changes after a while, and counts them.
+class AnsweringStore : public ListedStore
+{
+public:
+    static constexpr milliseconds AnswerTime{20};
+
+    explicit AnsweringStore(boost::asio::io_context &loop)
+        : m_loop(loop)
+    {}
+
+    Awaitable<EventsResult> events(ObjectKind kind, std::uint64_t revision, milliseconds wait,
+                                   SteadyTime deadline) override
+    {
+        co_await sleepFor(m_loop, AnswerTime);
+        if (isDown || isHistoryGone)
+            co_return co_await ListedStore::events(kind, revision, wait, deadline);
+        ++watches;
+        ObjectEvents events;
+        events.revision = currentRevision;
+        co_return events;
+    }
+
+private:
+    boost::asio::io_context &m_loop;
+};
+
+/// A watcher of a router that is no reader, which has read its first list.
+class Confirmations : public testing::Test
+{
+protected:
+    Confirmations()
+        : store(loop)
+        , watcher(loop, store, {},
+                  {[](const ObjectList &, SteadyTime) {},
+                   [this](const ObjectEvents &events) { seen = events.revision; }})
+    {
+        boost::asio::co_spawn(loop, watcher.run([] { return false; }), boost::asio::detached);
+        loop.run_for(milliseconds(50));
+    }
+
+    void confirm()
+    {
+        boost::asio::co_spawn(loop, watcher.confirm(),
+                              [this](const std::exception_ptr &, bool isConfirmed) {
+                                  results.push_back(isConfirmed);
+                              });
+    }
+
+    boost::asio::io_context loop;
+    AnsweringStore store;
+    StoreWatcher watcher;
+    std::uint64_t seen = 0;
+    std::vector<bool> results;
+};
+
 class StoreWatcherTest : public testing::Test
 {
 protected:
@@ -111,6 +166,48 @@
 
 } // namespace
 
+// Questions that come in a burst must not become as many calls to the store: the first one has a
+// read, and all that come meanwhile share the next one.
+TEST_F(Confirmations, ThatComeTogetherShareAReadOfTheStore)
+{
+    for (int call = 0; call < 10; ++call)
+        confirm();
+    loop.run_for(milliseconds(100));
+    EXPECT_EQ(results, std::vector<bool>(10, true));
+    EXPECT_LE(store.watches, 2U);
+    EXPECT_EQ(seen, store.currentRevision);
+}
+
+// Guards against a confirmation by a read that was sent before the question came.
+TEST_F(Confirmations, ThatComeDuringAReadWaitForTheNextOne)
+{
+    confirm();
+    loop.run_for(AnsweringStore::AnswerTime / 2);
+    confirm();
+    store.currentRevision = 11;
+    loop.run_for(milliseconds(100));
+    EXPECT_EQ(results, std::vector<bool>(2, true));
+    EXPECT_EQ(store.watches, 2U);
+    EXPECT_EQ(seen, 11U);
+}
+
+TEST_F(Confirmations, FailWhileTheStoreDoesNotAnswer)
+{
+    store.isDown = true;
+    confirm();
+    loop.run_for(milliseconds(100));
+    EXPECT_EQ(results, std::vector<bool>(1, false));
+}
+
+TEST_F(Confirmations, ListTheObjectsWhenTheHistoryIsGone)
+{
+    store.isHistoryGone = true;
+    confirm();
+    loop.run_for(milliseconds(100));
+    EXPECT_EQ(results, std::vector<bool>(1, true));
+    EXPECT_EQ(store.lists.back(), Freshness::Current);
+}
+
 TEST_F(StoreWatcherTest, TheFirstListMayBeStale)
 {
     EXPECT_EQ(store.lists, std::vector<Freshness>{Freshness::MayBeStale});
--- a/tests/unit-streamorigins.cpp
+++ b/tests/unit-streamorigins.cpp
@@ -5,6 +5,7 @@
 #include "almondmill/kernel/hash.h"
 #include "almondmill/peers/streamorigins.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -12,10 +13,12 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace almondmill::test {
@@ -42,32 +45,43 @@
 }
 
 /// A fleet of routers that share the origins of streams. Datagrams arrive through the event loop.
+/// Each router has its own view of the store's registrations.
 class Fleet
 {
 public:
     explicit Fleet(std::size_t size)
     {
+        m_routers.resize(size);
         for (std::size_t router = 0; router < size; ++router)
-            m_routers.push_back({"r" + std::to_string(router), nullptr, nullptr});
+            m_routers[router].name = "r" + std::to_string(router);
         for (std::size_t router = 0; router < size; ++router)
             start(router);
     }
 
     std::size_t size() const { return m_routers.size(); }
 
-    /// Starts the router's process anew; it knows the endpoints that are registered.
+    /// Starts the router's process anew; it knows the endpoints that are registered, if it can read
+    /// them.
     void start(std::size_t router)
     {
         Router &started = m_routers[router];
         started.origins.reset();
         started.history = std::make_unique<SoftwareHistory>();
-        for (const std::string &version : m_versions)
-            started.history->added(endpointOf(version), m_now);
+        started.missed.clear();
+        for (const std::string &version : m_versions) {
+            started.missed.emplace_back([this, version](SoftwareHistory &history) {
+                history.added(endpointOf(version), m_now);
+            });
+        }
+        if (!isCutOff(router) && !m_isStoreDown)
+            catchUp(started);
         started.origins = std::make_unique<StreamOrigins>(m_loop, *started.history);
         started.origins->start(started.name,
                                [this, router](const std::string &to, std::string_view bytes) {
                                    deliver(router, to, std::string(bytes));
                                });
+        started.origins->setView({[this, router](SteadyTime) { return isFresh(router); },
+                                  [this, router] { return confirm(router); }});
         for (const Router &other : m_routers) {
             if (other.name != started.name)
                 started.origins->addRouter(other.name);
@@ -76,21 +90,29 @@
 
     void stop(std::size_t router) { m_routers[router].origins.reset(); }
 
-    /// Registers an endpoint of the version. `late` does not learn of it yet.
-    void add(const std::string &version, std::optional<std::size_t> late = std::nullopt)
+    /// Cuts these routers off from the store and from all others but each other.
+    void cutOff(const std::set<std::size_t> &routers) { m_cutOff = routers; }
+
+    /// Ends the cut. The routers don't know yet what they missed.
+    void heal() { m_cutOff.clear(); }
+
+    void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
+
+    /// Registers an endpoint of the version. Routers that are cut off don't learn of it.
+    void add(const std::string &version)
     {
         m_versions.insert(version);
-        for (std::size_t router = 0; router < size(); ++router) {
-            if (router != late)
-                m_routers[router].history->added(endpointOf(version), m_now);
-        }
+        change([this, version](SoftwareHistory &history) {
+            history.added(endpointOf(version), m_now);
+        });
     }
 
     void remove(const std::string &version)
     {
         m_versions.erase(version);
-        for (const Router &router : m_routers)
-            router.history->removed(endpointOf(version), m_now);
+        change([this, version](SoftwareHistory &history) {
+            history.removed(endpointOf(version), m_now);
+        });
     }
 
     SteadyTime now() const { return m_now; }
@@ -115,23 +137,69 @@
     /// Where the stream may go on, as found at the router; nothing when it is not known there.
     std::optional<SoftwareHash> find(std::size_t router, const std::string &stream)
     {
-        std::optional<SoftwareHash> found;
-        boost::asio::co_spawn(m_loop, m_routers[router].origins->find(stream, Service, m_now),
-                              [&](const std::exception_ptr &, std::optional<SoftwareHash> result) {
-                                  found = result;
-                              });
+        return findAll(router, {stream}).front();
+    }
+
+    /// Takes all these streams up at the same time.
+    std::vector<std::optional<SoftwareHash>> findAll(std::size_t router,
+                                                     const std::vector<std::string> &streams)
+    {
+        std::vector<std::optional<SoftwareHash>> found(streams.size());
+        for (std::size_t stream = 0; stream < streams.size(); ++stream) {
+            boost::asio::co_spawn(m_loop,
+                                  m_routers[router].origins->find(streams[stream], Service, m_now),
+                                  [&found, stream](const std::exception_ptr &,
+                                                   std::optional<SoftwareHash> result) {
+                                      found[stream] = result;
+                                  });
+        }
         run();
         return found;
     }
 
 private:
+    using Change = std::function<void(SoftwareHistory &)>;
+
     struct Router
     {
         std::string name;
         std::unique_ptr<SoftwareHistory> history;
         std::unique_ptr<StreamOrigins> origins;
+        std::vector<Change> missed; ///< Changes that the store has and this router doesn't know.
     };
 
+    bool isCutOff(std::size_t router) const { return m_cutOff.contains(router); }
+
+    bool isFresh(std::size_t router) const
+    {
+        return !m_isStoreDown && !isCutOff(router) && m_routers[router].missed.empty();
+    }
+
+    /// Reads the changes that the router has missed, if it reaches the store.
+    boost::asio::awaitable<bool> confirm(std::size_t router)
+    {
+        if (m_isStoreDown || isCutOff(router))
+            co_return false;
+        catchUp(m_routers[router]);
+        co_return true;
+    }
+
+    static void catchUp(Router &router)
+    {
+        for (const Change &missed : std::exchange(router.missed, {}))
+            missed(*router.history);
+    }
+
+    void change(const Change &change)
+    {
+        for (std::size_t router = 0; router < size(); ++router) {
+            if (isCutOff(router) || !m_routers[router].missed.empty())
+                m_routers[router].missed.push_back(change);
+            else
+                change(*m_routers[router].history);
+        }
+    }
+
     void run()
     {
         m_loop.restart();
@@ -141,7 +209,7 @@
     void deliver(std::size_t from, const std::string &to, const std::string &bytes)
     {
         for (std::size_t router = 0; router < size(); ++router) {
-            if (m_routers[router].name == to)
+            if (m_routers[router].name == to && isCutOff(router) == isCutOff(from))
                 boost::asio::post(m_loop, [=, this] { receive(from, router, bytes); });
         }
     }
@@ -164,6 +232,8 @@
     SteadyTime m_now{std::chrono::hours(1)};
     std::set<std::string> m_versions;
     std::vector<Router> m_routers;
+    std::set<std::size_t> m_cutOff;
+    bool m_isStoreDown = false;
 };
 
 constexpr auto LongAgo = SoftwareHistory::Retention + seconds(1);
@@ -281,7 +351,9 @@
     Fleet fleet(6);
     fleet.add("v1");
     fleet.pass(LongAgo);
-    fleet.add("v2", 0);
+    fleet.cutOff({0});
+    fleet.add("v2");
+    fleet.heal();
     fleet.begin(1, "s", "v2");
     EXPECT_EQ(fleet.find(0, "s"), hashOf("v2"));
     EXPECT_EQ(fleet.find(0, "unknown"), std::nullopt);
@@ -294,6 +366,34 @@
     fleet.pass(LongAgo);
     fleet.stop(1);
     fleet.stop(2);
+    fleet.setStoreDown(true);
+    EXPECT_EQ(fleet.find(0, "s"), std::nullopt);
+}
+
+// Guards against refusing streams because their owners are gone, though the store shows that there
+// was one version only (review/15).
+TEST(StreamOrigins, StreamsOfTheOnlyVersionGoOnWhenMostRoutersAreGone)
+{
+    constexpr std::size_t Routers = 14;
+    constexpr std::size_t Left = 2;
+    Fleet fleet(Routers);
+    fleet.add("v1");
+    fleet.pass(LongAgo);
+    for (std::size_t router = Left; router < Routers; ++router)
+        fleet.stop(router);
+    for (std::size_t stream = 0; stream < 48; ++stream)
+        EXPECT_EQ(fleet.find(stream % Left, streamName(stream)), hashOf("v1")) << stream;
+}
+
+// Guards against a router that is cut off and trusts what it knew before because nobody answers.
+TEST(StreamOrigins, ARouterThatIsCutOffContinuesNoStreamOfOthers)
+{
+    Fleet fleet(6);
+    fleet.add("v1");
+    fleet.pass(LongAgo);
+    fleet.cutOff({0});
+    fleet.add("v2");
+    fleet.begin(1, "s", "v2");
     EXPECT_EQ(fleet.find(0, "s"), std::nullopt);
 }
 
