--- a/include/almondmill/peers/streamorigins.h
+++ b/include/almondmill/peers/streamorigins.h
@@ -26,8 +26,14 @@
 /// Remembers at which software each stream began that callers may take up again, at this router or
 /// at another one. While a service runs several versions, or may have, each router reports its
 /// streams to their owners; the router at which a caller takes a stream up asks them. Where nobody
-/// knows the stream and it may have begun at several versions, its origin stays unknown. Times are
-/// on the boot clock. Must be used on the event loop only.
+/// knows the stream and it may have begun at several versions, its origin stays unknown.
+///
+/// What this router knows of a service's versions may be out of date after a cut or a pause, and
+/// the owners may be gone. An endpoint is registered before it serves, so a view of the
+/// registrations as of the question contains the version that began the stream. Without such a
+/// view, most owners have to know of the same only version.
+///
+/// Times are on the boot clock. Must be used on the event loop only.
 class StreamOrigins
 {
 public:
@@ -90,9 +96,21 @@
 
     struct Question;
 
+    /// How far what is known of a service's versions can be trusted.
+    enum class Trust {
+        None,
+        OfOwners, ///< Most owners know of the same only version.
+        OfView,   ///< The view of the registrations was confirmed since the question came.
+    };
+
     std::optional<SoftwareHash> findKnown(std::uint64_t stream, SteadyTime now) const;
-    boost::asio::awaitable<void> ask(const std::vector<std::string> &owners, Question &question);
+    boost::asio::awaitable<void> ask(Question &question);
+    /// Asks those owners that have not answered.
+    void sendQuestion(Question &question);
+    boost::asio::awaitable<Trust> establishTrust(const Question &question, SteadyTime now);
+    /// The routers that keep the stream's origin, this one may be among them.
     std::vector<std::string> ownersOf(std::uint64_t stream) const;
+    std::vector<std::string> otherOwnersOf(std::uint64_t stream) const;
     void store(std::uint64_t stream, const Origin &origin);
     void dropOld(SteadyTime now);
     bool mayBeMixed(std::uint32_t service, SteadyTime now) const;
--- a/src/peers/streamorigins.cpp
+++ b/src/peers/streamorigins.cpp
@@ -1,6 +1,7 @@
 #include "almondmill/peers/streamorigins.h"
 
 #include "almondmill/kernel/hash.h"
+#include "almondmill/observe/eventline.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <utility>
 
 namespace almondmill {
 
@@ -22,10 +24,13 @@
 /// data centres, and little against the pause that the caller has seen already.
 constexpr std::array<milliseconds, 2> AnswerTimeouts{milliseconds(30), milliseconds(50)};
 
-/// Each of them gives two owners. In a small fleet, where many routers may be killed together, a
-/// stream has up to four.
-constexpr std::array<std::uint64_t, 2> OwnerSalts{0, 0x9e3779b97f4a7c15};
-constexpr std::size_t MaxRoutersWithAllSalts = 128;
+/// Owners of a stream. In a small fleet, where many routers may be killed together, there are more.
+constexpr std::size_t OwnersPerStream = 2;
+constexpr std::size_t OwnersPerStreamInSmallFleet = 4;
+constexpr std::size_t MaxRoutersOfSmallFleet = 128;
+
+/// Draws of owners until there are enough different ones. Each gives two.
+constexpr std::uint64_t MaxOwnerDraws = 8;
 
 /// A stream that goes on is recorded again after this time.
 constexpr auto RenewalInterval = SoftwareHistory::Retention / 4;
@@ -38,12 +43,36 @@
 /// A question to the owners of a stream.
 struct StreamOrigins::Question
 {
-    StreamOriginQuestion text;
-    asio::steady_timer timer; ///< Cancelled when the answer is certain.
-    std::size_t awaited = 0;  ///< Owners that have not answered.
-    bool isAnswered = false;  ///< By one owner at least.
+    struct Owner
+    {
+        std::string name;
+        std::uint32_t id = 0; ///< Of the question to this owner.
+        bool hasAnswered = false;
+    };
+
+    Question(asio::io_context &loop, std::uint64_t askedStream, std::uint32_t askedService)
+        : stream(askedStream)
+        , service(askedService)
+        , timer(loop)
+    {}
+
+    bool isAnsweredByAll() const { return answers == owners.size(); }
+
+    /// Whether most owners, this router not counted as one, know of the same only version.
+    bool isVouchedFor() const
+    {
+        return 2 * vouchers > ownerCount && soleSoftware(recent).has_value();
+    }
+
+    std::uint64_t stream;
+    std::uint32_t service;
+    asio::steady_timer timer;   ///< Cancelled when the answer is certain.
+    std::vector<Owner> owners;  ///< Without this router.
+    std::size_t ownerCount = 0; ///< With this router.
+    std::size_t answers = 0;
+    std::size_t vouchers = 0; ///< Owners that know of one version only.
     std::optional<SoftwareHash> software;
-    RecentSoftware recent;
+    RecentSoftware recent; ///< What this router and the owners that answered know together.
 };
 
 StreamOrigins::StreamOrigins(asio::io_context &loop, const SoftwareHistory &history)
@@ -84,7 +113,7 @@
     dropOld(now);
     if (!reports)
         return;
-    for (const std::string &owner : ownersOf(stream))
+    for (const std::string &owner : otherOwnersOf(stream))
         sendReport(owner, {{stream, software}});
 }
 
@@ -95,41 +124,65 @@
     const auto known = findKnown(stream, now);
     if (known)
         co_return known;
-    const std::uint32_t serviceHash = shortHash(service);
-    Question question{
-            {++m_lastId, stream, serviceHash}, asio::steady_timer(m_loop), 0, false, std::nullopt,
-            m_history.recent(serviceHash, now)};
-    const std::vector<std::string> owners = ownersOf(stream);
-    co_await ask(owners, question);
+    Question question(m_loop, stream, shortHash(service));
+    question.recent = m_history.recent(question.service, now);
+    question.ownerCount = ownersOf(stream).size();
+    for (std::string &owner : otherOwnersOf(stream))
+        question.owners.push_back({std::move(owner), ++m_lastId});
+    co_await ask(question);
     if (question.software)
         co_return question.software;
-    // Without an answer, another router may know of a version that this one doesn't. An endpoint is
-    // registered before it serves, so the store knows it too.
-    if (!owners.empty() && !question.isAnswered) {
-        const bool isConfirmed = m_view.confirm && co_await m_view.confirm();
-        if (!isConfirmed)
-            co_return std::nullopt;
-    }
-    co_return soleSoftware(merge(question.recent, m_history.recent(serviceHash, now)));
+    if (!soleSoftware(question.recent))
+        co_return std::nullopt;
+    const Trust trust = co_await establishTrust(question, now);
+    EventLine("stream.origin")
+            .add("stream", requestId)
+            .add("owners", std::uint64_t(question.owners.size()))
+            .add("answers", std::uint64_t(question.answers))
+            .add("vouchers", std::uint64_t(question.vouchers))
+            .add("confirmed", trust == Trust::OfView);
+    if (trust == Trust::None)
+        co_return std::nullopt;
+    // The confirmation may have brought another version.
+    co_return soleSoftware(merge(question.recent, m_history.recent(question.service, now)));
 }
 
-asio::awaitable<void> StreamOrigins::ask(const std::vector<std::string> &owners, Question &question)
+asio::awaitable<StreamOrigins::Trust> StreamOrigins::establishTrust(const Question &question,
+                                                                    SteadyTime now)
 {
-    const std::string bytes = encodeStreamOrigin(question.text);
-    question.awaited = owners.size();
-    m_questions[question.text.id] = &question;
+    const bool isVouchedFor = question.isVouchedFor();
+    if (isVouchedFor && m_view.isFresh && m_view.isFresh(now))
+        co_return Trust::OfOwners;
+    if (m_view.confirm && co_await m_view.confirm())
+        co_return Trust::OfView;
+    co_return isVouchedFor ? Trust::OfOwners : Trust::None;
+}
+
+asio::awaitable<void> StreamOrigins::ask(Question &question)
+{
+    for (const Question::Owner &owner : question.owners)
+        m_questions[owner.id] = &question;
     for (const milliseconds timeout : AnswerTimeouts) {
-        if (question.awaited == 0)
+        // Only an owner that hasn't answered yet can know where a stream of several versions began.
+        const bool needsMore = question.answers == 0 || !soleSoftware(question.recent);
+        if (question.software || question.isAnsweredByAll() || !needsMore)
             break;
-        for (const std::string &owner : owners)
-            m_send(owner, bytes);
+        sendQuestion(question);
         question.timer.expires_after(timeout);
         boost::system::error_code ignored; // The answers end the wait by cancelling the timer.
         co_await question.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (question.isAnswered)
-            break;
     }
-    m_questions.erase(question.text.id);
+    for (const Question::Owner &owner : question.owners)
+        m_questions.erase(owner.id);
+}
+
+void StreamOrigins::sendQuestion(Question &question)
+{
+    for (const Question::Owner &owner : question.owners) {
+        if (!owner.hasAnswered)
+            m_send(owner.name, encodeStreamOrigin(StreamOriginQuestion{owner.id, question.stream,
+                                                                       question.service}));
+    }
 }
 
 void StreamOrigins::reportOpen(SteadyTime now)
@@ -139,7 +192,7 @@
         if (origin.isReported || origin.service == 0 || !mayBeMixed(origin.service, now))
             continue;
         origin.isReported = true;
-        for (const std::string &owner : ownersOf(stream))
+        for (const std::string &owner : otherOwnersOf(stream))
             reports[owner].push_back({stream, origin.software});
     }
     for (auto &[owner, origins] : reports)
@@ -164,16 +217,18 @@
     if (found == m_questions.end())
         return;
     Question &question = *found->second;
-    question.isAnswered = true;
+    const auto owner =
+            std::find_if(question.owners.begin(), question.owners.end(),
+                         [&](const Question::Owner &asked) { return asked.id == reply.id; });
+    if (owner == question.owners.end() || std::exchange(owner->hasAnswered, true))
+        return;
+    ++question.answers;
+    question.vouchers += soleSoftware(reply.recent) ? 1 : 0;
     question.recent = merge(question.recent, reply.recent);
     if (reply.software)
         question.software = reply.software;
-    if (question.awaited > 0)
-        --question.awaited;
-    if (question.software || question.awaited == 0) {
-        question.awaited = 0;
+    if (question.software || question.isAnsweredByAll())
         question.timer.cancel();
-    }
 }
 
 std::optional<SoftwareHash> StreamOrigins::findKnown(std::uint64_t stream, SteadyTime now) const
@@ -189,17 +244,25 @@
     std::vector<std::string> owners;
     if (!m_send)
         return owners;
-    const std::size_t salts = m_routers <= MaxRoutersWithAllSalts ? OwnerSalts.size() : 1;
-    for (std::size_t salt = 0; salt < salts; ++salt) {
-        for (const std::string &owner : m_owners.ownersOf(stream ^ OwnerSalts.at(salt))) {
+    const std::size_t most =
+            m_routers <= MaxRoutersOfSmallFleet ? OwnersPerStreamInSmallFleet : OwnersPerStream;
+    for (std::uint64_t draw = 0; draw < MaxOwnerDraws; ++draw) {
+        for (const std::string &owner : m_owners.ownersOf(mixHash(stream, draw))) {
             const bool isNew = std::find(owners.begin(), owners.end(), owner) == owners.end();
-            if (!owner.empty() && owner != m_self && isNew)
+            if (!owner.empty() && isNew && owners.size() < most)
                 owners.push_back(owner);
         }
     }
     return owners;
 }
 
+std::vector<std::string> StreamOrigins::otherOwnersOf(std::uint64_t stream) const
+{
+    std::vector<std::string> owners = ownersOf(stream);
+    std::erase(owners, m_self);
+    return owners;
+}
+
 void StreamOrigins::store(std::uint64_t stream, const Origin &origin)
 {
     m_origins[stream] = origin;
--- a/tests/unit-streamorigins.cpp
+++ b/tests/unit-streamorigins.cpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -397,6 +398,146 @@
     EXPECT_EQ(fleet.find(0, "s"), std::nullopt);
 }
 
+// Guards against a router that stood still and trusts what it knew before, because no other router
+// answers or only ones that have just started and know nothing yet.
+TEST(StreamOrigins, ARouterThatStoodStillReadsTheStoreFirst)
+{
+    for (const bool haveOthersStarted : {false, true}) {
+        Fleet fleet(6);
+        fleet.add("v1");
+        fleet.pass(LongAgo);
+        fleet.cutOff({0});
+        fleet.add("v2");
+        fleet.begin(1, "s", "v2");
+        fleet.heal();
+        fleet.setStoreDown(true);
+        for (std::size_t router = 1; router < fleet.size(); ++router) {
+            if (haveOthersStarted)
+                fleet.start(router);
+            else
+                fleet.stop(router);
+        }
+        fleet.setStoreDown(false);
+        EXPECT_EQ(fleet.find(0, "s"), std::nullopt) << haveOthersStarted;
+    }
+}
+
+// Guards against routers that are cut off together and confirm to each other what they knew before.
+TEST(StreamOrigins, RoutersThatAreCutOffTogetherContinueNoStreamOfOthers)
+{
+    constexpr std::size_t Streams = 100;
+    Fleet fleet(14);
+    fleet.add("v1");
+    fleet.pass(LongAgo);
+    fleet.cutOff({0, 1, 2});
+    fleet.add("v2");
+    std::vector<std::string> names;
+    for (std::size_t stream = 0; stream < Streams; ++stream) {
+        names.push_back(streamName(stream));
+        fleet.begin(3 + stream % 11, names.back(), "v2");
+    }
+    for (std::size_t router = 0; router < 3; ++router) {
+        for (const auto &found : fleet.findAll(router, names))
+            EXPECT_EQ(found, std::nullopt);
+    }
+}
+
+// Guards against any sequence of cuts, outages of the store, kills and releases that lets a stream
+// go on at another version than the one that began it.
+TEST(StreamOrigins, CutsAtRandomNeverJoinTwoVersions)
+{
+    constexpr std::size_t Routers = 6;
+    constexpr int Steps = 60;
+    for (const std::uint32_t seed : {1U, 2U, 3U, 4U, 5U, 6U}) {
+        std::mt19937 random(seed);
+        const auto draw = [&](std::size_t bound) { return std::size_t(random()) % bound; };
+        Fleet fleet(Routers);
+        fleet.add("v0");
+        fleet.pass(LongAgo);
+        std::string newest = "v0";
+        std::size_t cutOff = Routers; // None.
+        std::vector<std::string> names;
+        std::vector<SoftwareHash> origins;
+        for (int step = 0; step < Steps; ++step) {
+            const std::size_t router = draw(Routers);
+            switch (draw(8)) {
+            case 0:
+                newest = "v" + std::to_string(step);
+                fleet.setStoreDown(false);
+                fleet.add(newest);
+                break;
+            case 1:
+                fleet.start(router);
+                break;
+            case 2:
+                cutOff = router;
+                fleet.cutOff({router});
+                break;
+            case 3:
+                cutOff = Routers;
+                fleet.heal();
+                break;
+            case 4:
+                fleet.setStoreDown(true);
+                break;
+            case 5:
+                fleet.pass(seconds(draw(5)));
+                break;
+            default:
+                if (router == cutOff)
+                    break; // It may not know the newest version.
+                names.push_back(streamName(names.size()));
+                origins.push_back(hashOf(newest));
+                fleet.begin(router, names.back(), newest);
+            }
+            const auto found = fleet.findAll(draw(Routers), names);
+            for (std::size_t stream = 0; stream < names.size(); ++stream)
+                EXPECT_TRUE(!found[stream] || *found[stream] == origins[stream])
+                        << seed << " " << step << " " << stream;
+        }
+    }
+}
+
+// An outage of the store, in which nothing registers, must not end the streams of sound routers.
+TEST(StreamOrigins, OwnersVouchForTheOnlyVersionWhileTheStoreIsDown)
+{
+    Fleet fleet(6);
+    fleet.add("v1");
+    fleet.pass(LongAgo);
+    fleet.setStoreDown(true);
+    for (std::size_t router = 0; router < fleet.size(); ++router)
+        EXPECT_EQ(fleet.find(router, "s"), hashOf("v1"));
+}
+
+// A lost reply leaves the question with the owners that haven't answered, and one that answers
+// twice counts once.
+TEST(StreamOrigins, AnOwnerThatAnswersTwiceCountsOnce)
+{
+    boost::asio::io_context loop;
+    SoftwareHistory history;
+    history.added(endpointOf("v1"), SteadyTime(std::chrono::hours(1)));
+    StreamOrigins origins(loop, history);
+    origins.start("r0", [&](const std::string &to, std::string_view bytes) {
+        const auto question = decodeStreamOriginQuestion(bytes);
+        if (to != "r1" || !question)
+            return;
+        const StreamOriginReply reply{question->id, std::nullopt, SoleSoftware{hashOf("v1")}};
+        boost::asio::post(loop, [&origins, reply] {
+            origins.handleReply(reply);
+            origins.handleReply(reply);
+        });
+    });
+    for (const char *name : {"r1", "r2", "r3"})
+        origins.addRouter(name);
+    std::optional<SoftwareHash> found;
+    boost::asio::co_spawn(loop, origins.find("s", Service, SteadyTime(std::chrono::hours(2))),
+                          [&](const std::exception_ptr &, std::optional<SoftwareHash> result) {
+                              found = result;
+                          });
+    loop.run();
+    EXPECT_EQ(found, std::nullopt); // One of three owners is no majority.
+}
+
 TEST(StreamOrigins, AreBounded)
 {
     Fleet fleet(1);
