--- a/tests/failure-messageframing.cpp
+++ b/tests/failure-messageframing.cpp
@@ -83,7 +83,7 @@
     };
 }
 
-HttpHead headWith(int version, std::vector<HttpField> fields)
+HttpHead headWith(int version, const std::vector<HttpField> &fields)
 {
     HttpHead head;
     head.version = version;
@@ -202,7 +202,9 @@
     for (const std::string &request : requests) {
         SCOPED_TRACE(request);
         const RawCaller caller(router.callersUrl());
-        caller.send(request + "\r\n" + innerRequest);
+        caller.send(request);
+        caller.send("\r\n");
+        caller.send(innerRequest);
         const std::string answer = caller.readToEnd();
         EXPECT_TRUE(hasStatus(answer, 400) || hasStatus(answer, 501)) << answer;
         EXPECT_EQ(countOf(answer, "HTTP/1.1"), 1U) << answer;
